The whole path, thin, as separate processes

Change: one binary with roles (entry, platform stand-in, worker stand-in, ctl, load, check). Settings in INI via GKeyFile, checked against option tables; every finding carries file, line and key and all are reported together before anything starts. "Not run" is told only when the worker said so or no connection was made.

--- /dev/null
+++ b/common/event.h
@@ -0,0 +1,54 @@
+/*
+ * Numbered log events. Every log line the system writes carries an event
+ * number from this list; docs/EVENTS.md catalogues them for operators.
+ * Lines go through GLib's structured logging with the fields EVENT, ROLE
+ * and MESSAGE, and are written one per line as key=value pairs.
+ */
+#ifndef MP_COMMON_EVENT_H
+#define MP_COMMON_EVENT_H
+
+#include <glib.h>
+
+enum mp_event {
+	EV_STARTED = 100,
+	EV_STOPPING = 101,
+	EV_STOPPED = 102,
+	EV_SETTINGS_BAD = 110,
+	EV_SETTINGS_FINDING = 111,
+	EV_LISTEN_FAILED = 120,
+
+	EV_CONFIG_APPLIED = 200,
+	EV_CONFIG_PATCH_REJECTED = 201,
+	EV_CONFIG_SNAPSHOT_ADOPTED = 202,
+	EV_CONFIG_SNAPSHOT_WRITTEN = 203,
+	EV_CONFIG_GAP = 204,
+	EV_CONFIG_BAD_RECORD = 205,
+
+	EV_PLATFORM_UNREACHABLE = 300,
+	EV_PLATFORM_RECOVERED = 301,
+	EV_MEMBER_JOINED = 310,
+	EV_MEMBER_LEAVING = 311,
+	EV_MEMBER_GONE = 312,
+
+	EV_CALL_NO_WORKER = 400,
+	EV_CALL_FOREIGN_ANSWER = 401,
+	EV_CALL_UNKNOWN_OUTCOME = 402,
+
+	EV_INVARIANT_BROKEN = 900,
+};
+
+void mp_log_init(const char *role);
+void mp_event(enum mp_event ev, GLogLevelFlags level, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+/* mp_invariant() logs event 900 and aborts: an invariant never bends. */
+#define mp_invariant(cond, ...)                                             \
+	do {                                                                \
+		if (!(cond)) {                                              \
+			mp_event(EV_INVARIANT_BROKEN, G_LOG_LEVEL_CRITICAL, \
+				 __VA_ARGS__);                              \
+			abort();                                            \
+		}                                                           \
+	} while (0)
+
+#endif
--- /dev/null
+++ b/misc/clock.h
@@ -0,0 +1,23 @@
+/* Monotonic clock readings, for deadlines and intervals. */
+#ifndef MP_MISC_CLOCK_H
+#define MP_MISC_CLOCK_H
+
+#include <stdint.h>
+#include <time.h>
+
+/* clock_us() returns microseconds of CLOCK_MONOTONIC. */
+static inline int64_t clock_us(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+/* clock_ms() returns milliseconds of CLOCK_MONOTONIC. */
+static inline int64_t clock_ms(void)
+{
+	return clock_us() / 1000;
+}
+
+#endif
--- /dev/null
+++ b/misc/hist.c
@@ -0,0 +1,72 @@
+#include <ck_pr.h>
+
+#include "misc/hist.h"
+
+/*
+ * hist_bucket_of() maps a value to its bucket: values below HIST_SUB each
+ * have their own bucket, larger ones are placed by their top bit and the
+ * HIST_SUB_BITS bits below it. Values past the range land in the last one.
+ */
+unsigned hist_bucket_of(uint64_t us)
+{
+	if (us < HIST_SUB)
+		return (unsigned)us;
+	unsigned top = 63 - (unsigned)__builtin_clzll(us);
+	unsigned shift = top - HIST_SUB_BITS;
+	unsigned sub = (unsigned)(us >> shift) & (HIST_SUB - 1);
+	unsigned b = (shift + 1) * HIST_SUB + sub;
+
+	return b < HIST_BUCKETS ? b : HIST_BUCKETS - 1;
+}
+
+/* hist_bucket_high() gives the largest value (us) that falls in bucket b. */
+uint64_t hist_bucket_high(unsigned b)
+{
+	if (b < HIST_SUB)
+		return b;
+	unsigned shift = b / HIST_SUB - 1;
+	uint64_t sub = b % HIST_SUB;
+
+	return (((uint64_t)HIST_SUB + sub + 1) << shift) - 1;
+}
+
+/* hist_record() adds one observation of us microseconds. */
+void hist_record(struct hist *h, uint64_t us)
+{
+	ck_pr_inc_64(&h->counts[hist_bucket_of(us)]);
+	ck_pr_inc_64(&h->total);
+	ck_pr_add_64(&h->sum_us, us);
+}
+
+/*
+ * hist_quantile() returns the upper bound (us) of the bucket holding the
+ * q-quantile, 0 <= q <= 1, or 0 for an empty histogram.
+ */
+uint64_t hist_quantile(const struct hist *h, double q)
+{
+	uint64_t total = ck_pr_load_64(&h->total);
+
+	if (total == 0)
+		return 0;
+	uint64_t rank = (uint64_t)(q * (double)total);
+
+	if (rank >= total)
+		rank = total - 1;
+	uint64_t seen = 0;
+
+	for (unsigned b = 0; b < HIST_BUCKETS; b++) {
+		seen += ck_pr_load_64(&h->counts[b]);
+		if (seen > rank)
+			return hist_bucket_high(b);
+	}
+	return hist_bucket_high(HIST_BUCKETS - 1);
+}
+
+/* hist_merge() adds every count of src into dst. */
+void hist_merge(struct hist *dst, const struct hist *src)
+{
+	for (unsigned b = 0; b < HIST_BUCKETS; b++)
+		dst->counts[b] += ck_pr_load_64(&src->counts[b]);
+	dst->total += ck_pr_load_64(&src->total);
+	dst->sum_us += ck_pr_load_64(&src->sum_us);
+}
--- /dev/null
+++ b/misc/lstr.h
@@ -0,0 +1,36 @@
+/*
+ * Length-counted strings. A struct lstr points into memory owned by someone
+ * else (an arena, a request buffer, a literal); it is never NUL-terminated
+ * by contract, so every function here takes the length from the struct.
+ */
+#ifndef MP_MISC_LSTR_H
+#define MP_MISC_LSTR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <string.h>
+
+struct lstr {
+	const char *ptr;
+	size_t len;
+};
+
+#define LSTR(lit) ((struct lstr){(lit), sizeof(lit) - 1})
+
+/*
+ * lstr0() wraps a NUL-terminated C string without copying it; NULL gives the
+ * empty string.
+ */
+static inline struct lstr lstr0(const char *s)
+{
+	return (struct lstr){s ? s : "", s ? strlen(s) : 0};
+}
+
+/* lstr_eq() compares two strings byte for byte. */
+static inline bool lstr_eq(struct lstr a, struct lstr b)
+{
+	return a.len == b.len &&
+	       (a.len == 0 || memcmp(a.ptr, b.ptr, a.len) == 0);
+}
+
+#endif
--- /dev/null
+++ b/options/deploy.h
@@ -0,0 +1,72 @@
+/*
+ * The deployment as the settings file describes it: the platform stand-in,
+ * the settings every entry instance shares, each service with its workers,
+ * and each entry instance with its address and data centre. Every role
+ * reads the same file and takes its own part.
+ */
+#ifndef MP_OPTIONS_DEPLOY_H
+#define MP_OPTIONS_DEPLOY_H
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+struct platform_opts {
+	char *listen;
+	char *dc;
+	int retention_s;
+	int append_limit_per_s;
+	int member_lag_ms;
+	int member_ttl_ms;
+};
+
+struct entry_shared_opts {
+	char *platform;
+	int config_poll_ms;
+	int member_poll_ms;
+	int heartbeat_ms;
+	int answer_ttl_s;
+	char *policy;
+	int deadline_ms;
+	int retry_budget_pct;
+	int snapshot_every_s;
+	int traffic_threads;
+	int drain_ms;
+};
+
+struct service_opts {
+	char *name;
+	char *tenant;
+	int workers;
+	int slots;
+	int connections;
+	int base_port;
+	int work_ms;
+	bool protected_action;
+	char **dcs;
+};
+
+struct entry_opts {
+	char *name;
+	char *listen;
+	char *dc;
+};
+
+struct deploy {
+	struct platform_opts platform;
+	struct entry_shared_opts entry;
+	GPtrArray *services; /* struct service_opts * */
+	GPtrArray *entries;  /* struct entry_opts * */
+};
+
+#include "misc/findings.h"
+
+void deploy_read(const char *path, struct deploy *d, struct findings *f);
+int deploy_load(const char *path, struct deploy *d);
+const struct service_opts *deploy_service(const struct deploy *d,
+					  const char *name);
+const struct entry_opts *deploy_entry(const struct deploy *d, const char *name);
+int deploy_worker_addr(const struct service_opts *svc, int index, char *buf,
+		       size_t len);
+
+#endif
--- /dev/null
+++ b/options/settings.h
@@ -0,0 +1,58 @@
+/*
+ * Settings: INI files read with GLib's GKeyFile and checked against option
+ * tables that live beside the code they configure. Every problem becomes a
+ * finding with file, line and key; a process starts only when there are
+ * none, so nothing ever runs half-configured.
+ */
+#ifndef MP_OPTIONS_SETTINGS_H
+#define MP_OPTIONS_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <glib.h>
+
+#include "misc/findings.h"
+
+enum opt_type {
+	OPT_STR,
+	OPT_INT,
+	OPT_BOOL,
+	OPT_ADDR, /* host:port, IPv4 numbers, stored as char * */
+	OPT_LIST, /* comma-separated, stored as char ** (NULL-terminated) */
+};
+
+struct opt_def {
+	const char *key;
+	enum opt_type type;
+	size_t offset;
+	const char *def; /* NULL: the key is required */
+	long min, max;	 /* for OPT_INT */
+};
+
+#define OPT_END                              \
+	{                                    \
+		NULL, OPT_STR, 0, NULL, 0, 0 \
+	}
+
+struct settings {
+	GKeyFile *kf;
+	char *path; /* what findings name as the file */
+	char *text; /* the file's text, to find the line of a key */
+};
+
+int settings_open(struct settings *s, const char *path, const char *text,
+		  struct findings *f);
+void settings_read_group(const struct settings *s, const char *group,
+			 const struct opt_def *defs, void *out,
+			 struct findings *f);
+void settings_check_keys(const struct settings *s, const char *group,
+			 const struct opt_def *defs, struct findings *f);
+int settings_line_of(const char *text, const char *group, const char *key);
+void settings_close(struct settings *s);
+
+int addr_split(const char *addr, char *host, size_t host_len, int *port);
+
+extern const char settings_default_ini[];
+
+#endif
--- /dev/null
+++ b/scripts/install-deps.sh
@@ -0,0 +1,10 @@
+#!/bin/sh
+# Installs the Debian packages the build and the tests need; the same list
+# stands in .ci/run.
+set -e
+SUDO=
+[ "$(id -u)" = 0 ] || SUDO=sudo
+$SUDO apt-get update
+$SUDO apt-get install -y build-essential pkg-config libck-dev libmsgpack-dev \
+	libmicrohttpd-dev libcurl4-openssl-dev libpopt-dev libglib2.0-dev \
+	libjson-glib-dev libcmocka-dev clang-format clang-tidy
