--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS := glib-2.0 json-glib-1.0 libmicrohttpd libcurl popt ck msgpack
 CC ?= cc
 CFLAGS ?= -O2 -g
-CFLAGS += -std=gnu11 -Wall -Wextra -Werror -Wno-unused-parameter -I. \
+CFLAGS += -MMD -MP -std=gnu11 -Wall -Wextra -Werror -Wno-unused-parameter -I. \
 	  $(shell pkg-config --cflags $(PKGS))
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lpthread -lm
 
@@ -40,6 +40,9 @@
 	scripts/run-local.sh
 
 clean:
-	rm -f mimosapitch libmp.a $(LIB_OBJ) app/main.o $(TESTS)
+	rm -f mimosapitch libmp.a $(LIB_OBJ) app/main.o $(TESTS) \
+	      $(LIB_OBJ:.o=.d) app/main.d tests/*.d
 
 .PHONY: all deps check run clean
+
+-include $(LIB_OBJ:.o=.d) app/main.d
--- a/app/main.c
+++ b/app/main.c
@@ -133,6 +133,7 @@
 			o->concurrency ? o->concurrency : 64,
 			(unsigned)o->seed,
 			o->tenant,
+			o->service,
 		};
 		return load_main(d, &a);
 	}
--- a/entry/core.c
+++ b/entry/core.c
@@ -236,17 +236,23 @@
 	}
 }
 
+/*
+ * Reads both member lists, each only when it changed (If-None-Match): the
+ * lists change a few hundred times a day, while polling them whole at
+ * 790 workers cost about 140 KB/s per entry (docs/CAPACITY.md).
+ */
 static void poll_members(struct entry *e)
 {
 	struct entry_list l = {g_string_new("["), ""};
 	int ret;
 
 	e->gen++;
-	ret = plat_members(&e->pc, "worker", on_worker, e);
-	platform_seen(e, ret);
+	ret = plat_members(&e->pc, "worker", e->workers_etag, on_worker, e);
+	platform_seen(e, ret < 0 ? ret : 0);
 	if (ret == 0)
 		sweep_workers(e);
-	if (ret == 0 && plat_members(&e->pc, "entry", on_entry, &l) == 0) {
+	if (ret >= 0 &&
+	    plat_members(&e->pc, "entry", e->entries_etag, on_entry, &l) == 0) {
 		g_string_append(l.json, "]");
 		pthread_mutex_lock(&e->entries_lock);
 		g_free(e->entries_json);
--- a/entry/core.h
+++ b/entry/core.h
@@ -61,6 +61,8 @@
 	bool platform_down;
 	int64_t snapshot_seen_ms;
 	char lowest_entry[48];
+	char workers_etag[PLAT_ETAG_LEN];
+	char entries_etag[PLAT_ETAG_LEN];
 	unsigned gen;
 };
 
--- a/misc/http.c
+++ b/misc/http.c
@@ -46,6 +46,7 @@
 		    sizeof(r->header_retry_after));
 	take_header(p, len, "X-Outcome", r->header_outcome,
 		    sizeof(r->header_outcome));
+	take_header(p, len, "ETag", r->header_etag, sizeof(r->header_etag));
 	return len;
 }
 
--- a/misc/http.h
+++ b/misc/http.h
@@ -22,6 +22,7 @@
 	char header_req[64];
 	char header_retry_after[16];
 	char header_outcome[16];
+	char header_etag[48];
 };
 
 void http_reply_init(struct http_reply *r);
--- a/stand/platform.c
+++ b/stand/platform.c
@@ -29,8 +29,9 @@
 struct platform {
 	const struct platform_opts *opts;
 	pthread_mutex_t lock;
-	GHashTable *streams; /* name -> struct stream * */
-	GHashTable *members; /* name -> struct member * */
+	GHashTable *streams;	  /* name -> struct stream * */
+	GHashTable *members;	  /* name -> struct member * */
+	uint64_t members_version; /* bumped when the shown list changes */
 	int64_t window_ms;
 	int window_appends;
 	bool outage;
@@ -214,30 +215,45 @@
 	return answer_json(req, 200, "{}");
 }
 
-static enum MHD_Result do_members(struct platform *pf, struct httpd_req *req)
+/*
+ * Lets the shown list catch up with changes older than the lag, and drops
+ * members whose heartbeats stopped (locked). Every change to what the list
+ * shows bumps members_version, which is the list's ETag.
+ */
+static void members_catch_up(struct platform *pf, int64_t now)
 {
-	const char *role = httpd_arg(req, "role");
-	GString *out = g_string_new("{\"members\":[");
-	int64_t now = clock_ms();
 	GHashTableIter it;
 	gpointer k, v;
-	bool first = true;
 
-	pthread_mutex_lock(&pf->lock);
 	g_hash_table_iter_init(&it, pf->members);
 	while (g_hash_table_iter_next(&it, &k, &v)) {
 		struct member *m = v;
 
 		if (now - m->seen_ms > pf->opts->member_ttl_ms) {
 			g_hash_table_iter_remove(&it);
+			pf->members_version++;
 			continue;
 		}
-		/* The list catches up with a change only after the lag. */
 		if (now - m->changed_ms >= pf->opts->member_lag_ms &&
 		    g_strcmp0(m->shown, m->state)) {
 			g_free(m->shown);
 			m->shown = g_strdup(m->state);
+			pf->members_version++;
 		}
+	}
+}
+
+static void members_json(struct platform *pf, const char *role, GString *out)
+{
+	GHashTableIter it;
+	gpointer k, v;
+	bool first = true;
+
+	g_string_append(out, "{\"members\":[");
+	g_hash_table_iter_init(&it, pf->members);
+	while (g_hash_table_iter_next(&it, &k, &v)) {
+		struct member *m = v;
+
 		if ((role && g_strcmp0(role, m->role)) ||
 		    !g_strcmp0(m->shown, "absent"))
 			continue;
@@ -249,9 +265,27 @@
 				       m->addr, m->dc, m->shown);
 		first = false;
 	}
-	pthread_mutex_unlock(&pf->lock);
 	g_string_append(out, "]}");
-	enum MHD_Result ret = httpd_answer(req, 200, out->str, out->len, NULL);
+}
+
+static enum MHD_Result do_members(struct platform *pf, struct httpd_req *req)
+{
+	const char *inm = httpd_header(req, "If-None-Match");
+	GString *out = g_string_new(NULL);
+	char etag[32];
+	unsigned status = 200;
+
+	pthread_mutex_lock(&pf->lock);
+	members_catch_up(pf, clock_ms());
+	snprintf(etag, sizeof(etag), "\"m%llu\"",
+		 (unsigned long long)pf->members_version);
+	if (inm && !strcmp(inm, etag))
+		status = 304;
+	else
+		members_json(pf, httpd_arg(req, "role"), out);
+	pthread_mutex_unlock(&pf->lock);
+	const char *hd[] = {"ETag", etag, NULL};
+	enum MHD_Result ret = httpd_answer(req, status, out->str, out->len, hd);
 
 	g_string_free(out, TRUE);
 	return ret;
--- a/tools/load.c
+++ b/tools/load.c
@@ -290,7 +290,8 @@
 	for (guint i = 0; i < d->services->len; i++) {
 		const struct service_opts *o = d->services->pdata[i];
 
-		if (a->only_tenant && strcmp(a->only_tenant, o->tenant))
+		if ((a->only_tenant && strcmp(a->only_tenant, o->tenant)) ||
+		    (a->only_service && strcmp(a->only_service, o->name)))
 			continue;
 		struct svc_load *s = &l.svcs[l.n_svcs++];
 
--- a/tools/tools.h
+++ b/tools/tools.h
@@ -24,7 +24,8 @@
 	int rate; /* calls a second, all services together */
 	int concurrency;
 	unsigned seed;
-	const char *only_tenant; /* NULL: both */
+	const char *only_tenant;  /* NULL: both */
+	const char *only_service; /* NULL: all */
 };
 
 int load_main(const struct deploy *d, const struct load_args *a);
