Duplicate protected calls answered from the first; planned stop cuts none

Cause, planned stop: the new e2e step stops an entry (SIGTERM) under 150 calls/s and the load tool now counts calls sent and then closed without an answer. The entry counted calls from its handler, but libmicrohttpd had already read the request; the stop closed it.

Change: entry/dedup.c keeps routed keys (bounded, oldest dropped); a duplicate gets the first answer when done, "unknown" with Retry-After while running or unknown, and a key that surely did not run is released. misc/httpd.c counts requests from their first byte, closes the socket quiesce returns, answers with Connection: close while draining, and stops after 50 ms with nothing in progress. New tests: test_dedup (8 threads race on 2,000 keys: exactly one run each), e2e steps for duplicates, planned stop, a restarted entry, an entry frozen 2 s by SIGSTOP, an entry SIGKILLed under load.

--- a/Makefile
+++ b/Makefile
@@ -9,11 +9,11 @@
 LIB_SRC := misc/arena.c misc/hist.c misc/findings.c misc/http.c misc/httpd.c common/event.c common/signals.c \
 	   options/settings.c options/deploy.c options/default_ini.c \
 	   conf/fold.c conf/reader.c route/policy.c platform/client.c backend/client.c \
-	   entry/core.c entry/run.c caller/front.c stand/platform.c stand/worker.c \
+	   entry/core.c entry/dedup.c entry/run.c caller/front.c stand/platform.c stand/worker.c \
 	   tools/ctl.c tools/load.c
 LIB_OBJ := $(LIB_SRC:.c=.o)
 TESTS := tests/test_arena tests/test_hist tests/test_settings \
-	 tests/test_fold tests/test_policy
+	 tests/test_fold tests/test_policy tests/test_dedup
 
 all: mimosapitch
 
--- a/caller/front.c
+++ b/caller/front.c
@@ -81,6 +81,7 @@
 	const char *key;
 	char our_id[64];
 	int64_t start_us, deadline_us, backend_us;
+	struct dedup_seen seen;
 };
 
 /* One forwarded attempt; fills r and says what came of it. */
@@ -158,6 +159,9 @@
 	hist_record(&c->s->added, (uint64_t)(total - c->backend_us));
 	enum MHD_Result ret;
 
+	if (c->key)
+		dedup_end(&c->e->dedup, c->s->opts->name, c->key, oc,
+			  r.body->str);
 	if (oc == CALL_DONE) {
 		ck_pr_inc_64(&c->s->count.done);
 		ret = answer(c->req, 200, oc, c->caller_id, r.body->str, 0);
@@ -190,6 +194,35 @@
 		      status >= 500 ? RETRY_AFTER_S : 0);
 }
 
+/* Claims the call's idempotency key; false when it was seen before. */
+static bool claim_key(struct call_ctx *c)
+{
+	c->seen.body = NULL;
+	return dedup_begin(&c->e->dedup, c->s->opts->name, c->key, &c->seen);
+}
+
+/*
+ * Answers a duplicate of a protected call from the first call's outcome:
+ * its answer when it is done, otherwise "unknown" with a time to come
+ * back. It never runs a second time.
+ */
+static enum MHD_Result answer_duplicate(struct call_ctx *c)
+{
+	enum MHD_Result ret;
+
+	ck_pr_inc_64(&c->s->count.duplicates);
+	if (c->seen.state == DEDUP_DONE)
+		ret = answer(c->req, 200, CALL_DONE, c->caller_id,
+			     c->seen.body ? c->seen.body : "{}", 0);
+	else
+		ret = answer(c->req, 504, CALL_UNKNOWN, c->caller_id,
+			     "{\"error\":\"first call with this key has no "
+			     "outcome yet\"}",
+			     UNKNOWN_RETRY_AFTER_S);
+	g_free(c->seen.body);
+	return ret;
+}
+
 static enum MHD_Result do_call(struct entry *e, struct httpd_req *req,
 			       const char *service)
 {
@@ -219,6 +252,8 @@
 	if (ms <= 0)
 		return refuse(req, c.s, 400, c.caller_id, "bad X-Deadline-Ms");
 	c.deadline_us = c.start_us + ms * 1000;
+	if (c.key && !claim_key(&c))
+		return answer_duplicate(&c);
 	snprintf(c.our_id, sizeof(c.our_id), "%s-%llu", e->me->name,
 		 (unsigned long long)ck_pr_faa_64(&e->next_req, 1));
 	return route_call(&c);
@@ -233,7 +268,8 @@
 		"{\"service\":\"%s\",\"tenant\":\"%s\",\"calls\":%llu,"
 		"\"done\":%llu,\"not_run\":%llu,\"unknown\":%llu,"
 		"\"retries\":%llu,\"no_worker\":%llu,\"foreign\":%llu,"
-		"\"rejected\":%llu,\"p50_us\":%llu,\"p99_us\":%llu,"
+		"\"rejected\":%llu,\"duplicates\":%llu,\"p50_us\":%llu,\"p99_"
+		"us\":%llu,"
 		"\"p999_us\":%llu,\"added_p50_us\":%llu,"
 		"\"added_p99_us\":%llu}",
 		s->opts->name, s->opts->tenant,
@@ -245,6 +281,7 @@
 		(unsigned long long)ck_pr_load_64(&n->no_worker),
 		(unsigned long long)ck_pr_load_64(&n->foreign),
 		(unsigned long long)ck_pr_load_64(&n->rejected),
+		(unsigned long long)ck_pr_load_64(&n->duplicates),
 		(unsigned long long)hist_quantile(&s->total, 0.5),
 		(unsigned long long)hist_quantile(&s->total, 0.99),
 		(unsigned long long)hist_quantile(&s->total, 0.999),
@@ -342,10 +379,5 @@
  */
 void front_drain(struct front *f, int wait_ms)
 {
-	int64_t until = clock_ms() + wait_ms;
-
-	httpd_quiesce(&f->http);
-	while (ck_pr_load_uint(&f->entry->in_flight) && clock_ms() < until)
-		usleep(1000);
-	httpd_stop(&f->http);
+	httpd_drain(&f->http, wait_ms);
 }
--- a/entry/core.c
+++ b/entry/core.c
@@ -13,6 +13,7 @@
 enum {
 	CONTROL_TICK_MS = 10,
 	PLATFORM_TIMEOUT_MS = 500,
+	DEDUP_MAX_KEYS = 200000, /* about 10 min of bookings at 300/s */
 };
 
 /*
@@ -35,6 +36,7 @@
 	pthread_mutex_init(&e->entries_lock, NULL);
 	e->entries_json = g_strdup("[]");
 	conf_init(&e->conf);
+	dedup_init(&e->dedup, DEDUP_MAX_KEYS);
 	if (backend_init(&e->backend))
 		return -ENOMEM;
 	return plat_open(&e->pc, d->entry.platform, PLATFORM_TIMEOUT_MS);
@@ -367,6 +369,7 @@
 {
 	plat_close(&e->pc);
 	backend_free(&e->backend);
+	dedup_free(&e->dedup);
 	conf_free(&e->conf);
 	g_free(e->entries_json);
 	g_free(e->services);
--- a/entry/core.h
+++ b/entry/core.h
@@ -12,6 +12,7 @@
 
 #include "backend/client.h"
 #include "conf/fold.h"
+#include "entry/dedup.h"
 #include "misc/hist.h"
 #include "options/deploy.h"
 #include "platform/client.h"
@@ -19,7 +20,8 @@
 
 struct entry_counters {
 	uint64_t calls, done, not_run, unknown, retries, no_worker, foreign;
-	uint64_t rejected; /* refused before routing: bad call, not ready */
+	uint64_t rejected;   /* refused before routing: bad call, not ready */
+	uint64_t duplicates; /* protected calls answered from the first */
 };
 
 struct entry_service {
@@ -45,6 +47,7 @@
 	struct entry_service *services;
 	unsigned n_services;
 	struct backend backend;
+	struct dedup dedup;	/* protected calls' keys */
 	int64_t live_version;	/* atomic; -1 until the config is known */
 	unsigned stopping;	/* atomic */
 	unsigned in_flight;	/* atomic */
--- a/misc/httpd.c
+++ b/misc/httpd.c
@@ -2,7 +2,9 @@
 #include <errno.h>
 #include <string.h>
 
+#include <ck_pr.h>
 #include <glib.h>
+#include <unistd.h>
 
 #include "misc/httpd.h"
 #include "options/settings.h"
@@ -10,6 +12,7 @@
 enum { HTTPD_BODY_MAX = 1 << 20 };
 
 struct upload {
+	struct httpd *owner;
 	GString *body;
 	struct arena arena;
 };
@@ -23,8 +26,11 @@
 	struct upload *up = *con_cls;
 
 	if (!up) {
+		/* Counted from its first byte: a stop waits for it. */
 		up = g_new0(struct upload, 1);
+		up->owner = h;
 		up->body = g_string_new(NULL);
+		ck_pr_inc_uint(&h->active);
 		*con_cls = up;
 		return MHD_YES;
 	}
@@ -35,8 +41,15 @@
 		*data_size = 0;
 		return MHD_YES;
 	}
-	struct httpd_req req = {conn,	       method,	      url,
-				up->body->str, up->body->len, &up->arena};
+	struct httpd_req req = {
+		.conn = conn,
+		.method = method,
+		.url = url,
+		.body = up->body->str,
+		.body_len = up->body->len,
+		.arena = &up->arena,
+		.upload = up,
+	};
 
 	return h->handler(h->ctx, &req);
 }
@@ -51,6 +64,7 @@
 		return;
 	g_string_free(up->body, TRUE);
 	arena_free(&up->arena);
+	ck_pr_dec_uint(&up->owner->active);
 	g_free(up);
 	*con_cls = NULL;
 }
@@ -83,11 +97,40 @@
 	return h->daemon ? 0 : -EADDRINUSE;
 }
 
-/* httpd_quiesce() stops taking new connections; open ones go on. */
+/*
+ * httpd_quiesce() stops taking new connections; open ones go on. The
+ * daemon hands the listening socket back, and it must be closed here:
+ * left open, the kernel would go on completing handshakes that nobody
+ * serves, and those callers would hang until the stop cut them.
+ */
 void httpd_quiesce(struct httpd *h)
 {
-	if (h->daemon)
-		MHD_quiesce_daemon(h->daemon);
+	if (!h->daemon)
+		return;
+	MHD_socket fd = MHD_quiesce_daemon(h->daemon);
+
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+/*
+ * httpd_drain() is a graceful stop: from now on every answer closes its
+ * connection, no new connection is taken, and the daemon stops once no
+ * request has been in progress for a short while (or wait_ms passed).
+ * A request that reached us is answered, never cut.
+ */
+void httpd_drain(struct httpd *h, int wait_ms)
+{
+	enum { QUIET_MS = 50 };
+	int quiet = 0;
+
+	ck_pr_store_uint(&h->closing, 1);
+	httpd_quiesce(h);
+	for (int t = 0; t < wait_ms && quiet < QUIET_MS; t++) {
+		quiet = ck_pr_load_uint(&h->active) ? 0 : quiet + 1;
+		usleep(1000);
+	}
+	httpd_stop(h);
 }
 
 /* httpd_stop() waits for open connections' threads and stops. */
@@ -124,6 +167,8 @@
 	enum MHD_Result ret;
 
 	MHD_add_response_header(resp, "Content-Type", "application/json");
+	if (ck_pr_load_uint(&((struct upload *)req->upload)->owner->closing))
+		MHD_add_response_header(resp, "Connection", "close");
 	for (const char *const *hd = headers; hd && hd[0]; hd += 2)
 		MHD_add_response_header(resp, hd[0], hd[1]);
 	ret = MHD_queue_response(req->conn, status, resp);
--- a/misc/httpd.h
+++ b/misc/httpd.h
@@ -20,6 +20,7 @@
 	const char *body;
 	size_t body_len;
 	struct arena *arena; /* lives until the answer is queued */
+	void *upload;	     /* the helper's own state */
 };
 
 typedef enum MHD_Result (*httpd_handler)(void *ctx, struct httpd_req *req);
@@ -28,11 +29,14 @@
 	struct MHD_Daemon *daemon;
 	httpd_handler handler;
 	void *ctx;
+	unsigned active;  /* requests begun and not yet completed, atomic */
+	unsigned closing; /* answers say Connection: close, atomic */
 };
 
 int httpd_start(struct httpd *h, const char *addr, httpd_handler handler,
 		void *ctx);
 void httpd_quiesce(struct httpd *h);
+void httpd_drain(struct httpd *h, int wait_ms);
 void httpd_stop(struct httpd *h);
 const char *httpd_arg(struct httpd_req *req, const char *name);
 const char *httpd_header(struct httpd_req *req, const char *name);
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -6,7 +6,7 @@
 # invariants. Every process started here is stopped here, by pid.
 set -u
 cd "$(dirname "$0")/.."
-bin=./mimosapitch
+bin=${MP_BIN:-./mimosapitch}
 ini=tests/e2e.ini
 logs=$(mktemp -d)
 pids=()
@@ -47,10 +47,24 @@
 		[ "$svc-$i" = harta-2 ] && drain_pid=$!
 	done
 done
-for e in e1 e2; do
-	$bin entry --settings $ini --name $e 2>"$logs/entry-$e.log" &
+start_entry() {
+	$bin entry --settings $ini --name "$1" 2>>"$logs/entry-$1.log" &
 	pids+=($!)
-done
+	eval "pid_$1=$!"
+}
+start_entry e1
+start_entry e2
+ran_count() { # how many times the becas-pagos workers ran key $1
+	for port in 18380 18381 18382; do
+		curl -s -m 2 http://127.0.0.1:$port/v1/stats
+	done | grep -o "\"$1\":[0-9]*" | cut -d: -f2 | awk '{s+=$1} END {print s+0}'
+}
+call_key() { # entry port, key: prints the outcome header
+	curl -s -m 3 -o /dev/null -D - -X POST -H 'X-Tenant: semillero' \
+		-H "X-Request-Id: r-$2-$RANDOM" -H "Idempotency-Key: $2" \
+		http://127.0.0.1:$1/v1/call/becas-pagos | tr -d '\r' |
+		awk -F': ' 'tolower($1)=="x-outcome"{print $2}'
+}
 sleep 1.5
 
 check "patch in force on every entry" $bin ctl --settings $ini patch --base 0 policy=p2c --wait
@@ -68,6 +82,39 @@
 fault '{"outage":false}'
 check "after outage: version kept" sh -c "$bin ctl --settings $ini show | grep -q 'live version 2$'"
 
+first=$(call_key 18101 dup-1)
+second=$(call_key 18101 dup-1)
+check "duplicate key: first done" test "$first" = done
+check "duplicate key: answered done again" test "$second" = done
+check "duplicate key: ran once" test "$(ran_count dup-1)" = 1
+
+$bin load --settings $ini --seconds 4 --rate 150 --seed 4 >"$logs/stop.txt" 2>&1 &
+load_pid=$!
+sleep 1.5
+kill -TERM "$pid_e2"
+wait "$pid_e2"
+wait $load_pid
+check "planned stop of an entry: load invariants" test $? -eq 0
+check "planned stop of an entry: no call cut" grep -q 'calls cut in flight 0$' "$logs/stop.txt"
+start_entry e2
+sleep 1
+check "restarted entry takes the version in force" $bin ctl --settings $ini patch restart.seen=true --wait
+
+kill -STOP "$pid_e1"
+(sleep 2; kill -CONT "$pid_e1") &
+cont_pid=$!
+check "frozen entry catches up after SIGCONT" $bin ctl --settings $ini patch frozen.seen=true --wait
+wait $cont_pid
+
+$bin load --settings $ini --seconds 3 --rate 150 --seed 5 >"$logs/kill.txt" 2>&1 &
+load_pid=$!
+sleep 1
+kill -KILL "$pid_e1"
+wait $load_pid
+check "entry killed under load: invariants hold" test $? -eq 0
+start_entry e1
+sleep 1
+
 kill -TERM "$drain_pid"
 check "drain: load while a worker leaves" $bin load --settings $ini --seconds 6 --rate 200 --seed 3 --tenant strada
 wait "$drain_pid"
--- a/tools/load.c
+++ b/tools/load.c
@@ -16,6 +16,7 @@
 	const struct service_opts *opts;
 	struct hist hist;
 	uint64_t calls, done, not_run, unknown, refused, foreign;
+	uint64_t cut; /* sent, then the connection closed without answer */
 	GHashTable *told_not_run; /* idempotency keys, for the check */
 	int weight;
 };
@@ -133,6 +134,9 @@
 	http_finish(c->curl, code, 2, &c->reply);
 	hist_record(&s->hist, (uint64_t)(clock_us() - c->start_us));
 	s->calls++;
+	if (code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR ||
+	    code == CURLE_PARTIAL_FILE || code == CURLE_SEND_ERROR)
+		s->cut++;
 	if (code == CURLE_OK && strcmp(c->reply.header_req, c->id))
 		s->foreign++; /* never to be seen: another caller's answer */
 	else if (!strcmp(c->reply.header_outcome, "done"))
@@ -233,7 +237,7 @@
 
 static void report(struct load *l, const struct ran_check *rc)
 {
-	uint64_t all = 0, foreign = 0;
+	uint64_t all = 0, foreign = 0, cut = 0;
 
 	printf("%-8s %-12s %7s %7s %6s %6s %6s %8s %8s %8s\n", "tenant",
 	       "service", "calls", "done", "notrun", "unkn", "refus", "p50_ms",
@@ -254,7 +258,9 @@
 		       hist_quantile(&s->hist, 0.999) / 1000.0);
 		all += s->calls;
 		foreign += s->foreign;
+		cut += s->cut;
 	}
+	printf("calls cut in flight %llu\n", (unsigned long long)cut);
 	printf("calls %llu over %d s (%.0f/s); probes at workers %llu\n",
 	       (unsigned long long)all, l->args->seconds,
 	       (double)all / l->args->seconds, (unsigned long long)rc->probes);
