--- a/app/main.c
+++ b/app/main.c
@@ -29,6 +29,7 @@
 	"  ctl show | log | patch [--base N] [--unset K,..] [--wait] K=V ..\n"
 	"                             the operator's command line\n"
 	"  load [--seconds N] [--rate N] [--concurrency N] [--seed N]\n"
+	"       [--service S] [--tenant T] [--direct]\n"
 	"                             the load and experiment tool\n"
 	"  check                      check the settings and exit\n"
 	"  default-settings           print the embedded default settings\n"
@@ -36,7 +37,7 @@
 
 struct cli {
 	char *settings, *name, *service, *unset, *tenant;
-	int index, seed, base, last, wait, seconds, rate, concurrency;
+	int index, seed, base, last, wait, seconds, rate, concurrency, direct;
 };
 
 /* Parses argv after the role word; returns 0 or -EINVAL. */
@@ -61,6 +62,8 @@
 		{"rate", 0, POPT_ARG_INT, &o->rate, 0, "calls a second", "N"},
 		{"concurrency", 0, POPT_ARG_INT, &o->concurrency, 0,
 		 "calls in flight at most", "N"},
+		{"direct", 0, POPT_ARG_NONE, &o->direct, 0,
+		 "load: call the workers straight (a baseline)", NULL},
 		{"tenant", 0, POPT_ARG_STRING, &o->tenant, 0,
 		 "only this tenant", "T"},
 		POPT_AUTOHELP POPT_TABLEEND,
@@ -134,6 +137,7 @@
 			(unsigned)o->seed,
 			o->tenant,
 			o->service,
+			o->direct,
 		};
 		return load_main(d, &a);
 	}
--- /dev/null
+++ b/scripts/added-latency.sh
@@ -0,0 +1,59 @@
+#!/bin/bash
+# Measures the latency an entry adds to a call: the same seeded load, in
+# turn through one entry and straight to the workers (quiet stand-ins, no
+# noise), PAIRS times each, on one machine. Prints one row a run and the
+# differences of the medians. Stops what it started.
+#   scripts/added-latency.sh [RATE] [PAIRS]
+set -u
+cd "$(dirname "$0")/.."
+bin=./mimosapitch
+rate=${1:-500}
+pairs=${2:-3}
+dir=$(mktemp -d)
+ini=$dir/bench.ini
+pids=()
+stop_all() {
+	for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null; done
+	for p in "${pids[@]}"; do wait "$p" 2>/dev/null; done
+	rm -rf "$dir"
+}
+trap stop_all EXIT
+cat >"$ini" <<INI
+[platform]
+listen = 127.0.0.1:19500
+[entry]
+platform = 127.0.0.1:19500
+drain_ms = 0
+[entry.e1]
+listen = 127.0.0.1:19501
+dc = hala-cluj
+[service.t0]
+tenant = strada
+workers = 8
+slots = 8
+base_port = 19600
+work_ms = 1
+INI
+$bin platform --settings "$ini" 2>/dev/null &
+pids+=($!)
+sleep 0.3
+for i in 0 1 2 3 4 5 6 7; do
+	$bin worker --settings "$ini" --service t0 --index $i 2>/dev/null &
+	pids+=($!)
+done
+$bin entry --settings "$ini" --name e1 2>/dev/null &
+pids+=($!)
+sleep 1.5
+for i in 0 1 2 3 4 5 6 7; do
+	curl -s -m 2 -X POST -d '{"quiet":true}' http://127.0.0.1:$((19600 + i))/v1/faults >/dev/null
+done
+$bin ctl --settings "$ini" patch --base 0 policy=p2c >/dev/null
+echo "run,mode,p50_ms,p99_ms,p999_ms"
+for ((k = 1; k <= pairs; k++)); do
+	for mode in entry direct; do
+		flag=
+		[ $mode = direct ] && flag=--direct
+		$bin load --settings "$ini" --seconds 5 --rate "$rate" --seed $k $flag 2>/dev/null |
+			awk -v k=$k -v m=$mode '$2=="t0"{print k "," m "," $8 "," $9 "," $10}'
+	done
+done
--- a/stand/worker.c
+++ b/stand/worker.c
@@ -40,6 +40,7 @@
 	GRand *rnd;
 	GHashTable *ran; /* idempotency key -> count of runs */
 	bool fail_fast;
+	bool quiet; /* no cold start, no noisy neighbour: for baselines */
 	uint64_t calls, shed, probes, late;
 };
 
@@ -48,6 +49,8 @@
 {
 	double f = 1;
 
+	if (w->quiet)
+		return f;
 	if (now - w->started_ms < WORKER_COLD_MS)
 		f *= WORKER_COLD_FACTOR;
 	if (now - w->noise_checked_ms >= WORKER_NOISE_PERIOD_MS) {
@@ -193,6 +196,8 @@
 		pthread_mutex_lock(&w->lock);
 		w->fail_fast = json_object_get_boolean_member_with_default(
 			o, "fail_fast", w->fail_fast);
+		w->quiet = json_object_get_boolean_member_with_default(
+			o, "quiet", w->quiet);
 		pthread_mutex_unlock(&w->lock);
 	}
 	g_object_unref(p);
--- a/tools/load.c
+++ b/tools/load.c
@@ -102,8 +102,16 @@
 	c->svc = pick_service(l);
 	snprintf(c->id, sizeof(c->id), "L%u-%llu", l->args->seed,
 		 (unsigned long long)n);
-	snprintf(url, sizeof(url), "http://%s/v1/call/%s",
-		 l->entries[n % l->n_entries], c->svc->opts->name);
+	if (l->args->direct) {
+		char addr[32];
+		int k = g_rand_int_range(l->rnd, 0, c->svc->opts->workers);
+
+		deploy_worker_addr(c->svc->opts, k, addr, sizeof(addr));
+		snprintf(url, sizeof(url), "http://%s/v1/work", addr);
+	} else {
+		snprintf(url, sizeof(url), "http://%s/v1/call/%s",
+			 l->entries[n % l->n_entries], c->svc->opts->name);
+	}
 	snprintf(hdr[0], sizeof(hdr[0]), "X-Request-Id: %s", c->id);
 	snprintf(hdr[1], sizeof(hdr[1]), "X-Tenant: %s", c->svc->opts->tenant);
 	snprintf(hdr[2], sizeof(hdr[2]), "X-Deadline-Ms: %d", LOAD_DEADLINE_MS);
@@ -139,7 +147,8 @@
 		s->cut++;
 	if (code == CURLE_OK && strcmp(c->reply.header_req, c->id))
 		s->foreign++; /* never to be seen: another caller's answer */
-	else if (!strcmp(c->reply.header_outcome, "done"))
+	else if (!strcmp(c->reply.header_outcome, "done") ||
+		 (c->reply.status == 200 && !strcmp(c->reply.header_ran, "1")))
 		s->done++;
 	else if (!strcmp(c->reply.header_outcome, "not-run") &&
 		 c->reply.status >= 500) {
@@ -308,14 +317,15 @@
 		l.total_weight += s->weight;
 	}
 	ask_entries(&l);
-	if (!l.n_entries || !l.n_svcs) {
+	if ((!l.n_entries && !a->direct) || !l.n_svcs) {
 		fprintf(stderr, "load: no entry answered with a live list\n");
 		load_free(&l);
 		return -ENOTCONN;
 	}
 	printf("load: seed %u, %d calls/s for %d s, %d in flight at most, "
-	       "%u entries\n",
-	       a->seed, a->rate, a->seconds, a->concurrency, l.n_entries);
+	       "%s\n",
+	       a->seed, a->rate, a->seconds, a->concurrency,
+	       a->direct ? "straight to the workers" : "through the entries");
 	drive(&l);
 	CURL *c = http_handle();
 
--- a/tools/tools.h
+++ b/tools/tools.h
@@ -26,6 +26,7 @@
 	unsigned seed;
 	const char *only_tenant;  /* NULL: both */
 	const char *only_service; /* NULL: all */
+	int direct;		  /* call workers straight, no entry */
 };
 
 int load_main(const struct deploy *d, const struct load_args *a);
