--- a/tools/load.c
+++ b/tools/load.c
@@ -41,6 +41,7 @@
 	unsigned n_entries;
 	GRand *rnd;
 	uint64_t seq;
+	uint64_t run_id; /* keeps keys of two runs with one seed apart */
 };
 
 /* Asks an entry which entries to use, as a caller does. */
@@ -120,8 +121,8 @@
 	c->headers = curl_slist_append(c->headers, hdr[2]);
 	c->key[0] = '\0';
 	if (c->svc->opts->protected_action) {
-		snprintf(c->key, sizeof(c->key), "K%u-%llu", l->args->seed,
-			 (unsigned long long)n);
+		snprintf(c->key, sizeof(c->key), "K%u-%llx-%llu", l->args->seed,
+			 (unsigned long long)l->run_id, (unsigned long long)n);
 		snprintf(hdr[3], sizeof(hdr[3]), "Idempotency-Key: %s", c->key);
 		c->headers = curl_slist_append(c->headers, hdr[3]);
 	}
@@ -301,6 +302,7 @@
 	uint64_t foreign = 0;
 
 	l.rnd = g_rand_new_with_seed(a->seed);
+	l.run_id = (uint64_t)g_get_real_time();
 	l.svcs = g_new0(struct svc_load, d->services->len);
 	for (guint i = 0; i < d->services->len; i++) {
 		const struct service_opts *o = d->services->pdata[i];
