--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -45,6 +45,7 @@
 			2>"$logs/worker-$svc-$i.log" &
 		pids+=($!)
 		[ "$svc-$i" = harta-2 ] && drain_pid=$!
+		[ "$svc-$i" = becas-pagos-2 ] && kill_pid=$!
 	done
 done
 start_entry() {
@@ -115,6 +116,10 @@
 start_entry e1
 sleep 1
 
+kill -KILL "$kill_pid"
+check "worker killed: protected calls still at most once" $bin load --settings $ini --seconds 4 --rate 150 --seed 6 --tenant semillero
+check "worker killed: off the list after its TTL" grep -q 'worker becas-pagos-2 off the list' "$logs/entry-e2.log"
+
 kill -TERM "$drain_pid"
 check "drain: load while a worker leaves" $bin load --settings $ini --seconds 6 --rate 200 --seed 3 --tenant strada
 wait "$drain_pid"
