--- a/caller/front.c
+++ b/caller/front.c
@@ -79,7 +79,7 @@
 	struct httpd_req *req;
 	const char *caller_id;
 	const char *key;
-	char our_id[64];
+	const char *our_id; /* in the request's arena */
 	int64_t start_us, deadline_us, backend_us;
 	struct dedup_seen seen;
 };
@@ -254,8 +254,9 @@
 	c.deadline_us = c.start_us + ms * 1000;
 	if (c.key && !claim_key(&c))
 		return answer_duplicate(&c);
-	snprintf(c.our_id, sizeof(c.our_id), "%s-%llu", e->me->name,
-		 (unsigned long long)ck_pr_faa_64(&e->next_req, 1));
+	c.our_id =
+		arena_printf(req->arena, "%s-%llu", e->me->name,
+			     (unsigned long long)ck_pr_faa_64(&e->next_req, 1));
 	return route_call(&c);
 }
 
--- a/entry/core.c
+++ b/entry/core.c
@@ -358,12 +358,6 @@
 	heartbeat(e, "leaving");
 }
 
-/* entry_stop_control() is entry_leave() for an entry that never started. */
-void entry_stop_control(struct entry *e)
-{
-	ck_pr_store_uint(&e->stopping, 1);
-}
-
 /* entry_free() releases the pools and clients. */
 void entry_free(struct entry *e)
 {
--- a/entry/core.h
+++ b/entry/core.h
@@ -72,7 +72,6 @@
 int entry_init(struct entry *e, const struct deploy *d,
 	       const struct entry_opts *me);
 int entry_start_control(struct entry *e);
-void entry_stop_control(struct entry *e);
 void entry_free(struct entry *e);
 struct entry_service *entry_service(struct entry *e, const char *name);
 void entry_leave(struct entry *e);
--- a/misc/http.c
+++ b/misc/http.c
@@ -42,8 +42,6 @@
 	take_header(p, len, "X-Ran", r->header_ran, sizeof(r->header_ran));
 	take_header(p, len, "X-Request-Id", r->header_req,
 		    sizeof(r->header_req));
-	take_header(p, len, "Retry-After", r->header_retry_after,
-		    sizeof(r->header_retry_after));
 	take_header(p, len, "X-Outcome", r->header_outcome,
 		    sizeof(r->header_outcome));
 	take_header(p, len, "ETag", r->header_etag, sizeof(r->header_etag));
@@ -106,20 +104,14 @@
 }
 
 /* http_finish() classifies a finished transfer, as http_do() returns. */
-int http_finish(CURL *c, CURLcode code, size_t body_len, struct http_reply *r)
+int http_finish(CURL *c, CURLcode code, struct http_reply *r)
 {
-	curl_off_t upload = 0;
-
 	r->code = code;
 	curl_easy_getinfo(c, CURLINFO_RESPONSE_CODE, &r->status);
-	curl_easy_getinfo(c, CURLINFO_SIZE_UPLOAD_T, &upload);
-	r->sent = r->code == CURLE_OK || upload >= (curl_off_t)body_len;
 	if (r->code == CURLE_OK)
 		return 0;
-	if (r->code == CURLE_COULDNT_CONNECT) {
-		r->sent = false;
+	if (r->code == CURLE_COULDNT_CONNECT)
 		return -ECONNREFUSED;
-	}
 	if (r->code == CURLE_OPERATION_TIMEDOUT)
 		return -ETIMEDOUT;
 	return -EIO;
@@ -129,12 +121,12 @@
  * http_do() runs one request and fills r. Returns 0 when an answer came
  * (any status), -ETIMEDOUT when the time limit passed, -ECONNREFUSED when
  * no connection could be made (so the request was surely not sent), and
- * -EIO for anything else. r->sent tells whether the request left whole.
+ * -EIO for anything else.
  */
 int http_do(CURL *c, const char *method, const char *url, const char *body,
 	    size_t body_len, struct curl_slist *headers, long timeout_ms,
 	    struct http_reply *r)
 {
 	http_prepare(c, method, url, body, body_len, headers, timeout_ms, r);
-	return http_finish(c, curl_easy_perform(c), body_len, r);
+	return http_finish(c, curl_easy_perform(c), r);
 }
--- a/misc/http.h
+++ b/misc/http.h
@@ -16,11 +16,9 @@
 	long status; /* 0 when no answer came */
 	GString *body;
 	CURLcode code; /* CURLE_OK or why no answer came */
-	bool sent;     /* the request left this process whole */
 	char header_load[16];
 	char header_ran[8];
 	char header_req[64];
-	char header_retry_after[16];
 	char header_outcome[16];
 	char header_etag[48];
 };
@@ -33,7 +31,7 @@
 void http_prepare(CURL *c, const char *method, const char *url,
 		  const char *body, size_t body_len, struct curl_slist *headers,
 		  long timeout_ms, struct http_reply *r);
-int http_finish(CURL *c, CURLcode code, size_t body_len, struct http_reply *r);
+int http_finish(CURL *c, CURLcode code, struct http_reply *r);
 CURL *http_handle(void);
 
 #endif
--- a/misc/httpd.c
+++ b/misc/httpd.c
@@ -141,6 +141,23 @@
 	h->daemon = NULL;
 }
 
+/*
+ * httpd_body_object() parses the request body as a JSON object. Returns
+ * it, or NULL when the body is not one; *parser owns it either way
+ * (g_object_unref it).
+ */
+JsonObject *httpd_body_object(struct httpd_req *req, JsonParser **parser)
+{
+	*parser = json_parser_new();
+	if (!json_parser_load_from_data(*parser, req->body,
+					(gssize)req->body_len, NULL))
+		return NULL;
+	JsonNode *root = json_parser_get_root(*parser);
+
+	return root && JSON_NODE_HOLDS_OBJECT(root) ? json_node_get_object(root)
+						    : NULL;
+}
+
 /* httpd_arg() returns a query argument, or NULL. */
 const char *httpd_arg(struct httpd_req *req, const char *name)
 {
--- a/misc/httpd.h
+++ b/misc/httpd.h
@@ -40,6 +40,8 @@
 void httpd_stop(struct httpd *h);
 const char *httpd_arg(struct httpd_req *req, const char *name);
 const char *httpd_header(struct httpd_req *req, const char *name);
+#include <json-glib/json-glib.h>
+JsonObject *httpd_body_object(struct httpd_req *req, JsonParser **parser);
 enum MHD_Result httpd_answer(struct httpd_req *req, unsigned status,
 			     const char *body, size_t len,
 			     const char *const *headers);
--- a/options/deploy.c
+++ b/options/deploy.c
@@ -30,7 +30,6 @@
 	{"deadline_ms", OPT_INT, E(deadline_ms), "1000", 1, 600000},
 	{"retry_budget_pct", OPT_INT, E(retry_budget_pct), "10", 0, 100},
 	{"snapshot_every_s", OPT_INT, E(snapshot_every_s), "120", 1, 86400},
-	{"traffic_threads", OPT_INT, E(traffic_threads), "8", 1, 256},
 	{"drain_ms", OPT_INT, E(drain_ms), "1000", 0, 600000},
 	OPT_END,
 };
--- a/options/deploy.h
+++ b/options/deploy.h
@@ -30,7 +30,6 @@
 	int deadline_ms;
 	int retry_budget_pct;
 	int snapshot_every_s;
-	int traffic_threads;
 	int drain_ms;
 };
 
--- a/scripts/added-latency.sh
+++ b/scripts/added-latency.sh
@@ -1,20 +1,18 @@
 #!/bin/bash
 # Measures the latency an entry adds to a call: the same seeded load, in
 # turn through one entry and straight to the workers (quiet stand-ins, no
-# noise), PAIRS times each, on one machine. Prints one row a run and the
-# differences of the medians. Stops what it started.
+# noise), PAIRS times each, on one machine. Prints one CSV row a run.
+# Stops what it started.
 #   scripts/added-latency.sh [RATE] [PAIRS]
 set -u
 cd "$(dirname "$0")/.."
-bin=./mimosapitch
+. scripts/local-lib.sh
 rate=${1:-500}
 pairs=${2:-3}
 dir=$(mktemp -d)
 ini=$dir/bench.ini
-pids=()
 stop_all() {
-	for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null; done
-	for p in "${pids[@]}"; do wait "$p" 2>/dev/null; done
+	local_stop
 	rm -rf "$dir"
 }
 trap stop_all EXIT
@@ -35,14 +33,14 @@
 work_ms = 1
 INI
 $bin platform --settings "$ini" 2>/dev/null &
-pids+=($!)
+local_pids+=($!)
 sleep 0.3
 for i in 0 1 2 3 4 5 6 7; do
 	$bin worker --settings "$ini" --service t0 --index $i 2>/dev/null &
-	pids+=($!)
+	local_pids+=($!)
 done
 $bin entry --settings "$ini" --name e1 2>/dev/null &
-pids+=($!)
+local_pids+=($!)
 sleep 1.5
 for i in 0 1 2 3 4 5 6 7; do
 	curl -s -m 2 -X POST -d '{"quiet":true}' http://127.0.0.1:$((19600 + i))/v1/faults >/dev/null
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -7,14 +7,12 @@
 #   scripts/capacity.sh [SERVICES] > docs/capacity/slopes.csv
 set -u
 cd "$(dirname "$0")/.."
-bin=./mimosapitch
+. scripts/local-lib.sh
 services=${1:-62}
 dir=$(mktemp -d)
 ini=$dir/bench.ini
-pids=()
 stop_all() {
-	for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null; done
-	for p in "${pids[@]}"; do wait "$p" 2>/dev/null; done
+	local_stop
 	[ -n "${KEEP:-}" ] || rm -rf "$dir"; [ -n "${KEEP:-}" ] && echo "kept $dir" >&2
 }
 trap stop_all EXIT
@@ -58,11 +56,11 @@
 }
 
 $bin platform --settings "$ini" 2>"$dir/platform.log" &
-pids+=($!)
+local_pids+=($!)
 sleep 0.3
 $bin entry --settings "$ini" --name e1 2>"$dir/entry.log" &
 entry_pid=$!
-pids+=($entry_pid)
+local_pids+=($entry_pid)
 sleep 1
 $bin ctl --settings "$ini" patch --base 0 policy=p2c >/dev/null
 
@@ -86,7 +84,7 @@
 # Traffic: 8 real workers in service t0, beside the 790 listed ones.
 for i in 0 1 2 3 4 5 6 7; do
 	$bin worker --settings "$ini" --service t0 --index $i --seed 5 2>>"$dir/workers.log" &
-	pids+=($!)
+	local_pids+=($!)
 done
 sleep 2
 for rate in 250 1000 2000; do
--- a/stand/platform.c
+++ b/stand/platform.c
@@ -88,10 +88,8 @@
 static enum MHD_Result do_append(struct platform *pf, struct httpd_req *req,
 				 const char *name)
 {
-	JsonParser *p = json_parser_new();
-	bool ok = json_parser_load_from_data(p, req->body,
-					     (gssize)req->body_len, NULL) &&
-		  JSON_NODE_HOLDS_OBJECT(json_parser_get_root(p));
+	JsonParser *p;
+	bool ok = httpd_body_object(req, &p) != NULL;
 	char out[64];
 	bool drop;
 
@@ -177,15 +175,13 @@
 static enum MHD_Result do_member_put(struct platform *pf, struct httpd_req *req,
 				     const char *name)
 {
-	JsonParser *p = json_parser_new();
+	JsonParser *p;
+	JsonObject *o = httpd_body_object(req, &p);
 
-	if (!json_parser_load_from_data(p, req->body, (gssize)req->body_len,
-					NULL) ||
-	    !JSON_NODE_HOLDS_OBJECT(json_parser_get_root(p))) {
+	if (!o) {
 		g_object_unref(p);
 		return answer_json(req, 400, "{\"error\":\"bad member\"}");
 	}
-	JsonObject *o = json_node_get_object(json_parser_get_root(p));
 	const char *state =
 		json_object_get_string_member_with_default(o, "state", "live");
 	int64_t now = clock_ms();
@@ -293,13 +289,10 @@
 
 static enum MHD_Result do_faults(struct platform *pf, struct httpd_req *req)
 {
-	JsonParser *p = json_parser_new();
-
-	if (json_parser_load_from_data(p, req->body, (gssize)req->body_len,
-				       NULL) &&
-	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(p))) {
-		JsonObject *o = json_node_get_object(json_parser_get_root(p));
+	JsonParser *p;
+	JsonObject *o = httpd_body_object(req, &p);
 
+	if (o) {
 		pthread_mutex_lock(&pf->lock);
 		pf->outage = json_object_get_boolean_member_with_default(
 			o, "outage", pf->outage);
--- a/stand/worker.c
+++ b/stand/worker.c
@@ -186,13 +186,10 @@
 
 static enum MHD_Result do_faults(struct worker *w, struct httpd_req *req)
 {
-	JsonParser *p = json_parser_new();
-
-	if (json_parser_load_from_data(p, req->body, (gssize)req->body_len,
-				       NULL) &&
-	    JSON_NODE_HOLDS_OBJECT(json_parser_get_root(p))) {
-		JsonObject *o = json_node_get_object(json_parser_get_root(p));
+	JsonParser *p;
+	JsonObject *o = httpd_body_object(req, &p);
 
+	if (o) {
 		pthread_mutex_lock(&w->lock);
 		w->fail_fast = json_object_get_boolean_member_with_default(
 			o, "fail_fast", w->fail_fast);
--- a/tools/load.c
+++ b/tools/load.c
@@ -140,7 +140,7 @@
 
 	if (!c->busy || !s)
 		return;
-	http_finish(c->curl, code, 2, &c->reply);
+	http_finish(c->curl, code, &c->reply);
 	hist_record(&s->hist, (uint64_t)(clock_us() - c->start_us));
 	s->calls++;
 	if (code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR ||
