Worker stand-ins enforce their connection limit; MHD_USE_ITC really set

Change: httpd_start() takes a connection limit (0: 1000, below select()'s 1024); workers pass their service's `connections`; MHD_USE_ITC is in the daemon flags.

--- a/caller/front.c
+++ b/caller/front.c
@@ -370,7 +370,7 @@
 int front_start(struct front *f, struct entry *e)
 {
 	f->entry = e;
-	return httpd_start(&f->http, e->me->listen, handle, f);
+	return httpd_start(&f->http, e->me->listen, 0, handle, f);
 }
 
 /*
--- a/misc/httpd.c
+++ b/misc/httpd.c
@@ -9,7 +9,10 @@
 #include "misc/httpd.h"
 #include "options/settings.h"
 
-enum { HTTPD_BODY_MAX = 1 << 20 };
+enum {
+	HTTPD_BODY_MAX = 1 << 20,
+	HTTPD_CONN_DEFAULT = 1000, /* below select()'s 1024 descriptors */
+};
 
 struct upload {
 	struct httpd *owner;
@@ -71,11 +74,13 @@
 
 /*
  * httpd_start() listens on addr (a.b.c.d:port) and serves every request
- * with handler(ctx, req). Returns 0, -EINVAL for a bad address, or
+ * with handler(ctx, req), taking at most max_conns connections at once
+ * (0: 1000). MHD_USE_ITC is there because httpd_quiesce() needs it in
+ * some thread modes. Returns 0, -EINVAL for a bad address, or
  * -EADDRINUSE when the daemon could not start.
  */
-int httpd_start(struct httpd *h, const char *addr, httpd_handler handler,
-		void *ctx)
+int httpd_start(struct httpd *h, const char *addr, unsigned max_conns,
+		httpd_handler handler, void *ctx)
 {
 	struct sockaddr_in sa = {.sin_family = AF_INET};
 	char host[64];
@@ -89,11 +94,14 @@
 	h->ctx = ctx;
 	h->daemon = MHD_start_daemon(
 		MHD_USE_THREAD_PER_CONNECTION |
-			MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ERROR_LOG,
+			MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC |
+			MHD_USE_ERROR_LOG,
 		(uint16_t)port, NULL, NULL, on_request, h, MHD_OPTION_SOCK_ADDR,
 		(struct sockaddr *)&sa, MHD_OPTION_NOTIFY_COMPLETED,
 		on_completed, NULL, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)30,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1, MHD_OPTION_END);
+		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1,
+		MHD_OPTION_CONNECTION_LIMIT,
+		max_conns ? max_conns : HTTPD_CONN_DEFAULT, MHD_OPTION_END);
 	return h->daemon ? 0 : -EADDRINUSE;
 }
 
--- a/misc/httpd.h
+++ b/misc/httpd.h
@@ -33,8 +33,8 @@
 	unsigned closing; /* answers say Connection: close, atomic */
 };
 
-int httpd_start(struct httpd *h, const char *addr, httpd_handler handler,
-		void *ctx);
+int httpd_start(struct httpd *h, const char *addr, unsigned max_conns,
+		httpd_handler handler, void *ctx);
 void httpd_quiesce(struct httpd *h);
 void httpd_drain(struct httpd *h, int wait_ms);
 void httpd_stop(struct httpd *h);
--- a/stand/platform.c
+++ b/stand/platform.c
@@ -350,7 +350,7 @@
 	pf.members = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					   member_free);
 	pf.rnd = g_rand_new();
-	ret = httpd_start(&http, d->platform.listen, handle, &pf);
+	ret = httpd_start(&http, d->platform.listen, 0, handle, &pf);
 	if (ret) {
 		mp_event(EV_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL,
 			 "cannot listen on %s", d->platform.listen);
--- a/stand/worker.c
+++ b/stand/worker.c
@@ -286,7 +286,8 @@
 	w.rnd = g_rand_new_with_seed(seed ^ (unsigned)index * 2654435761u);
 	w.ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w.started_ms = clock_ms();
-	if (httpd_start(&http, w.addr, handle, &w)) {
+	if (httpd_start(&http, w.addr, (unsigned)svc->connections, handle,
+			&w)) {
 		mp_event(EV_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL,
 			 "cannot listen on %s", w.addr);
 		return -EADDRINUSE;
