--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PKGS := glib-2.0 json-glib-1.0 libmicrohttpd libcurl popt ck msgpack
 CC ?= cc
 CFLAGS ?= -O2 -g
-CFLAGS += -MMD -MP -std=gnu11 -Wall -Wextra -Werror -Wno-unused-parameter -I. \
+CFLAGS += -MMD -MP -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Werror -Wno-unused-parameter -I. \
 	  $(shell pkg-config --cflags $(PKGS))
 LDLIBS = $(shell pkg-config --libs $(PKGS)) -lpthread -lm
 
@@ -17,6 +17,37 @@
 
 all: mimosapitch
 
+# The program as it runs on the users' machines: entry instances only, with
+# the few libraries these need (see docs/PLATFORM-DESIGN.md).
+INSTANCE_SRC := misc/arena.c misc/buf.c misc/hist.c misc/findings.c misc/mailbox.c \
+	common/event.c options/settings.c options/instance.c \
+	http/head.c http/message.c http/socket.c http/server.c http/client.c \
+	core/config.c core/backend.c core/budget.c core/outlier.c core/place.c \
+	core/hedge.c core/retry_after.c member/peers.c member/gossip.c \
+	platform/codec.c platform/records.c platform/store.c platform/exchange.c \
+	platform/directory.c platform/bounds.c control/backend_list.c \
+	control/backend_watch.c control/config_watch.c control/member_record.c \
+	control/control.c traffic/upstream.c traffic/traffic.c traffic/metrics.c \
+	traffic/request.c traffic/request_place.c traffic/request_send.c
+INSTANCE_OBJ := $(INSTANCE_SRC:%.c=target/obj/%.o)
+INSTANCE_PKGS := glib-2.0 popt ck msgpack
+INSTANCE_CFLAGS = -O2 -g -MMD -MP -std=gnu11 -D_GNU_SOURCE -Wall -Wextra -Werror \
+	-Wno-unused-parameter -I. $(shell pkg-config --cflags $(INSTANCE_PKGS))
+INSTANCE_LIBS = $(shell pkg-config --libs $(INSTANCE_PKGS)) -lev -lhttp_parser \
+	-lpthread -lm
+
+target/obj/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(INSTANCE_CFLAGS) -c -o $@ $<
+
+target/libinstance.a: $(INSTANCE_OBJ)
+	ar rcs $@ $^
+
+target/mimosapitch: target/obj/app/instance.o target/libinstance.a
+	$(CC) -o $@ $^ $(INSTANCE_LIBS)
+
+-include $(INSTANCE_OBJ:.o=.d)
+
 deps:
 	@pkg-config --exists $(PKGS) cmocka || scripts/install-deps.sh
 
@@ -40,6 +71,7 @@
 	scripts/run-local.sh
 
 clean:
+	rm -rf target
 	rm -f mimosapitch libmp.a $(LIB_OBJ) app/main.o $(TESTS) \
 	      $(LIB_OBJ:.o=.d) app/main.d tests/*.d
 
--- a/common/event.c
+++ b/common/event.c
@@ -1,10 +1,27 @@
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
 
 #include "common/event.h"
 
+enum {
+	LINE_MAX_BYTES = 1200,
+	/*
+	 * Lines a second that are written at most: a few times what a busy
+	 * instance decides in a second, so that a storm costs no service.
+	 */
+	LINES_PER_S = 400,
+};
+
 static const char *log_role = "-";
+static bool to_stdout;
+static uint64_t dropped, lines_this_s;
+static uint64_t this_s;
 
 static const char *level_name(GLogLevelFlags level)
 {
@@ -21,6 +38,52 @@
 	return "debug";
 }
 
+/* Tells whether one more line fits this second's allowance. */
+static bool within_rate(const struct timespec *ts)
+{
+	if (ck_pr_load_64(&this_s) != (uint64_t)ts->tv_sec) {
+		ck_pr_store_64(&this_s, (uint64_t)ts->tv_sec);
+		ck_pr_store_64(&lines_this_s, 0);
+	}
+	return ck_pr_faa_64(&lines_this_s, 1) < LINES_PER_S;
+}
+
+/*
+ * Writes a line if that can't block: a pipe that polls as writable takes a
+ * line whole. Lines that were left out are counted and told later.
+ */
+static void write_bounded(const char *line, size_t n)
+{
+	struct pollfd p = {.fd = STDOUT_FILENO, .events = POLLOUT};
+
+	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT) ||
+	    write(STDOUT_FILENO, line, n) < 0)
+		ck_pr_inc_64(&dropped);
+}
+
+static void write_stdout(const struct timespec *ts, const char *ev,
+			 GLogLevelFlags level, const char *msg)
+{
+	char line[LINE_MAX_BYTES];
+	uint64_t lost;
+	int n;
+
+	if (!within_rate(ts)) {
+		ck_pr_inc_64(&dropped);
+		return;
+	}
+	lost = ck_pr_fas_64(&dropped, 0);
+	n = snprintf(line, sizeof(line),
+		     "ts=%lld.%03ld role=%s ev=%s level=%s dropped=%llu %s\n",
+		     (long long)ts->tv_sec, ts->tv_nsec / 1000000, log_role, ev,
+		     level_name(level), (unsigned long long)lost, msg);
+	if (n >= (int)sizeof(line)) {
+		n = sizeof(line);
+		line[n - 1] = '\n';
+	}
+	write_bounded(line, (size_t)n);
+}
+
 /*
  * The writer prints one line per event, logfmt style, to stderr, so that
  * both a person and a line-oriented collector can read it. Debug lines are
@@ -43,6 +106,10 @@
 			msg = fields[i].value;
 	}
 	clock_gettime(CLOCK_REALTIME, &ts);
+	if (to_stdout) {
+		write_stdout(&ts, ev, level, msg);
+		return G_LOG_WRITER_HANDLED;
+	}
 	fprintf(stderr, "ts=%lld.%03ld role=%s ev=%s level=%s msg=\"%s\"\n",
 		(long long)ts.tv_sec, ts.tv_nsec / 1000000, log_role, ev,
 		level_name(level), msg);
@@ -56,6 +123,15 @@
 	g_log_set_writer_func(write_line, NULL, NULL);
 }
 
+/*
+ * mp_log_to_stdout() sends the lines to standard output from now on, with a
+ * bound on their rate, and never waits for the reader.
+ */
+void mp_log_to_stdout(void)
+{
+	to_stdout = true;
+}
+
 /*
  * mp_event() logs event ev at the given level. The message is formatted
  * printf style; quotes in it are left as they are.
--- a/common/event.h
+++ b/common/event.h
@@ -13,6 +13,8 @@
 	EV_STARTED = 100,
 	EV_STOPPING = 101,
 	EV_STOPPED = 102,
+	EV_RELOADED = 103,
+	EV_LOG_DROPPED = 104,
 	EV_SETTINGS_BAD = 110,
 	EV_SETTINGS_FINDING = 111,
 	EV_LISTEN_FAILED = 120,
@@ -29,15 +31,29 @@
 	EV_MEMBER_JOINED = 310,
 	EV_MEMBER_LEAVING = 311,
 	EV_MEMBER_GONE = 312,
+	EV_MEMBER_BAD_RECORD = 313,
+	EV_PEER_JOINED = 320,
+	EV_PEER_BAD_DATAGRAM = 321,
+	EV_PEERS_CHANGED = 322,
 
 	EV_CALL_NO_WORKER = 400,
 	EV_CALL_FOREIGN_ANSWER = 401,
 	EV_CALL_UNKNOWN_OUTCOME = 402,
 
+	EV_REQUEST_SENT = 410,
+	EV_REQUEST_DONE = 411,
+	EV_REQUEST_REFUSED = 412,
+	EV_REQUEST_UNKNOWN = 413,
+	EV_REQUEST_RETRY = 414,
+	EV_REQUEST_GONE = 415,
+	EV_REQUEST_NO_ROUTE = 416,
+	EV_REQUEST_BAD = 417,
+
 	EV_INVARIANT_BROKEN = 900,
 };
 
 void mp_log_init(const char *role);
+void mp_log_to_stdout(void);
 void mp_event(enum mp_event ev, GLogLevelFlags level, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- /dev/null
+++ b/control/backend_watch.c
@@ -0,0 +1,142 @@
+#include <errno.h>
+#include <string.h>
+
+#include "common/event.h"
+#include "control/backend_watch.h"
+#include "misc/clock.h"
+#include "platform/records.h"
+
+/* Decodes a record of the list; false when it is unfit. */
+static bool decode(const struct store_record *rec, struct backend_change *c)
+{
+	memset(c, 0, sizeof(*c));
+	c->offset = rec->offset;
+	if (rec->value.len == 0) {
+		if (rec->key.len == 0 || rec->key.len >= BACKEND_NAME_MAX)
+			return false;
+		memcpy(c->entry.id, rec->key.ptr, rec->key.len);
+		c->removed = true;
+		return true;
+	}
+	if (record_backend(rec->key, rec->value, &c->entry) == 0)
+		return true;
+	mp_event(EV_MEMBER_BAD_RECORD, G_LOG_LEVEL_WARNING,
+		 "record %" G_GUINT64_FORMAT " of '%.*s' can't be read",
+		 rec->offset, (int)rec->key.len, rec->key.ptr);
+	return false;
+}
+
+static void take_records(struct backend_watch *w, const struct store_result *r,
+			 int64_t now_ms)
+{
+	for (size_t i = 0; i < r->nrecords; i++) {
+		struct backend_change c;
+
+		if (decode(&r->records[i], &c))
+			backend_list_record(&w->list, &c, now_ms);
+	}
+}
+
+static void on_failure(struct backend_watch *w, int err)
+{
+	if (w->failures++ == 0)
+		mp_event(EV_PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING,
+			 "what=backends err=%s age_ms=%" G_GINT64_FORMAT,
+			 g_strerror(-err), clock_ms() - w->list.fresh_ms);
+	if (err == -ERANGE)
+		w->list.loaded = false;
+	w->listing = false;
+}
+
+/* One page of a whole listing; the first one's end is where to read on. */
+static void on_page(struct backend_watch *w, const struct store_result *r,
+		    int64_t now_ms)
+{
+	if (!w->listing) {
+		w->listing = true;
+		w->listing_end = r->end_offset;
+		backend_list_replace_begin(&w->list, now_ms);
+	}
+	take_records(w, r, now_ms);
+	if (r->more) {
+		store_newest(&w->store, STORE_TOPIC_BACKENDS, r->last_key);
+		return;
+	}
+	w->listing = false;
+	backend_list_replace_end(&w->list, w->listing_end, w->tried_ms, now_ms);
+}
+
+static void on_done(void *priv, const struct store_result *r)
+{
+	struct backend_watch *w = priv;
+	int64_t now_ms = clock_ms();
+	bool recovered = w->failures > 0;
+
+	if (r->err) {
+		on_failure(w, r->err);
+		return;
+	}
+	if (!w->list.loaded || w->listing) {
+		on_page(w, r, now_ms);
+		if (w->listing)
+			return;
+	} else {
+		backend_list_read_begin(&w->list, now_ms);
+		take_records(w, r, now_ms);
+		backend_list_caught_up(&w->list, r->end_offset, w->tried_ms,
+				       now_ms);
+	}
+	if (recovered)
+		mp_event(EV_PLATFORM_RECOVERED, G_LOG_LEVEL_MESSAGE,
+			 "what=backends failures=%u", w->failures);
+	w->failures = 0;
+	w->gap = false;
+	w->read_done(w->priv, recovered);
+}
+
+static void read_now(struct backend_watch *w, int64_t now_ms)
+{
+	w->tried_ms = now_ms;
+	if (w->list.loaded)
+		store_read(&w->store, STORE_TOPIC_BACKENDS, w->list.offset, 0);
+	else
+		store_newest(&w->store, STORE_TOPIC_BACKENDS, LSTR(""));
+}
+
+/* backend_watch_tick() reads when it is due; call it every 0.1 s or so. */
+void backend_watch_tick(struct backend_watch *w, unsigned rank, int64_t now_ms)
+{
+	int64_t due = backend_read_due(rank, w->list.fresh_ms, w->tried_ms,
+				       w->failures);
+
+	backend_list_settle(&w->list, now_ms);
+	if (w->store.call != STORE_NO_CALL)
+		return;
+	if ((!w->list.loaded || w->gap) && w->failures == 0)
+		due = 0;
+	if (now_ms >= due)
+		read_now(w, now_ms);
+}
+
+/* backend_watch_feed() takes in what a peer has read. */
+void backend_watch_feed(struct backend_watch *w, const struct backend_feed *f,
+			int64_t now_ms)
+{
+	if (!backend_list_feed(&w->list, f, now_ms))
+		w->gap = true;
+}
+
+/* backend_watch_start() begins with a whole listing. */
+void backend_watch_start(struct backend_watch *w, struct ev_loop *loop,
+			 const struct sockaddr_in *store,
+			 void (*changed)(void *priv,
+					 const struct backend_change *c),
+			 void (*read_done)(void *priv, bool recovered),
+			 void *priv)
+{
+	memset(w, 0, sizeof(*w));
+	w->read_done = read_done;
+	w->priv = priv;
+	backend_list_init(&w->list, changed, priv);
+	store_open(&w->store, loop, store, on_done, w);
+}
--- /dev/null
+++ b/control/backend_watch.h
@@ -0,0 +1,34 @@
+/*
+ * Keeps the list of backend servers: reads it from the platform's store when
+ * it is this instance's turn, and takes over what peers have read.
+ */
+#ifndef MP_CONTROL_BACKEND_WATCH_H
+#define MP_CONTROL_BACKEND_WATCH_H
+
+#include "control/backend_list.h"
+#include "platform/store.h"
+
+struct backend_watch {
+	struct backend_list list;
+	struct store_channel store;
+	int64_t tried_ms;  /* the last read was sent then */
+	unsigned failures; /* in a row */
+	bool gap;	   /* a feed began after what is known */
+	bool listing;
+	uint64_t listing_end;
+	/* A read has succeeded; `recovered`: the first after failures. */
+	void (*read_done)(void *priv, bool recovered);
+	void *priv;
+};
+
+void backend_watch_start(struct backend_watch *w, struct ev_loop *loop,
+			 const struct sockaddr_in *store,
+			 void (*changed)(void *priv,
+					 const struct backend_change *c),
+			 void (*read_done)(void *priv, bool recovered),
+			 void *priv);
+void backend_watch_tick(struct backend_watch *w, unsigned rank, int64_t now_ms);
+void backend_watch_feed(struct backend_watch *w, const struct backend_feed *f,
+			int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/control/control.c
@@ -0,0 +1,323 @@
+#include <errno.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ck_pr.h>
+
+#include "common/event.h"
+#include "control/control.h"
+#include "http/socket.h"
+#include "misc/clock.h"
+
+enum {
+	/* Granularity of all that is due; reads are due twice a second. */
+	TICK_MS = 100,
+	DATAGRAMS_AT_ONCE = 32, /* so that timers get their turn */
+};
+
+static void send_to_traffic(struct control *c, int kind, void *data)
+{
+	if (mailbox_send(c->out, kind, data))
+		mp_event(EV_INVARIANT_BROKEN, G_LOG_LEVEL_CRITICAL,
+			 "traffic thread does not take its messages; kind=%d",
+			 kind);
+}
+
+static void on_config(void *priv, struct config *cfg)
+{
+	struct control *c = priv;
+
+	send_to_traffic(c, TO_TRAFFIC_CONFIG, cfg);
+}
+
+static void log_change(const struct backend_change *ch)
+{
+	if (ch->removed)
+		mp_event(EV_MEMBER_GONE, G_LOG_LEVEL_MESSAGE,
+			 "backend=%s offset=%" G_GUINT64_FORMAT, ch->entry.id,
+			 ch->offset);
+	else
+		mp_event(
+			ch->entry.draining ? EV_MEMBER_LEAVING
+					   : EV_MEMBER_JOINED,
+			G_LOG_LEVEL_MESSAGE,
+			"backend=%s service=%s dc=%s offset=%" G_GUINT64_FORMAT,
+			ch->entry.id, ch->entry.service, ch->entry.dc,
+			ch->offset);
+}
+
+static void on_backend(void *priv, const struct backend_change *ch)
+{
+	struct backend_change *copy = g_new(struct backend_change, 1);
+
+	*copy = *ch;
+	log_change(ch);
+	send_to_traffic(priv, TO_TRAFFIC_BACKEND, copy);
+}
+
+static void send_datagram(struct control *c, const struct buf *b,
+			  const struct peer *p)
+{
+	/* A datagram that can't be sent is as good as lost. */
+	(void)!sendto(c->sock, b->ptr, b->len, MSG_DONTWAIT | MSG_NOSIGNAL,
+		      (const struct sockaddr *)&p->info.addr,
+		      sizeof(p->info.addr));
+}
+
+static void send_beat(struct control *c, struct peer *p, int64_t now_ms)
+{
+	struct buf b = {0};
+
+	c->peers.self.config_offset = c->config.offset;
+	gossip_write_beat(&b, &c->peers.self);
+	send_datagram(c, &b, p);
+	p->sent_ms = now_ms;
+	buf_free(&b);
+}
+
+static void send_beats(struct control *c, int64_t now_ms, bool to_all)
+{
+	for (guint i = 0; i < c->peers.peers->len; i++) {
+		struct peer *p = g_ptr_array_index(c->peers.peers, i);
+
+		if (to_all || peer_due(p, now_ms))
+			send_beat(c, p, now_ms);
+	}
+}
+
+/* Publishes how old the list of backend servers is. */
+static void publish_age(struct control *c)
+{
+	ck_pr_store_64((uint64_t *)&c->fresh_ms,
+		       (uint64_t)c->backends.list.fresh_ms);
+}
+
+/* After an own read: passes it on, which also is a heartbeat. */
+static void on_read_done(void *priv, bool recovered)
+{
+	struct control *c = priv;
+	struct backend_feed f;
+	struct buf b = {0};
+	int64_t now_ms = clock_ms();
+
+	publish_age(c);
+	c->peers.self.config_offset = c->config.offset;
+	backend_list_outline(&c->backends.list, &f, now_ms);
+	gossip_write_feed(&b, &c->peers.self, &f);
+	for (guint i = 0; i < c->peers.peers->len; i++) {
+		struct peer *p = g_ptr_array_index(c->peers.peers, i);
+
+		if (!peer_alive(p, now_ms))
+			continue;
+		send_datagram(c, &b, p);
+		p->sent_ms = now_ms;
+	}
+	buf_free(&b);
+	if (recovered)
+		config_watch_restart(&c->config);
+}
+
+static void on_datagram(struct control *c, struct lstr bytes)
+{
+	struct gossip_message m;
+	int64_t now_ms = clock_ms();
+
+	if (gossip_read(bytes, &m)) {
+		mp_event(EV_PEER_BAD_DATAGRAM, G_LOG_LEVEL_WARNING,
+			 "%zu bytes that are no message of ours", bytes.len);
+		gossip_message_clear(&m);
+		return;
+	}
+	bool fresh = peers_heard(&c->peers, &m.sender, now_ms);
+
+	if (fresh) {
+		struct peer *p = peers_add(&c->peers, &m.sender, now_ms);
+
+		mp_event(EV_PEER_JOINED, G_LOG_LEVEL_MESSAGE,
+			 "peer=%s dc=%s boot=%" G_GUINT64_FORMAT, m.sender.name,
+			 m.sender.dc, m.sender.boot);
+		send_beat(c, p, now_ms);
+	}
+	if (m.kind == GOSSIP_FEED) {
+		backend_watch_feed(&c->backends, &m.feed, now_ms);
+		publish_age(c);
+	}
+	/* Somebody knows of a version that this poll should have brought. */
+	if (m.sender.config_offset > c->config.offset &&
+	    c->config.store.call != STORE_NO_CALL &&
+	    now_ms - c->config.asked_ms > 2 * TICK_MS)
+		config_watch_restart(&c->config);
+	gossip_message_clear(&m);
+}
+
+static void on_sock(struct ev_loop *loop, ev_io *io, int revents)
+{
+	struct control *c = io->data;
+	char bytes[GOSSIP_MAX + 200];
+
+	for (int i = 0; i < DATAGRAMS_AT_ONCE; i++) {
+		ssize_t n = recv(c->sock, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+		if (n <= 0)
+			return;
+		on_datagram(c, (struct lstr){bytes, (size_t)n});
+	}
+}
+
+static bool same_view(const struct peer_view *a, const struct peer_view *b)
+{
+	if (a->instances != b->instances || a->n != b->n)
+		return false;
+	for (size_t i = 0; i < a->n; i++) {
+		if (strcmp(a->callers[i], b->callers[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Tells the traffic thread of the peers when something changed. */
+static void publish_peers(struct control *c, int64_t now_ms)
+{
+	struct peer_view v = {0}, *copy;
+	const char *addrs[64];
+
+	v.instances = peers_count(&c->peers, now_ms);
+	v.n = peers_for_callers(&c->peers, now_ms, addrs, 64);
+	for (size_t i = 0; i < v.n; i++)
+		g_strlcpy(v.callers[i], addrs[i], PEER_ADDR_MAX);
+	if (same_view(&v, &c->last_view))
+		return;
+	c->last_view = v;
+	copy = g_new(struct peer_view, 1);
+	*copy = v;
+	mp_event(EV_PEERS_CHANGED, G_LOG_LEVEL_MESSAGE,
+		 "instances=%u for_callers=%zu", v.instances, v.n);
+	send_to_traffic(c, TO_TRAFFIC_PEERS, copy);
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct control *c = t->data;
+	int64_t now_ms = clock_ms();
+	unsigned rank = peers_rank(&c->peers, now_ms);
+
+	c->config.short_waits = rank < 2;
+	backend_watch_tick(&c->backends, rank, now_ms);
+	publish_age(c);
+	send_beats(c, now_ms, false);
+	publish_peers(c, now_ms);
+}
+
+/* SIGTERM: peers drop this instance from their answers at once. */
+static void on_term(struct ev_loop *loop, ev_signal *s, int revents)
+{
+	struct control *c = s->data;
+
+	if (c->stopping_ms)
+		return;
+	c->stopping_ms = clock_ms();
+	mp_event(EV_STOPPING, G_LOG_LEVEL_MESSAGE, "signal=%d", s->signum);
+	c->peers.self.leaving = true;
+	send_beats(c, c->stopping_ms, true);
+	publish_peers(c, c->stopping_ms);
+	send_to_traffic(c, TO_TRAFFIC_STOP, NULL);
+}
+
+/*
+ * SIGHUP: the settings are read and checked anew. Addresses can't change in
+ * a running process; the bounds are taken over by the next start.
+ */
+static void on_hup(struct ev_loop *loop, ev_signal *s, int revents)
+{
+	struct instance_settings fresh;
+	int rc = instance_settings_load(getenv("MIMOSAPITCH_CONFIG"), &fresh);
+
+	mp_event(EV_RELOADED, G_LOG_LEVEL_MESSAGE, "settings=%s",
+		 rc ? "bad, kept the old" : "checked");
+}
+
+static void on_stopped(void *priv, struct mail *m)
+{
+	struct control *c = priv;
+
+	ev_break(c->loop, EVBREAK_ALL);
+}
+
+static int open_peer_socket(struct control *c)
+{
+	struct sockaddr_in sa;
+	int rc = socket_addr(c->settings->peers, &sa);
+
+	if (rc)
+		return rc;
+	c->sock = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (c->sock < 0)
+		return -errno;
+	if (bind(c->sock, (struct sockaddr *)&sa, sizeof(sa)))
+		return -errno;
+	c->peers.self.addr = sa;
+	ev_io_init(&c->sock_io, on_sock, c->sock, EV_READ);
+	c->sock_io.data = c;
+	ev_io_start(c->loop, &c->sock_io);
+	return 0;
+}
+
+static void watch_signal(struct control *c, ev_signal *s, int signum,
+			 void (*cb)(struct ev_loop *, ev_signal *, int))
+{
+	ev_signal_init(s, cb, signum);
+	s->data = c;
+	ev_signal_start(c->loop, s);
+}
+
+/*
+ * control_init() prepares the control thread on the default loop of the
+ * calling thread. Returns 0 or a negative errno.
+ */
+int control_init(struct control *c, const struct instance_settings *s,
+		 struct mailbox *out)
+{
+	struct peer_info self = {0};
+	int rc;
+
+	memset(c, 0, sizeof(*c));
+	c->loop = ev_default_loop(EVFLAG_NOENV);
+	c->settings = s;
+	c->out = out;
+	g_strlcpy(self.name, s->name, sizeof(self.name));
+	g_strlcpy(self.dc, s->dc, sizeof(self.dc));
+	g_strlcpy(self.callers, s->callers, sizeof(self.callers));
+	if (getrandom(&self.boot, sizeof(self.boot), 0) != sizeof(self.boot))
+		return -EIO;
+	self.boot >>= 1; /* fits a signed reader too */
+	peers_init(&c->peers, &self);
+	rc = open_peer_socket(c);
+	if (rc)
+		return rc;
+	mailbox_init(&c->in, c->loop, on_stopped, c);
+	watch_signal(c, &c->term, SIGTERM, on_term);
+	watch_signal(c, &c->interrupt, SIGINT, on_term);
+	watch_signal(c, &c->hup, SIGHUP, on_hup);
+	return 0;
+}
+
+/* control_run() runs the control thread until the traffic has stopped. */
+void control_run(struct control *c)
+{
+	struct sockaddr_in store;
+
+	socket_addr(c->settings->store, &store);
+	member_record_start(&c->record, c->loop, &store, &c->peers);
+	config_watch_start(&c->config, c->loop, &store, on_config, c);
+	backend_watch_start(&c->backends, c->loop, &store, on_backend,
+			    on_read_done, c);
+	backend_watch_tick(&c->backends, 0, clock_ms());
+	ev_timer_init(&c->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
+	c->tick.data = c;
+	ev_timer_start(c->loop, &c->tick);
+	ev_run(c->loop, 0);
+}
--- /dev/null
+++ b/control/control.h
@@ -0,0 +1,52 @@
+/*
+ * The control thread of an entry instance: the platform's store, the peers
+ * and the signals. It owns what the instance believes of the system and
+ * sends changes to the traffic thread.
+ */
+#ifndef MP_CONTROL_CONTROL_H
+#define MP_CONTROL_CONTROL_H
+
+#include "control/backend_watch.h"
+#include "control/config_watch.h"
+#include "control/member_record.h"
+#include "misc/mailbox.h"
+#include "options/instance.h"
+
+/* Messages to the traffic thread; the receiver owns the data. */
+enum to_traffic {
+	TO_TRAFFIC_CONFIG = 1,	/* struct config * */
+	TO_TRAFFIC_BACKEND = 2, /* struct backend_change * */
+	TO_TRAFFIC_PEERS = 3,	/* struct peer_view * */
+	TO_TRAFFIC_STOP = 4,	/* nothing: stop as planned */
+};
+
+/* What the traffic thread needs of the peers. */
+struct peer_view {
+	unsigned instances; /* that share the system's allowances */
+	size_t n;
+	char callers[64][PEER_ADDR_MAX]; /* addresses for callers */
+};
+
+struct control {
+	struct ev_loop *loop;
+	const struct instance_settings *settings;
+	struct mailbox *out;
+	struct mailbox in; /* from the traffic thread: it has stopped */
+	struct peer_table peers;
+	struct peer_view last_view;
+	int sock;
+	ev_io sock_io;
+	ev_timer tick;
+	ev_signal term, interrupt, hup;
+	struct config_watch config;
+	struct backend_watch backends;
+	struct member_record record;
+	int64_t stopping_ms; /* 0: not stopping */
+	int64_t fresh_ms;    /* read by the traffic thread */
+};
+
+int control_init(struct control *c, const struct instance_settings *s,
+		 struct mailbox *out);
+void control_run(struct control *c);
+
+#endif
--- /dev/null
+++ b/control/member_record.h
@@ -0,0 +1,25 @@
+/*
+ * This instance's record among those of all instances in the platform's
+ * store: written at each start, so that instances find each other, and read
+ * once. From then on heartbeats tell who lives.
+ */
+#ifndef MP_CONTROL_MEMBER_RECORD_H
+#define MP_CONTROL_MEMBER_RECORD_H
+
+#include "member/peers.h"
+#include "platform/store.h"
+
+struct member_record {
+	struct ev_loop *loop;
+	struct store_channel store;
+	ev_timer retry;
+	struct peer_table *peers;
+	bool written, listed;
+	unsigned failures;
+};
+
+void member_record_start(struct member_record *m, struct ev_loop *loop,
+			 const struct sockaddr_in *store,
+			 struct peer_table *peers);
+
+#endif
--- /dev/null
+++ b/core/backend.h
@@ -0,0 +1,81 @@
+/*
+ * Backend servers as one instance knows them: what the platform's list says
+ * of each, and what this instance sees itself. The list comes as changes, so
+ * that its size costs nothing while it stands still.
+ */
+#ifndef MP_CORE_BACKEND_H
+#define MP_CORE_BACKEND_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "core/budget.h"
+#include "misc/lstr.h"
+
+enum { BACKEND_NAME_MAX = 64 };
+
+/* An entry of the platform's list of backend servers. */
+struct backend_entry {
+	char id[BACKEND_NAME_MAX];	/* one start of one backend server */
+	char service[BACKEND_NAME_MAX]; /* the service it belongs to */
+	char dc[BACKEND_NAME_MAX];	/* its data centre */
+	struct sockaddr_in addr;
+	unsigned slots;	     /* requests that it works on at once */
+	bool draining;	     /* takes no new work soon */
+	uint32_t warm_up_ms; /* it stays slow this much longer */
+};
+
+/* What a backend server last said of its load. */
+struct load_report {
+	unsigned running, waiting, slots;
+	unsigned slowdown_pct; /* how long work takes now; 100 is usual */
+	int64_t at_ms;	       /* when it arrived here; 0: never */
+};
+
+struct service;
+
+struct backend {
+	struct backend_entry entry;
+	struct service *service;
+	unsigned refs;
+	bool gone; /* off the list: no new work */
+	int64_t warm_until_ms;
+	struct load_report load;
+	unsigned in_flight; /* requests of this instance that it has */
+	double trouble;	    /* decayed failures, see core/outlier.h */
+	int64_t trouble_at_ms;
+	void *conns; /* the traffic side's connections */
+};
+
+/* Whether a service's backend servers report their load. */
+enum load_support { LOAD_UNKNOWN, LOAD_TOLD, LOAD_NOT_TOLD };
+
+struct service {
+	char name[BACKEND_NAME_MAX];
+	GPtrArray *backends; /* struct backend *, those on the list */
+	enum load_support load_support;
+	struct retry_budget budget;
+	double work_ms; /* usual time of an answer at usual speed, decayed */
+};
+
+struct backend_set {
+	GHashTable *services; /* name -> struct service * */
+	GHashTable *by_id;    /* id -> struct backend * */
+	void (*on_gone)(void *priv, struct backend *b);
+	void *priv;
+};
+
+void backend_set_init(struct backend_set *s,
+		      void (*on_gone)(void *priv, struct backend *b),
+		      void *priv);
+struct service *backend_set_service(struct backend_set *s, struct lstr name);
+void backend_set_put(struct backend_set *s, const struct backend_entry *e,
+		     int64_t now_ms);
+void backend_set_remove(struct backend_set *s, const char *id);
+struct backend *backend_ref(struct backend *b);
+void backend_unref(struct backend *b);
+
+#endif
--- /dev/null
+++ b/core/budget.c
@@ -0,0 +1,66 @@
+#include <string.h>
+
+#include "core/budget.h"
+
+/*
+ * Cells span a window and a little more, so that a sum over all of them
+ * covers any sliding window of that length.
+ */
+enum { CELLS_A_WINDOW = BUDGET_CELLS - 2 };
+
+/*
+ * Shares of the allowance that are spent. Requests are counted when they
+ * arrive and extra sends when they leave, and instances disagree for a
+ * moment on how many they are; the rest is room for both.
+ */
+static const double RATIO_SHARE = 0.85;
+static const double SLACK_SHARE = 0.7;
+
+/* Moves on to the cell of now_ms and clears those passed over. */
+static unsigned cell_at(struct retry_budget *b, const struct budget_rule *r,
+			int64_t now_ms)
+{
+	int64_t width = r->window_ms / CELLS_A_WINDOW + 1;
+	int64_t cell = now_ms / width;
+
+	if (cell - b->cell >= BUDGET_CELLS || b->cell == 0) {
+		memset(b, 0, sizeof(*b));
+		b->cell = cell;
+	}
+	while (b->cell < cell) {
+		b->cell++;
+		b->requests[b->cell % BUDGET_CELLS] = 0;
+		b->extra[b->cell % BUDGET_CELLS] = 0;
+	}
+	return (unsigned)(b->cell % BUDGET_CELLS);
+}
+
+/* budget_request() counts a request for the service. */
+void budget_request(struct retry_budget *b, const struct budget_rule *r,
+		    int64_t now_ms)
+{
+	b->requests[cell_at(b, r, now_ms)]++;
+}
+
+/* budget_spend() counts a send beyond a request's first. */
+void budget_spend(struct retry_budget *b, const struct budget_rule *r,
+		  int64_t now_ms)
+{
+	b->extra[cell_at(b, r, now_ms)]++;
+}
+
+/* budget_allows() tells whether one more extra send keeps to the rule. */
+bool budget_allows(struct retry_budget *b, const struct budget_rule *r,
+		   int64_t now_ms)
+{
+	double requests = 0, extra = 0;
+	unsigned n = r->instances ? r->instances : 1;
+
+	cell_at(b, r, now_ms);
+	for (unsigned i = 0; i < BUDGET_CELLS; i++) {
+		requests += b->requests[i];
+		extra += b->extra[i];
+	}
+	return extra + 1 <=
+	       requests * r->ratio * RATIO_SHARE + r->slack * SLACK_SHARE / n;
+}
--- /dev/null
+++ b/core/hedge.c
@@ -0,0 +1,21 @@
+#include "core/hedge.h"
+
+/* A second send needs this much of the usual time to make the target. */
+static const double SECOND_SHARE = 1.4;
+
+/* An answer that takes this much of the usual time is about to come. */
+static const double FIRST_SHARE = 1.5;
+
+/*
+ * hedge_delay_ms() returns how long after the first send the second is due:
+ * as late as the second can still be answered on time, but not before the
+ * first had its usual time and a half.
+ */
+int64_t hedge_delay_ms(double work_ms, uint32_t target_ms, int64_t spent_ms)
+{
+	double latest =
+		(double)target_ms - (double)spent_ms - SECOND_SHARE * work_ms;
+	double earliest = FIRST_SHARE * work_ms;
+
+	return (int64_t)(latest > earliest ? latest : earliest);
+}
--- /dev/null
+++ b/core/hedge.h
@@ -0,0 +1,12 @@
+/*
+ * When a request that may be repeated is sent to a second server, because
+ * the first takes longer than it should.
+ */
+#ifndef MP_CORE_HEDGE_H
+#define MP_CORE_HEDGE_H
+
+#include <stdint.h>
+
+int64_t hedge_delay_ms(double work_ms, uint32_t target_ms, int64_t spent_ms);
+
+#endif
--- /dev/null
+++ b/core/place.c
@@ -0,0 +1,162 @@
+#include <string.h>
+
+#include "core/outlier.h"
+#include "core/place.h"
+
+/*
+ * A server is slower by this factor while more than KNEE_SHARE of its slots
+ * work (measured by the users on their servers).
+ */
+static const double KNEE_SHARE = 0.8;
+static const double KNEE_SLOWDOWN = 1.7;
+
+/* A server that has just started takes twice as long (the users' figure). */
+static const double COLD_SLOWDOWN = 2.0;
+
+/*
+ * What a unit of remembered failure is worth in time: one recent failure
+ * makes a server look three times as slow, so that it is used when the
+ * others are nearly full, and not before.
+ */
+static const double TROUBLE_SLOWDOWN = 2.0;
+
+/* Trouble from which a server is asked only when no other is left. */
+static const double TROUBLE_SHUN = 1.5;
+
+/* Worth of keeping a request in its data centre: one round trip, and the
+ * bytes between data centres, which are paid for. */
+static const double OTHER_DC_MS = 6;
+
+/* Work time up to which a report counts as usual speed, in percent. */
+enum { PROMPT_SLOWDOWN_PCT = 150 };
+
+/*
+ * Requests that may wait in a server's queue. It takes a few more than its
+ * slots before it refuses; beyond one a slot the wait alone is longer than
+ * most targets.
+ */
+static unsigned queue_room(const struct backend *b)
+{
+	return b->load.slots;
+}
+
+static bool is_avoided(const struct place_query *q, const struct backend *b)
+{
+	for (unsigned i = 0; i < q->navoid; i++) {
+		if (q->avoid[i] == b)
+			return true;
+	}
+	return false;
+}
+
+/* Orders candidates: lower is asked first; ties are broken at random. */
+static double ask_rank(const struct place_query *q, const struct backend *b)
+{
+	double rank = g_rand_double(q->rand);
+	double trouble = outlier_trouble(b, q->now_ms);
+
+	if (trouble >= TROUBLE_SHUN)
+		rank += 8 + trouble;
+	else if (trouble > 0)
+		rank += trouble;
+	if (strcmp(b->entry.dc, q->dc))
+		rank += 2;
+	if (b->warm_until_ms > q->now_ms)
+		rank += 0.7;
+	rank += 0.5 * b->in_flight;
+	return rank;
+}
+
+/*
+ * place_choose() picks up to `want` servers to ask next, those of the own
+ * data centre first. Returns how many it wrote to out.
+ */
+unsigned place_choose(const struct place_query *q, unsigned want,
+		      struct backend **out)
+{
+	double ranks[PLACE_ASK_MAX];
+	unsigned n = 0;
+	const GPtrArray *all = q->service->backends;
+
+	if (want > PLACE_ASK_MAX)
+		want = PLACE_ASK_MAX;
+	for (guint i = 0; i < all->len; i++) {
+		struct backend *b = g_ptr_array_index(all, i);
+
+		if (b->entry.draining || is_avoided(q, b))
+			continue;
+		if (q->own_dc_only && strcmp(b->entry.dc, q->dc))
+			continue;
+		double rank = ask_rank(q, b);
+		unsigned at = n;
+
+		while (at > 0 && ranks[at - 1] > rank)
+			at--;
+		if (at >= want)
+			continue;
+		for (unsigned k = n < want ? n : want - 1; k > at; k--) {
+			ranks[k] = ranks[k - 1];
+			out[k] = out[k - 1];
+		}
+		ranks[at] = rank;
+		out[at] = b;
+		if (n < want)
+			n++;
+	}
+	return n;
+}
+
+/*
+ * place_estimate_ms() expects how long a request takes at b, from its last
+ * report: its present speed, the share of its slots at work, the queue, and
+ * what is remembered of failures.
+ */
+double place_estimate_ms(const struct backend *b, const char *dc,
+			 double work_ms, int64_t now_ms)
+{
+	const struct load_report *l = &b->load;
+	unsigned slots = l->slots ? l->slots : 1;
+	unsigned busy = l->running + l->waiting;
+	double ms = work_ms;
+
+	if (l->slowdown_pct)
+		ms *= l->slowdown_pct / 100.0;
+	if (b->warm_until_ms > now_ms)
+		ms *= COLD_SLOWDOWN;
+	if (busy + 1 > KNEE_SHARE * slots)
+		ms *= KNEE_SLOWDOWN;
+	if (busy >= slots)
+		ms += ms * (busy - slots + 1) / slots;
+	ms *= 1 + TROUBLE_SLOWDOWN * outlier_trouble(b, now_ms);
+	if (strcmp(b->entry.dc, dc))
+		ms += OTHER_DC_MS;
+	return ms;
+}
+
+/*
+ * place_has_room() tells whether a request may be sent to b. Work that can't
+ * be repeated goes only where a slot is free: a server whose queue is full
+ * may take the request and never answer.
+ */
+bool place_has_room(const struct backend *b, bool must_not_queue)
+{
+	const struct load_report *l = &b->load;
+	unsigned busy = l->running + l->waiting;
+
+	if (must_not_queue)
+		return busy < l->slots;
+	return busy < l->slots + queue_room(b);
+}
+
+/*
+ * place_is_prompt() tells whether asking further servers can gain little: b
+ * has a slot free, works at its usual speed and has not failed lately.
+ */
+bool place_is_prompt(const struct backend *b, int64_t now_ms)
+{
+	const struct load_report *l = &b->load;
+
+	return l->running + l->waiting + 1 <= KNEE_SHARE * l->slots &&
+	       l->slowdown_pct <= PROMPT_SLOWDOWN_PCT &&
+	       b->warm_until_ms <= now_ms && outlier_trouble(b, now_ms) < 0.5;
+}
--- /dev/null
+++ b/core/place.h
@@ -0,0 +1,37 @@
+/*
+ * Placement: which backend servers to ask for their load, and which of those
+ * that answered gets the request. Pure decisions on values; no network, no
+ * clock of its own.
+ *
+ * Load shifts within milliseconds, so a remembered report is worth little. A
+ * few servers are asked just before a request is sent, and the request goes
+ * out on a connection that has answered a moment ago.
+ */
+#ifndef MP_CORE_PLACE_H
+#define MP_CORE_PLACE_H
+
+#include "core/backend.h"
+
+enum {
+	PLACE_ASK_MAX = 4,   /* servers asked at once, at most */
+	PLACE_TRIED_MAX = 8, /* servers remembered as used up */
+};
+
+struct place_query {
+	const struct service *service;
+	const char *dc;		      /* this instance's data centre */
+	struct backend *const *avoid; /* already asked or sent to */
+	unsigned navoid;
+	bool own_dc_only;
+	int64_t now_ms;
+	GRand *rand;
+};
+
+unsigned place_choose(const struct place_query *q, unsigned want,
+		      struct backend **out);
+double place_estimate_ms(const struct backend *b, const char *dc,
+			 double work_ms, int64_t now_ms);
+bool place_has_room(const struct backend *b, bool must_not_queue);
+bool place_is_prompt(const struct backend *b, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/retry_after.h
@@ -0,0 +1,14 @@
+/*
+ * When a refused caller is to come back. Callers honour it up to a third of
+ * the time they have left, each on a new connection.
+ */
+#ifndef MP_CORE_RETRY_AFTER_H
+#define MP_CORE_RETRY_AFTER_H
+
+#include <stdint.h>
+
+enum { RETRY_AFTER_NO_TARGET_MS = 1000 };
+
+double retry_after_s(uint32_t target_ms, int64_t left_ms, double random);
+
+#endif
--- /dev/null
+++ b/http/client.c
@@ -0,0 +1,225 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/client.h"
+#include "http/socket.h"
+
+enum { READ_CHUNK = 8192 }; /* bytes; most answers fit one read */
+
+static void set_timer(struct http_client *c, double after_s)
+{
+	ev_timer_stop(c->loop, &c->timer);
+	if (after_s <= 0)
+		return;
+	ev_timer_set(&c->timer, after_s, 0);
+	ev_timer_start(c->loop, &c->timer);
+}
+
+static void watch(struct http_client *c, int events)
+{
+	if (c->io.events == events && ev_is_active(&c->io))
+		return;
+	ev_io_stop(c->loop, &c->io);
+	ev_io_set(&c->io, c->fd, events);
+	ev_io_start(c->loop, &c->io);
+}
+
+/* http_client_close() ends the connection; the owner is not told. */
+void http_client_close(struct http_client *c)
+{
+	if (c->state == CLIENT_CLOSED)
+		return;
+	ev_io_stop(c->loop, &c->io);
+	ev_timer_stop(c->loop, &c->timer);
+	close(c->fd);
+	c->fd = -1;
+	c->state = CLIENT_CLOSED;
+	http_reader_free(&c->reader);
+	buf_free(&c->out);
+}
+
+static void fail(struct http_client *c, int err)
+{
+	bool sent = c->sent;
+
+	http_client_close(c);
+	c->ops->failed(c->priv, err, sent);
+}
+
+/* Hands a finished response to the owner; false when it was not the one. */
+static bool deliver(struct http_client *c)
+{
+	struct http_message *m = http_reader_take(&c->reader);
+
+	if (m->status / 100 == 1 || c->ops->judge(c->priv, m) == HTTP_SKIP) {
+		if (m->status / 100 != 1)
+			c->reusable = false;
+		if (!m->keep_alive)
+			c->reusable = false;
+		http_message_free(m);
+		return false;
+	}
+	set_timer(c, 0);
+	/* An early answer leaves the rest of the request unsent. */
+	if (!m->keep_alive || c->out.len)
+		c->reusable = false;
+	c->waiting = false;
+	c->sent = false;
+	c->served++;
+	c->state = CLIENT_IDLE;
+	buf_free(&c->out);
+	watch(c, EV_READ);
+	c->ops->response(c->priv, m);
+	return true;
+}
+
+/* Reads responses out of n bytes at p. */
+static void take_bytes(struct http_client *c, const char *p, size_t n)
+{
+	while (n) {
+		ssize_t used = http_reader_feed(&c->reader, p, n);
+
+		if (used < 0) {
+			fail(c, (int)used);
+			return;
+		}
+		p += used;
+		n -= (size_t)used;
+		if (!c->reader.msg->done)
+			return;
+		/* Bytes after an answer belong to no request. */
+		if (n)
+			c->reusable = false;
+		if (deliver(c))
+			return;
+	}
+}
+
+static void on_readable(struct http_client *c)
+{
+	char chunk[READ_CHUNK];
+	ssize_t n = recv(c->fd, chunk, sizeof(chunk), 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n < 0) {
+		fail(c, -errno);
+		return;
+	}
+	if (c->state == CLIENT_IDLE) {
+		fail(c, n ? -EPROTO : -EPIPE);
+		return;
+	}
+	if (n > 0) {
+		take_bytes(c, chunk, (size_t)n);
+		return;
+	}
+	c->reusable = false;
+	if (http_reader_eof(&c->reader) || !deliver(c))
+		fail(c, -EPIPE);
+}
+
+static void on_writable(struct http_client *c)
+{
+	if (c->state == CLIENT_CONNECTING) {
+		int err = socket_error(c->fd);
+
+		if (err) {
+			fail(c, err);
+			return;
+		}
+		c->state = c->waiting ? CLIENT_BUSY : CLIENT_IDLE;
+		set_timer(c, c->waiting ? c->timeout_s : 0);
+	}
+	if (c->out.len) {
+		ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
+
+		if (n < 0 && errno != EAGAIN && errno != EINTR) {
+			fail(c, -errno);
+			return;
+		}
+		if (n > 0) {
+			c->sent = true;
+			buf_consume(&c->out, (size_t)n);
+		}
+	}
+	watch(c, c->out.len ? EV_READ | EV_WRITE : EV_READ);
+}
+
+static void on_event(struct ev_loop *loop, ev_io *io, int revents)
+{
+	struct http_client *c = io->data;
+
+	if ((revents & EV_READ) && c->state != CLIENT_CONNECTING) {
+		on_readable(c);
+		return;
+	}
+	if (revents & EV_WRITE)
+		on_writable(c);
+}
+
+static void on_timeout(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	fail(t->data, -ETIMEDOUT);
+}
+
+/*
+ * http_client_open() begins a connection to sa. Returns 0 or -errno; the
+ * owner hears of later failures through ops->failed.
+ */
+int http_client_open(struct http_client *c, struct ev_loop *loop,
+		     const struct sockaddr_in *sa, double connect_timeout_s,
+		     struct http_limits limits,
+		     const struct http_client_ops *ops, void *priv)
+{
+	int fd = socket_connect(sa);
+
+	memset(c, 0, sizeof(*c));
+	c->state = CLIENT_CLOSED;
+	if (fd < 0)
+		return fd;
+	c->loop = loop;
+	c->ops = ops;
+	c->priv = priv;
+	c->fd = fd;
+	c->state = CLIENT_CONNECTING;
+	c->reusable = true;
+	http_reader_init(&c->reader, HTTP_RESPONSE, limits);
+	ev_io_init(&c->io, on_event, fd, EV_WRITE);
+	c->io.data = c;
+	ev_init(&c->timer, on_timeout);
+	c->timer.data = c;
+	ev_io_start(loop, &c->io);
+	set_timer(c, connect_timeout_s);
+	return 0;
+}
+
+/*
+ * http_client_send() sends one request, now or once connected. The answer
+ * or a failure comes through ops; timeout_s counts from the sending. The
+ * connection must be idle or connecting with nothing queued.
+ */
+void http_client_send(struct http_client *c, struct lstr bytes,
+		      double timeout_s, bool head_request)
+{
+	c->waiting = true;
+	c->sent = false;
+	c->timeout_s = timeout_s;
+	c->reader.no_body = head_request;
+	buf_add_lstr(&c->out, bytes);
+	if (c->state == CLIENT_CONNECTING)
+		return;
+	c->state = CLIENT_BUSY;
+	set_timer(c, timeout_s);
+	ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
+
+	if (n > 0) {
+		c->sent = true;
+		buf_consume(&c->out, (size_t)n);
+	}
+	/* An error shows again on the next event, outside the caller. */
+	watch(c, c->out.len ? EV_READ | EV_WRITE : EV_READ);
+}
--- /dev/null
+++ b/http/message.c
@@ -0,0 +1,271 @@
+#include <errno.h>
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "http/message.h"
+
+/* lstr_eq_nocase() compares two strings, letters in either case. */
+bool lstr_eq_nocase(struct lstr a, struct lstr b)
+{
+	return a.len == b.len && !strncasecmp(a.ptr, b.ptr, a.len);
+}
+
+/* Moves the header line that was read into the message. */
+static void finish_header(struct http_reader *r)
+{
+	struct http_message *m = r->msg;
+
+	if (!r->in_value)
+		return;
+	r->in_value = false;
+	if (m->nheaders == m->cap_headers) {
+		size_t cap = m->cap_headers ? m->cap_headers * 2 : 16;
+		struct http_header *h =
+			arena_alloc(&m->arena, cap * sizeof(*h));
+
+		if (m->nheaders)
+			memcpy(h, m->headers, m->nheaders * sizeof(*h));
+		m->headers = h;
+		m->cap_headers = cap;
+	}
+	m->headers[m->nheaders++] = (struct http_header){
+		.name = arena_lstr(&m->arena, buf_lstr(&r->name)),
+		.value = arena_lstr(&m->arena, buf_lstr(&r->value)),
+	};
+	r->name.len = 0;
+	r->value.len = 0;
+}
+
+/* Counts head bytes against the limit; trailers after a body are dropped. */
+static int add_head_bytes(struct http_reader *r, struct buf *b, const char *p,
+			  size_t n)
+{
+	size_t have = r->target.len + r->name.len + r->value.len +
+		      r->msg->arena.total_bytes;
+
+	if (r->msg->head_done)
+		return 0;
+	if (r->limits.head_max && have + n > r->limits.head_max * 2) {
+		r->err = -EMSGSIZE;
+		return 1;
+	}
+	buf_add(b, p, n);
+	return 0;
+}
+
+static int on_url(http_parser *p, const char *at, size_t n)
+{
+	struct http_reader *r = p->data;
+
+	return add_head_bytes(r, &r->target, at, n);
+}
+
+static int on_field(http_parser *p, const char *at, size_t n)
+{
+	struct http_reader *r = p->data;
+
+	finish_header(r);
+	return add_head_bytes(r, &r->name, at, n);
+}
+
+static int on_value(http_parser *p, const char *at, size_t n)
+{
+	struct http_reader *r = p->data;
+
+	if (r->msg->head_done)
+		return 0;
+	r->in_value = true;
+	return add_head_bytes(r, &r->value, at, n);
+}
+
+static int on_head_done(http_parser *p)
+{
+	struct http_reader *r = p->data;
+	struct http_message *m = r->msg;
+
+	finish_header(r);
+	m->head_done = true;
+	m->status = p->status_code;
+	m->method = lstr0(http_method_str(p->method));
+	m->target = arena_lstr(&m->arena, buf_lstr(&r->target));
+	if (r->limits.body_max && p->content_length != ULLONG_MAX &&
+	    p->content_length > r->limits.body_max) {
+		r->err = -EFBIG;
+		return -1;
+	}
+	return r->no_body ? 1 : 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t n)
+{
+	struct http_reader *r = p->data;
+	struct buf *body = &r->msg->body;
+
+	if (r->limits.body_max && body->len + n > r->limits.body_max) {
+		r->err = -EFBIG;
+		return 1;
+	}
+	buf_add(body, at, n);
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->msg->keep_alive = http_should_keep_alive(p);
+	r->msg->done = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head_done,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+/* http_reader_init() makes a reader for requests or responses. */
+void http_reader_init(struct http_reader *r, enum http_parser_type type,
+		      struct http_limits limits)
+{
+	memset(r, 0, sizeof(*r));
+	http_parser_init(&r->parser, type);
+	r->parser.data = r;
+	r->limits = limits;
+}
+
+/*
+ * http_reader_feed() reads up to n bytes of one message. It stops at the end
+ * of the message (msg->done), so that what follows stays with the caller.
+ * Returns how many bytes were taken, -EMSGSIZE or -EFBIG when a head or body
+ * is over its limit, -EPROTO when the bytes are no message.
+ */
+ssize_t http_reader_feed(struct http_reader *r, const char *p, size_t n)
+{
+	if (!r->msg)
+		r->msg = calloc(1, sizeof(*r->msg));
+	if (!r->msg)
+		abort();
+	size_t used = http_parser_execute(&r->parser, &callbacks, p, n);
+
+	if (r->err)
+		return r->err;
+	if (r->msg->done)
+		return (ssize_t)used;
+	return used == n && !r->parser.upgrade ? (ssize_t)n : -EPROTO;
+}
+
+/*
+ * http_reader_eof() tells the reader that the peer closed in order. Returns
+ * 0 when that ends the message (a response without a length), else -EPROTO.
+ */
+int http_reader_eof(struct http_reader *r)
+{
+	if (!r->msg || !r->msg->head_done)
+		return -EPROTO;
+	http_parser_execute(&r->parser, &callbacks, "", 0);
+	return r->msg->done ? 0 : -EPROTO;
+}
+
+/*
+ * http_reader_take() hands over the finished message and makes the reader
+ * ready for the next one.
+ */
+struct http_message *http_reader_take(struct http_reader *r)
+{
+	struct http_message *m = r->msg;
+	enum http_parser_type type = r->parser.type;
+
+	r->msg = NULL;
+	http_reader_free(r);
+	http_reader_init(r, type, r->limits);
+	return m;
+}
+
+/* http_reader_free() drops a message read in part and the buffers. */
+void http_reader_free(struct http_reader *r)
+{
+	http_message_free(r->msg);
+	r->msg = NULL;
+	buf_free(&r->name);
+	buf_free(&r->value);
+	buf_free(&r->target);
+}
+
+/* http_message_free() releases a message; NULL is fine. */
+void http_message_free(struct http_message *m)
+{
+	if (!m)
+		return;
+	arena_free(&m->arena);
+	buf_free(&m->body);
+	free(m);
+}
+
+/* http_find() returns the value of the first header so named, or {NULL, 0}. */
+struct lstr http_find(const struct http_message *m, struct lstr name)
+{
+	for (size_t i = 0; i < m->nheaders; i++) {
+		if (lstr_eq_nocase(m->headers[i].name, name))
+			return m->headers[i].value;
+	}
+	return (struct lstr){NULL, 0};
+}
+
+/* Tells whether name is one of the comma-separated tokens of list. */
+static bool lists_token(struct lstr list, struct lstr name)
+{
+	const char *p = list.ptr, *end = p + list.len;
+
+	while (p && p < end) {
+		while (p < end && (*p == ' ' || *p == '\t' || *p == ','))
+			p++;
+		const char *q = p;
+
+		while (q < end && *q != ',' && *q != ' ' && *q != '\t')
+			q++;
+		if (lstr_eq_nocase((struct lstr){p, (size_t)(q - p)}, name))
+			return true;
+		p = q;
+	}
+	return false;
+}
+
+/*
+ * http_is_hop_by_hop() tells whether a header of m concerns only the
+ * connection it came on (RFC 9110, 7.6.1) or frames the message, which the
+ * sender of the next hop does anew.
+ */
+bool http_is_hop_by_hop(const struct http_message *m, struct lstr name)
+{
+	static const struct lstr fixed[] = {
+		{"connection", 10},
+		{"keep-alive", 10},
+		{"proxy-connection", 16},
+		{"proxy-authenticate", 18},
+		{"proxy-authorization", 19},
+		{"te", 2},
+		{"trailer", 7},
+		{"transfer-encoding", 17},
+		{"upgrade", 7},
+		{"content-length", 14},
+		{"expect", 6},
+	};
+
+	for (size_t i = 0; i < sizeof(fixed) / sizeof(fixed[0]); i++) {
+		if (lstr_eq_nocase(fixed[i], name))
+			return true;
+	}
+	for (size_t i = 0; i < m->nheaders; i++) {
+		if (lstr_eq_nocase(m->headers[i].name, LSTR("connection")) &&
+		    lists_token(m->headers[i].value, name))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/http/message.h
@@ -0,0 +1,60 @@
+/*
+ * One HTTP/1.1 message, read whole through the http-parser library. A
+ * message owns an arena for its head and a buffer for its body; a message
+ * that ended early never counts as done.
+ */
+#ifndef MP_HTTP_MESSAGE_H
+#define MP_HTTP_MESSAGE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <sys/types.h>
+
+#include <http_parser.h>
+
+#include "misc/arena.h"
+#include "misc/buf.h"
+
+struct http_header {
+	struct lstr name, value;
+};
+
+struct http_message {
+	struct arena arena;
+	struct lstr method, target; /* of a request */
+	unsigned status;	    /* of a response */
+	struct http_header *headers;
+	size_t nheaders, cap_headers;
+	struct buf body;
+	bool keep_alive;
+	bool head_done, done;
+};
+
+struct http_limits {
+	size_t head_max, body_max; /* bytes; 0: no limit */
+};
+
+struct http_reader {
+	http_parser parser;
+	struct http_limits limits;
+	struct http_message *msg;
+	struct buf name, value; /* the header line being read */
+	struct buf target;
+	bool in_value;
+	bool no_body; /* answer to a HEAD request */
+	int err;
+};
+
+void http_reader_init(struct http_reader *r, enum http_parser_type type,
+		      struct http_limits limits);
+ssize_t http_reader_feed(struct http_reader *r, const char *p, size_t n);
+int http_reader_eof(struct http_reader *r);
+struct http_message *http_reader_take(struct http_reader *r);
+void http_reader_free(struct http_reader *r);
+
+void http_message_free(struct http_message *m);
+struct lstr http_find(const struct http_message *m, struct lstr name);
+bool lstr_eq_nocase(struct lstr a, struct lstr b);
+bool http_is_hop_by_hop(const struct http_message *m, struct lstr name);
+
+#endif
--- /dev/null
+++ b/http/socket.h
@@ -0,0 +1,14 @@
+/* Non-blocking IPv4 sockets and the options every connection gets. */
+#ifndef MP_HTTP_SOCKET_H
+#define MP_HTTP_SOCKET_H
+
+#include <netinet/in.h>
+
+int socket_addr(const char *addr, struct sockaddr_in *sa);
+int socket_listen(const char *addr);
+int socket_connect(const struct sockaddr_in *sa);
+int socket_error(int fd);
+void socket_tune(int fd);
+void socket_detect_silence(int fd, int after_s);
+
+#endif
--- /dev/null
+++ b/member/gossip.c
@@ -0,0 +1,241 @@
+#include <errno.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "member/gossip.h"
+
+/* Positions in the arrays on the wire. */
+enum { HEAD_FIELDS = 9, FEED_FIELDS = 5, CHANGE_FIELDS = 9 };
+
+/* Room that one change takes at most, with names of usual length. */
+enum { CHANGE_BYTES = 160 };
+
+static int write_buf(void *buf, const char *p, size_t n)
+{
+	buf_add(buf, p, n);
+	return 0;
+}
+
+static void pack_text(msgpack_packer *pk, const char *s)
+{
+	msgpack_pack_str_with_body(pk, s, strlen(s));
+}
+
+static void pack_addr(msgpack_packer *pk, const struct sockaddr_in *sa)
+{
+	msgpack_pack_uint32(pk, ntohl(sa->sin_addr.s_addr));
+	msgpack_pack_uint16(pk, ntohs(sa->sin_port));
+}
+
+static void pack_sender(msgpack_packer *pk, enum gossip_kind kind,
+			const struct peer_info *p)
+{
+	msgpack_pack_array(pk, HEAD_FIELDS + (kind == GOSSIP_FEED));
+	msgpack_pack_int(pk, kind);
+	pack_text(pk, p->name);
+	pack_text(pk, p->dc);
+	pack_text(pk, p->callers);
+	pack_addr(pk, &p->addr);
+	msgpack_pack_uint64(pk, p->boot);
+	msgpack_pack_uint8(pk, p->leaving);
+	msgpack_pack_uint64(pk, p->config_offset);
+}
+
+/* gossip_write_beat() writes a heartbeat. */
+void gossip_write_beat(struct buf *out, const struct peer_info *self)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, write_buf);
+	pack_sender(&pk, GOSSIP_BEAT, self);
+}
+
+static void pack_change(msgpack_packer *pk, const struct backend_change *c)
+{
+	const struct backend_entry *e = &c->entry;
+
+	if (c->removed) {
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint64(pk, c->offset);
+		pack_text(pk, e->id);
+		return;
+	}
+	msgpack_pack_array(pk, CHANGE_FIELDS);
+	msgpack_pack_uint64(pk, c->offset);
+	pack_text(pk, e->id);
+	pack_text(pk, e->service);
+	pack_text(pk, e->dc);
+	pack_addr(pk, &e->addr);
+	msgpack_pack_uint32(pk, e->slots);
+	msgpack_pack_uint8(pk, e->draining);
+	msgpack_pack_uint32(pk, e->warm_up_ms);
+}
+
+/*
+ * gossip_write_feed() writes the changes, the newest that fit one datagram;
+ * `from` moves on past those that are left out.
+ */
+void gossip_write_feed(struct buf *out, const struct peer_info *self,
+		       const struct backend_feed *feed)
+{
+	guint fit = (GOSSIP_MAX - 200) / CHANGE_BYTES;
+	guint skip = feed->changes->len > fit ? feed->changes->len - fit : 0;
+	uint64_t from = feed->from;
+	msgpack_packer pk;
+
+	if (skip)
+		from = g_array_index(feed->changes, struct backend_change,
+				     skip - 1)
+			       .offset +
+		       1;
+	msgpack_packer_init(&pk, out, write_buf);
+	pack_sender(&pk, GOSSIP_FEED, self);
+	msgpack_pack_array(&pk, FEED_FIELDS);
+	msgpack_pack_uint64(&pk, from);
+	msgpack_pack_uint64(&pk, feed->to);
+	msgpack_pack_uint32(&pk, feed->age_ms);
+	msgpack_pack_uint32(&pk, feed->settle_ms);
+	msgpack_pack_array(&pk, feed->changes->len - skip);
+	for (guint i = skip; i < feed->changes->len; i++)
+		pack_change(&pk, &g_array_index(feed->changes,
+						struct backend_change, i));
+}
+
+/* A reader of array elements that remembers whether one was unfit. */
+struct cursor {
+	const msgpack_object *at, *end;
+	bool bad;
+};
+
+static struct cursor cursor_of(const msgpack_object *o)
+{
+	if (o->type != MSGPACK_OBJECT_ARRAY)
+		return (struct cursor){.bad = true};
+	return (struct cursor){o->via.array.ptr,
+			       o->via.array.ptr + o->via.array.size, false};
+}
+
+static const msgpack_object *next(struct cursor *c)
+{
+	static const msgpack_object nil = {.type = MSGPACK_OBJECT_NIL};
+
+	if (c->bad || c->at == c->end) {
+		c->bad = true;
+		return &nil;
+	}
+	return c->at++;
+}
+
+static uint64_t next_uint(struct cursor *c)
+{
+	const msgpack_object *o = next(c);
+
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		c->bad = true;
+		return 0;
+	}
+	return o->via.u64;
+}
+
+static void next_text(struct cursor *c, char *dst, size_t max)
+{
+	const msgpack_object *o = next(c);
+
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= max) {
+		c->bad = true;
+		return;
+	}
+	memcpy(dst, o->via.str.ptr, o->via.str.size);
+	dst[o->via.str.size] = '\0';
+}
+
+static void next_addr(struct cursor *c, struct sockaddr_in *sa)
+{
+	memset(sa, 0, sizeof(*sa));
+	sa->sin_family = AF_INET;
+	sa->sin_addr.s_addr = htonl((uint32_t)next_uint(c));
+	sa->sin_port = htons((uint16_t)next_uint(c));
+}
+
+static bool read_change(const msgpack_object *o, struct backend_change *out)
+{
+	struct cursor c = cursor_of(o);
+	struct backend_entry *e = &out->entry;
+
+	memset(out, 0, sizeof(*out));
+	out->offset = next_uint(&c);
+	next_text(&c, e->id, sizeof(e->id));
+	out->removed = c.at == c.end;
+	if (out->removed)
+		return !c.bad;
+	next_text(&c, e->service, sizeof(e->service));
+	next_text(&c, e->dc, sizeof(e->dc));
+	next_addr(&c, &e->addr);
+	e->slots = (unsigned)next_uint(&c);
+	e->draining = next_uint(&c) != 0;
+	e->warm_up_ms = (uint32_t)next_uint(&c);
+	return !c.bad;
+}
+
+static bool read_feed(const msgpack_object *o, struct backend_feed *f)
+{
+	struct cursor c = cursor_of(o), list;
+
+	f->from = next_uint(&c);
+	f->to = next_uint(&c);
+	f->age_ms = (uint32_t)next_uint(&c);
+	f->settle_ms = (uint32_t)next_uint(&c);
+	list = cursor_of(next(&c));
+	f->changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	while (!list.bad && list.at < list.end) {
+		struct backend_change change;
+
+		if (!read_change(next(&list), &change))
+			return false;
+		g_array_append_val(f->changes, change);
+	}
+	return !c.bad && !list.bad;
+}
+
+/*
+ * gossip_read() decodes a datagram. Returns 0, or -EPROTO when it is none of
+ * ours; m is to be cleared in both cases.
+ */
+int gossip_read(struct lstr bytes, struct gossip_message *m)
+{
+	msgpack_unpacked u;
+	size_t off = 0;
+	int rc = -EPROTO;
+
+	memset(m, 0, sizeof(*m));
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, bytes.ptr, bytes.len, &off) ==
+	    MSGPACK_UNPACK_SUCCESS) {
+		struct cursor c = cursor_of(&u.data);
+		struct peer_info *p = &m->sender;
+
+		m->kind = (enum gossip_kind)next_uint(&c);
+		next_text(&c, p->name, sizeof(p->name));
+		next_text(&c, p->dc, sizeof(p->dc));
+		next_text(&c, p->callers, sizeof(p->callers));
+		next_addr(&c, &p->addr);
+		p->boot = next_uint(&c);
+		p->leaving = next_uint(&c) != 0;
+		p->config_offset = next_uint(&c);
+		if (!c.bad &&
+		    (m->kind == GOSSIP_BEAT ||
+		     (m->kind == GOSSIP_FEED && read_feed(next(&c), &m->feed))))
+			rc = 0;
+	}
+	msgpack_unpacked_destroy(&u);
+	return rc;
+}
+
+/* gossip_message_clear() frees what gossip_read() made. */
+void gossip_message_clear(struct gossip_message *m)
+{
+	if (m->feed.changes)
+		g_array_unref(m->feed.changes);
+	m->feed.changes = NULL;
+}
--- /dev/null
+++ b/member/gossip.h
@@ -0,0 +1,46 @@
+/*
+ * Datagrams between entry instances: heartbeats, and the changes of the list
+ * of backend servers that one instance read for all. msgpack over UDP: a
+ * datagram that is lost is made good by the next one or by a read of the
+ * store, and there is no connection that could fall silent.
+ */
+#ifndef MP_MEMBER_GOSSIP_H
+#define MP_MEMBER_GOSSIP_H
+
+#include "core/backend.h"
+#include "member/peers.h"
+#include "misc/buf.h"
+
+enum gossip_kind { GOSSIP_BEAT = 1, GOSSIP_FEED = 2 };
+
+/* One record of the list of backend servers. */
+struct backend_change {
+	uint64_t offset;
+	bool removed; /* only entry.id is meant */
+	struct backend_entry entry;
+};
+
+/* The list's changes between two offsets. */
+struct backend_feed {
+	uint64_t from, to;  /* covers records from <= offset < to */
+	uint32_t age_ms;    /* since the store was asked */
+	uint32_t settle_ms; /* removals are held back this much longer */
+	GArray *changes;    /* struct backend_change, by offset */
+};
+
+struct gossip_message {
+	enum gossip_kind kind;
+	struct peer_info sender;
+	struct backend_feed feed; /* of GOSSIP_FEED */
+};
+
+/* Fits an Ethernet frame, so that no datagram comes in pieces. */
+enum { GOSSIP_MAX = 1400 };
+
+void gossip_write_beat(struct buf *out, const struct peer_info *self);
+void gossip_write_feed(struct buf *out, const struct peer_info *self,
+		       const struct backend_feed *feed);
+int gossip_read(struct lstr bytes, struct gossip_message *m);
+void gossip_message_clear(struct gossip_message *m);
+
+#endif
--- /dev/null
+++ b/member/peers.h
@@ -0,0 +1,52 @@
+/*
+ * The entry instances of the system as one of them knows them: from their
+ * records in the platform's store and from their heartbeats. Decisions on
+ * values only; the datagrams are in member/gossip.h.
+ */
+#ifndef MP_MEMBER_PEERS_H
+#define MP_MEMBER_PEERS_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+enum { PEER_NAME_MAX = 64, PEER_ADDR_MAX = 32 };
+
+/* What an instance says of itself. */
+struct peer_info {
+	char name[PEER_NAME_MAX];
+	char dc[PEER_NAME_MAX];
+	char callers[PEER_ADDR_MAX]; /* where callers connect */
+	struct sockaddr_in addr;     /* where its peers reach it */
+	uint64_t boot;		     /* random, one for each start */
+	bool leaving;		     /* it is stopping as planned */
+	uint64_t config_offset;	     /* records of the configuration it saw */
+};
+
+struct peer {
+	struct peer_info info;
+	int64_t known_ms; /* since when */
+	int64_t heard_ms; /* its last heartbeat; 0: never */
+	int64_t sent_ms;  /* our last heartbeat to it */
+};
+
+struct peer_table {
+	struct peer_info self;
+	GPtrArray *peers; /* struct peer *, ordered by name */
+};
+
+void peers_init(struct peer_table *t, const struct peer_info *self);
+struct peer *peers_add(struct peer_table *t, const struct peer_info *info,
+		       int64_t now_ms);
+bool peers_heard(struct peer_table *t, const struct peer_info *info,
+		 int64_t now_ms);
+bool peer_alive(const struct peer *p, int64_t now_ms);
+bool peer_due(const struct peer *p, int64_t now_ms);
+unsigned peers_rank(const struct peer_table *t, int64_t now_ms);
+unsigned peers_count(const struct peer_table *t, int64_t now_ms);
+size_t peers_for_callers(const struct peer_table *t, int64_t now_ms,
+			 const char **out, size_t max);
+
+#endif
--- /dev/null
+++ b/misc/buf.c
@@ -0,0 +1,77 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "misc/buf.h"
+
+/* The first allocation in bytes; most heads fit into it. */
+enum { BUF_FIRST = 512 };
+
+/*
+ * buf_room() makes sure that n more bytes fit and returns where they go;
+ * the caller adds to len what it wrote. Allocation failure aborts.
+ */
+char *buf_room(struct buf *b, size_t n)
+{
+	if (b->cap - b->len < n) {
+		size_t cap = b->cap ? b->cap : BUF_FIRST;
+
+		while (cap - b->len < n)
+			cap *= 2;
+		b->ptr = realloc(b->ptr, cap);
+		if (!b->ptr)
+			abort();
+		b->cap = cap;
+	}
+	return b->ptr + b->len;
+}
+
+/* buf_add() appends n bytes. */
+void buf_add(struct buf *b, const void *p, size_t n)
+{
+	if (n == 0)
+		return;
+	memcpy(buf_room(b, n), p, n);
+	b->len += n;
+}
+
+/* buf_add_lstr() appends a length-counted string. */
+void buf_add_lstr(struct buf *b, struct lstr s)
+{
+	buf_add(b, s.ptr, s.len);
+}
+
+/* buf_printf() appends formatted text, without its NUL. */
+void buf_printf(struct buf *b, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	int n = vsnprintf(NULL, 0, fmt, ap);
+
+	va_end(ap);
+	buf_room(b, (size_t)n + 1);
+	va_start(ap, fmt);
+	vsnprintf(b->ptr + b->len, (size_t)n + 1, fmt, ap);
+	va_end(ap);
+	b->len += (size_t)n;
+}
+
+/* buf_consume() drops the first n bytes. */
+void buf_consume(struct buf *b, size_t n)
+{
+	if (n >= b->len) {
+		b->len = 0;
+		return;
+	}
+	memmove(b->ptr, b->ptr + n, b->len - n);
+	b->len -= n;
+}
+
+/* buf_free() gives the memory back; the buffer may be used again. */
+void buf_free(struct buf *b)
+{
+	free(b->ptr);
+	*b = (struct buf){0};
+}
--- /dev/null
+++ b/misc/mailbox.h
@@ -0,0 +1,33 @@
+/*
+ * A one-way queue between two threads with event loops: Concurrency Kit's
+ * single-producer ring, and a wake-up of the receiver's loop.
+ */
+#ifndef MP_MISC_MAILBOX_H
+#define MP_MISC_MAILBOX_H
+
+#include <stdbool.h>
+
+#include <ck_ring.h>
+#include <ev.h>
+
+enum { MAILBOX_SLOTS = 1024 }; /* a power of two */
+
+struct mail {
+	int kind;
+	void *data; /* belongs to the receiver */
+};
+
+struct mailbox {
+	ck_ring_t ring;
+	ck_ring_buffer_t buffer[MAILBOX_SLOTS];
+	ev_async wake;
+	struct ev_loop *loop; /* the receiver's */
+	void (*receive)(void *priv, struct mail *m);
+	void *priv;
+};
+
+void mailbox_init(struct mailbox *mb, struct ev_loop *loop,
+		  void (*receive)(void *priv, struct mail *m), void *priv);
+int mailbox_send(struct mailbox *mb, int kind, void *data);
+
+#endif
--- /dev/null
+++ b/traffic/metrics.c
@@ -0,0 +1,80 @@
+#include <ck_pr.h>
+
+#include "misc/clock.h"
+#include "traffic/metrics.h"
+#include "traffic/upstream.h"
+
+static void write_class(struct buf *out, const struct class_stats *c)
+{
+	const struct {
+		const char *name;
+		uint64_t value;
+	} counts[] = {
+		{"requests", c->requests}, {"served", c->served},
+		{"late", c->late},	   {"refused", c->refused},
+		{"unknown", c->unknown},   {"failed", c->failed},
+		{"gone", c->gone},	   {"sends", c->sends},
+		{"retries", c->retries},   {"hedges", c->hedges},
+	};
+	static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
+
+	for (size_t i = 0; i < sizeof(counts) / sizeof(*counts); i++)
+		buf_printf(out,
+			   "class_%s{class=\"%s\"} %" G_GUINT64_FORMAT "\n",
+			   counts[i].name, c->name, counts[i].value);
+	for (size_t i = 0; i < sizeof(quantiles) / sizeof(*quantiles); i++)
+		buf_printf(out,
+			   "class_latency_us{class=\"%s\",quantile=\"%g\"} "
+			   "%" G_GUINT64_FORMAT "\n",
+			   c->name, quantiles[i],
+			   hist_quantile(&c->latency, quantiles[i]));
+	buf_printf(out, "class_work_ms{class=\"%s\"} %.1f\n", c->name,
+		   c->work_ms);
+}
+
+static void write_backend(struct buf *out, const struct backend *b)
+{
+	buf_printf(out,
+		   "backend_in_flight{service=\"%s\",backend=\"%s\"} "
+		   "%u\n",
+		   b->service->name, b->entry.id, b->in_flight);
+	buf_printf(out,
+		   "backend_trouble{service=\"%s\",backend=\"%s\"} "
+		   "%.2f\n",
+		   b->service->name, b->entry.id, b->trouble);
+}
+
+/* metrics_write() writes all that an on-call engineer may want to plot. */
+void metrics_write(struct buf *out, const struct traffic *t)
+{
+	const struct traffic_counters *n = &t->counters;
+	int64_t fresh =
+		(int64_t)ck_pr_load_64((const uint64_t *)t->list_fresh_ms);
+	GHashTableIter it;
+	gpointer v;
+
+	buf_printf(out, "config_version %" G_GUINT64_FORMAT "\n",
+		   t->config ? t->config->version : 0);
+	buf_printf(out, "backend_list_age_ms %" G_GINT64_FORMAT "\n",
+		   clock_ms() - fresh);
+	buf_printf(out, "instances %u\n", t->peers.instances);
+	buf_printf(out, "open_requests %u\n", t->open_requests);
+	buf_printf(out, "caller_connections %u\n", t->front.nconns);
+	buf_printf(out, "backend_connections_opened %u\n", upstream_opened());
+	buf_printf(out, "asks %" G_GUINT64_FORMAT "\n", n->asks);
+	buf_printf(out, "ask_failures %" G_GUINT64_FORMAT "\n",
+		   n->ask_failures);
+	buf_printf(out, "foreign_answers %" G_GUINT64_FORMAT "\n",
+		   n->foreign_answers);
+	buf_printf(out, "no_room %" G_GUINT64_FORMAT "\n", n->no_room);
+	buf_printf(out, "no_config %" G_GUINT64_FORMAT "\n", n->no_config);
+	buf_printf(out, "no_route %" G_GUINT64_FORMAT "\n", n->no_route);
+	buf_printf(out, "directory_answers %" G_GUINT64_FORMAT "\n",
+		   n->directory);
+	g_hash_table_iter_init(&it, t->classes);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		write_class(out, v);
+	g_hash_table_iter_init(&it, t->backends.by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		write_backend(out, v);
+}
--- /dev/null
+++ b/traffic/request.c
@@ -0,0 +1,321 @@
+#include <string.h>
+
+#include <ck_pr.h>
+
+#include "common/event.h"
+#include "core/retry_after.h"
+#include "misc/clock.h"
+#include "traffic/request.h"
+
+enum {
+	/* A caller that names no time limit waits this long. */
+	TIME_LEFT_STANDARD_MS = 30 * 1000,
+	/*
+	 * The answer must reach the caller before it gives up; the way to
+	 * callers takes 8 ms and the request has made it once.
+	 */
+	TIME_LEFT_RESERVE_MS = 20,
+	/*
+	 * Without news of the system for this long a route that is unknown
+	 * here may exist by now; 404 would be final for the caller.
+	 */
+	NEWS_TOO_OLD_MS = 4000,
+};
+
+static void request_free(struct request *r)
+{
+	struct traffic *t = r->traffic;
+
+	request_place_end(r);
+	request_sends_end(r);
+	for (unsigned i = 0; i < r->nsends; i++)
+		backend_unref(r->sends[i].backend);
+	ev_timer_stop(t->loop, &r->timer);
+	config_unref(r->config);
+	http_message_free(r->message);
+	t->open_requests--;
+	g_free(r);
+}
+
+/* Replies with headers and body and ends the request. */
+static void finish(struct request *r, unsigned status, struct lstr headers,
+		   struct lstr body)
+{
+	struct http_conn *c = r->conn;
+
+	request_free(r);
+	if (!c)
+		return;
+	http_conn_set_user(c, NULL);
+	http_conn_reply(c, &(struct http_reply){.status = status,
+						.headers = headers,
+						.body = body});
+}
+
+static void log_outcome(const struct request *r, enum mp_event ev,
+			unsigned status, const char *why)
+{
+	const struct send *last = r->nsends ? &r->sends[r->nsends - 1] : NULL;
+
+	mp_event(ev, G_LOG_LEVEL_INFO,
+		 "id=%.*s route=%.*s version=%" G_GUINT64_FORMAT
+		 " status=%u why=%s sends=%u last=%s ms=%" G_GINT64_FORMAT,
+		 (int)r->call.id.len, r->call.id.ptr, (int)r->route->name.len,
+		 r->route->name.ptr, r->config->version, status, why, r->nsends,
+		 last ? last->backend->entry.id : "-",
+		 clock_ms() - r->start_ms);
+}
+
+/* Answers with a status of the instance's own. */
+static void answer_own(struct request *r, unsigned status, double retry_s)
+{
+	struct buf headers = {0};
+
+	exchange_write_refusal_headers(&headers, r->call.id, retry_s);
+	finish(r, status, buf_lstr(&headers), LSTR(""));
+	buf_free(&headers);
+}
+
+/*
+ * request_refuse() gives up on a request that has not run and never will:
+ * the caller is told when to come back.
+ */
+void request_refuse(struct request *r, const char *why)
+{
+	double s = retry_after_s(r->route->target_ms, r->due_ms - clock_ms(),
+				 g_rand_double(r->traffic->rand));
+
+	mp_invariant(!r->undenied, "id=%.*s may have run and was refused",
+		     (int)r->call.id.len, r->call.id.ptr);
+	r->stats->refused++;
+	log_outcome(r, EV_REQUEST_REFUSED, 503, why);
+	answer_own(r, 503, s);
+}
+
+/*
+ * request_fail() ends a request of which it isn't known whether it ran, with
+ * 502 or 504; these promise nothing.
+ */
+void request_fail(struct request *r, unsigned status, const char *why)
+{
+	r->stats->unknown++;
+	log_outcome(r, EV_REQUEST_UNKNOWN, status, why);
+	answer_own(r, status, 0);
+}
+
+static void count_answer(struct request *r, unsigned status, int64_t ms)
+{
+	struct class_stats *s = r->stats;
+
+	if (status / 100 != 2) {
+		s->failed++;
+		return;
+	}
+	s->served++;
+	if (ms > r->route->target_ms)
+		s->late++;
+	hist_record(&s->latency, (uint64_t)ms * 1000);
+}
+
+/* request_answer() passes a backend server's answer on; it takes `answer`. */
+void request_answer(struct request *r, struct http_message *answer,
+		    const struct send *from)
+{
+	struct buf headers = {0};
+	unsigned status = answer->status;
+
+	count_answer(r, status, clock_ms() - r->start_ms);
+	log_outcome(r, EV_REQUEST_DONE, status, "answered");
+	exchange_write_answer_headers(&headers, answer);
+	finish(r, status, buf_lstr(&headers), buf_lstr(&answer->body));
+	buf_free(&headers);
+	http_message_free(answer);
+}
+
+/* request_is_out() tells whether some backend server has the request now. */
+bool request_is_out(const struct request *r)
+{
+	for (unsigned i = 0; i < r->nsends; i++) {
+		if (r->sends[i].upstream)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * request_may_send_again() tells whether one more backend server may get the
+ * request: the route's count, the retry budget and the time allow it, and it
+ * has not run or may run again.
+ */
+bool request_may_send_again(const struct request *r)
+{
+	struct traffic *t = r->traffic;
+	int64_t now_ms = clock_ms();
+
+	if (r->nsends >= r->route->max_attempts ||
+	    r->nsends >= REQUEST_SENDS_MAX)
+		return false;
+	if (r->undenied && !r->route->idempotent)
+		return false;
+	if (now_ms >= r->due_ms)
+		return false;
+	return r->nsends == 0 ||
+	       budget_allows(&r->service->budget, &t->budget_rule, now_ms);
+}
+
+/* The time is up: the caller hears it now. */
+static void on_due(struct request *r)
+{
+	if (r->undenied)
+		request_fail(r, 504, "timeout");
+	else
+		request_refuse(r, "no room in time");
+}
+
+static void on_timer(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	struct request *r = timer->data;
+	int64_t now_ms = clock_ms();
+
+	if (now_ms >= r->due_ms) {
+		on_due(r);
+		return;
+	}
+	if (r->placement != PLACE_NONE) {
+		request_place_tick(r, now_ms);
+		return;
+	}
+	if (r->hedge_ms && now_ms >= r->hedge_ms) {
+		r->hedge_ms = 0;
+		if (request_may_send_again(r)) {
+			request_place(r, PLACE_HEDGE);
+			return;
+		}
+	}
+	request_arm(r);
+}
+
+/* request_arm() sets the timer to whatever is due next. */
+void request_arm(struct request *r)
+{
+	int64_t next = r->due_ms, now_ms = clock_ms();
+
+	if (r->placement != PLACE_NONE) {
+		int64_t at =
+			r->wait_until_ms ? r->wait_until_ms : r->round_ends_ms;
+
+		next = at < next ? at : next;
+	} else if (r->hedge_ms && r->hedge_ms < next) {
+		next = r->hedge_ms;
+	}
+	ev_timer_stop(r->traffic->loop, &r->timer);
+	ev_timer_set(&r->timer, next > now_ms ? (next - now_ms) / 1000.0 : 0,
+		     0);
+	ev_timer_start(r->traffic->loop, &r->timer);
+}
+
+/* Answers a request that no route takes. */
+static void answer_no_route(struct traffic *t, struct http_conn *c,
+			    struct http_message *m,
+			    const struct call_info *call)
+{
+	int64_t fresh =
+		(int64_t)ck_pr_load_64((const uint64_t *)t->list_fresh_ms);
+	bool sure = t->config && clock_ms() - fresh < NEWS_TOO_OLD_MS;
+	unsigned status = sure ? 404 : 503;
+	struct buf headers = {0};
+
+	if (t->config)
+		t->counters.no_route++;
+	else
+		t->counters.no_config++;
+	mp_event(EV_REQUEST_NO_ROUTE, G_LOG_LEVEL_INFO,
+		 "id=%.*s status=%u version=%" G_GUINT64_FORMAT
+		 " news_age_ms=%" G_GINT64_FORMAT,
+		 (int)call->id.len, call->id.ptr, status,
+		 t->config ? t->config->version : 0, clock_ms() - fresh);
+	exchange_write_refusal_headers(
+		&headers, call->id,
+		sure ? 0
+		     : retry_after_s(RETRY_AFTER_NO_TARGET_MS, 0,
+				     g_rand_double(t->rand)));
+	http_conn_reply(c, &(struct http_reply){.status = status,
+						.headers = buf_lstr(&headers)});
+	buf_free(&headers);
+	http_message_free(m);
+}
+
+/* Gives a matched request its state and starts to place it. */
+static void start(struct traffic *t, struct http_conn *c,
+		  struct http_message *m, const struct call_info *call,
+		  const struct route *route)
+{
+	struct request *r = g_new0(struct request, 1);
+	uint32_t left = call->has_time_left ? call->time_left_ms
+					    : TIME_LEFT_STANDARD_MS;
+	uint32_t reserve = left / 2 < TIME_LEFT_RESERVE_MS
+				   ? left / 2
+				   : TIME_LEFT_RESERVE_MS;
+
+	r->traffic = t;
+	r->conn = c;
+	r->message = m;
+	r->call = *call;
+	r->config = config_ref(t->config);
+	r->route = route;
+	r->service = backend_set_service(
+		&t->backends, route_pick(route, g_rand_int(t->rand)));
+	r->stats = traffic_class(t, r->service->name, route->target_ms);
+	r->start_ms = clock_ms();
+	left -= reserve;
+	r->due_ms = r->start_ms +
+		    (left < route->timeout_ms ? left : route->timeout_ms);
+	ev_init(&r->timer, on_timer);
+	r->timer.data = r;
+	t->open_requests++;
+	r->stats->requests++;
+	budget_request(&r->service->budget, &t->budget_rule, r->start_ms);
+	http_conn_set_user(c, r);
+	request_place(r, PLACE_FIRST);
+}
+
+/* request_begin() takes a whole request of a caller. */
+void request_begin(void *priv, struct http_conn *c, struct http_message *m)
+{
+	struct traffic *t = priv;
+	const struct route *route = NULL;
+	struct call_info call;
+
+	exchange_read_call(m, &call);
+	if (!call.host.len || !call.id.len) {
+		mp_event(EV_REQUEST_BAD, G_LOG_LEVEL_INFO,
+			 "a request without host or id");
+		http_message_free(m);
+		http_conn_reply(c, &(struct http_reply){.status = 400});
+		return;
+	}
+	if (t->config)
+		route = config_match(t->config, call.host, m->target);
+	if (route)
+		start(t, c, m, &call, route);
+	else
+		answer_no_route(t, c, m, &call);
+}
+
+/*
+ * request_gone() is called when the caller left: what may be repeated is
+ * cancelled everywhere; work that may not be repeated goes on to its end at
+ * the server, as breaking it off would leave its outcome open.
+ */
+void request_gone(void *priv, struct http_conn *c)
+{
+	struct request *r = http_conn_user(c);
+
+	if (!r)
+		return;
+	r->stats->gone++;
+	log_outcome(r, EV_REQUEST_GONE, 0, "caller left");
+	r->conn = NULL;
+	if (r->route->idempotent || !request_is_out(r))
+		request_free(r);
+}
--- /dev/null
+++ b/traffic/request.h
@@ -0,0 +1,84 @@
+/*
+ * One caller's request from its arrival to its answer: match, place, send,
+ * wait, perhaps send once more, answer. A state machine on the traffic
+ * thread's loop; the decisions are those of core/.
+ */
+#ifndef MP_TRAFFIC_REQUEST_H
+#define MP_TRAFFIC_REQUEST_H
+
+#include "core/place.h"
+#include "platform/exchange.h"
+#include "traffic/traffic.h"
+#include "traffic/upstream.h"
+
+enum {
+	REQUEST_ASKS_MAX = 8,  /* servers asked for one placement */
+	REQUEST_SENDS_MAX = 4, /* servers that one request may be sent to */
+};
+
+struct request;
+
+/* A question for a server's load, on the connection the request may use. */
+struct ask {
+	struct request *request;
+	struct backend *backend;
+	struct upstream *upstream; /* held; NULL once given away or failed */
+	bool pending;
+	bool answered;
+};
+
+/* The request at one backend server. */
+struct send {
+	struct request *request;
+	struct backend *backend;
+	struct upstream *upstream; /* NULL once it has ended */
+	int64_t sent_ms;
+	unsigned slowdown_pct; /* what the server told before */
+};
+
+/* Why a request is being placed. */
+enum placement { PLACE_NONE, PLACE_FIRST, PLACE_RETRY, PLACE_HEDGE };
+
+struct request {
+	struct traffic *traffic;
+	struct http_conn *conn; /* NULL: the caller left */
+	struct http_message *message;
+	struct call_info call;
+	struct config *config;
+	const struct route *route;
+	struct service *service;
+	struct class_stats *stats;
+	int64_t start_ms;
+	int64_t due_ms; /* a final answer goes out by then */
+	ev_timer timer;
+	enum placement placement;
+	unsigned round;		  /* of questions in this placement */
+	int64_t placing_since_ms; /* begin of this placement */
+	int64_t round_ends_ms;	  /* no later than this a choice is made */
+	int64_t wait_until_ms;	  /* no room: ask again then; 0: not so */
+	int64_t hedge_ms;	  /* send a second time then; 0: never */
+	struct ask asks[REQUEST_ASKS_MAX];
+	unsigned nasks;
+	struct send sends[REQUEST_SENDS_MAX];
+	unsigned nsends;
+	unsigned undenied; /* sends that may have run it */
+};
+
+void request_begin(void *priv, struct http_conn *c, struct http_message *m);
+void request_gone(void *priv, struct http_conn *c);
+
+/* Between the parts of the state machine. */
+void request_place(struct request *r, enum placement why);
+void request_place_tick(struct request *r, int64_t now_ms);
+void request_place_end(struct request *r);
+void request_send(struct request *r, struct backend *b, struct upstream *u);
+void request_sends_end(struct request *r);
+bool request_is_out(const struct request *r);
+bool request_may_send_again(const struct request *r);
+void request_arm(struct request *r);
+void request_refuse(struct request *r, const char *why);
+void request_fail(struct request *r, unsigned status, const char *why);
+void request_answer(struct request *r, struct http_message *answer,
+		    const struct send *from);
+
+#endif
--- /dev/null
+++ b/traffic/request_send.c
@@ -0,0 +1,222 @@
+#include <errno.h>
+#include <string.h>
+
+#include "common/event.h"
+#include "core/hedge.h"
+#include "core/outlier.h"
+#include "misc/clock.h"
+#include "traffic/request.h"
+
+/* Weights of outcomes in the failure memory of a server. */
+static const double TROUBLE_BROKEN = 1.0;  /* reset, cut or no message */
+static const double TROUBLE_FAILED = 1.0;  /* its own 5xx */
+static const double TROUBLE_TIMEOUT = 1.0; /* no answer in time */
+static const double RELIEF_SERVED = -0.7;
+
+/* Share of a new figure in the decayed usual time of a class. */
+static const double WORK_SHARE = 0.05;
+
+/* Ends one send; its connection is already given away or closed. */
+static void end_send(struct send *s)
+{
+	s->upstream = NULL;
+	s->backend->in_flight--;
+}
+
+/*
+ * request_sends_end() breaks off what is still out: the request has its
+ * answer, or nobody waits for it any more.
+ */
+void request_sends_end(struct request *r)
+{
+	for (unsigned i = 0; i < r->nsends; i++) {
+		struct send *s = &r->sends[i];
+
+		if (!s->upstream)
+			continue;
+		upstream_drop(s->upstream);
+		end_send(s);
+	}
+}
+
+static enum http_verdict send_judge(void *owner, const struct http_message *m)
+{
+	struct send *s = owner;
+	struct answer_info info;
+
+	exchange_read_answer(m, &info);
+	if (exchange_is_for(&info, s->request->call.id))
+		return HTTP_TAKE;
+	s->request->traffic->counters.foreign_answers++;
+	mp_event(EV_CALL_FOREIGN_ANSWER, G_LOG_LEVEL_WARNING,
+		 "id=%.*s backend=%s answered=%.*s; skipped",
+		 (int)s->request->call.id.len, s->request->call.id.ptr,
+		 s->backend->entry.id, (int)info.id.len,
+		 info.id.ptr ? info.id.ptr : "");
+	return HTTP_SKIP;
+}
+
+/* Learns the class's usual time from an answer. */
+static void learn(struct request *r, const struct send *s, int64_t now_ms)
+{
+	double ms = (double)(now_ms - s->sent_ms);
+
+	if (s->slowdown_pct)
+		ms = ms * 100 / s->slowdown_pct;
+	r->stats->work_ms += WORK_SHARE * (ms - r->stats->work_ms);
+}
+
+/* Goes on after a send that brought no answer for the caller. */
+static void go_on(struct request *r, unsigned status, const char *why)
+{
+	if (request_is_out(r) || r->placement != PLACE_NONE) {
+		request_arm(r);
+		return;
+	}
+	if (request_may_send_again(r)) {
+		mp_event(EV_REQUEST_RETRY, G_LOG_LEVEL_INFO,
+			 "id=%.*s why=%s last=%s sends=%u", (int)r->call.id.len,
+			 r->call.id.ptr, why,
+			 r->sends[r->nsends - 1].backend->entry.id, r->nsends);
+		request_place(r, PLACE_RETRY);
+		return;
+	}
+	if (r->undenied)
+		request_fail(r, status, why);
+	else
+		request_refuse(r, why);
+}
+
+/* The server says that it has not run the request. */
+static void on_not_run(struct request *r, struct send *s, unsigned status,
+		       int64_t now_ms)
+{
+	r->undenied--;
+	if (status == 421)
+		backend_set_remove(&r->traffic->backends, s->backend->entry.id);
+	go_on(r, 503, "server full");
+}
+
+/* The server has run the request and failed. */
+static void on_server_error(struct request *r, struct send *s,
+			    struct http_message *m, int64_t now_ms)
+{
+	outlier_note(s->backend, TROUBLE_FAILED, now_ms);
+	if (r->route->idempotent && request_may_send_again(r)) {
+		http_message_free(m);
+		go_on(r, 502, "server error");
+		return;
+	}
+	if (request_is_out(r)) {
+		http_message_free(m);
+		request_arm(r);
+		return;
+	}
+	request_answer(r, m, s);
+}
+
+static void send_response(void *owner, struct http_message *m)
+{
+	struct send *s = owner;
+	struct request *r = s->request;
+	int64_t now_ms = clock_ms();
+	struct upstream *u = s->upstream;
+	struct answer_info info;
+
+	exchange_read_answer(m, &info);
+	if (info.has_load) {
+		s->backend->load = info.load;
+		s->backend->load.at_ms = now_ms;
+	}
+	end_send(s);
+	upstream_put(u, now_ms);
+	if (info.not_run) {
+		unsigned status = m->status;
+
+		http_message_free(m);
+		on_not_run(r, s, status, now_ms);
+		return;
+	}
+	if (m->status / 100 == 2 && !info.sealed) {
+		/* Not the server's own answer, whatever it looks like. */
+		http_message_free(m);
+		outlier_note(s->backend, TROUBLE_BROKEN, now_ms);
+		go_on(r, 502, "answer without receipt");
+	} else if (m->status >= 500) {
+		on_server_error(r, s, m, now_ms);
+	} else {
+		outlier_note(s->backend, RELIEF_SERVED, now_ms);
+		learn(r, s, now_ms);
+		request_answer(r, m, s);
+	}
+}
+
+static void send_failed(void *owner, int err, bool sent)
+{
+	struct send *s = owner;
+	struct request *r = s->request;
+
+	outlier_note(s->backend,
+		     err == -ETIMEDOUT ? TROUBLE_TIMEOUT : TROUBLE_BROKEN,
+		     clock_ms());
+	end_send(s);
+	if (!sent)
+		r->undenied--;
+	go_on(r, err == -ETIMEDOUT ? 504 : 502,
+	      err == -ETIMEDOUT ? "timeout" : "connection broke");
+}
+
+static const struct http_client_ops send_ops = {send_judge, send_response,
+						send_failed};
+
+static void count_send(struct request *r, int64_t now_ms)
+{
+	r->stats->sends++;
+	if (r->nsends == 1)
+		return;
+	budget_spend(&r->service->budget, &r->traffic->budget_rule, now_ms);
+	if (request_is_out(r))
+		r->stats->hedges++;
+	else
+		r->stats->retries++;
+}
+
+/* request_send() sends the request to b on a connection it now owns. */
+void request_send(struct request *r, struct backend *b, struct upstream *u)
+{
+	struct send *s = &r->sends[r->nsends];
+	int64_t now_ms = clock_ms();
+	int64_t left = r->due_ms - now_ms;
+	struct buf bytes = {0};
+
+	r->nsends++;
+	count_send(r, now_ms);
+	*s = (struct send){.request = r,
+			   .backend = backend_ref(b),
+			   .upstream = u,
+			   .sent_ms = now_ms,
+			   .slowdown_pct = b->load.slowdown_pct};
+	b->in_flight++;
+	/* Its report is older than this request. */
+	b->load.running++;
+	r->undenied++;
+	mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO,
+		 "id=%.*s backend=%s load=%u/%u/%u slowdown=%u trouble=%.1f "
+		 "send=%u",
+		 (int)r->call.id.len, r->call.id.ptr, b->entry.id,
+		 b->load.running, b->load.waiting, b->load.slots,
+		 b->load.slowdown_pct, outlier_trouble(b, now_ms), r->nsends);
+	exchange_write_request(&bytes, r->message, &r->call, b,
+			       left > 1 ? (uint32_t)left : 1);
+	r->hedge_ms = r->route->idempotent && r->nsends == 1
+			      ? now_ms + hedge_delay_ms(r->stats->work_ms,
+							r->route->target_ms,
+							now_ms - r->start_ms)
+			      : 0;
+	/* The request's own time limit ends it; this is only a backstop. */
+	upstream_exchange(u, buf_lstr(&bytes), (double)left / 1000 + 1,
+			  lstr_eq(r->message->method, LSTR("HEAD")), &send_ops,
+			  s);
+	buf_free(&bytes);
+	request_arm(r);
+}
--- /dev/null
+++ b/traffic/traffic.c
@@ -0,0 +1,273 @@
+#include <errno.h>
+#include <string.h>
+
+#include <ck_pr.h>
+
+#include "common/event.h"
+#include "misc/clock.h"
+#include "platform/directory.h"
+#include "traffic/metrics.h"
+#include "traffic/request.h"
+#include "traffic/traffic.h"
+#include "traffic/upstream.h"
+
+enum {
+	/* Until the first version names the callers' limits. */
+	START_HEAD_MAX = 16 * 1024,
+	START_BODY_MAX = 64 << 20,
+	/*
+	 * A stopping instance takes requests this long: callers keep an
+	 * address for some seconds after they were told of another.
+	 */
+	STOP_ACCEPT_MS = 3000,
+	STOP_CHECK_MS = 50,
+	/* Left of the grace time for the exit itself. */
+	STOP_RESERVE_MS = 400,
+};
+
+static const double START_HEAD_TIMEOUT_S = 3;
+static const double START_IDLE_TIMEOUT_S = 15;
+
+/* Time that a question to this instance's own services may take. */
+static const double SERVICE_TIMEOUT_S = 5;
+
+/* traffic_class() finds the statistics of a kind of request. */
+struct class_stats *traffic_class(struct traffic *t, const char *service,
+				  uint32_t target_ms)
+{
+	char name[BACKEND_NAME_MAX + 16];
+	struct class_stats *c;
+
+	g_snprintf(name, sizeof(name), "%s/%u", service, target_ms);
+	c = g_hash_table_lookup(t->classes, name);
+	if (c)
+		return c;
+	c = g_new0(struct class_stats, 1);
+	c->name = g_strdup(name);
+	/* Targets are set at about three times the usual time. */
+	c->work_ms = target_ms / 3.0;
+	g_hash_table_insert(t->classes, c->name, c);
+	return c;
+}
+
+static void reply_plain(struct http_conn *c, unsigned status,
+			struct lstr headers, struct lstr body)
+{
+	http_conn_reply(c, &(struct http_reply){.status = status,
+						.headers = headers,
+						.body = body});
+}
+
+/* Ready: this instance can serve, and isn't stopping. */
+static void on_ready(void *priv, struct http_conn *c, struct http_message *m)
+{
+	struct traffic *t = priv;
+	bool ready = t->config && !t->stopping &&
+		     g_hash_table_size(t->backends.by_id) > 0;
+
+	http_message_free(m);
+	reply_plain(c, ready ? 200 : 503, LSTR(""), LSTR(""));
+}
+
+static void on_directory(void *priv, struct http_conn *c,
+			 struct http_message *m)
+{
+	struct traffic *t = priv;
+	struct lstr addrs[DIRECTORY_MAX];
+	struct buf body = {0};
+	bool question = directory_is_question(m->target);
+
+	http_message_free(m);
+	if (!question) {
+		reply_plain(c, 404, LSTR(""), LSTR(""));
+		return;
+	}
+	t->counters.directory++;
+	for (size_t i = 0; i < t->peers.n; i++)
+		addrs[i] = lstr0(t->peers.callers[i]);
+	directory_write(&body, addrs, t->peers.n,
+			t->settings->bounds.directory_keep_s);
+	reply_plain(c, 200, LSTR("Content-Type: application/msgpack\r\n"),
+		    buf_lstr(&body));
+	buf_free(&body);
+}
+
+static void on_metrics(void *priv, struct http_conn *c, struct http_message *m)
+{
+	struct buf body = {0};
+
+	http_message_free(m);
+	metrics_write(&body, priv);
+	reply_plain(c, 200, LSTR("Content-Type: text/plain\r\n"),
+		    buf_lstr(&body));
+	buf_free(&body);
+}
+
+static const struct http_server_ops front_ops = {request_begin, request_gone};
+static const struct http_server_ops ready_ops = {on_ready, NULL};
+static const struct http_server_ops directory_ops = {on_directory, NULL};
+static const struct http_server_ops metrics_ops = {on_metrics, NULL};
+
+static void on_backend_gone(void *priv, struct backend *b)
+{
+	upstream_drop_idle(b);
+}
+
+/* The callers' limits stand in the configuration. */
+static void take_limits(struct traffic *t, const struct config_limits *l)
+{
+	if (l->head_max)
+		t->front.limits.head_max = l->head_max;
+	if (l->body_max)
+		t->front.limits.body_max = l->body_max;
+	if (l->head_timeout_ms)
+		t->front.head_timeout_s = l->head_timeout_ms / 1000.0;
+	if (l->idle_timeout_ms)
+		t->front.idle_timeout_s = l->idle_timeout_ms / 1000.0;
+}
+
+static void take_config(struct traffic *t, struct config *c)
+{
+	mp_invariant(!t->config || c->version > t->config->version,
+		     "configuration went back from %" G_GUINT64_FORMAT
+		     " to %" G_GUINT64_FORMAT,
+		     t->config->version, c->version);
+	config_unref(t->config);
+	t->config = c;
+	take_limits(t, &c->limits);
+}
+
+static void take_change(struct traffic *t, struct backend_change *c)
+{
+	if (c->removed)
+		backend_set_remove(&t->backends, c->entry.id);
+	else
+		backend_set_put(&t->backends, &c->entry, clock_ms());
+	g_free(c);
+}
+
+static void on_stop_check(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	struct traffic *t = timer->data;
+	int64_t since = clock_ms() - t->stopping_ms;
+	int64_t grace = (int64_t)(t->settings->bounds.grace_s * 1000);
+
+	if (since < STOP_ACCEPT_MS && since < grace / 2)
+		return;
+	http_server_stop_listening(&t->front);
+	http_server_close_idle(&t->front);
+	if (http_server_busy(&t->front) && since < grace - STOP_RESERVE_MS)
+		return;
+	mp_event(EV_STOPPED, G_LOG_LEVEL_MESSAGE, "open_requests=%u",
+		 t->open_requests);
+	ev_break(loop, EVBREAK_ALL);
+}
+
+static void begin_stop(struct traffic *t)
+{
+	t->stopping = true;
+	t->stopping_ms = clock_ms();
+	t->front.last_answers = true;
+	ev_timer_init(&t->stop_timer, on_stop_check, STOP_CHECK_MS / 1000.0,
+		      STOP_CHECK_MS / 1000.0);
+	t->stop_timer.data = t;
+	ev_timer_start(t->loop, &t->stop_timer);
+}
+
+static void receive(void *priv, struct mail *m)
+{
+	struct traffic *t = priv;
+	struct peer_view *v = m->data;
+
+	switch ((enum to_traffic)m->kind) {
+	case TO_TRAFFIC_CONFIG:
+		take_config(t, m->data);
+		break;
+	case TO_TRAFFIC_BACKEND:
+		take_change(t, m->data);
+		break;
+	case TO_TRAFFIC_PEERS:
+		t->peers = *v;
+		t->budget_rule.instances = v->instances;
+		g_free(v);
+		break;
+	case TO_TRAFFIC_STOP:
+		begin_stop(t);
+		break;
+	}
+}
+
+static int open_server(struct traffic *t, struct http_server *s,
+		       const char *addr, const struct http_server_ops *ops)
+{
+	int rc = http_server_open(s, t->loop, addr, ops, t);
+
+	if (rc)
+		mp_event(EV_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL,
+			 "addr=%s err=%s", addr, g_strerror(-rc));
+	return rc;
+}
+
+static int open_servers(struct traffic *t)
+{
+	const struct instance_settings *s = t->settings;
+	struct http_server *own[] = {&t->ready, &t->directory, &t->metrics};
+	int rc;
+
+	t->front.limits = (struct http_limits){START_HEAD_MAX, START_BODY_MAX};
+	t->front.head_timeout_s = START_HEAD_TIMEOUT_S;
+	t->front.idle_timeout_s = START_IDLE_TIMEOUT_S;
+	for (size_t i = 0; i < G_N_ELEMENTS(own); i++) {
+		own[i]->limits =
+			(struct http_limits){START_HEAD_MAX, START_HEAD_MAX};
+		own[i]->head_timeout_s = SERVICE_TIMEOUT_S;
+		own[i]->idle_timeout_s = START_IDLE_TIMEOUT_S;
+	}
+	rc = open_server(t, &t->front, s->callers, &front_ops);
+	if (!rc)
+		rc = open_server(t, &t->ready, s->ready, &ready_ops);
+	if (!rc)
+		rc = open_server(t, &t->directory, s->directory,
+				 &directory_ops);
+	if (!rc)
+		rc = open_server(t, &t->metrics, s->metrics, &metrics_ops);
+	return rc;
+}
+
+/*
+ * traffic_init() opens what the instance serves. Messages to the traffic
+ * thread go through t->in. Returns 0 or a negative errno.
+ */
+int traffic_init(struct traffic *t, const struct instance_settings *s,
+		 const int64_t *list_fresh_ms, struct mailbox *control)
+{
+	const struct bounds *b = &s->bounds;
+
+	memset(t, 0, sizeof(*t));
+	t->loop = ev_loop_new(EVFLAG_NOENV);
+	t->settings = s;
+	t->control = control;
+	t->list_fresh_ms = list_fresh_ms;
+	t->rand = g_rand_new();
+	t->classes = g_hash_table_new(g_str_hash, g_str_equal);
+	t->budget_rule = (struct budget_rule){
+		.ratio = b->retry_ratio,
+		.slack = b->retry_slack,
+		.window_ms = (uint32_t)(b->retry_window_s * 1000),
+		/* Unknown yet: as many as a large system has. */
+		.instances = 64,
+	};
+	backend_set_init(&t->backends, on_backend_gone, t);
+	mailbox_init(&t->in, t->loop, receive, t);
+	return open_servers(t);
+}
+
+/* traffic_run() is the traffic thread; it ends after a planned stop. */
+void *traffic_run(void *traffic)
+{
+	struct traffic *t = traffic;
+
+	ev_run(t->loop, 0);
+	mailbox_send(t->control, 0, NULL);
+	return NULL;
+}
--- /dev/null
+++ b/traffic/traffic.h
@@ -0,0 +1,56 @@
+/*
+ * The traffic thread of an entry instance: callers' requests, the directory
+ * and readiness questions, and the metrics. It alone touches what is here.
+ */
+#ifndef MP_TRAFFIC_TRAFFIC_H
+#define MP_TRAFFIC_TRAFFIC_H
+
+#include <ev.h>
+
+#include "control/control.h"
+#include "core/backend.h"
+#include "core/config.h"
+#include "http/server.h"
+#include "misc/hist.h"
+
+/* Requests of one kind: those of a service with the same target time. */
+struct class_stats {
+	char *name;
+	double work_ms; /* usual time of an answer at usual speed, decayed */
+	uint64_t requests, served, late, refused, unknown, failed, gone;
+	uint64_t sends, hedges, retries;
+	struct hist latency; /* of served ones, microseconds */
+};
+
+struct traffic_counters {
+	uint64_t asks, ask_failures, foreign_answers, no_config, no_route;
+	uint64_t no_room, directory;
+};
+
+struct traffic {
+	struct ev_loop *loop;
+	const struct instance_settings *settings;
+	struct mailbox in;
+	struct mailbox *control;
+	const int64_t *list_fresh_ms; /* of the control thread */
+	struct http_server front, ready, directory, metrics;
+	struct config *config;
+	struct backend_set backends;
+	struct peer_view peers;
+	struct budget_rule budget_rule;
+	GRand *rand;
+	GHashTable *classes; /* name -> struct class_stats * */
+	struct traffic_counters counters;
+	unsigned open_requests;
+	bool stopping;
+	ev_timer stop_timer;
+	int64_t stopping_ms;
+};
+
+int traffic_init(struct traffic *t, const struct instance_settings *s,
+		 const int64_t *list_fresh_ms, struct mailbox *control);
+void *traffic_run(void *traffic);
+struct class_stats *traffic_class(struct traffic *t, const char *service,
+				  uint32_t target_ms);
+
+#endif
--- /dev/null
+++ b/traffic/upstream.c
@@ -0,0 +1,146 @@
+#include <errno.h>
+#include <string.h>
+
+#include "traffic/upstream.h"
+
+/*
+ * A handshake takes a round trip of about 1 ms and 1 ms of the server; a
+ * server that hasn't answered by now is down or cut off.
+ */
+static const double CONNECT_TIMEOUT_S = 0.1;
+
+enum { HEAD_MAX = 64 * 1024, BODY_MAX = 64 << 20 }; /* bytes of an answer */
+
+static unsigned opened; /* connections so far, for the metrics */
+
+/* upstream_opened() counts the connections begun since the start. */
+unsigned upstream_opened(void)
+{
+	return opened;
+}
+
+static void unlink_idle(struct upstream *u)
+{
+	struct upstream **p = (struct upstream **)&u->backend->conns;
+
+	while (*p && *p != u)
+		p = &(*p)->next;
+	if (*p)
+		*p = u->next;
+	u->idle = false;
+}
+
+static void release(struct upstream *u)
+{
+	if (u->idle)
+		unlink_idle(u);
+	backend_unref(u->backend);
+	g_free(u);
+}
+
+static enum http_verdict judge(void *priv, const struct http_message *m)
+{
+	struct upstream *u = priv;
+
+	return u->ops->judge(u->owner, m);
+}
+
+static void on_response(void *priv, struct http_message *m)
+{
+	struct upstream *u = priv;
+
+	u->ops->response(u->owner, m);
+}
+
+/* The connection ended; the owner must not use it any more. */
+static void on_failed(void *priv, int err, bool sent)
+{
+	struct upstream *u = priv;
+	const struct http_client_ops *ops = u->idle ? NULL : u->ops;
+	void *owner = u->owner;
+
+	release(u);
+	if (ops)
+		ops->failed(owner, err, sent);
+}
+
+static const struct http_client_ops client_ops = {judge, on_response,
+						  on_failed};
+
+static struct upstream *open_new(struct ev_loop *loop, struct backend *b)
+{
+	struct http_limits limits = {.head_max = HEAD_MAX,
+				     .body_max = BODY_MAX};
+	struct upstream *u = g_new0(struct upstream, 1);
+
+	if (http_client_open(&u->http, loop, &b->entry.addr, CONNECT_TIMEOUT_S,
+			     limits, &client_ops, u)) {
+		g_free(u);
+		return NULL;
+	}
+	opened++;
+	u->backend = backend_ref(b);
+	return u;
+}
+
+/*
+ * upstream_get() holds a connection to b for the caller: an idle one used
+ * since idle_since_ms, the last used first, or a new one. Returns NULL when
+ * no socket can be had.
+ */
+struct upstream *upstream_get(struct ev_loop *loop, struct backend *b,
+			      int64_t idle_since_ms)
+{
+	struct upstream *u = b->conns;
+
+	if (!u || u->used_ms < idle_since_ms)
+		return open_new(loop, b);
+	b->conns = u->next;
+	u->idle = false;
+	return u;
+}
+
+/* upstream_exchange() sends a request; the owner hears through ops. */
+void upstream_exchange(struct upstream *u, struct lstr bytes, double timeout_s,
+		       bool head_request, const struct http_client_ops *ops,
+		       void *owner)
+{
+	u->ops = ops;
+	u->owner = owner;
+	http_client_send(&u->http, bytes, timeout_s, head_request);
+}
+
+/* upstream_put() gives a connection back, to be kept if it is sound. */
+void upstream_put(struct upstream *u, int64_t now_ms)
+{
+	if (!u->http.reusable || u->backend->gone ||
+	    u->http.state != CLIENT_IDLE) {
+		upstream_drop(u);
+		return;
+	}
+	u->ops = NULL;
+	u->owner = NULL;
+	u->used_ms = now_ms;
+	u->idle = true;
+	u->next = u->backend->conns;
+	u->backend->conns = u;
+}
+
+/*
+ * upstream_drop() closes a connection. A backend server drops the request
+ * that it works on for it.
+ */
+void upstream_drop(struct upstream *u)
+{
+	http_client_close(&u->http);
+	release(u);
+}
+
+/* upstream_drop_idle() closes the idle connections to b. */
+void upstream_drop_idle(struct backend *b)
+{
+	for (struct upstream *u = b->conns, *next; u; u = next) {
+		next = u->next;
+		upstream_drop(u);
+	}
+}
