Room at backend servers: no queueing there, a budget of questions, real bounds

Cause 2: servers were filled to all slots and their queue; past 80% of the slots all of their work slows down by 1.7, so four slots do less than three. A server now gets no request past its best concurrency and none into its queue. Cause 3: waiting requests asked again and again (109 questions a server and second, the limit is 60): a token bucket on each instance, and room told by an answer goes to the first waiting request without a question. Cause 4: the bounds were never read: the template renders them as a table, and defaults stood in silently (retry 0.1 instead of 0.2, 10 questions instead of 60). The template now maps each bound to a setting of our own.

--- a/Makefile
+++ b/Makefile
@@ -23,9 +23,9 @@
 	common/event.c options/settings.c options/instance.c \
 	http/head.c http/message.c http/socket.c http/server.c http/client.c \
 	core/config.c core/backend.c core/budget.c core/outlier.c core/place.c \
-	core/hedge.c core/retry_after.c member/peers.c member/gossip.c \
+	core/hedge.c core/ask_budget.c core/retry_after.c member/peers.c member/gossip.c \
 	platform/codec.c platform/records.c platform/store.c platform/exchange.c \
-	platform/directory.c platform/bounds.c control/backend_list.c \
+	platform/directory.c control/backend_list.c \
 	control/backend_watch.c control/config_watch.c control/member_record.c \
 	control/control.c traffic/upstream.c traffic/traffic.c traffic/metrics.c \
 	traffic/request.c traffic/request_place.c traffic/request_send.c
@@ -46,7 +46,7 @@
 target/mimosapitch: target/obj/app/instance.o target/libinstance.a
 	$(CC) -o $@ $^ $(INSTANCE_LIBS)
 
--include $(INSTANCE_OBJ:.o=.d)
+-include $(INSTANCE_OBJ:.o=.d) target/obj/app/instance.d
 
 deps:
 	@pkg-config --exists $(PKGS) cmocka || scripts/install-deps.sh
--- a/app/instance.c
+++ b/app/instance.c
@@ -60,7 +60,13 @@
 	    traffic_init(&traffic, s, &control.fresh_ms, &control.in))
 		return EXIT_SOFTWARE;
 	mp_event(EV_STARTED, G_LOG_LEVEL_MESSAGE,
-		 "instance=%s dc=%s callers=%s", s->name, s->dc, s->callers);
+		 "instance=%s dc=%s callers=%s drain_ms=%g config_ms=%g "
+		 "grace_s=%g retry=%gx+%g/%gs keep_s=%g asks_s=%g",
+		 s->name, s->dc, s->callers, s->bounds.drain_ms,
+		 s->bounds.config_ms, s->bounds.grace_s,
+		 s->bounds.retry_ratio, s->bounds.retry_slack,
+		 s->bounds.retry_window_s, s->bounds.directory_keep_s,
+		 s->bounds.questions_per_s);
 	if (pthread_create(&thread, NULL, traffic_run, &traffic))
 		return EXIT_SOFTWARE;
 	control_run(&control);
--- a/core/backend.h
+++ b/core/backend.h
@@ -58,7 +58,7 @@
 	GPtrArray *backends; /* struct backend *, those on the list */
 	enum load_support load_support;
 	struct retry_budget budget;
-	double work_ms; /* usual time of an answer at usual speed, decayed */
+	GQueue waiting; /* requests that found no room, best first */
 };
 
 struct backend_set {
--- a/core/place.c
+++ b/core/place.c
@@ -31,13 +31,15 @@
 enum { PROMPT_SLOWDOWN_PCT = 150 };
 
 /*
- * Requests that may wait in a server's queue. It takes a few more than its
- * slots before it refuses; beyond one a slot the wait alone is longer than
- * most targets.
+ * Requests at once with which a server gets most done. Beyond KNEE_SHARE all
+ * of its work slows down: three on four slots do 28% more than four, while
+ * two on two slots do 18% more than one.
  */
-static unsigned queue_room(const struct backend *b)
+static unsigned best_concurrency(unsigned slots)
 {
-	return b->load.slots;
+	unsigned below = (unsigned)(KNEE_SHARE * slots);
+
+	return below * KNEE_SLOWDOWN >= slots ? below : slots;
 }
 
 static bool is_avoided(const struct place_query *q, const struct backend *b)
@@ -49,6 +51,22 @@
 	return false;
 }
 
+/*
+ * Reports younger than this still say something: a server's speed changes
+ * about every 300 ms.
+ */
+enum { REPORT_FRESH_MS = 250 };
+
+/* What a remembered report says for or against asking b now. */
+static double report_rank(const struct place_query *q, const struct backend *b)
+{
+	if (!b->load.at_ms || q->now_ms - b->load.at_ms > REPORT_FRESH_MS)
+		return 0;
+	if (!place_has_room(b))
+		return 3;
+	return b->load.slowdown_pct > PROMPT_SLOWDOWN_PCT ? 1.5 : -0.5;
+}
+
 /* Orders candidates: lower is asked first; ties are broken at random. */
 static double ask_rank(const struct place_query *q, const struct backend *b)
 {
@@ -64,7 +82,7 @@
 	if (b->warm_until_ms > q->now_ms)
 		rank += 0.7;
 	rank += 0.5 * b->in_flight;
-	return rank;
+	return rank + report_rank(q, b);
 }
 
 /*
@@ -134,18 +152,15 @@
 }
 
 /*
- * place_has_room() tells whether a request may be sent to b. Work that can't
- * be repeated goes only where a slot is free: a server whose queue is full
- * may take the request and never answer.
+ * place_has_room() tells whether a request may be sent to b. None is sent
+ * into a server's queue: it waits better here, where the first server with
+ * room takes it, and a server whose queue is full may never answer.
  */
-bool place_has_room(const struct backend *b, bool must_not_queue)
+bool place_has_room(const struct backend *b)
 {
 	const struct load_report *l = &b->load;
-	unsigned busy = l->running + l->waiting;
 
-	if (must_not_queue)
-		return busy < l->slots;
-	return busy < l->slots + queue_room(b);
+	return l->running + l->waiting < best_concurrency(l->slots);
 }
 
 /*
--- a/options/instance.c
+++ b/options/instance.c
@@ -22,13 +22,23 @@
 	OPT_END,
 };
 
-struct platform_group {
-	char *store, *bounds;
+static const struct opt_def platform_opts[] = {
+	{"store", OPT_ADDR, FIELD(store), NULL, 0, 0},
+	OPT_END,
 };
 
-static const struct opt_def platform_opts[] = {
-	{"store", OPT_ADDR, offsetof(struct platform_group, store), NULL, 0, 0},
-	{"bounds", OPT_STR, offsetof(struct platform_group, bounds), "", 0, 0},
+/* Defaults are on the careful side of what the platform usually names. */
+static const struct opt_def bounds_opts[] = {
+	{"drain_ms", OPT_REAL, FIELD(bounds.drain_ms), "2000", 0, 0},
+	{"config_ms", OPT_REAL, FIELD(bounds.config_ms), "2000", 0, 0},
+	{"grace_s", OPT_REAL, FIELD(bounds.grace_s), "6", 0, 0},
+	{"retry_ratio", OPT_REAL, FIELD(bounds.retry_ratio), "0.1", 0, 0},
+	{"retry_slack", OPT_REAL, FIELD(bounds.retry_slack), "10", 0, 0},
+	{"retry_window_s", OPT_REAL, FIELD(bounds.retry_window_s), "10", 0, 0},
+	{"directory_keep_s", OPT_REAL, FIELD(bounds.directory_keep_s), "2", 0,
+	 0},
+	{"questions_per_s", OPT_REAL, FIELD(bounds.questions_per_s), "10", 0,
+	 0},
 	OPT_END,
 };
 
@@ -38,7 +48,6 @@
  */
 int instance_settings_load(const char *path, struct instance_settings *out)
 {
-	struct platform_group platform = {0};
 	struct findings f;
 	struct settings s;
 	int rc;
@@ -52,12 +61,8 @@
 	else if (!settings_open(&s, path, NULL, &f)) {
 		settings_read_group(&s, "instance", instance_opts, out, &f);
 		settings_read_group(&s, "listen", listen_opts, out, &f);
-		settings_read_group(&s, "platform", platform_opts, &platform,
-				    &f);
-		out->store = platform.store;
-		bounds_read(platform.bounds ? platform.bounds : "",
-			    &out->bounds, path, &f);
-		g_free(platform.bounds);
+		settings_read_group(&s, "platform", platform_opts, out, &f);
+		settings_read_group(&s, "bounds", bounds_opts, out, &f);
 		settings_close(&s);
 	}
 	rc = findings_report(&f);
--- a/options/instance.h
+++ b/options/instance.h
@@ -6,7 +6,18 @@
 #define MP_OPTIONS_INSTANCE_H
 
 #include "options/settings.h"
-#include "platform/bounds.h"
+
+/* What the users are promised of the system as a whole. */
+struct bounds {
+	double drain_ms;	 /* until a leaving server gets no new work */
+	double config_ms;	 /* until a version is in force everywhere */
+	double grace_s;		 /* SIGTERM to SIGKILL */
+	double retry_ratio;	 /* extra sends a request, of all instances */
+	double retry_slack;	 /* extra sends a window beside the ratio */
+	double retry_window_s;	 /* the window of both */
+	double directory_keep_s; /* longest that callers keep an answer */
+	double questions_per_s;	 /* to one server, of all instances */
+};
 
 struct instance_settings {
 	/* [instance] */
--- a/options/settings.c
+++ b/options/settings.c
@@ -131,6 +131,13 @@
 		}
 		*(int *)field = (int)v;
 		break;
+	case OPT_REAL:
+		*(double *)(void *)field = g_ascii_strtod(raw, &end);
+		if (*raw == '\0' || *end != '\0' ||
+		    *(double *)(void *)field < 0)
+			findings_add(f, s->path, line, d->key,
+				     "'%s' is not a number from 0 on", raw);
+		break;
 	case OPT_BOOL:
 		if (!strcmp(raw, "true") || !strcmp(raw, "false"))
 			*(bool *)field = !strcmp(raw, "true");
@@ -173,7 +180,11 @@
 				     d->key, "required in [%s]", group);
 			continue;
 		}
-		store_value(s, group, d, raw ? raw : d->def, out, f);
+		/* A template leaves a value empty that it has no figure for. */
+		bool unset =
+			!raw || (*raw == '\0' && d->type == OPT_REAL && d->def);
+
+		store_value(s, group, d, unset ? d->def : raw, out, f);
 		g_free(raw);
 	}
 	settings_check_keys(s, group, defs, f);
--- a/options/settings.h
+++ b/options/settings.h
@@ -17,6 +17,7 @@
 enum opt_type {
 	OPT_STR,
 	OPT_INT,
+	OPT_REAL, /* a number that isn't negative, stored as double */
 	OPT_BOOL,
 	OPT_ADDR, /* host:port, IPv4 numbers, stored as char * */
 	OPT_LIST, /* comma-separated, stored as char ** (NULL-terminated) */
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -18,9 +18,14 @@
 
 struct request;
 
-/* A question for a server's load, on the connection the request may use. */
+/*
+ * A question for a server's load, on the connection the request may use. A
+ * request that no longer waits for the answer leaves it to come by itself, so
+ * that the connection is kept.
+ */
 struct ask {
-	struct request *request;
+	struct request *request; /* NULL: nobody waits for it any more */
+	struct traffic *traffic;
 	struct backend *backend;
 	struct upstream *upstream; /* held; NULL once given away or failed */
 	bool pending;
@@ -56,8 +61,10 @@
 	int64_t placing_since_ms; /* begin of this placement */
 	int64_t round_ends_ms;	  /* no later than this a choice is made */
 	int64_t wait_until_ms;	  /* no room: ask again then; 0: not so */
+	unsigned waits;		  /* so far in this placement */
+	bool queued;		  /* stands in the service's queue */
 	int64_t hedge_ms;	  /* send a second time then; 0: never */
-	struct ask asks[REQUEST_ASKS_MAX];
+	struct ask *asks[REQUEST_ASKS_MAX];
 	unsigned nasks;
 	struct send sends[REQUEST_SENDS_MAX];
 	unsigned nsends;
@@ -71,6 +78,7 @@
 void request_place(struct request *r, enum placement why);
 void request_place_tick(struct request *r, int64_t now_ms);
 void request_place_end(struct request *r);
+void request_use_room(struct traffic *t, struct backend *b);
 void request_send(struct request *r, struct backend *b, struct upstream *u);
 void request_sends_end(struct request *r);
 bool request_is_out(const struct request *r);
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -20,10 +20,17 @@
 	 * repeated after 200 ms, so longer waits bring nothing.
 	 */
 	ROUND_MS = 30,
-	/* Without room anywhere it is asked again after this. */
+	/*
+	 * Without room anywhere it is asked again after this, then after
+	 * twice as long and so on: the answers to this instance's other
+	 * requests tell of room sooner, and at no cost.
+	 */
 	WAIT_MS = 12,
 };
 
+/* A server that tells its load does so at once, in a round trip. */
+static const double ASK_TIMEOUT_S = 0.06;
+
 /* No answer to a question is a failure of the server, of full weight. */
 static const double SILENT_TROUBLE = 1.0;
 
@@ -33,6 +40,13 @@
  */
 static const double WAIT_SHARE = 0.125;
 
+static void free_ask(struct ask *a)
+{
+	backend_unref(a->backend);
+	g_free(a);
+}
+
+/* Closes the connection of an ask that has ended badly. */
 static void drop_ask(struct ask *a)
 {
 	if (a->upstream)
@@ -41,27 +55,53 @@
 	a->pending = false;
 }
 
-/* Gives connections back that answered and drops those that still may. */
+/* Ends one ask of a request, or leaves it to end by itself. */
+static void leave_ask(struct ask *a)
+{
+	a->request = NULL;
+	if (a->pending)
+		return;
+	if (a->upstream)
+		upstream_put(a->upstream, clock_ms());
+	free_ask(a);
+}
+
 static void release_asks(struct request *r)
 {
-	int64_t now_ms = clock_ms();
+	for (unsigned i = 0; i < r->nasks; i++)
+		leave_ask(r->asks[i]);
+	r->nasks = 0;
+}
 
-	for (unsigned i = 0; i < r->nasks; i++) {
-		struct ask *a = &r->asks[i];
+/* The more important first, then the older. */
+static gint compare_waiting(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct request *x = a, *y = b;
 
-		if (a->upstream && a->answered) {
-			upstream_put(a->upstream, now_ms);
-			a->upstream = NULL;
-		}
-		drop_ask(a);
-		backend_unref(a->backend);
-	}
-	r->nasks = 0;
+	if (x->route->priority != y->route->priority)
+		return x->route->priority < y->route->priority ? -1 : 1;
+	return x->start_ms < y->start_ms ? -1 : x->start_ms > y->start_ms;
+}
+
+static void enqueue(struct request *r)
+{
+	if (!r->queued)
+		g_queue_insert_sorted(&r->service->waiting, r, compare_waiting,
+				      NULL);
+	r->queued = true;
+}
+
+static void dequeue(struct request *r)
+{
+	if (r->queued)
+		g_queue_remove(&r->service->waiting, r);
+	r->queued = false;
 }
 
 /* request_place_end() ends the placement at hand, if there is one. */
 void request_place_end(struct request *r)
 {
+	dequeue(r);
 	release_asks(r);
 	r->placement = PLACE_NONE;
 	r->wait_until_ms = 0;
@@ -77,18 +117,18 @@
 	/* Only an answer that names its server answers the question. */
 	exchange_read_answer(m, &info);
 	if (info.id.ptr || !info.backend.ptr) {
-		a->request->traffic->counters.foreign_answers++;
+		a->traffic->counters.foreign_answers++;
 		return HTTP_SKIP;
 	}
 	return HTTP_TAKE;
 }
 
 /* The address belongs to another start by now: this one has ended. */
-static void forget_backend(struct request *r, struct backend *b)
+static void forget_backend(struct traffic *t, struct backend *b)
 {
 	mp_event(EV_MEMBER_GONE, G_LOG_LEVEL_MESSAGE,
 		 "backend=%s why=another answers at its address", b->entry.id);
-	backend_set_remove(&r->traffic->backends, b->entry.id);
+	backend_set_remove(&t->backends, b->entry.id);
 }
 
 static void note_report(struct ask *a, const struct answer_info *info,
@@ -105,20 +145,26 @@
 	a->backend->load.at_ms = now_ms;
 }
 
+/* The request goes on, or nobody waits and the ask ends. */
+static void ask_over(struct ask *a, int64_t now_ms)
+{
+	if (a->request)
+		decide(a->request, now_ms);
+	else
+		leave_ask(a);
+}
+
 static void ask_response(void *owner, struct http_message *m)
 {
 	struct ask *a = owner;
-	struct request *r = a->request;
 	int64_t now_ms = clock_ms();
 	struct answer_info info;
-	bool own;
 
 	exchange_read_answer(m, &info);
-	own = lstr_eq(info.backend, lstr0(a->backend->entry.id));
 	a->pending = false;
-	if (!own) {
+	if (!lstr_eq(info.backend, lstr0(a->backend->entry.id))) {
 		drop_ask(a);
-		forget_backend(r, a->backend);
+		forget_backend(a->traffic, a->backend);
 	} else {
 		note_report(a, &info, now_ms);
 		a->answered = a->upstream->http.reusable;
@@ -126,7 +172,7 @@
 			drop_ask(a);
 	}
 	http_message_free(m);
-	decide(r, now_ms);
+	ask_over(a, now_ms);
 }
 
 static void ask_failed(void *owner, int err, bool sent)
@@ -136,11 +182,11 @@
 
 	a->upstream = NULL;
 	a->pending = false;
-	a->request->traffic->counters.ask_failures++;
+	a->traffic->counters.ask_failures++;
 	/* A kept connection may be closed at any time: nobody's fault. */
 	if (err != -EPIPE && err != -ECONNRESET)
 		outlier_note(a->backend, SILENT_TROUBLE, now_ms);
-	decide(a->request, now_ms);
+	ask_over(a, now_ms);
 }
 
 static const struct http_client_ops ask_ops = {ask_judge, ask_response,
@@ -150,22 +196,23 @@
 {
 	const struct service_config *sc =
 		config_service(r->config, lstr0(r->service->name));
-	struct ask *a = &r->asks[r->nasks];
+	struct upstream *u = upstream_get(r->traffic->loop, b, 0);
 	struct buf bytes = {0};
+	struct ask *a;
 
-	memset(a, 0, sizeof(*a));
-	a->request = r;
-	a->upstream = upstream_get(r->traffic->loop, b, 0);
-	if (!a->upstream)
+	if (!u)
 		return;
-	r->nasks++;
+	a = g_new0(struct ask, 1);
+	a->request = r;
+	a->traffic = r->traffic;
+	a->upstream = u;
+	r->asks[r->nasks++] = a;
 	a->backend = backend_ref(b);
 	a->pending = true;
 	r->traffic->counters.asks++;
 	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"), b);
-	/* The round's end is the time limit; it is set a little later. */
-	upstream_exchange(a->upstream, buf_lstr(&bytes), 2 * ROUND_MS / 1000.0,
-			  false, &ask_ops, a);
+	upstream_exchange(a->upstream, buf_lstr(&bytes), ASK_TIMEOUT_S, false,
+			  &ask_ops, a);
 	buf_free(&bytes);
 }
 
@@ -177,7 +224,7 @@
 	for (unsigned i = 0; i < r->nsends; i++)
 		out[n++] = r->sends[i].backend;
 	for (unsigned i = 0; i < r->nasks; i++)
-		out[n++] = r->asks[i].backend;
+		out[n++] = r->asks[i]->backend;
 	return n;
 }
 
@@ -197,6 +244,11 @@
 	};
 	unsigned want = r->round == 0 ? ASK_FIRST : ASK_FURTHER;
 	unsigned n = place_choose(&q, want, chosen);
+	bool first = r->nasks == 0 && r->waits == 0;
+
+	n = ask_budget_take(&r->traffic->asks, &r->traffic->ask_rule,
+			    g_hash_table_size(r->traffic->backends.by_id), n,
+			    first ? 1 : 0, now_ms);
 
 	for (unsigned i = 0; i < n; i++)
 		ask_backend(r, chosen[i]);
@@ -205,14 +257,6 @@
 	return n > 0;
 }
 
-/* The most loaded state in which a server may still get this request. */
-static bool has_room(const struct request *r, const struct backend *b)
-{
-	bool strict = !r->route->idempotent || r->placement == PLACE_HEDGE;
-
-	return place_has_room(b, strict);
-}
-
 /* Finds the best server that answered and has room; NULL: none. */
 static struct ask *best_ask(struct request *r, int64_t now_ms)
 {
@@ -221,10 +265,10 @@
 	double best_ms = 0;
 
 	for (unsigned i = 0; i < r->nasks; i++) {
-		struct ask *a = &r->asks[i];
+		struct ask *a = r->asks[i];
 
 		if (!a->upstream || !a->answered || a->backend->gone ||
-		    a->backend->entry.draining || !has_room(r, a->backend))
+		    a->backend->entry.draining || !place_has_room(a->backend))
 			continue;
 		double ms = place_estimate_ms(a->backend, dc, r->stats->work_ms,
 					      now_ms);
@@ -240,7 +284,7 @@
 static bool any_pending(const struct request *r)
 {
 	for (unsigned i = 0; i < r->nasks; i++) {
-		if (r->asks[i].pending)
+		if (r->asks[i]->pending)
 			return true;
 	}
 	return false;
@@ -271,10 +315,16 @@
 		request_arm(r);
 		return;
 	}
-	if (now_ms + WAIT_MS - r->placing_since_ms <= patience &&
+	if (now_ms - r->placing_since_ms < patience &&
 	    r->service->backends->len > 0) {
+		int64_t end = r->placing_since_ms + patience;
+
 		r->round = 0;
-		r->wait_until_ms = now_ms + WAIT_MS;
+		r->wait_until_ms = now_ms + (WAIT_MS << r->waits);
+		if (r->wait_until_ms > end)
+			r->wait_until_ms = end;
+		r->waits++;
+		enqueue(r);
 		request_arm(r);
 		return;
 	}
@@ -341,7 +391,9 @@
 		request_arm(r);
 		return;
 	}
-	if (r->round < ROUNDS && ask_round(r, now_ms)) {
+	while (r->round < ROUNDS) {
+		if (!ask_round(r, now_ms))
+			continue;
 		request_arm(r);
 		return;
 	}
@@ -351,23 +403,6 @@
 		no_room(r, now_ms);
 }
 
-/* Servers that didn't answer in their round are in trouble. */
-static void expire_asks(struct request *r, int64_t now_ms)
-{
-	bool answered = best_ask(r, now_ms) != NULL;
-
-	for (unsigned i = 0; i < r->nasks; i++) {
-		struct ask *a = &r->asks[i];
-
-		if (!a->pending)
-			continue;
-		/* Cut short by a better answer: no fault of the server. */
-		if (!answered)
-			outlier_note(a->backend, SILENT_TROUBLE, now_ms);
-		drop_ask(a);
-	}
-}
-
 /* request_place_tick() goes on when the time of a round or wait is over. */
 void request_place_tick(struct request *r, int64_t now_ms)
 {
@@ -375,14 +410,40 @@
 		r->wait_until_ms = 0;
 		r->round_ends_ms = now_ms;
 	}
-	if (!r->wait_until_ms && now_ms >= r->round_ends_ms)
-		expire_asks(r, now_ms);
 	if (r->wait_until_ms)
 		request_arm(r);
 	else
 		decide(r, now_ms);
 }
 
+/*
+ * request_use_room() gives room that a server has just told of to the first
+ * request that waits for some.
+ */
+void request_use_room(struct traffic *t, struct backend *b)
+{
+	struct service *s = b->service;
+	struct upstream *u;
+
+	for (GList *l = s->waiting.head; l; l = l->next) {
+		struct request *r = l->data;
+		struct backend *avoid[REQUEST_ASKS_MAX + REQUEST_SENDS_MAX];
+		unsigned n = avoided(r, avoid);
+		bool used = false;
+
+		for (unsigned i = 0; i < n; i++)
+			used = used || avoid[i] == b;
+		if (used)
+			continue;
+		u = upstream_get(t->loop, b, 0);
+		if (!u)
+			return;
+		request_place_end(r);
+		request_send(r, b, u);
+		return;
+	}
+}
+
 /* request_place() begins to look for a backend server. */
 void request_place(struct request *r, enum placement why)
 {
@@ -392,6 +453,7 @@
 	r->placement = why;
 	r->round = 0;
 	r->wait_until_ms = 0;
+	r->waits = 0;
 	r->placing_since_ms = now_ms;
 	r->round_ends_ms = now_ms;
 	decide(r, now_ms);
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -189,6 +189,7 @@
 	case TO_TRAFFIC_PEERS:
 		t->peers = *v;
 		t->budget_rule.instances = v->instances;
+		t->ask_rule.instances = v->instances;
 		g_free(v);
 		break;
 	case TO_TRAFFIC_STOP:
@@ -257,6 +258,10 @@
 		/* Unknown yet: as many as a large system has. */
 		.instances = 64,
 	};
+	t->ask_rule = (struct ask_rule){
+		.per_server_s = b->questions_per_s,
+		.instances = t->budget_rule.instances,
+	};
 	backend_set_init(&t->backends, on_backend_gone, t);
 	mailbox_init(&t->in, t->loop, receive, t);
 	return open_servers(t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -8,6 +8,7 @@
 #include <ev.h>
 
 #include "control/control.h"
+#include "core/ask_budget.h"
 #include "core/backend.h"
 #include "core/config.h"
 #include "http/server.h"
@@ -38,6 +39,8 @@
 	struct backend_set backends;
 	struct peer_view peers;
 	struct budget_rule budget_rule;
+	struct ask_rule ask_rule;
+	struct ask_budget asks;
 	GRand *rand;
 	GHashTable *classes; /* name -> struct class_stats * */
 	struct traffic_counters counters;
