--- a/common/event.c
+++ b/common/event.c
@@ -19,7 +19,7 @@
 };
 
 static const char *log_role = "-";
-static bool to_stdout;
+static bool to_stdout, quiet;
 static uint64_t dropped, lines_this_s;
 static uint64_t this_s;
 
@@ -97,6 +97,8 @@
 	struct timespec ts;
 
 	(void)data;
+	if (quiet && !(level & (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR)))
+		return G_LOG_WRITER_HANDLED;
 	if ((level & G_LOG_LEVEL_DEBUG) && !g_getenv("G_MESSAGES_DEBUG"))
 		return G_LOG_WRITER_HANDLED;
 	for (gsize i = 0; i < n_fields; i++) {
@@ -132,6 +134,12 @@
 	to_stdout = true;
 }
 
+/* mp_log_quiet() leaves out all but critical lines; tests use it. */
+void mp_log_quiet(void)
+{
+	quiet = true;
+}
+
 /*
  * mp_event() logs event ev at the given level. The message is formatted
  * printf style; quotes in it are left as they are.
--- a/common/event.h
+++ b/common/event.h
@@ -54,6 +54,7 @@
 
 void mp_log_init(const char *role);
 void mp_log_to_stdout(void);
+void mp_log_quiet(void);
 void mp_event(enum mp_event ev, GLogLevelFlags level, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/http/message.c
+++ b/http/message.c
@@ -42,12 +42,10 @@
 static int add_head_bytes(struct http_reader *r, struct buf *b, const char *p,
 			  size_t n)
 {
-	size_t have = r->target.len + r->name.len + r->value.len +
-		      r->msg->arena.total_bytes;
-
 	if (r->msg->head_done)
 		return 0;
-	if (r->limits.head_max && have + n > r->limits.head_max * 2) {
+	r->head_bytes += n;
+	if (r->limits.head_max && r->head_bytes > r->limits.head_max) {
 		r->err = -EMSGSIZE;
 		return 1;
 	}
--- a/http/message.h
+++ b/http/message.h
@@ -40,6 +40,7 @@
 	struct http_message *msg;
 	struct buf name, value; /* the header line being read */
 	struct buf target;
+	size_t head_bytes; /* of names, values and the target so far */
 	bool in_value;
 	bool no_body; /* answer to a HEAD request */
 	int err;
--- a/http/server.c
+++ b/http/server.c
@@ -20,6 +20,13 @@
 /* A closed connection may still carry bytes to us for this long. */
 static const double LINGER_S = 1.0;
 
+/*
+ * A caller that has just connected is about to send; a stop waits this long
+ * for its first request. It travels 8 ms, and a lost packet is sent again
+ * after 200 ms.
+ */
+static const double FIRST_REQUEST_S = 0.2;
+
 enum conn_state {
 	CONN_IDLE,     /* no byte of a request yet */
 	CONN_READING,  /* a request has begun */
@@ -34,6 +41,8 @@
 	int fd;
 	ev_io io;
 	ev_timer timer;
+	ev_tstamp opened;
+	bool had_request;
 	enum conn_state state;
 	struct http_reader reader;
 	struct buf in, out;
@@ -255,6 +264,7 @@
 	c->keep_alive = m->keep_alive;
 	c->head_request = lstr_eq(m->method, LSTR("HEAD"));
 	c->state = CONN_HANDLING;
+	c->had_request = true;
 	c->scanned = 0;
 	c->in_body = false;
 	set_timer(c, 0);
@@ -387,6 +397,7 @@
 	socket_tune(fd);
 	c->server = s;
 	c->fd = fd;
+	c->opened = ev_now(s->loop);
 	http_reader_init(&c->reader, HTTP_REQUEST, s->limits);
 	ev_io_init(&c->io, conn_event, fd, EV_READ);
 	c->io.data = c;
@@ -401,17 +412,23 @@
 	conn_idle(c);
 }
 
-static void on_accept(struct ev_loop *loop, ev_io *io, int revents)
+/* Takes one connection off the queue; false when there is none. */
+static bool accept_one(struct http_server *s)
 {
-	struct http_server *s = io->data;
+	int fd =
+		accept4(s->accept.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-	for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
-		int fd = accept4(io->fd, NULL, NULL,
-				 SOCK_NONBLOCK | SOCK_CLOEXEC);
+	if (fd < 0)
+		return false;
+	conn_new(s, fd);
+	return true;
+}
 
-		if (fd < 0)
+static void on_accept(struct ev_loop *loop, ev_io *io, int revents)
+{
+	for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
+		if (!accept_one(io->data))
 			return;
-		conn_new(s, fd);
 	}
 }
 
@@ -436,21 +453,37 @@
 	return 0;
 }
 
-/* http_server_stop_listening() closes the listening socket, if open. */
+/*
+ * http_server_stop_listening() closes the listening socket, if open. Whoever
+ * is connected by then is still served: closing it would reset those that
+ * wait in its queue, with requests that they may have sent.
+ */
 void http_server_stop_listening(struct http_server *s)
 {
 	if (!ev_is_active(&s->accept))
 		return;
 	ev_io_stop(s->loop, &s->accept);
+	while (accept_one(s))
+		;
 	close(s->accept.fd);
 }
 
-/* http_server_close_idle() closes every connection without a request. */
+/* Tells whether a connection's first request may be on its way. */
+static bool is_just_open(const struct http_conn *c)
+{
+	return !c->had_request &&
+	       ev_now(c->server->loop) - c->opened < FIRST_REQUEST_S;
+}
+
+/*
+ * http_server_close_idle() closes every connection without a request, but
+ * for those that have only just been opened.
+ */
 void http_server_close_idle(struct http_server *s)
 {
 	for (struct http_conn *c = s->conns, *next; c; c = next) {
 		next = c->next;
-		if (c->state == CONN_IDLE)
+		if (c->state == CONN_IDLE && !is_just_open(c))
 			conn_free(c);
 	}
 }
@@ -461,6 +494,8 @@
 	for (const struct http_conn *c = s->conns; c; c = c->next) {
 		if (c->state != CONN_IDLE && c->state != CONN_LINGER)
 			return true;
+		if (c->state == CONN_IDLE && is_just_open(c))
+			return true;
 	}
 	return false;
 }
--- /dev/null
+++ b/tests/bench.h
@@ -0,0 +1,461 @@
+/*
+ * A traffic side with callers and scripted backend servers, all on loopback
+ * and on one loop, for tests. Servers misbehave as their script says.
+ */
+#ifndef MP_TESTS_BENCH_H
+#define MP_TESTS_BENCH_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "http/socket.h"
+#include "misc/clock.h"
+#include "traffic/traffic.h"
+
+enum {
+	BENCH_SERVERS = 8,
+	BENCH_PORT = 17300, /* servers; the traffic side's follow */
+	BENCH_TIMEOUT_MS = 600,
+	BENCH_TARGET_MS = 200,
+	BENCH_WORK_MS = 5,
+};
+
+enum script {
+	SCRIPT_SERVE,
+	SCRIPT_REFUSE,	    /* says that it didn't run the request */
+	SCRIPT_RUN_RESET,   /* runs it and resets the connection */
+	SCRIPT_RUN_CUT,	    /* runs it and breaks off within the answer */
+	SCRIPT_RUN_GARBAGE, /* runs it and sends what is no message */
+	SCRIPT_RUN_ERROR,   /* runs it and answers 500 */
+	SCRIPT_HANG,	    /* takes it and never answers */
+	SCRIPT_TWICE,	    /* answers twice at once */
+	SCRIPT_TWICE_LATE,  /* the second answer comes some ms later */
+	SCRIPT_UNSEALED,    /* answers without its receipt */
+	SCRIPT_COUNT,
+};
+
+struct bench;
+
+struct server {
+	struct bench *bench;
+	struct http_server http;
+	char id[BACKEND_NAME_MAX];
+	enum script script;
+	int work_ms;
+	unsigned busy; /* slots taken by others, as it reports */
+	unsigned running, received, connections;
+	bool tells_load, dead;
+};
+
+/* A request at a server. */
+struct job {
+	struct server *server;
+	struct http_conn *conn;
+	char id[32];
+	ev_timer timer;
+	bool late_twin;
+};
+
+struct caller {
+	struct bench *bench;
+	struct http_client http;
+	char id[32];
+	const char *method;
+	unsigned status;
+	double retry_after;
+	char body[64];
+	bool open, left;
+};
+
+struct bench {
+	struct ev_loop *loop;
+	struct instance_settings settings;
+	struct traffic traffic;
+	struct mailbox control;
+	int64_t fresh_ms;
+	struct server servers[BENCH_SERVERS];
+	int n;
+	GHashTable *ran; /* id -> count */
+	GPtrArray *callers;
+	unsigned ids;
+	struct caller *until;
+};
+
+static inline void job_reply(struct job *j)
+{
+	struct server *s = j->server;
+	char text[512], body[64], load[64] = "";
+	struct http_conn *c = j->conn;
+	int n, copies = s->script == SCRIPT_TWICE ? 2 : 1;
+	bool error = s->script == SCRIPT_RUN_ERROR;
+
+	snprintf(body, sizeof(body), "body of %s", j->id);
+	if (s->tells_load)
+		snprintf(load, sizeof(load), "Server-Load: %u,0,2,100\r\n",
+			 s->busy + s->running);
+	n = snprintf(text, sizeof(text),
+		     "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%s%s"
+		     "Content-Length: %zu\r\n\r\n%s",
+		     error ? 500 : 200, j->id,
+		     s->script == SCRIPT_UNSEALED ? ""
+						  : "Response-Seal: x.1\r\n",
+		     load, strlen(body), body);
+	http_conn_set_user(c, NULL);
+	if (s->script == SCRIPT_RUN_RESET)
+		http_conn_abort(c);
+	else if (s->script == SCRIPT_RUN_CUT)
+		http_conn_reply_raw(c, (struct lstr){text, (size_t)n - 3},
+				    true);
+	else if (s->script == SCRIPT_RUN_GARBAGE)
+		http_conn_reply_raw(c, LSTR("\x01\x02 no answer\r\n\r\n"),
+				    true);
+	else {
+		struct buf b = {0};
+
+		for (int i = 0; i < copies; i++)
+			buf_add(&b, text, (size_t)n);
+		http_conn_reply_raw(c, buf_lstr(&b), false);
+		buf_free(&b);
+	}
+}
+
+static inline void on_job_done(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct job *j = t->data;
+
+	ev_timer_stop(loop, t);
+	j->server->running--;
+	job_reply(j);
+	g_free(j);
+}
+
+static inline void server_gone(void *priv, struct http_conn *c)
+{
+	struct server *s = priv;
+	struct job *j = http_conn_user(c);
+
+	if (!j)
+		return;
+	ev_timer_stop(s->bench->loop, &j->timer);
+	s->running--;
+	g_free(j);
+}
+
+static inline void server_health(struct server *s, struct http_conn *c)
+{
+	char headers[160];
+
+	snprintf(headers, sizeof(headers), "Instance-Id: %s\r\n", s->id);
+	if (s->tells_load)
+		snprintf(headers + strlen(headers), 80,
+			 "Server-Load: %u,0,2,100\r\n", s->busy + s->running);
+	http_conn_reply(c, &(struct http_reply){.status = 200,
+						.headers = lstr0(headers)});
+}
+
+static inline void server_request(void *priv, struct http_conn *c,
+				  struct http_message *m)
+{
+	struct server *s = priv;
+	struct lstr id = http_find(m, LSTR("Attempt-Id"));
+	struct lstr only = http_find(m, LSTR("Target-Instance"));
+	bool health = lstr_eq(m->target, LSTR("/health"));
+	struct job *j;
+
+	if (health) {
+		http_message_free(m);
+		server_health(s, c);
+		return;
+	}
+	s->received++;
+	if (s->http.nconns > s->connections)
+		s->connections = s->http.nconns;
+	if (s->script == SCRIPT_REFUSE || !lstr_eq(only, lstr0(s->id))) {
+		http_message_free(m);
+		http_conn_reply(
+			c, &(struct http_reply){
+				   .status = 503,
+				   .headers = LSTR("Not-Executed: 1\r\n")});
+		return;
+	}
+	j = g_new0(struct job, 1);
+	j->server = s;
+	j->conn = c;
+	g_snprintf(j->id, sizeof(j->id), "%.*s", (int)id.len, id.ptr);
+	http_message_free(m);
+	g_hash_table_replace(
+		s->bench->ran, g_strdup(j->id),
+		GINT_TO_POINTER(1 + GPOINTER_TO_INT(g_hash_table_lookup(
+					    s->bench->ran, j->id))));
+	s->running++;
+	http_conn_set_user(c, j);
+	ev_timer_init(&j->timer, on_job_done, s->work_ms / 1000.0, 0);
+	j->timer.data = j;
+	if (s->script != SCRIPT_HANG)
+		ev_timer_start(s->bench->loop, &j->timer);
+}
+
+static const struct http_server_ops server_ops = {server_request, server_gone};
+
+static inline struct config *bench_config(void)
+{
+	static const char *const methods[] = {"GET", "POST"};
+	struct config *c = config_new();
+	struct findings f;
+
+	c->version = 1;
+	c->nservices = 1;
+	c->services = arena_alloc(&c->arena, sizeof(*c->services));
+	c->services[0].name = LSTR("harta");
+	c->services[0].health_path = LSTR("/health");
+	c->nroutes = 2;
+	c->routes = arena_alloc(&c->arena, 2 * sizeof(*c->routes));
+	for (int i = 0; i < 2; i++) {
+		struct route *r = &c->routes[i];
+
+		r->name = lstr0(methods[i]);
+		r->host = LSTR("one.example");
+		r->path_prefix = i ? LSTR("/POST/") : LSTR("/GET/");
+		r->idempotent = i == 0;
+		r->timeout_ms = BENCH_TIMEOUT_MS;
+		r->target_ms = BENCH_TARGET_MS;
+		r->max_attempts = 2;
+		r->nparts = 1;
+		r->parts = arena_alloc(&c->arena, sizeof(*r->parts));
+		r->parts[0] = (struct route_part){LSTR("harta"), 1};
+	}
+	findings_init(&f);
+	if (config_finish(c, &f))
+		abort();
+	findings_clear(&f);
+	return c;
+}
+
+static inline void bench_put(struct bench *b, int i, bool draining)
+{
+	struct backend_entry e = {.slots = 2, .draining = draining};
+	char addr[32];
+
+	snprintf(addr, sizeof(addr), "127.0.0.1:%d", BENCH_PORT + i);
+	socket_addr(addr, &e.addr);
+	snprintf(e.id, sizeof(e.id), "i-%d", i);
+	strcpy(e.service, "harta");
+	strcpy(e.dc, "dc-1");
+	backend_set_put(&b->traffic.backends, &e, clock_ms());
+}
+
+static inline void server_open(struct bench *b, int i)
+{
+	struct server *s = &b->servers[i];
+	char addr[32];
+
+	s->bench = b;
+	snprintf(s->id, sizeof(s->id), "i-%d", i);
+	s->work_ms = BENCH_WORK_MS;
+	s->tells_load = true;
+	s->http.head_timeout_s = s->http.idle_timeout_s = 10;
+	snprintf(addr, sizeof(addr), "127.0.0.1:%d", BENCH_PORT + i);
+	if (http_server_open(&s->http, b->loop, addr, &server_ops, s))
+		abort();
+	bench_put(b, i, false);
+}
+
+static inline char *bench_addr(int i)
+{
+	return g_strdup_printf("127.0.0.1:%d", BENCH_PORT + 50 + i);
+}
+
+static inline void bench_mail(void *priv, struct mail *m)
+{
+}
+
+/* Makes a bench with n calm servers. */
+static inline struct bench *bench_new(int n)
+{
+	struct bench *b = g_new0(struct bench, 1);
+	struct instance_settings *s = &b->settings;
+
+	s->name = "e1";
+	s->dc = "dc-1";
+	s->callers = bench_addr(0);
+	s->ready = bench_addr(1);
+	s->directory = bench_addr(2);
+	s->metrics = bench_addr(3);
+	s->bounds = (struct bounds){.grace_s = 6,
+				    .retry_ratio = 0.2,
+				    .retry_slack = 200,
+				    .retry_window_s = 10,
+				    .questions_per_s = 1000};
+	b->fresh_ms = clock_ms();
+	if (traffic_init(&b->traffic, s, NULL, &b->fresh_ms, &b->control))
+		abort();
+	b->loop = b->traffic.loop;
+	b->traffic.budget_rule.instances = 1;
+	b->traffic.ask_rule.instances = 1;
+	b->traffic.config = bench_config();
+	b->ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	b->callers = g_ptr_array_new();
+	b->n = n;
+	for (int i = 0; i < n; i++)
+		server_open(b, i);
+	return b;
+}
+
+static inline void on_bench_timer(struct ev_loop *loop, ev_timer *t, int ev)
+{
+	ev_break(loop, EVBREAK_ALL);
+}
+
+/* Lets everything run for some milliseconds. */
+static inline void bench_run_ms(struct bench *b, int ms)
+{
+	ev_timer t;
+
+	ev_now_update(b->loop);
+	ev_timer_init(&t, on_bench_timer, ms / 1000.0, 0);
+	ev_timer_start(b->loop, &t);
+	ev_run(b->loop, 0);
+	ev_timer_stop(b->loop, &t);
+}
+
+/* Runs until a caller has its answer, or far too long. */
+static inline void bench_run_until(struct bench *b, struct caller *c)
+{
+	for (int i = 0; i < 2000 && c->open; i++)
+		bench_run_ms(b, 1);
+}
+
+static inline enum http_verdict caller_judge(void *priv,
+					     const struct http_message *m)
+{
+	return HTTP_TAKE;
+}
+
+static inline void caller_response(void *priv, struct http_message *m)
+{
+	struct caller *c = priv;
+	struct lstr after = http_find(m, LSTR("Retry-After"));
+
+	c->status = m->status;
+	if (after.ptr)
+		c->retry_after = g_ascii_strtod(after.ptr, NULL);
+	g_snprintf(c->body, sizeof(c->body), "%.*s", (int)m->body.len,
+		   m->body.ptr);
+	http_message_free(m);
+	http_client_close(&c->http);
+	c->open = false;
+}
+
+static inline void caller_failed(void *priv, int err, bool sent)
+{
+	struct caller *c = priv;
+
+	c->open = false;
+}
+
+static const struct http_client_ops caller_ops = {caller_judge, caller_response,
+						  caller_failed};
+
+static inline struct caller *bench_call_path(struct bench *b,
+					     const char *method,
+					     const char *path, int limit_ms)
+{
+	struct caller *c = g_new0(struct caller, 1);
+	struct http_limits none = {0, 0};
+	struct sockaddr_in sa;
+	struct buf q = {0};
+
+	c->bench = b;
+	c->method = method;
+	snprintf(c->id, sizeof(c->id), "call-%u", b->ids++);
+	g_ptr_array_add(b->callers, c);
+	socket_addr(b->settings.callers, &sa);
+	if (http_client_open(&c->http, b->loop, &sa, 1, none, &caller_ops, c))
+		abort();
+	buf_printf(&q,
+		   "%s %s HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: %s\r\n"
+		   "Deadline-Remaining-Ms: %d\r\nContent-Length: 0\r\n\r\n",
+		   method, path, c->id, limit_ms);
+	c->open = true;
+	http_client_send(&c->http, buf_lstr(&q), 10, false);
+	buf_free(&q);
+	return c;
+}
+
+static inline struct caller *bench_call(struct bench *b, const char *method,
+					int limit_ms)
+{
+	return bench_call_path(b, method,
+			       strcmp(method, "GET") ? "/POST/x" : "/GET/x",
+			       limit_ms);
+}
+
+static inline void caller_leave(struct caller *c)
+{
+	c->left = true;
+	c->open = false;
+	http_client_close(&c->http);
+}
+
+static inline bool caller_has_own_body(const struct caller *c)
+{
+	char want[64];
+
+	snprintf(want, sizeof(want), "body of %s", c->id);
+	return !strcmp(c->body, want);
+}
+
+static inline unsigned bench_runs(const struct bench *b, const struct caller *c)
+{
+	return GPOINTER_TO_UINT(g_hash_table_lookup(b->ran, c->id));
+}
+
+static inline void bench_script(struct bench *b, int i, enum script script)
+{
+	b->servers[i].script = script;
+}
+
+static inline void bench_drain(struct bench *b, int i)
+{
+	bench_put(b, i, true);
+}
+
+static inline void bench_kill(struct bench *b, int i)
+{
+	b->servers[i].dead = true;
+	http_server_close(&b->servers[i].http);
+}
+
+static inline void bench_free(struct bench *b)
+{
+	for (guint i = 0; i < b->callers->len; i++) {
+		struct caller *c = b->callers->pdata[i];
+
+		http_client_close(&c->http);
+	}
+	bench_run_ms(b, 20);
+	for (int i = 0; i < b->n; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "i-%d", i);
+		backend_set_remove(&b->traffic.backends, id);
+	}
+	bench_run_ms(b, 100);
+	for (int i = 0; i < b->n; i++) {
+		if (!b->servers[i].dead)
+			http_server_close(&b->servers[i].http);
+	}
+	http_server_close(&b->traffic.front);
+	http_server_close(&b->traffic.ready);
+	http_server_close(&b->traffic.directory);
+	http_server_close(&b->traffic.metrics);
+	ev_loop_destroy(b->loop);
+	g_ptr_array_unref(b->callers);
+	g_hash_table_unref(b->ran);
+	g_free(b);
+}
+
+#endif
--- /dev/null
+++ b/tests/test_ask_budget.c
@@ -0,0 +1,61 @@
+/* Tests of core/ask_budget: the rate of questions of all instances. */
+#include "tests/unit.h"
+
+#include "core/ask_budget.h"
+
+enum { INSTANCES = 16, SERVERS = 31 };
+
+static const struct ask_rule rule = {.per_server_s = 60,
+				     .instances = INSTANCES};
+
+/* Everybody asks as much as it can: the day's mean stays under the rate. */
+static void test_rate(void **state)
+{
+	struct ask_budget b[INSTANCES];
+	double asked = 0;
+
+	memset(b, 0, sizeof(b));
+	for (int ms = 1; ms <= 40000; ms++) {
+		for (int i = 0; i < INSTANCES; i++)
+			asked += ask_budget_take(&b[i], &rule, SERVERS, 5, 1,
+						 ms);
+	}
+	assert_true(asked / 40 / SERVERS < 60);
+	assert_true(asked / 40 / SERVERS > 30);
+}
+
+/* A request's first question goes ahead when the others have to wait. */
+static void test_first_question(void **state)
+{
+	struct ask_budget b = {0};
+	unsigned n = 0;
+
+	while (ask_budget_take(&b, &rule, SERVERS, 5, 0, 1) == 5)
+		n++;
+	assert_true(n > 10);
+	assert_int_equal(ask_budget_take(&b, &rule, SERVERS, 3, 0, 1), 0);
+	assert_int_equal(ask_budget_take(&b, &rule, SERVERS, 3, 1, 1), 1);
+	/* But not without end. */
+	for (int i = 0; i < 1000; i++)
+		ask_budget_take(&b, &rule, SERVERS, 3, 1, 1);
+	assert_int_equal(ask_budget_take(&b, &rule, SERVERS, 3, 1, 1), 0);
+	assert_int_equal(ask_budget_take(&b, &rule, SERVERS, 3, 1, 5000), 3);
+}
+
+static void test_no_servers(void **state)
+{
+	struct ask_budget b = {0};
+
+	assert_int_equal(ask_budget_take(&b, &rule, 0, 3, 1, 1), 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_rate),
+		cmocka_unit_test(test_first_question),
+		cmocka_unit_test(test_no_servers),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_backend_list.c
@@ -0,0 +1,343 @@
+/*
+ * Tests of control/backend_list: records, feeds with gaps and repeats, the
+ * time in which lapsed entries may come back, who reads when; and seeded
+ * histories in which instances that read or are fed end with one list.
+ */
+#include "tests/unit.h"
+
+#include "control/backend_list.h"
+
+struct seen {
+	GHashTable *ids; /* id -> "ready" or "draining" */
+};
+
+static void on_change(void *priv, const struct backend_change *c)
+{
+	struct seen *s = priv;
+
+	if (c->removed)
+		g_hash_table_remove(s->ids, c->entry.id);
+	else
+		g_hash_table_replace(s->ids, g_strdup(c->entry.id),
+				     c->entry.draining ? "draining" : "ready");
+}
+
+static void init(struct backend_list *l, struct seen *s)
+{
+	s->ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	backend_list_init(l, on_change, s);
+}
+
+static struct backend_change change(uint64_t offset, const char *id,
+				    const char *what)
+{
+	struct backend_change c = {.offset = offset};
+
+	g_strlcpy(c.entry.id, id, sizeof(c.entry.id));
+	g_strlcpy(c.entry.service, "harta", sizeof(c.entry.service));
+	c.removed = !strcmp(what, "gone");
+	c.entry.draining = !strcmp(what, "draining");
+	return c;
+}
+
+static void record(struct backend_list *l, uint64_t offset, const char *id,
+		   const char *what, int64_t now)
+{
+	struct backend_change c = change(offset, id, what);
+
+	backend_list_record(l, &c, now);
+}
+
+static void list_anew(struct backend_list *l, uint64_t end, int64_t now)
+{
+	backend_list_replace_begin(l, now);
+	backend_list_replace_end(l, end, now, now);
+}
+
+static const char *state_of(const struct seen *s, const char *id)
+{
+	const char *what = g_hash_table_lookup(s->ids, id);
+
+	return what ? what : "gone";
+}
+
+static void test_records(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	init(&l, &s);
+	list_anew(&l, 10, 1000);
+	record(&l, 10, "a", "ready", 1000);
+	assert_string_equal(state_of(&s, "a"), "ready");
+	record(&l, 11, "a", "draining", 1000);
+	assert_string_equal(state_of(&s, "a"), "draining");
+	/* An older record of the same entry is passed over. */
+	record(&l, 9, "a", "ready", 1000);
+	assert_string_equal(state_of(&s, "a"), "draining");
+	record(&l, 12, "a", "gone", 1000);
+	assert_string_equal(state_of(&s, "a"), "gone");
+}
+
+/* Entries that lapsed while the store was away have two seconds. */
+static void test_lapsed_come_back(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	init(&l, &s);
+	list_anew(&l, 0, 1000);
+	record(&l, 0, "a", "ready", 1000);
+	record(&l, 1, "b", "ready", 1000);
+	backend_list_caught_up(&l, 2, 1000, 1000);
+	/* The store is away from 1 s to 8 s; both leases run out. */
+	backend_list_read_begin(&l, 8000);
+	record(&l, 2, "a", "gone", 8000);
+	record(&l, 3, "b", "gone", 8000);
+	backend_list_caught_up(&l, 4, 8000, 8000);
+	assert_string_equal(state_of(&s, "a"), "ready");
+	record(&l, 4, "a", "ready", 9000);
+	backend_list_caught_up(&l, 5, 9000, 9000);
+	backend_list_settle(&l, 9900);
+	assert_string_equal(state_of(&s, "b"), "ready");
+	backend_list_settle(&l, 10300);
+	assert_string_equal(state_of(&s, "a"), "ready");
+	assert_string_equal(state_of(&s, "b"), "gone");
+	/* Draining is taken in at once even then. */
+	backend_list_read_begin(&l, 20000);
+	record(&l, 5, "a", "draining", 20000);
+	assert_string_equal(state_of(&s, "a"), "draining");
+}
+
+/* In quiet times a removal counts at once. */
+static void test_removed_at_once(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	init(&l, &s);
+	list_anew(&l, 0, 1000);
+	record(&l, 0, "a", "ready", 1000);
+	backend_list_caught_up(&l, 1, 1000, 1000);
+	backend_list_read_begin(&l, 1500);
+	record(&l, 1, "a", "gone", 1500);
+	assert_string_equal(state_of(&s, "a"), "gone");
+}
+
+static void feed_to(struct backend_list *from, struct backend_list *to,
+		    bool expect, int64_t now)
+{
+	struct backend_feed f;
+
+	backend_list_outline(from, &f, now);
+	assert_int_equal(backend_list_feed(to, &f, now), expect);
+}
+
+static void test_feed_and_gap(void **state)
+{
+	struct backend_list reader, fed;
+	struct seen rs, fs;
+
+	init(&reader, &rs);
+	init(&fed, &fs);
+	list_anew(&reader, 0, 1000);
+	/* One that knows nothing must list by itself. */
+	feed_to(&reader, &fed, false, 1000);
+	list_anew(&fed, 0, 1000);
+	record(&reader, 0, "a", "ready", 1400);
+	backend_list_caught_up(&reader, 5, 1400, 1400);
+	feed_to(&reader, &fed, true, 1450);
+	assert_string_equal(state_of(&fs, "a"), "ready");
+	assert_int_equal(fed.offset, 5);
+	assert_int_equal(fed.fresh_ms, 1400);
+	/* The next feed is lost; the one after it still covers both. */
+	record(&reader, 5, "b", "ready", 1900);
+	backend_list_caught_up(&reader, 9, 1900, 1900);
+	record(&reader, 9, "a", "draining", 2400);
+	backend_list_caught_up(&reader, 12, 2400, 2400);
+	feed_to(&reader, &fed, true, 2400);
+	assert_string_equal(state_of(&fs, "b"), "ready");
+	assert_string_equal(state_of(&fs, "a"), "draining");
+	/* A feed that comes twice or late changes nothing. */
+	feed_to(&reader, &fed, true, 2410);
+	/* After a long silence the covered changes are too new. */
+	record(&reader, 12, "c", "ready", 2900);
+	backend_list_caught_up(&reader, 14, 2900, 2900);
+	backend_list_caught_up(&reader, 30, 6000, 6000);
+	feed_to(&reader, &fed, false, 6000);
+	assert_string_equal(state_of(&fs, "c"), "gone");
+}
+
+/*
+ * Removals that a reader holds back reach its peers as held back, whether
+ * the entry returns or not.
+ */
+static void test_settling_is_fed(void **state)
+{
+	struct backend_list reader, fed;
+	struct seen rs, fs;
+
+	init(&reader, &rs);
+	init(&fed, &fs);
+	list_anew(&reader, 0, 1000);
+	list_anew(&fed, 0, 1000);
+	record(&reader, 0, "a", "ready", 1000);
+	record(&reader, 1, "b", "ready", 1000);
+	backend_list_caught_up(&reader, 2, 1000, 1000);
+	feed_to(&reader, &fed, true, 1000);
+	backend_list_read_begin(&reader, 9000);
+	record(&reader, 2, "a", "gone", 9000);
+	record(&reader, 3, "b", "gone", 9000);
+	backend_list_caught_up(&reader, 4, 9000, 9000);
+	/* The fed one heard of the outage by nothing else. */
+	fed.fresh_ms = 8900;
+	feed_to(&reader, &fed, true, 9010);
+	assert_string_equal(state_of(&fs, "a"), "ready");
+	record(&reader, 4, "b", "ready", 10000);
+	backend_list_caught_up(&reader, 5, 10000, 10000);
+	feed_to(&reader, &fed, true, 10010);
+	backend_list_settle(&fed, 11300);
+	backend_list_settle(&reader, 11300);
+	assert_string_equal(state_of(&fs, "a"), "gone");
+	assert_string_equal(state_of(&fs, "b"), "ready");
+	assert_string_equal(state_of(&rs, "a"), "gone");
+	assert_string_equal(state_of(&rs, "b"), "ready");
+}
+
+static void test_read_due(void **state)
+{
+	/* The first reads twice a second; others when nobody did. */
+	assert_in_range(backend_read_due(0, 1000, 0, 0), 1400, 1500);
+	int64_t last = 0;
+
+	for (unsigned rank = 1; rank < 600; rank++) {
+		int64_t due = backend_read_due(rank, 1000, 0, 0);
+
+		assert_true(due >= last && due > 1500);
+		/* Room to read and act within two seconds. */
+		assert_true(due <= 2400);
+		last = due;
+	}
+	/* Failures: later, but within a second. */
+	assert_in_range(backend_read_due(0, 0, 5000, 1), 5100, 5300);
+	assert_in_range(backend_read_due(0, 0, 5000, 50), 5500, 6000);
+}
+
+enum { HISTORIES = 60, STEPS = 400, INSTANCES = 4, IDS = 6 };
+
+/* The log of a seeded history and the instances that follow it. */
+struct world {
+	GArray *log; /* struct backend_change, at its offset */
+	struct backend_list lists[INSTANCES];
+	struct seen seen[INSTANCES];
+	GRand *rand;
+	int64_t now;
+};
+
+static void world_write(struct world *w)
+{
+	static const char *const what[] = {"ready", "draining", "gone"};
+	char id[8];
+	struct backend_change c;
+
+	g_snprintf(id, sizeof(id), "i-%d", g_rand_int_range(w->rand, 0, IDS));
+	c = change(w->log->len, id, what[g_rand_int_range(w->rand, 0, 3)]);
+	g_array_append_val(w->log, c);
+}
+
+/* Instance i reads from the log and feeds the others; datagrams get lost. */
+static void world_read(struct world *w, int i)
+{
+	struct backend_list *l = &w->lists[i];
+	struct backend_feed f;
+
+	backend_list_read_begin(l, w->now);
+	for (guint k = (guint)l->offset; k < w->log->len; k++)
+		backend_list_record(
+			l, &g_array_index(w->log, struct backend_change, k),
+			w->now);
+	backend_list_caught_up(l, w->log->len, w->now, w->now);
+	for (int k = 0; k < INSTANCES; k++) {
+		if (k == i || g_rand_int_range(w->rand, 0, 4) == 0)
+			continue;
+		backend_list_outline(l, &f, w->now);
+		/* A gap is made good by the instance's own read, later. */
+		(void)backend_list_feed(&w->lists[k], &f, w->now);
+	}
+}
+
+static void run_history(guint32 seed)
+{
+	struct world w = {.rand = g_rand_new_with_seed(seed), .now = 1000};
+
+	w.log = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	for (int i = 0; i < INSTANCES; i++) {
+		init(&w.lists[i], &w.seen[i]);
+		list_anew(&w.lists[i], 0, w.now);
+	}
+	for (int i = 0; i < STEPS; i++) {
+		w.now += g_rand_int_range(w.rand, 1, 300);
+		if (g_rand_int_range(w.rand, 0, 40) == 0)
+			w.now += 5000; /* the store was away */
+		if (g_rand_int_range(w.rand, 0, 3))
+			world_write(&w);
+		else
+			world_read(&w, g_rand_int_range(w.rand, 0, INSTANCES));
+		for (int k = 0; k < INSTANCES; k++)
+			backend_list_settle(&w.lists[k], w.now);
+	}
+	for (int i = 0; i < INSTANCES; i++)
+		world_read(&w, i);
+	w.now += 5000;
+	for (int k = 0; k < IDS; k++) {
+		char id[8];
+		const char *truth = "gone";
+
+		g_snprintf(id, sizeof(id), "i-%d", k);
+		for (guint n = 0; n < w.log->len; n++) {
+			const struct backend_change *c =
+				&g_array_index(w.log, struct backend_change, n);
+
+			if (!strcmp(c->entry.id, id))
+				truth = c->removed	    ? "gone"
+					: c->entry.draining ? "draining"
+							    : "ready";
+		}
+		for (int i = 0; i < INSTANCES; i++) {
+			backend_list_settle(&w.lists[i], w.now);
+			if (strcmp(state_of(&w.seen[i], id), truth))
+				fail_msg("seed %u: instance %d has %s %s, "
+					 "the log %s",
+					 seed, i, id, state_of(&w.seen[i], id),
+					 truth);
+		}
+	}
+	g_rand_free(w.rand);
+	g_array_unref(w.log);
+}
+
+static void test_histories(void **state)
+{
+	const char *env = g_getenv("MP_SEED");
+	guint32 seed =
+		env ? (guint32)g_ascii_strtoull(env, NULL, 10) : 20261202;
+
+	print_message("seed %u\n", seed);
+	for (guint32 i = 0; i < HISTORIES; i++)
+		run_history(seed + i);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_records),
+		cmocka_unit_test(test_lapsed_come_back),
+		cmocka_unit_test(test_removed_at_once),
+		cmocka_unit_test(test_feed_and_gap),
+		cmocka_unit_test(test_settling_is_fed),
+		cmocka_unit_test(test_read_due),
+		cmocka_unit_test(test_histories),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_exchange.c
@@ -0,0 +1,151 @@
+/* Tests of platform/exchange: what stands on the wire, both ways. */
+#include "tests/unit.h"
+
+#include <glib.h>
+
+#include "platform/exchange.h"
+
+static struct http_message *message(enum http_parser_type type,
+				    const char *text)
+{
+	struct http_limits none = {0, 0};
+	struct http_reader r;
+
+	http_reader_init(&r, type, none);
+	assert_int_equal(http_reader_feed(&r, text, strlen(text)),
+			 strlen(text));
+	assert_true(r.msg->done);
+	return http_reader_take(&r);
+}
+
+static void test_call(void **state)
+{
+	struct http_message *m =
+		message(HTTP_REQUEST, "GET /x HTTP/1.1\r\nHost: one.example\r\n"
+				      "Attempt-Id: abc\r\n"
+				      "Deadline-Remaining-Ms: 1200\r\n\r\n");
+	struct call_info c;
+
+	exchange_read_call(m, &c);
+	assert_true(lstr_eq(c.id, LSTR("abc")));
+	assert_true(lstr_eq(c.host, LSTR("one.example")));
+	assert_true(c.has_time_left);
+	assert_int_equal(c.time_left_ms, 1200);
+	http_message_free(m);
+	m = message(HTTP_REQUEST, "GET /x HTTP/1.1\r\nHost: one.example\r\n"
+				  "Deadline-Remaining-Ms: soon\r\n\r\n");
+	exchange_read_call(m, &c);
+	assert_int_equal(c.id.len, 0);
+	assert_false(c.has_time_left);
+	http_message_free(m);
+}
+
+/* A server gets what the caller sent, but for what is the instance's. */
+static void test_request(void **state)
+{
+	struct http_message *m = message(
+		HTTP_REQUEST,
+		"POST /x?q=1 HTTP/1.1\r\nHost: one.example\r\n"
+		"Attempt-Id: abc\r\nX-Mine: 1\r\nX-Hop: 2\r\n"
+		"Connection: keep-alive, X-Hop\r\nKeep-Alive: timeout=5\r\n"
+		"Target-Instance: forged\r\nDeadline-Remaining-Ms: 9999\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+	struct backend b = {0};
+	struct call_info c;
+	struct buf out = {0};
+	char *text;
+
+	g_strlcpy(b.entry.id, "i-1", sizeof(b.entry.id));
+	exchange_read_call(m, &c);
+	exchange_write_request(&out, m, &c, &b, 700);
+	text = g_strndup(out.ptr, out.len);
+	assert_true(g_str_has_prefix(text, "POST /x?q=1 HTTP/1.1\r\n"));
+	assert_true(g_str_has_suffix(text, "\r\n\r\nabc"));
+	assert_non_null(strstr(text, "\r\nAttempt-Id: abc\r\n"));
+	assert_non_null(strstr(text, "\r\nX-Mine: 1\r\n"));
+	assert_non_null(strstr(text, "\r\nTarget-Instance: i-1\r\n"));
+	assert_non_null(strstr(text, "\r\nDeadline-Remaining-Ms: 700\r\n"));
+	assert_non_null(strstr(text, "\r\nContent-Length: 3\r\n"));
+	assert_null(strstr(text, "forged"));
+	assert_null(strstr(text, "9999"));
+	assert_null(strstr(text, "X-Hop"));
+	assert_null(strstr(text, "chunked"));
+	assert_null(strstr(text, "Keep-Alive"));
+	g_free(text);
+	buf_free(&out);
+	http_message_free(m);
+}
+
+static void test_answer(void **state)
+{
+	struct http_message *m = message(
+		HTTP_RESPONSE,
+		"HTTP/1.1 200 OK\r\nAttempt-Id: abc\r\nResponse-Seal: s.1\r\n"
+		"Server-Load: 3,1,8,400\r\nInstance-Id: i-1\r\nX-Its: own\r\n"
+		"Keep-Alive: timeout=5\r\nContent-Length: 2\r\n\r\nok");
+	struct answer_info a;
+	struct buf out = {0};
+	char *text;
+
+	exchange_read_answer(m, &a);
+	assert_true(a.sealed && a.has_load && !a.not_run);
+	assert_int_equal(a.load.running, 3);
+	assert_int_equal(a.load.waiting, 1);
+	assert_int_equal(a.load.slots, 8);
+	assert_int_equal(a.load.slowdown_pct, 400);
+	assert_true(lstr_eq(a.backend, LSTR("i-1")));
+	assert_true(exchange_is_for(&a, LSTR("abc")));
+	assert_false(exchange_is_for(&a, LSTR("abd")));
+	exchange_write_answer_headers(&out, m);
+	text = g_strndup(out.ptr, out.len);
+	assert_non_null(strstr(text, "Response-Seal: s.1\r\n"));
+	assert_non_null(strstr(text, "X-Its: own\r\n"));
+	assert_null(strstr(text, "Keep-Alive"));
+	assert_null(strstr(text, "Content-Length"));
+	g_free(text);
+	buf_free(&out);
+	http_message_free(m);
+}
+
+/* Only an answer that says "not run" may come without an id. */
+static void test_answers_without_id(void **state)
+{
+	struct answer_info a;
+	struct http_message *m =
+		message(HTTP_RESPONSE, "HTTP/1.1 503 No\r\nNot-Executed: 1\r\n"
+				       "Content-Length: 0\r\n\r\n");
+
+	exchange_read_answer(m, &a);
+	assert_true(a.not_run);
+	assert_true(exchange_is_for(&a, LSTR("abc")));
+	http_message_free(m);
+	m = message(HTTP_RESPONSE,
+		    "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n");
+	exchange_read_answer(m, &a);
+	assert_true(a.not_run);
+	http_message_free(m);
+	m = message(HTTP_RESPONSE,
+		    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	exchange_read_answer(m, &a);
+	assert_false(exchange_is_for(&a, LSTR("abc")));
+	http_message_free(m);
+	/* Load without the fourth figure: usual speed. */
+	m = message(HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nServer-Load: 1,0,2\r\n"
+				   "Content-Length: 0\r\n\r\n");
+	exchange_read_answer(m, &a);
+	assert_true(a.has_load);
+	assert_int_equal(a.load.slowdown_pct, 100);
+	http_message_free(m);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_call),
+		cmocka_unit_test(test_request),
+		cmocka_unit_test(test_answer),
+		cmocka_unit_test(test_answers_without_id),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_head.c
@@ -0,0 +1,88 @@
+/* Tests of http/head: what two readers could take differently is refused. */
+#include "tests/unit.h"
+
+#include <errno.h>
+
+#include "http/head.h"
+
+static int check(const char *text)
+{
+	size_t n = strlen(text);
+	ptrdiff_t end = head_find_end(text, n, 0);
+
+	if (end < 0)
+		return (int)end;
+	assert_int_equal(end, n);
+	return head_check(text, n);
+}
+
+static void test_proper_heads(void **state)
+{
+	assert_int_equal(check("GET / HTTP/1.1\r\n\r\n"), 0);
+	assert_int_equal(check("GET /a?b=c HTTP/1.1\r\nHost: x\r\n\r\n"), 0);
+	assert_int_equal(check("POST / HTTP/1.1\r\nHost: x\r\n"
+			       "Content-Length: 3\r\nX-A:\tb \r\n\r\n"),
+			 0);
+	assert_int_equal(check("POST / HTTP/1.1\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n"),
+			 0);
+	/* Other headers may stand twice. */
+	assert_int_equal(check("GET / HTTP/1.1\r\nA: 1\r\nA: 2\r\n\r\n"), 0);
+}
+
+static void test_smuggling(void **state)
+{
+	static const char *const bad[] = {
+		"GET / HTTP/1.1\nHost: x\n\n",
+		"GET / HTTP/1.1\r\nHost: x\n\r\n",
+		"GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+		"GET / HTTP/1.1\r\n Host: x\r\n\r\n",
+		"GET / HTTP/1.1\r\nA: b\r\n folded\r\n\r\n",
+		"GET / HTTP/1.1\r\n: b\r\n\r\n",
+		"GET / HTTP/1.1\r\nno colon\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\nhost: b\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		"content-length: 4\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		"Content-Length: 3\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+		"Transfer-Encoding: identity\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+		"Transfer-Encoding: chunked\r\n\r\n",
+		"GET / HTTP/1.1\r\nA: b\x01c\r\n\r\n",
+		"GET /\x01 HTTP/1.1\r\n\r\n",
+		"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		if (check(bad[i]) != -EPROTO)
+			fail_msg("accepted: %s", bad[i]);
+	}
+}
+
+/* Bytes that come one by one are found complete at the same place. */
+static void test_in_pieces(void **state)
+{
+	const char *text = "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET";
+	size_t whole = strlen(text) - 3;
+
+	for (size_t n = 1; n <= strlen(text); n++) {
+		ptrdiff_t end = head_find_end(text, n, n > 1 ? n - 1 : 0);
+
+		if (n < whole)
+			assert_int_equal(end, 0);
+		if (n == whole)
+			assert_int_equal(end, whole);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_proper_heads),
+		cmocka_unit_test(test_smuggling),
+		cmocka_unit_test(test_in_pieces),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_message.c
@@ -0,0 +1,178 @@
+/* Tests of http/message: framing, limits, and what ended early. */
+#include "tests/unit.h"
+
+#include <errno.h>
+
+#include <glib.h>
+
+#include "http/message.h"
+
+static const struct http_limits no_limits = {0, 0};
+
+/* Feeds text in pieces of `step` bytes; returns bytes taken or -errno. */
+static ssize_t feed(struct http_reader *r, const char *text, size_t step)
+{
+	size_t n = strlen(text), at = 0;
+
+	while (at < n && !(r->msg && r->msg->done)) {
+		size_t piece = n - at < step ? n - at : step;
+		ssize_t used = http_reader_feed(r, text + at, piece);
+
+		if (used < 0)
+			return used;
+		at += (size_t)used;
+	}
+	return (ssize_t)at;
+}
+
+static void test_pieces(void **state)
+{
+	const char *text = "HTTP/1.1 200 OK\r\nX-Name: some value\r\n"
+			   "Content-Length: 5\r\n\r\nhello";
+
+	for (size_t step = 1; step < strlen(text); step++) {
+		struct http_reader r;
+
+		http_reader_init(&r, HTTP_RESPONSE, no_limits);
+		assert_int_equal(feed(&r, text, step), strlen(text));
+		struct http_message *m = http_reader_take(&r);
+
+		assert_true(m->done && m->keep_alive);
+		assert_int_equal(m->status, 200);
+		assert_true(lstr_eq(http_find(m, LSTR("x-name")),
+				    LSTR("some value")));
+		assert_true(lstr_eq(buf_lstr(&m->body), LSTR("hello")));
+		http_message_free(m);
+		http_reader_free(&r);
+	}
+}
+
+/* What follows a message stays with the caller. */
+static void test_stops_at_end(void **state)
+{
+	const char *one = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	struct http_reader r;
+	char *two = g_strconcat(one, one, NULL);
+
+	http_reader_init(&r, HTTP_RESPONSE, no_limits);
+	assert_int_equal(http_reader_feed(&r, two, strlen(two)), strlen(one));
+	http_message_free(http_reader_take(&r));
+	assert_int_equal(http_reader_feed(&r, two + strlen(one), strlen(one)),
+			 strlen(one));
+	http_reader_free(&r);
+	g_free(two);
+}
+
+static void test_chunked(void **state)
+{
+	const char *text = "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked"
+			   "\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\nT: 1\r\n\r\n";
+	struct http_reader r;
+
+	http_reader_init(&r, HTTP_REQUEST, no_limits);
+	assert_int_equal(feed(&r, text, 3), strlen(text));
+	assert_true(lstr_eq(buf_lstr(&r.msg->body), LSTR("abcde")));
+	assert_true(lstr_eq(r.msg->target, LSTR("/x")));
+	/* Trailers don't become headers. */
+	assert_null(http_find(r.msg, LSTR("t")).ptr);
+	http_reader_free(&r);
+}
+
+/* A close ends a response without a length, and no other. */
+static void test_close_delimited(void **state)
+{
+	struct http_reader r;
+
+	http_reader_init(&r, HTTP_RESPONSE, no_limits);
+	feed(&r, "HTTP/1.1 200 OK\r\n\r\nsome bytes", 100);
+	assert_false(r.msg->done);
+	assert_int_equal(http_reader_eof(&r), 0);
+	assert_true(r.msg->done);
+	assert_false(r.msg->keep_alive);
+	http_reader_free(&r);
+
+	static const char *const cut[] = {
+		"",
+		"HTTP/1.1 2",
+		"HTTP/1.1 200 OK
+			A : b ",
+			      "HTTP/1.1 200 OK
+			Content -
+			Length : 5
+
+			hell ",
+			     "HTTP/1.1 200 OK
+			Transfer -
+			Encoding : chunked
+
+			5 x ",
+	};
+
+	for (size_t i = 0; i < sizeof(cut) / sizeof(*cut); i++) {
+		http_reader_init(&r, HTTP_RESPONSE, no_limits);
+		feed(&r, cut[i], 100);
+		assert_int_equal(http_reader_eof(&r), -EPROTO);
+		http_reader_free(&r);
+	}
+}
+
+static void test_not_a_message(void **state)
+{
+	struct http_reader r;
+
+	http_reader_init(&r, HTTP_RESPONSE, no_limits);
+	assert_int_equal(feed(&r, "\x01\x02garbage\r\n\r\n", 100), -EPROTO);
+	http_reader_free(&r);
+}
+
+static void test_limits(void **state)
+{
+	struct http_limits limits = {.body_max = 4};
+	struct http_reader r;
+
+	http_reader_init(&r, HTTP_REQUEST, limits);
+	assert_int_equal(feed(&r,
+			      "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\n"
+			      "hello",
+			      100),
+			 -EFBIG);
+	http_reader_free(&r);
+	http_reader_init(&r, HTTP_REQUEST, limits);
+	assert_int_equal(feed(&r,
+			      "POST / HTTP/1.1\r\n"
+			      "Transfer-Encoding: chunked\r\n\r\n"
+			      "3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n",
+			      100),
+			 -EFBIG);
+	http_reader_free(&r);
+}
+
+static void test_hop_by_hop(void **state)
+{
+	const char *text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\n"
+			   "X-Mine: 1\r\nX-Other: 2\r\n\r\n";
+	struct http_reader r;
+
+	http_reader_init(&r, HTTP_REQUEST, no_limits);
+	feed(&r, text, 100);
+	assert_true(http_is_hop_by_hop(r.msg, LSTR("x-mine")));
+	assert_true(http_is_hop_by_hop(r.msg, LSTR("Keep-Alive")));
+	assert_true(http_is_hop_by_hop(r.msg, LSTR("Content-Length")));
+	assert_false(http_is_hop_by_hop(r.msg, LSTR("X-Other")));
+	http_reader_free(&r);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_pieces),
+		cmocka_unit_test(test_stops_at_end),
+		cmocka_unit_test(test_chunked),
+		cmocka_unit_test(test_close_delimited),
+		cmocka_unit_test(test_not_a_message),
+		cmocka_unit_test(test_limits),
+		cmocka_unit_test(test_hop_by_hop),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_peers.c
@@ -0,0 +1,186 @@
+/* Tests of member/peers and member/gossip. */
+#include "tests/unit.h"
+
+#include "member/gossip.h"
+#include "member/peers.h"
+
+static struct peer_info info(const char *name, uint64_t boot)
+{
+	struct peer_info p = {.boot = boot, .config_offset = 7};
+
+	g_strlcpy(p.name, name, sizeof(p.name));
+	g_strlcpy(p.dc, "dc-1", sizeof(p.dc));
+	g_snprintf(p.callers, sizeof(p.callers), "10.0.0.%s:80", name + 1);
+	p.addr.sin_family = AF_INET;
+	p.addr.sin_port = htons(7200);
+	p.addr.sin_addr.s_addr = htonl(0x0a000001);
+	return p;
+}
+
+static void hear(struct peer_table *t, const char *name, int64_t now)
+{
+	struct peer_info p = info(name, 1);
+
+	peers_heard(t, &p, now);
+}
+
+static void test_rank_and_take_over(void **state)
+{
+	struct peer_info self = info("e3", 1), stopping;
+	struct peer_table t;
+
+	peers_init(&t, &self);
+	assert_int_equal(peers_rank(&t, 1000), 0);
+	hear(&t, "e1", 1000);
+	hear(&t, "e2", 1000);
+	hear(&t, "e4", 1000);
+	assert_int_equal(peers_rank(&t, 1000), 2);
+	/* e1 falls silent. */
+	hear(&t, "e2", 3000);
+	assert_int_equal(peers_rank(&t, 3000), 1);
+	/* e2 stops as planned. */
+	stopping = info("e2", 1);
+	stopping.leaving = true;
+	peers_heard(&t, &stopping, 3100);
+	assert_int_equal(peers_rank(&t, 3100), 0);
+}
+
+static void test_for_callers(void **state)
+{
+	struct peer_info self = info("e3", 1), stopping = info("e1", 1);
+	struct peer_brief out[PEERS_FOR_CALLERS];
+	struct peer_table t;
+
+	peers_init(&t, &self);
+	hear(&t, "e1", 1000);
+	hear(&t, "e2", 1000);
+	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 3);
+	assert_string_equal(out[0].callers, "10.0.0.3:80");
+	assert_int_equal(peers_for_callers(&t, 1000, out, 2), 2);
+	stopping.leaving = true;
+	peers_heard(&t, &stopping, 1100);
+	assert_int_equal(peers_for_callers(&t, 1200, out, 64), 2);
+	/* A dead one leaves the list within two seconds. */
+	hear(&t, "e1", 2900);
+	assert_int_equal(peers_for_callers(&t, 3000, out, 64), 2);
+	assert_string_equal(out[1].name, "e1");
+	/* Whoever hears nobody is cut off: all it knows are named. */
+	assert_int_equal(peers_for_callers(&t, 9000, out, 64), 3);
+	/* One that stops names the others only. */
+	t.self.leaving = true;
+	hear(&t, "e1", 9000);
+	assert_int_equal(peers_for_callers(&t, 9000, out, 64), 2);
+}
+
+static void test_fresh_is_told(void **state)
+{
+	struct peer_info self = info("e3", 1), p = info("e1", 1);
+	struct peer_table t;
+
+	peers_init(&t, &self);
+	assert_true(peers_heard(&t, &p, 1000));
+	assert_false(peers_heard(&t, &p, 1500));
+	p.boot = 2;
+	assert_true(peers_heard(&t, &p, 1600));
+	assert_true(peers_heard(&t, &p, 9000));
+	/* Its own datagrams don't make it a peer of itself. */
+	assert_false(peers_heard(&t, &self, 9000));
+	assert_int_equal(peers_count(&t, 9000), 2);
+	assert_int_equal(peers_count(&t, 90000), 1);
+}
+
+static void fill_changes(GArray *a, int n)
+{
+	for (int i = 0; i < n; i++) {
+		struct backend_change c = {.offset = 100 + (uint64_t)i,
+					   .removed = i % 3 == 2};
+
+		g_snprintf(c.entry.id, sizeof(c.entry.id), "i-%d", i);
+		if (!c.removed) {
+			g_strlcpy(c.entry.service, "harta", BACKEND_NAME_MAX);
+			g_strlcpy(c.entry.dc, "dc-1", BACKEND_NAME_MAX);
+			c.entry.addr.sin_family = AF_INET;
+			c.entry.addr.sin_port = htons(8080);
+			c.entry.slots = 2;
+			c.entry.draining = i % 2;
+			c.entry.warm_up_ms = 5;
+		}
+		g_array_append_val(a, c);
+	}
+}
+
+static void test_round_trip(void **state)
+{
+	struct peer_info self = info("e3", 77);
+	struct backend_feed f = {
+		.from = 90, .to = 110, .age_ms = 3, .settle_ms = 4};
+	struct gossip_message m;
+	struct buf b = {0};
+
+	f.changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	fill_changes(f.changes, 6);
+	gossip_write_feed(&b, &self, &f);
+	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+	assert_int_equal(m.kind, GOSSIP_FEED);
+	assert_memory_equal(&m.sender.addr, &self.addr, sizeof(self.addr));
+	assert_string_equal(m.sender.callers, self.callers);
+	assert_int_equal(m.sender.boot, 77);
+	assert_int_equal(m.sender.config_offset, 7);
+	assert_int_equal(m.feed.from, 90);
+	assert_int_equal(m.feed.to, 110);
+	assert_int_equal(m.feed.changes->len, 6);
+	for (guint i = 0; i < 6; i++)
+		assert_memory_equal(
+			&g_array_index(m.feed.changes, struct backend_change,
+				       i),
+			&g_array_index(f.changes, struct backend_change, i),
+			sizeof(struct backend_change));
+	gossip_message_clear(&m);
+	/* Every prefix is refused, and nothing is read beyond it. */
+	for (size_t n = 0; n < b.len; n++) {
+		char *copy = g_memdup2(b.ptr, n ? n : 1);
+
+		assert_int_not_equal(gossip_read((struct lstr){copy, n}, &m),
+				     0);
+		gossip_message_clear(&m);
+		g_free(copy);
+	}
+	buf_free(&b);
+	g_array_unref(f.changes);
+}
+
+/* Many changes: the newest fit, and the feed says what it covers. */
+static void test_feed_fits(void **state)
+{
+	struct peer_info self = info("e3", 77);
+	struct backend_feed f = {.from = 90, .to = 400};
+	struct gossip_message m;
+	struct buf b = {0};
+
+	f.changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	fill_changes(f.changes, 200);
+	gossip_write_feed(&b, &self, &f);
+	assert_true(b.len <= GOSSIP_MAX);
+	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+	const struct backend_change *first =
+		&g_array_index(m.feed.changes, struct backend_change, 0);
+
+	assert_int_equal(first->offset, m.feed.from);
+	assert_int_equal(first->offset + m.feed.changes->len, 300);
+	gossip_message_clear(&m);
+	buf_free(&b);
+	g_array_unref(f.changes);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_rank_and_take_over),
+		cmocka_unit_test(test_for_callers),
+		cmocka_unit_test(test_fresh_is_told),
+		cmocka_unit_test(test_round_trip),
+		cmocka_unit_test(test_feed_fits),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_place.c
@@ -0,0 +1,160 @@
+/*
+ * Tests of core/place, core/outlier, core/hedge and core/retry_after: whom to
+ * ask, who has room, what is expected, and when to come back.
+ */
+#include "tests/unit.h"
+
+#include "core/hedge.h"
+#include "core/outlier.h"
+#include "core/place.h"
+#include "core/retry_after.h"
+#include "tests/servers.h"
+
+static struct place_query query(struct servers *s, GRand *rand)
+{
+	return (struct place_query){.service = s->service,
+				    .dc = "dc-0",
+				    .now_ms = 100000,
+				    .rand = rand};
+}
+
+static void test_choose(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+	struct servers *s = servers_new(8, 2);
+	struct place_query q = query(s, rand);
+	struct backend *out[PLACE_ASK_MAX], *avoid[] = {s->list[0]};
+
+	/* The own data centre first; those to avoid and leaving ones never. */
+	s->list[2]->entry.draining = true;
+	q.avoid = avoid;
+	q.navoid = 1;
+	for (int i = 0; i < 200; i++) {
+		assert_int_equal(place_choose(&q, 2, out), 2);
+		assert_true(out[0] == s->list[4] || out[0] == s->list[6]);
+		assert_true(out[1] == s->list[4] || out[1] == s->list[6]);
+		assert_ptr_not_equal(out[0], out[1]);
+	}
+	q.own_dc_only = true;
+	assert_int_equal(place_choose(&q, 4, out), 2);
+	q.own_dc_only = false;
+	assert_int_equal(place_choose(&q, 4, out), 4);
+	servers_free(s);
+	g_rand_free(rand);
+}
+
+/* A server in trouble is asked when nobody else is left, and only then. */
+static void test_trouble(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(2);
+	struct servers *s = servers_new(4, 2);
+	struct place_query q = query(s, rand);
+	struct backend *out[PLACE_ASK_MAX];
+
+	for (int i = 0; i < 3; i++)
+		outlier_note(s->list[0], 1.0, q.now_ms);
+	for (int i = 0; i < 100; i++) {
+		place_choose(&q, 3, out);
+		for (int k = 0; k < 3; k++)
+			assert_ptr_not_equal(out[k], s->list[0]);
+	}
+	assert_int_equal(place_choose(&q, 4, out), 4);
+	assert_ptr_equal(out[3], s->list[0]);
+	/* It is forgiven by itself. */
+	assert_true(outlier_trouble(s->list[0], q.now_ms + 15000) < 0.1);
+	/* And sooner by good outcomes; never below zero. */
+	for (int i = 0; i < 10; i++)
+		outlier_note(s->list[0], -0.7, q.now_ms);
+	assert_true(outlier_trouble(s->list[0], q.now_ms) == 0);
+	servers_free(s);
+	g_rand_free(rand);
+}
+
+static unsigned room(unsigned slots)
+{
+	struct servers *s = servers_new(1, slots);
+	struct backend *b = s->list[0];
+
+	b->load.slots = slots;
+	while (place_has_room(b))
+		b->load.running++;
+	unsigned n = b->load.running;
+
+	servers_free(s);
+	return n;
+}
+
+/*
+ * Beyond 80% of the slots all work takes 1.7 times as long: one request more
+ * must not make a server do less.
+ */
+static void test_room(void **state)
+{
+	assert_int_equal(room(1), 1);
+	assert_int_equal(room(2), 2);
+	assert_int_equal(room(4), 3);
+	assert_int_equal(room(8), 6);
+	assert_int_equal(room(0), 0);
+}
+
+static void test_estimate(void **state)
+{
+	struct servers *s = servers_new(2, 2);
+	struct backend *b = s->list[0], *far = s->list[1];
+	double base = place_estimate_ms(b, "dc-0", 60, 100000);
+
+	assert_true(base > 59 && base < 61);
+	assert_true(place_estimate_ms(far, "dc-0", 60, 100000) > base);
+	b->load.slowdown_pct = 400;
+	assert_true(place_estimate_ms(b, "dc-0", 60, 100000) > 3.9 * base);
+	assert_true(place_estimate_ms(far, "dc-0", 60, 100000) <
+		    place_estimate_ms(b, "dc-0", 60, 100000));
+	assert_false(place_is_prompt(b, 100000));
+	b->load.slowdown_pct = 100;
+	assert_true(place_is_prompt(b, 100000));
+	b->load.running = 1;
+	assert_false(place_is_prompt(b, 100000));
+	assert_true(place_estimate_ms(b, "dc-0", 60, 100000) > 1.6 * base);
+	b->load.running = 2;
+	assert_true(place_estimate_ms(b, "dc-0", 60, 100000) > 2 * base);
+	b->load.running = 0;
+	b->warm_until_ms = 100001;
+	assert_true(place_estimate_ms(b, "dc-0", 60, 100000) > 1.9 * base);
+	servers_free(s);
+}
+
+/* The second send leaves while it can still make the target. */
+static void test_hedge(void **state)
+{
+	assert_in_range(hedge_delay_ms(60, 200, 0), 90, 120);
+	assert_in_range(hedge_delay_ms(150, 400, 0), 180, 230);
+	/* Where it can't, it waits until the first is surely slow. */
+	assert_in_range(hedge_delay_ms(180, 200, 0), 260, 280);
+	assert_in_range(hedge_delay_ms(60, 200, 150), 85, 95);
+}
+
+static void test_retry_after(void **state)
+{
+	for (int i = 0; i <= 10; i++) {
+		double s = retry_after_s(400, 2000, i / 10.0);
+
+		assert_true(s >= 0.1 && s <= 0.2);
+	}
+	/* Never more than a third of what the caller has left. */
+	assert_true(retry_after_s(1000, 300, 1) <= 0.1);
+	assert_true(retry_after_s(1000, 0, 0) > 0.2);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_choose),
+		cmocka_unit_test(test_trouble),
+		cmocka_unit_test(test_room),
+		cmocka_unit_test(test_estimate),
+		cmocka_unit_test(test_hedge),
+		cmocka_unit_test(test_retry_after),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_records.c
@@ -0,0 +1,276 @@
+/* Tests of platform/records and platform/directory. */
+#include "tests/unit.h"
+
+#include <errno.h>
+
+#include "platform/codec.h"
+#include "platform/directory.h"
+#include "platform/records.h"
+
+/* What a test changes in an otherwise proper version. */
+struct variant {
+	const char *version, *kind, *service;
+	uint64_t timeout, attempts;
+	bool no_timeout, same_place, split;
+};
+
+static const struct variant proper = {
+	.version = "0000000c",
+	.kind = "idempotent",
+	.service = "harta",
+	.timeout = 1200,
+	.attempts = 2,
+};
+
+static void pack_pair(msgpack_packer *pk, const char *name, const char *value)
+{
+	codec_pack_cstr(pk, name);
+	codec_pack_cstr(pk, value);
+}
+
+static void pack_number(msgpack_packer *pk, const char *name, uint64_t v)
+{
+	codec_pack_cstr(pk, name);
+	msgpack_pack_uint64(pk, v);
+}
+
+static void pack_split(msgpack_packer *pk)
+{
+	codec_pack_cstr(pk, "trafficSplit");
+	msgpack_pack_array(pk, 2);
+	msgpack_pack_map(pk, 2);
+	pack_pair(pk, "service", "harta");
+	pack_number(pk, "weight", 90);
+	msgpack_pack_map(pk, 2);
+	pack_pair(pk, "service", "avize");
+	pack_number(pk, "weight", 10);
+}
+
+static void pack_route(msgpack_packer *pk, const char *name, const char *prefix,
+		       const struct variant *v)
+{
+	codec_pack_cstr(pk, name);
+	msgpack_pack_map(pk, 7 - v->no_timeout);
+	pack_pair(pk, "host", "one.example");
+	pack_pair(pk, "pathPrefix", prefix);
+	pack_pair(pk, "kind", v->kind);
+	if (!v->no_timeout)
+		pack_number(pk, "timeoutMs", v->timeout);
+	pack_number(pk, "targetLatencyMs", 200);
+	pack_number(pk, "maxAttempts", v->attempts);
+	if (v->split)
+		pack_split(pk);
+	else
+		pack_pair(pk, "service", v->service);
+}
+
+static void pack_version(struct buf *out, const struct variant *v)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	msgpack_pack_map(&pk, 4);
+	pack_pair(&pk, "configVersion", v->version);
+	codec_pack_cstr(&pk, "routes");
+	msgpack_pack_map(&pk, 2);
+	pack_route(&pk, "r-1", "/a/", v);
+	pack_route(&pk, "r-2", v->same_place ? "/a/" : "/b/", &proper);
+	codec_pack_cstr(&pk, "services");
+	msgpack_pack_map(&pk, 2);
+	codec_pack_cstr(&pk, "harta");
+	msgpack_pack_map(&pk, 2);
+	pack_pair(&pk, "healthPath", "/health");
+	pack_number(&pk, "maxConnections", 220);
+	codec_pack_cstr(&pk, "avize");
+	msgpack_pack_map(&pk, 0);
+	codec_pack_cstr(&pk, "limits");
+	msgpack_pack_map(&pk, 1);
+	pack_number(&pk, "idleTimeoutMs", 15000);
+}
+
+static struct config *decode(const struct variant *v, guint *findings)
+{
+	struct findings f;
+	struct buf b = {0};
+	struct config *c;
+
+	findings_init(&f);
+	pack_version(&b, v);
+	c = record_config(buf_lstr(&b), &f);
+	*findings = f.list->len;
+	findings_clear(&f);
+	buf_free(&b);
+	return c;
+}
+
+static void test_config(void **state)
+{
+	guint n;
+	struct config *c = decode(&proper, &n);
+	const struct route *r;
+
+	assert_int_equal(n, 0);
+	assert_int_equal(c->version, 12);
+	r = config_match(c, LSTR("one.example"), LSTR("/a/x"));
+	assert_true(r->idempotent);
+	assert_int_equal(r->timeout_ms, 1200);
+	assert_int_equal(r->target_ms, 200);
+	assert_int_equal(r->max_attempts, 2);
+	assert_int_equal(c->limits.idle_timeout_ms, 15000);
+	assert_true(lstr_eq(config_service(c, LSTR("harta"))->health_path,
+			    LSTR("/health")));
+	config_unref(c);
+}
+
+static void test_split(void **state)
+{
+	struct variant v = proper;
+	struct config *c;
+	guint n;
+
+	v.split = true;
+	v.kind = "non_idempotent";
+	c = decode(&v, &n);
+	assert_int_equal(n, 0);
+	const struct route *r =
+		config_match(c, LSTR("one.example"), LSTR("/a/"));
+
+	assert_false(r->idempotent);
+	assert_int_equal(r->nparts, 2);
+	assert_int_equal(r->parts[0].weight, 90);
+	config_unref(c);
+}
+
+static void test_unfit_versions(void **state)
+{
+	struct variant bad[8];
+	struct buf b = {0};
+	struct findings f;
+	guint n;
+
+	for (size_t i = 0; i < 8; i++)
+		bad[i] = proper;
+	bad[0].kind = "sometimes";
+	bad[1].service = "nobody";
+	bad[2].timeout = 0;
+	bad[3].attempts = 0;
+	bad[4].no_timeout = true;
+	bad[5].same_place = true;
+	bad[6].version = "not hex";
+	bad[7].timeout = 1000ULL * 3600 * 24;
+	for (size_t i = 0; i < 8; i++) {
+		if (decode(&bad[i], &n) || n == 0)
+			fail_msg("variant %zu was taken", i);
+	}
+	/* Every prefix of a proper version is refused. */
+	pack_version(&b, &proper);
+	findings_init(&f);
+	for (size_t k = 0; k < b.len; k++) {
+		char *copy = g_memdup2(b.ptr, k ? k : 1);
+
+		assert_null(record_config((struct lstr){copy, k}, &f));
+		g_free(copy);
+	}
+	findings_clear(&f);
+	buf_free(&b);
+}
+
+static void pack_server(struct buf *out, const char *addr, const char *state,
+			bool with_status)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	msgpack_pack_map(&pk, 2 + with_status);
+	pack_pair(&pk, "address", addr);
+	codec_pack_cstr(&pk, "info");
+	msgpack_pack_map(&pk, 4);
+	pack_pair(&pk, "service", "harta");
+	pack_pair(&pk, "configVersion", "v1");
+	pack_pair(&pk, "zone", "hala-cluj");
+	pack_number(&pk, "slots", 2);
+	if (!with_status)
+		return;
+	codec_pack_cstr(&pk, "status");
+	msgpack_pack_map(&pk, 3);
+	pack_pair(&pk, "state", state);
+	pack_number(&pk, "sequenceNumber", 4);
+	pack_number(&pk, "warmupLeftMs", 900);
+}
+
+static int decode_server(const char *id, const char *addr, const char *state,
+			 bool with_status, struct backend_entry *e)
+{
+	struct buf b = {0};
+	int rc;
+
+	pack_server(&b, addr, state, with_status);
+	rc = record_backend(lstr0(id), buf_lstr(&b), e);
+	buf_free(&b);
+	return rc;
+}
+
+static void test_backend(void **state)
+{
+	struct backend_entry e;
+
+	assert_int_equal(
+		decode_server("i-1", "10.0.0.9:8080", "ready", true, &e), 0);
+	assert_string_equal(e.id, "i-1");
+	assert_string_equal(e.service, "harta");
+	assert_string_equal(e.dc, "hala-cluj");
+	assert_int_equal(e.slots, 2);
+	assert_int_equal(e.warm_up_ms, 900);
+	assert_false(e.draining);
+	assert_int_equal(ntohs(e.addr.sin_port), 8080);
+	assert_int_equal(
+		decode_server("i-1", "10.0.0.9:8080", "draining", true, &e), 0);
+	assert_true(e.draining);
+	/* A state of tomorrow is no leave to send new work. */
+	decode_server("i-1", "10.0.0.9:8080", "resting", true, &e);
+	assert_true(e.draining);
+	assert_int_equal(
+		decode_server("i-1", "10.0.0.9:8080", "ready", false, &e),
+		-EINVAL);
+	assert_int_equal(decode_server("i-1", "host:1", "ready", true, &e),
+			 -EINVAL);
+	assert_int_equal(decode_server("", "10.0.0.9:8080", "ready", true, &e),
+			 -EINVAL);
+}
+
+static void test_directory(void **state)
+{
+	struct lstr addrs[] = {LSTR("10.0.0.1:80"), LSTR("10.0.0.2:80")};
+	const msgpack_object *list;
+	msgpack_unpacked u;
+	struct buf b = {0};
+	size_t off = 0;
+
+	assert_true(directory_is_question(LSTR("/resolution?name=x")));
+	assert_true(directory_is_question(LSTR("/resolution")));
+	assert_false(directory_is_question(LSTR("/resolutions")));
+	assert_false(directory_is_question(LSTR("/")));
+	directory_write(&b, addrs, 2, 2.5);
+	msgpack_unpacked_init(&u);
+	assert_int_equal(msgpack_unpack_next(&u, b.ptr, b.len, &off),
+			 MSGPACK_UNPACK_SUCCESS);
+	list = codec_get(&u.data, "addresses");
+	assert_int_equal(list->via.array.size, 2);
+	assert_true(lstr_eq(codec_text(&list->via.array.ptr[1]), addrs[1]));
+	assert_true(codec_get(&u.data, "ttlS")->via.f64 == 2.5);
+	msgpack_unpacked_destroy(&u);
+	buf_free(&b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_split),
+		cmocka_unit_test(test_unfit_versions),
+		cmocka_unit_test(test_backend),
+		cmocka_unit_test(test_directory),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
