--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -94,18 +94,9 @@
 	static const char *const cut[] = {
 		"",
 		"HTTP/1.1 2",
-		"HTTP/1.1 200 OK
-			A : b ",
-			      "HTTP/1.1 200 OK
-			Content -
-			Length : 5
-
-			hell ",
-			     "HTTP/1.1 200 OK
-			Transfer -
-			Encoding : chunked
-
-			5 x ",
+		"HTTP/1.1 200 OK\r\nA: b\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhell",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nx",
 	};
 
 	for (size_t i = 0; i < sizeof(cut) / sizeof(*cut); i++) {
