--- a/app/instance.c
+++ b/app/instance.c
@@ -53,8 +53,7 @@
 
 	rc = control_init(&control, s, &source, &traffic.in);
 	if (!rc)
-		rc = traffic_init(&traffic, s, own, &control.fresh_ms,
-				  &control.in);
+		rc = traffic_init(&traffic, s, own, &control.view, &control.in);
 	if (rc)
 		return rc;
 	mp_event(EV_STARTED, G_LOG_LEVEL_MESSAGE,
--- a/app/main.c
+++ b/app/main.c
@@ -35,6 +35,9 @@
 	"  backend --service S --index I [--seed N]\n"
 	"                              stand-in: a backend server\n"
 	"  operator --version N        stand-in: writes a configuration\n"
+	"  fill --index FROM --version TO\n"
+	"                              stand-in: entries of servers that are\n"
+	"                              not there, to measure their cost\n"
 	"  load [--seconds N] [--rate N] [--concurrency N] [--seed N]\n"
 	"       [--service S] [--tenant T] [--direct]\n"
 	"                              the load and experiment tool\n"
@@ -152,6 +155,8 @@
 		return stand_store_main(&d);
 	if (!strcmp(role, "operator"))
 		return stand_operator_main(&d, (uint64_t)o->version);
+	if (!strcmp(role, "fill"))
+		return stand_fill_main(&d, o->index, o->version);
 	if (!strcmp(role, "backend") && o->service)
 		return stand_backend_main(&d, o->service, o->index,
 					  (unsigned)o->seed);
--- a/control/control.c
+++ b/control/control.c
@@ -62,6 +62,7 @@
 static void send_datagram(struct control *c, const struct buf *b,
 			  const struct peer *p)
 {
+	c->datagram_bytes_out += b->len;
 	/* A datagram that can't be sent is as good as lost. */
 	(void)!sendto(c->sock, b->ptr, b->len, MSG_DONTWAIT | MSG_NOSIGNAL,
 		      (const struct sockaddr *)&p->info.addr,
@@ -92,10 +93,32 @@
 /* Publishes how old the list of backend servers is. */
 static void publish_age(struct control *c)
 {
-	ck_pr_store_64((uint64_t *)&c->fresh_ms,
+	ck_pr_store_64((uint64_t *)&c->view.fresh_ms,
 		       (uint64_t)c->backends.list.fresh_ms);
 }
 
+/* Publishes what the control thread has cost so far. */
+static void publish_cost(struct control *c)
+{
+	const struct store_channel *channels[] = {
+		&c->config.store, &c->backends.store, &c->record.store};
+	uint64_t in = c->datagram_bytes_in, out = c->datagram_bytes_out;
+	uint64_t calls = 0;
+	struct timespec cpu;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(channels); i++) {
+		in += channels[i]->bytes_in;
+		out += channels[i]->bytes_out;
+		calls += channels[i]->calls;
+	}
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &cpu);
+	ck_pr_store_64(&c->view.cpu_us, (uint64_t)cpu.tv_sec * 1000000 +
+						(uint64_t)cpu.tv_nsec / 1000);
+	ck_pr_store_64(&c->view.bytes_in, in);
+	ck_pr_store_64(&c->view.bytes_out, out);
+	ck_pr_store_64(&c->view.store_calls, calls);
+}
+
 /* After an own read: passes it on, which also is a heartbeat. */
 static void on_read_done(void *priv, bool recovered)
 {
@@ -164,6 +187,7 @@
 
 		if (n <= 0)
 			return;
+		c->datagram_bytes_in += (uint64_t)n;
 		on_datagram(c, (struct lstr){bytes, (size_t)n});
 	}
 }
@@ -206,6 +230,7 @@
 	c->config.short_waits = rank < 2;
 	backend_watch_tick(&c->backends, rank, now_ms);
 	publish_age(c);
+	publish_cost(c);
 	send_beats(c, now_ms, false);
 	publish_peers(c, now_ms);
 }
--- a/control/control.h
+++ b/control/control.h
@@ -27,6 +27,14 @@
 	struct peer_brief peers[PEERS_FOR_CALLERS];
 };
 
+/* What the traffic thread reads of the control thread, by atomic loads. */
+struct control_view {
+	int64_t fresh_ms; /* the list of backend servers is as of then */
+	uint64_t cpu_us;
+	uint64_t bytes_in, bytes_out; /* store and peers, bodies */
+	uint64_t store_calls;
+};
+
 struct control {
 	struct ev_loop *loop;
 	const struct instance_settings *settings;
@@ -35,6 +43,7 @@
 	struct peer_table peers;
 	struct peer_view last_view;
 	int sock;
+	uint64_t datagram_bytes_in, datagram_bytes_out;
 	ev_io sock_io;
 	ev_timer tick;
 	ev_signal term, interrupt, hup;
@@ -43,7 +52,7 @@
 	struct backend_watch backends;
 	struct member_record record;
 	int64_t stopping_ms; /* 0: not stopping */
-	int64_t fresh_ms;    /* read by the traffic thread */
+	struct control_view view;
 };
 
 int control_init(struct control *c, const struct instance_settings *s,
--- a/stand/operator.c
+++ b/stand/operator.c
@@ -68,6 +68,15 @@
 	}
 }
 
+/* Waits until a write is answered or has failed. */
+static int finish_put(struct ev_loop *loop, struct http_client *http,
+		      unsigned served)
+{
+	while (http->state == CLIENT_CONNECTING || http->state == CLIENT_BUSY)
+		ev_run(loop, EVRUN_ONCE);
+	return http->served > served ? 0 : -EIO;
+}
+
 /* stand_operator_main() writes the version and returns 0 or -errno. */
 int stand_operator_main(const struct deploy *d, uint64_t version)
 {
@@ -83,9 +92,60 @@
 	stand_put(&http, loop, &store, STORE_TOPIC_CONFIG,
 		  lstr0(STORE_KEY_CONFIG), buf_lstr(&value));
 	buf_free(&value);
-	while (http.state == CLIENT_CONNECTING || http.state == CLIENT_BUSY)
-		ev_run(loop, EVRUN_ONCE);
-	rc = http.served ? 0 : -EIO;
+	rc = finish_put(loop, &http, 0);
+	http_client_close(&http);
+	return rc;
+}
+
+/* The entry of a server that isn't there, spread over the services. */
+static void write_fake(const struct deploy *d, int i, struct buf *value)
+{
+	const struct service_opts *s =
+		d->services->pdata[(guint)i % d->services->len];
+	msgpack_packer pk;
+	char addr[32];
+
+	snprintf(addr, sizeof(addr), "127.0.0.1:%d", 1 + i % 1000);
+	msgpack_packer_init(&pk, value, codec_buf_write);
+	msgpack_pack_map(&pk, 3);
+	codec_pack_cstr(&pk, "address");
+	codec_pack_cstr(&pk, addr);
+	codec_pack_cstr(&pk, "info");
+	msgpack_pack_map(&pk, 3);
+	codec_pack_cstr(&pk, "service");
+	codec_pack_cstr(&pk, s->name);
+	codec_pack_cstr(&pk, "zone");
+	codec_pack_cstr(&pk, s->dcs[0]);
+	pack_number(&pk, "slots", (uint64_t)s->slots);
+	codec_pack_cstr(&pk, "status");
+	msgpack_pack_map(&pk, 1);
+	codec_pack_cstr(&pk, "state");
+	codec_pack_cstr(&pk, "ready");
+}
+
+/*
+ * stand_fill_main() writes entries of servers `from` to `to` - 1 that aren't
+ * there, to measure what a long list costs. Returns 0 or -errno.
+ */
+int stand_fill_main(const struct deploy *d, int from, int to)
+{
+	struct ev_loop *loop = ev_default_loop(EVFLAG_NOENV);
+	struct http_client http = {0};
+	struct sockaddr_in store;
+	int rc = socket_addr(d->entry.platform, &store);
+
+	for (int i = from; i < to && rc == 0; i++) {
+		struct buf value = {0};
+		unsigned served = http.served;
+		char id[32];
+
+		snprintf(id, sizeof(id), "fake-%d", i);
+		write_fake(d, i, &value);
+		stand_put(&http, loop, &store, STORE_TOPIC_BACKENDS, lstr0(id),
+			  buf_lstr(&value));
+		buf_free(&value);
+		rc = finish_put(loop, &http, served);
+	}
 	http_client_close(&http);
 	return rc;
 }
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -75,7 +75,7 @@
 	struct instance_settings settings;
 	struct traffic traffic;
 	struct mailbox control;
-	int64_t fresh_ms;
+	struct control_view view;
 	struct server servers[BENCH_SERVERS];
 	int n;
 	GHashTable *ran; /* id -> count */
@@ -289,8 +289,8 @@
 				    .retry_slack = 200,
 				    .retry_window_s = 10,
 				    .questions_per_s = 1000};
-	b->fresh_ms = clock_ms();
-	if (traffic_init(&b->traffic, s, NULL, &b->fresh_ms, &b->control))
+	b->view.fresh_ms = clock_ms();
+	if (traffic_init(&b->traffic, s, NULL, &b->view, &b->control))
 		abort();
 	b->loop = b->traffic.loop;
 	b->traffic.budget_rule.instances = 1;
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -273,7 +273,7 @@
 	bench_run_until(b, c);
 	assert_int_equal(c->status, 404);
 	/* Without news for long nobody can be sure. */
-	b->fresh_ms -= 60000;
+	b->view.fresh_ms -= 60000;
 	c = bench_call_path(b, "GET", "/none/", 1000);
 	bench_run_until(b, c);
 	assert_int_equal(c->status, 503);
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -48,15 +48,23 @@
 void metrics_write(struct buf *out, const struct traffic *t)
 {
 	const struct traffic_counters *n = &t->counters;
-	int64_t fresh =
-		(int64_t)ck_pr_load_64((const uint64_t *)t->list_fresh_ms);
+	const struct control_view *v = t->control_view;
+	int64_t fresh = (int64_t)ck_pr_load_64((const uint64_t *)&v->fresh_ms);
 	GHashTableIter it;
-	gpointer v;
+	gpointer item;
 
 	buf_printf(out, "config_version %" G_GUINT64_FORMAT "\n",
 		   t->config ? t->config->version : 0);
 	buf_printf(out, "backend_list_age_ms %" G_GINT64_FORMAT "\n",
 		   clock_ms() - fresh);
+	buf_printf(out, "control_cpu_us %" G_GUINT64_FORMAT "\n",
+		   ck_pr_load_64(&v->cpu_us));
+	buf_printf(out, "control_bytes_in %" G_GUINT64_FORMAT "\n",
+		   ck_pr_load_64(&v->bytes_in));
+	buf_printf(out, "control_bytes_out %" G_GUINT64_FORMAT "\n",
+		   ck_pr_load_64(&v->bytes_out));
+	buf_printf(out, "store_calls %" G_GUINT64_FORMAT "\n",
+		   ck_pr_load_64(&v->store_calls));
 	buf_printf(out, "instances %u\n", t->peers.instances);
 	buf_printf(out, "open_requests %u\n", t->open_requests);
 	buf_printf(out, "caller_connections %u\n", t->front.nconns);
@@ -72,9 +80,9 @@
 	buf_printf(out, "directory_answers %" G_GUINT64_FORMAT "\n",
 		   n->directory);
 	g_hash_table_iter_init(&it, t->classes);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		write_class(out, v);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		write_class(out, item);
 	g_hash_table_iter_init(&it, t->backends.by_id);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		write_backend(out, v);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		write_backend(out, item);
 }
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -279,7 +279,7 @@
  * thread go through t->in. Returns 0 or a negative errno.
  */
 int traffic_init(struct traffic *t, const struct instance_settings *s,
-		 const struct deploy *deploy, const int64_t *list_fresh_ms,
+		 const struct deploy *deploy, const struct control_view *view,
 		 struct mailbox *control)
 {
 	const struct bounds *b = &s->bounds;
@@ -289,7 +289,7 @@
 	t->settings = s;
 	t->deploy = deploy;
 	t->control = control;
-	t->list_fresh_ms = list_fresh_ms;
+	t->control_view = view;
 	t->rand = g_rand_new();
 	t->classes = g_hash_table_new(g_str_hash, g_str_equal);
 	t->budget_rule = (struct budget_rule){
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -36,7 +36,7 @@
 	const struct instance_settings *settings;
 	struct mailbox in;
 	struct mailbox *control;
-	const int64_t *list_fresh_ms; /* of the control thread */
+	const struct control_view *control_view;
 	struct http_server front, ready, directory, metrics, own;
 	struct config *config;
 	struct backend_set backends;
@@ -57,7 +57,7 @@
 };
 
 int traffic_init(struct traffic *t, const struct instance_settings *s,
-		 const struct deploy *deploy, const int64_t *list_fresh_ms,
+		 const struct deploy *deploy, const struct control_view *view,
 		 struct mailbox *control);
 void *traffic_run(void *traffic);
 struct class_stats *traffic_class(struct traffic *t, const char *service,
