Second sends only to servers with room to spare, and not while others miss room

Ruled out: lost servers (all 10 listed and used evenly), the store (answers all the while), connections. Change: admit_takes_second(). Test: test_admit test_second.

--- a/scripts/added-latency.sh
+++ b/scripts/added-latency.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Measures the latency an entry adds to a call: the same seeded load, in
-# turn through one entry and straight to the workers (quiet stand-ins, no
+# turn through one entry and straight to the servers (quiet stand-ins, no
 # noise), PAIRS times each, on one machine. Prints one CSV row a run.
 # Stops what it started.
 #   scripts/added-latency.sh [RATE] [PAIRS]
@@ -21,7 +21,7 @@
 listen = 127.0.0.1:19500
 [entry]
 platform = 127.0.0.1:19500
-drain_ms = 0
+grace_s = 1
 [entry.e1]
 listen = 127.0.0.1:19501
 dc = hala-cluj
@@ -32,26 +32,26 @@
 base_port = 19600
 work_ms = 1
 INI
-$bin platform --settings "$ini" 2>/dev/null &
+$bin store --deployment "$ini" 2>/dev/null &
 local_pids+=($!)
 sleep 0.3
 for i in 0 1 2 3 4 5 6 7; do
-	$bin worker --settings "$ini" --service t0 --index $i 2>/dev/null &
+	$bin backend --deployment "$ini" --service t0 --index $i 2>/dev/null &
 	local_pids+=($!)
 done
-$bin entry --settings "$ini" --name e1 2>/dev/null &
+$bin entry --deployment "$ini" --name e1 >/dev/null 2>&1 &
 local_pids+=($!)
 sleep 1.5
 for i in 0 1 2 3 4 5 6 7; do
-	curl -s -m 2 -X POST -d '{"quiet":true}' http://127.0.0.1:$((19600 + i))/v1/faults >/dev/null
+	curl -s -m 2 -X POST "http://127.0.0.1:$((19600 + i))/stand/faults?quiet=1" >/dev/null
 done
-$bin ctl --settings "$ini" patch --base 0 policy=p2c >/dev/null
+$bin ctl --deployment "$ini" patch --base 0 policy=load >/dev/null
 echo "run,mode,p50_ms,p99_ms,p999_ms"
 for ((k = 1; k <= pairs; k++)); do
 	for mode in entry direct; do
 		flag=
 		[ $mode = direct ] && flag=--direct
-		$bin load --settings "$ini" --seconds 5 --rate "$rate" --seed $k $flag 2>/dev/null |
+		$bin load --deployment "$ini" --seconds 5 --rate "$rate" --seed $k $flag 2>/dev/null |
 			awk -v k=$k -v m=$mode '$2=="t0"{print k "," m "," $8 "," $9 "," $10}'
 	done
 done
--- a/scripts/compare-policies.sh
+++ b/scripts/compare-policies.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Runs the same seeded load against each routing policy in turn, on the
-# embedded default (both tenants, 59 workers with noise, cold start and
+# embedded default (both tenants, 59 servers with noise, cold start and
 # shedding, 3 entries), ROUNDS rounds in one run so that drift shows, and
 # writes docs/policy/compare.csv and, where gnuplot is installed,
 # docs/policy/p99.png.   scripts/compare-policies.sh [SECONDS] [RATE] [ROUNDS]
@@ -13,15 +13,15 @@
 logs=$(mktemp -d)
 trap local_stop EXIT
 ini=$logs/settings.ini
-$bin default-settings >"$ini"
+$bin default-deployment >"$ini"
 local_start "$ini" "$logs" || exit $?
 mkdir -p docs/policy
 out=docs/policy/compare.csv
 echo "round,policy,tenant,service,calls,done,not_run,p50_ms,p99_ms,p999_ms" >"$out"
 for ((r = 1; r <= rounds; r++)); do
-	for pol in rr random least p2c; do
-		$bin ctl --settings "$ini" patch policy=$pol --wait >/dev/null
-		$bin load --settings "$ini" --seconds "$secs" --rate "$rate" --seed $r \
+	for pol in rr random least p2c load; do
+		$bin ctl --deployment "$ini" patch policy=$pol --wait >/dev/null
+		$bin load --deployment "$ini" --seconds "$secs" --rate "$rate" --seed $r \
 			>"$logs/load-$pol-$r.txt" 2>&1
 		awk -v r=$r -v p=$pol '$1=="strada"||$1=="semillero"{print r "," p "," $1 "," $2 "," $3 "," $4 "," $5 "," $8 "," $9 "," $10}' \
 			"$logs/load-$pol-$r.txt" >>"$out"
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -61,6 +61,22 @@
 	assert_false(admit_takes(&r, &full, true));
 }
 
+/* A second send costs others nothing. */
+static void test_second(void **state)
+{
+	struct admit_request r = {.target_ms = 200, .work_ms = 60};
+	struct admit_server idle = {60, true, true}, busy = {60, true, false};
+	struct admit_server slow = {240, true, true};
+
+	r.spent_ms = 100;
+	assert_true(admit_takes_second(&r, &idle, false));
+	assert_false(admit_takes_second(&r, &idle, true));
+	assert_false(admit_takes_second(&r, &busy, false));
+	assert_false(admit_takes_second(&r, &slow, false));
+	r.spent_ms = 140;
+	assert_false(admit_takes_second(&r, &idle, false));
+}
+
 static void test_come_back(void **state)
 {
 	struct admit_request fresh = {
@@ -295,6 +311,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_patience),
 		cmocka_unit_test(test_takes),
+		cmocka_unit_test(test_second),
 		cmocka_unit_test(test_come_back),
 		cmocka_unit_test(test_overload),
 	};
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -282,9 +282,9 @@
 		.has_spare = place_has_room(b, 2),
 	};
 
-	/* A second send is worth it only where it will be on time. */
 	if (r->placement == PLACE_HEDGE)
-		view.waited_ms = 0;
+		return admit_takes_second(&view, &s,
+					  request_is_pressed(r, now_ms));
 	return admit_takes(&view, &s, request_is_pressed(r, now_ms));
 }
 
