--- a/control/control.c
+++ b/control/control.c
@@ -17,14 +17,24 @@
 	/* Granularity of all that is due; reads are due twice a second. */
 	TICK_MS = 100,
 	DATAGRAMS_AT_ONCE = 32, /* so that timers get their turn */
+	/* Waits for room in the queue to the traffic thread: 5 s in all. */
+	SEND_TRIES = 5000,
+	SEND_PAUSE_US = 1000,
 };
 
+/*
+ * A listing of many servers may fill the queue before the traffic thread has
+ * had its turn; it never waits for this thread, so waiting for it is safe.
+ */
 static void send_to_traffic(struct control *c, int kind, void *data)
 {
-	if (mailbox_send(c->out, kind, data))
-		mp_event(EV_INVARIANT_BROKEN, G_LOG_LEVEL_CRITICAL,
-			 "traffic thread does not take its messages; kind=%d",
-			 kind);
+	for (int i = 0; i < SEND_TRIES; i++) {
+		if (mailbox_send(c->out, kind, data) == 0)
+			return;
+		usleep(SEND_PAUSE_US);
+	}
+	mp_invariant(false, "the traffic thread takes no messages; kind=%d",
+		     kind);
 }
 
 static void on_config(void *priv, struct config *cfg)
--- /dev/null
+++ b/tests/test_instance.c
@@ -0,0 +1,150 @@
+/*
+ * Tests of options/instance: the template that the platform renders, figures
+ * that it leaves empty, findings with their places.
+ */
+#include "tests/unit.h"
+
+#include <errno.h>
+#include <unistd.h>
+
+#include "common/event.h"
+#include "options/deploy.h"
+#include "options/instance.h"
+
+/* What the platform would put for a name; NULL: nothing. */
+struct value {
+	const char *name, *text;
+};
+
+static const struct value values[] = {
+	{"nodeName", "edge-1"},
+	{"zone", "hala-cluj"},
+	{"region", "ro-central"},
+	{"ipAddress", "10.1.0.18"},
+	{"listen.front", "10.1.0.18:8381"},
+	{"listen.ready", "10.1.0.18:8388"},
+	{"listen.directory", "10.1.0.18:8383"},
+	{"internalPortRange.0", "7200"},
+	{"platform.address", "10.200.1.7:8384"},
+	{"bounds.drainMs", "2000"},
+	{"bounds.configApplyMs", "2500"},
+	{"bounds.graceS", "6"},
+	{"bounds.retryBudgetRatio", "0.2"},
+	{"bounds.retrySlack", "56"},
+	{"bounds.retryWindowS", "10"},
+	{"bounds.ttl_max_s", "5"},
+	{"bounds.probesPerS", "60"},
+};
+
+static const char *value_of(const char *name, size_t len, const char *unset)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+		if (strlen(values[i].name) == len &&
+		    !strncmp(values[i].name, name, len))
+			return unset && !strcmp(values[i].name, unset)
+				       ? ""
+				       : values[i].text;
+	}
+	fail_msg("the template asks for %.*s", (int)len, name);
+	return NULL;
+}
+
+/* Renders deploy/instance.ini; `unset` stays empty. Returns its path. */
+static char *render(const char *unset)
+{
+	char *text, *path = g_strdup("/tmp/mp-instance-XXXXXX");
+	GString *out = g_string_new(NULL);
+	int fd = g_mkstemp(path);
+
+	assert_true(
+		g_file_get_contents("deploy/instance.ini", &text, NULL, NULL));
+	for (char *p = text, *end; *p; p = end + 2) {
+		char *begin = strstr(p, "{{");
+
+		if (!begin) {
+			g_string_append(out, p);
+			break;
+		}
+		end = strstr(begin, "}}");
+		g_string_append_len(out, p, begin - p);
+		g_string_append(
+			out,
+			value_of(begin + 2, (size_t)(end - begin - 2), unset));
+	}
+	assert_int_equal(write(fd, out->str, out->len), out->len);
+	close(fd);
+	g_string_free(out, TRUE);
+	g_free(text);
+	return path;
+}
+
+static void test_template(void **state)
+{
+	struct instance_settings s;
+	char *path = render(NULL);
+
+	assert_int_equal(instance_settings_load(path, &s), 0);
+	assert_string_equal(s.name, "edge-1");
+	assert_string_equal(s.dc, "hala-cluj");
+	assert_string_equal(s.callers, "10.1.0.18:8381");
+	assert_string_equal(s.peers, "10.1.0.18:7200");
+	assert_null(s.own);
+	assert_true(s.bounds.config_ms == 2500);
+	assert_true(s.bounds.retry_ratio == 0.2);
+	assert_true(s.bounds.retry_slack == 56);
+	assert_true(s.bounds.questions_per_s == 60);
+	unlink(path);
+	g_free(path);
+}
+
+/* A platform that promises less names fewer figures. */
+static void test_figure_left_empty(void **state)
+{
+	struct instance_settings s;
+	char *path = render("bounds.probesPerS");
+
+	assert_int_equal(instance_settings_load(path, &s), 0);
+	assert_true(s.bounds.questions_per_s == 10);
+	unlink(path);
+	g_free(path);
+	/* An address is not a figure: without it nothing starts. */
+	path = render("platform.address");
+	assert_int_equal(instance_settings_load(path, &s), -EINVAL);
+	unlink(path);
+	g_free(path);
+}
+
+static void test_no_file(void **state)
+{
+	struct instance_settings s;
+
+	assert_int_equal(instance_settings_load(NULL, &s), -EINVAL);
+	assert_int_equal(instance_settings_load("/nonexistent.ini", &s),
+			 -EINVAL);
+}
+
+static void test_of_deploy(void **state)
+{
+	struct instance_settings s;
+	struct deploy d;
+
+	assert_int_equal(deploy_load(NULL, &d), 0);
+	assert_int_equal(instance_settings_of_deploy(&d, "e2", &s), 0);
+	assert_string_equal(s.own, "127.0.0.1:7102");
+	assert_string_equal(s.callers, "127.0.0.1:8102");
+	assert_int_equal(instance_settings_of_deploy(&d, "e9", &s), -ENOENT);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_template),
+		cmocka_unit_test(test_figure_left_empty),
+		cmocka_unit_test(test_no_file),
+		cmocka_unit_test(test_of_deploy),
+	};
+
+	mp_log_init("test");
+	mp_log_quiet();
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_log.c
@@ -0,0 +1,114 @@
+/* Tests of stand/log: the store stand-in's data. */
+#include "tests/unit.h"
+
+#include "stand/log.h"
+
+static const struct log_condition none = {.at = -1};
+
+static struct lstr record(struct buf *b, const char *content, size_t n)
+{
+	unsigned char head[] = {0, 0, 0, (unsigned char)n};
+
+	b->len = 0;
+	buf_add(b, head, 4);
+	buf_add(b, content, n);
+	return buf_lstr(b);
+}
+
+static void test_append_and_read(void **state)
+{
+	struct log_part *p = log_part_new(false);
+	struct log_position pos;
+	struct buf b = {0}, out = {0};
+
+	assert_int_equal(log_append(p, record(&b, "ab", 2), &none, &pos),
+			 LOG_OK);
+	assert_int_equal(pos.offset, 0);
+	assert_int_equal(pos.end, 1);
+	assert_int_equal(log_append(p, record(&b, "c", 1), &none, &pos),
+			 LOG_OK);
+	assert_int_equal(log_read(p, 0, 1000, &out), LOG_OK);
+	assert_int_equal(out.len, 16 + 6 + 5);
+	assert_memory_equal(out.ptr + 7, "\2\0\0\0\0\0\0\0\0\0\0\0\2ab", 15);
+	/* Half a record is none. */
+	assert_int_equal(
+		log_append(p, (struct lstr){"\0\0\0\5ab", 6}, &none, &pos),
+		LOG_BAD);
+	log_trim(p, 1);
+	assert_int_equal(log_read(p, 0, 1000, &out), LOG_GONE);
+	assert_int_equal(log_read(p, 1, 1000, &out), LOG_OK);
+	assert_int_equal(log_end(p), 2);
+	buf_free(&b);
+	buf_free(&out);
+}
+
+static void test_condition(void **state)
+{
+	struct log_part *p = log_part_new(false);
+	struct log_condition at0 = {.at = 0};
+	struct log_position pos;
+	struct buf b = {0};
+
+	assert_int_equal(log_append(p, record(&b, "a", 1), &at0, &pos), LOG_OK);
+	assert_int_equal(log_append(p, record(&b, "a", 1), &at0, &pos),
+			 LOG_MOVED);
+	assert_int_equal(pos.end, 1);
+	assert_int_equal(log_end(p), 1);
+	buf_free(&b);
+}
+
+static void test_producer(void **state)
+{
+	struct log_part *p = log_part_new(false);
+	struct log_condition c = {
+		.at = -1, .producer = "w", .epoch = 7, .seq = 12};
+	struct log_position pos;
+	struct buf b = {0};
+
+	assert_int_equal(log_append(p, record(&b, "a", 1), &c, &pos), LOG_OK);
+	/* A repeat gets its first outcome and adds nothing. */
+	assert_int_equal(log_append(p, record(&b, "a", 1), &c, &pos), LOG_OK);
+	assert_int_equal(pos.offset, 0);
+	assert_int_equal(log_end(p), 1);
+	c.seq = 14;
+	assert_int_equal(log_append(p, record(&b, "a", 1), &c, &pos), LOG_SEQ);
+	assert_int_equal(pos.end, 13);
+	c.epoch = 8;
+	c.seq = 0;
+	assert_int_equal(log_append(p, record(&b, "a", 1), &c, &pos), LOG_OK);
+	c.epoch = 7;
+	assert_int_equal(log_append(p, record(&b, "a", 1), &c, &pos),
+			 LOG_FENCED);
+	buf_free(&b);
+}
+
+static void test_newest(void **state)
+{
+	struct log_part *p = log_part_new(true);
+	struct log_newest *n;
+	struct log_position pos;
+	struct buf b = {0};
+
+	log_append(p, record(&b, "\1kone", 5), &none, &pos);
+	log_append(p, record(&b, "\1ktwo", 5), &none, &pos);
+	log_trim(p, 2);
+	n = g_hash_table_lookup(p->newest, "k");
+	assert_int_equal(n->offset, 1);
+	assert_memory_equal(g_bytes_get_data(n->value, NULL), "two", 3);
+	/* Without a value the key is dropped. */
+	log_append(p, record(&b, "\1k", 2), &none, &pos);
+	assert_null(g_hash_table_lookup(p->newest, "k"));
+	buf_free(&b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_append_and_read),
+		cmocka_unit_test(test_condition),
+		cmocka_unit_test(test_producer),
+		cmocka_unit_test(test_newest),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
