A start without the store is introduced by a peer

Found beside it: the answer to a whole listing was told from a read's by the state at its arrival; now by what was asked.

--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -287,6 +287,37 @@
 	f->changes = l->recent;
 }
 
+/* backend_list_export() appends a change for each entry. */
+void backend_list_export(const struct backend_list *l, GArray *changes)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, l->entries);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct listed *e = v;
+		struct backend_change c = {.offset = e->offset,
+					   .entry = e->entry};
+
+		g_array_append_val(changes, c);
+	}
+}
+
+/*
+ * backend_list_import() takes in a peer's whole list, complete up to `end`,
+ * in the place of a listing of the store.
+ */
+void backend_list_import(struct backend_list *l, const GArray *changes,
+			 uint64_t end, int64_t as_of_ms, int64_t now_ms)
+{
+	backend_list_replace_begin(l, now_ms);
+	for (guint i = 0; i < changes->len; i++)
+		backend_list_record(
+			l, &g_array_index(changes, struct backend_change, i),
+			now_ms);
+	backend_list_replace_end(l, end, as_of_ms, now_ms);
+}
+
 /*
  * backend_read_due() says when this instance is to read the list itself: the
  * first in rank always, another when nobody's news have come for too long,
--- a/control/backend_list.h
+++ b/control/backend_list.h
@@ -38,6 +38,9 @@
 void backend_list_settle(struct backend_list *l, int64_t now_ms);
 void backend_list_outline(struct backend_list *l, struct backend_feed *f,
 			  int64_t now_ms);
+void backend_list_export(const struct backend_list *l, GArray *changes);
+void backend_list_import(struct backend_list *l, const GArray *changes,
+			 uint64_t end, int64_t as_of_ms, int64_t now_ms);
 int64_t backend_read_due(unsigned rank, int64_t fresh_ms, int64_t tried_ms,
 			 unsigned failures);
 
--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -76,7 +76,7 @@
 		on_failure(w, r->err);
 		return;
 	}
-	if (!w->list.loaded || w->listing) {
+	if (w->asked_all) {
 		on_page(w, r, now_ms);
 		if (w->listing)
 			return;
@@ -97,7 +97,8 @@
 static void read_now(struct backend_watch *w, int64_t now_ms)
 {
 	w->tried_ms = now_ms;
-	if (w->list.loaded)
+	w->asked_all = !w->list.loaded;
+	if (!w->asked_all)
 		store_read(&w->store, STORE_TOPIC_BACKENDS, w->list.offset, 0);
 	else
 		store_newest(&w->store, STORE_TOPIC_BACKENDS, LSTR(""));
--- a/control/backend_watch.h
+++ b/control/backend_watch.h
@@ -14,6 +14,7 @@
 	int64_t tried_ms;  /* the last read was sent then */
 	unsigned failures; /* in a row */
 	bool gap;	   /* a feed began after what is known */
+	bool asked_all;	   /* the call under way asks for a whole listing */
 	bool listing;
 	uint64_t listing_end;
 	/* A read has succeeded; `recovered`: the first after failures. */
--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -68,6 +68,20 @@
 	return NULL;
 }
 
+/* Takes over a usable version and keeps its record for peers. */
+static void take(struct config_watch *w, struct config *c,
+		 const struct store_record *rec)
+{
+	w->version = c->version;
+	w->record.len = 0;
+	buf_add_lstr(&w->record, rec->value);
+	mp_event(EV_CONFIG_APPLIED, G_LOG_LEVEL_MESSAGE,
+		 "version=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT
+		 " routes=%zu services=%zu",
+		 c->version, rec->offset, c->nroutes, c->nservices);
+	w->changed(w->priv, c);
+}
+
 /* Takes the newest usable version of a batch of records. */
 static void take_newest(struct config_watch *w, const struct store_result *r)
 {
@@ -81,14 +95,7 @@
 		c = usable(w, rec);
 		if (!c)
 			continue;
-		w->version = c->version;
-		w->applied++;
-		mp_event(EV_CONFIG_APPLIED, G_LOG_LEVEL_MESSAGE,
-			 "version=%" G_GUINT64_FORMAT
-			 " offset=%" G_GUINT64_FORMAT
-			 " routes=%zu services=%zu",
-			 c->version, rec->offset, c->nroutes, c->nservices);
-		w->changed(w->priv, c);
+		take(w, c, rec);
 		return;
 	}
 }
@@ -99,12 +106,29 @@
 	struct store_record none = {.key = lstr0(w->source.key)};
 	struct config *c = usable(w, &none);
 
+	if (c)
+		take(w, c, &none);
+}
+
+/*
+ * config_watch_introduce() takes a peer's newest record, which stands before
+ * `offset`; the store is read on from there.
+ */
+void config_watch_introduce(struct config_watch *w, struct lstr record,
+			    uint64_t offset)
+{
+	struct store_record rec = {
+		.offset = offset, .key = lstr0(w->source.key), .value = record};
+	struct config *c;
+
+	if (!record.len && !w->source.usable_when_absent)
+		return;
+	c = usable(w, &rec);
 	if (!c)
 		return;
-	w->version = c->version;
-	mp_event(EV_CONFIG_APPLIED, G_LOG_LEVEL_MESSAGE,
-		 "version=%" G_GUINT64_FORMAT " of the settings", c->version);
-	w->changed(w->priv, c);
+	take(w, c, &rec);
+	w->offset = offset;
+	w->listed = true;
 }
 
 static void on_failure(struct config_watch *w, int err)
--- a/control/config_watch.h
+++ b/control/config_watch.h
@@ -23,10 +23,10 @@
 	struct config_source source;
 	struct store_channel store;
 	ev_timer retry;
+	struct buf record; /* of the newest usable version, for peers */
 	bool listed;	   /* the newest version was asked for once */
 	uint64_t offset;   /* records before it are taken in */
 	uint64_t version;  /* the newest usable one; 0: none */
-	uint64_t applied;  /* versions taken over so far */
 	unsigned failures; /* in a row */
 	int64_t asked_ms;  /* the call under way was sent then */
 	bool short_waits;  /* poll in short spells; see WAIT_SHORT_MS */
@@ -39,6 +39,8 @@
 			const struct config_source *source,
 			void (*changed)(void *priv, struct config *c),
 			void *priv);
+void config_watch_introduce(struct config_watch *w, struct lstr record,
+			    uint64_t offset);
 void config_watch_restart(struct config_watch *w);
 
 #endif
--- a/control/control.c
+++ b/control/control.c
@@ -241,6 +241,8 @@
 	backend_watch_tick(&c->backends, rank, now_ms);
 	publish_age(c);
 	publish_cost(c);
+	c->peers.self.ready = c->config.version && c->backends.list.loaded;
+	introduce_tick(&c->introduce, now_ms);
 	send_beats(c, now_ms, false);
 	publish_peers(c, now_ms);
 }
@@ -332,6 +334,10 @@
 	self.boot >>= 1; /* fits a signed reader too */
 	peers_init(&c->peers, &self);
 	rc = open_peer_socket(c);
+	if (rc)
+		return rc;
+	rc = introduce_init(&c->introduce, c->loop, s->peers, &c->peers,
+			    &c->config, &c->backends);
 	if (rc)
 		return rc;
 	mailbox_init(&c->in, c->loop, on_stopped, c);
--- a/control/control.h
+++ b/control/control.h
@@ -8,6 +8,7 @@
 
 #include "control/backend_watch.h"
 #include "control/config_watch.h"
+#include "control/introduce.h"
 #include "control/member_record.h"
 #include "misc/mailbox.h"
 #include "options/instance.h"
@@ -51,6 +52,7 @@
 	struct config_watch config;
 	struct backend_watch backends;
 	struct member_record record;
+	struct introduce introduce;
 	int64_t stopping_ms; /* 0: not stopping */
 	struct control_view view;
 };
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -6,7 +6,7 @@
 #include "member/gossip.h"
 
 /* Positions in the arrays on the wire. */
-enum { HEAD_FIELDS = 10, FEED_FIELDS = 5, CHANGE_FIELDS = 9 };
+enum { HEAD_FIELDS = 11, FEED_FIELDS = 5, CHANGE_FIELDS = 9 };
 
 /* Room that one change takes at most, with names of usual length. */
 enum { CHANGE_BYTES = 160 };
@@ -40,6 +40,7 @@
 	pack_addr(pk, &p->addr);
 	msgpack_pack_uint64(pk, p->boot);
 	msgpack_pack_uint8(pk, p->leaving);
+	msgpack_pack_uint8(pk, p->ready);
 	msgpack_pack_uint64(pk, p->config_offset);
 }
 
@@ -52,7 +53,8 @@
 	pack_sender(&pk, GOSSIP_BEAT, self);
 }
 
-static void pack_change(msgpack_packer *pk, const struct backend_change *c)
+/* gossip_pack_change() writes one change of the list. */
+void gossip_pack_change(msgpack_packer *pk, const struct backend_change *c)
 {
 	const struct backend_entry *e = &c->entry;
 
@@ -99,8 +101,9 @@
 	msgpack_pack_uint32(&pk, feed->settle_ms);
 	msgpack_pack_array(&pk, feed->changes->len - skip);
 	for (guint i = skip; i < feed->changes->len; i++)
-		pack_change(&pk, &g_array_index(feed->changes,
-						struct backend_change, i));
+		gossip_pack_change(&pk,
+				   &g_array_index(feed->changes,
+						  struct backend_change, i));
 }
 
 /* A reader of array elements that remembers whether one was unfit. */
@@ -159,7 +162,8 @@
 	sa->sin_port = htons((uint16_t)next_uint(c));
 }
 
-static bool read_change(const msgpack_object *o, struct backend_change *out)
+/* gossip_read_change() reads one; false when it is none. */
+bool gossip_read_change(const msgpack_object *o, struct backend_change *out)
 {
 	struct cursor c = cursor_of(o);
 	struct backend_entry *e = &out->entry;
@@ -192,7 +196,7 @@
 	while (!list.bad && list.at < list.end) {
 		struct backend_change change;
 
-		if (!read_change(next(&list), &change))
+		if (!gossip_read_change(next(&list), &change))
 			return false;
 		g_array_append_val(f->changes, change);
 	}
@@ -224,6 +228,7 @@
 		next_addr(&c, &p->addr);
 		p->boot = next_uint(&c);
 		p->leaving = next_uint(&c) != 0;
+		p->ready = next_uint(&c) != 0;
 		p->config_offset = next_uint(&c);
 		if (!c.bad &&
 		    (m->kind == GOSSIP_BEAT ||
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -7,6 +7,8 @@
 #ifndef MP_MEMBER_GOSSIP_H
 #define MP_MEMBER_GOSSIP_H
 
+#include <msgpack.h>
+
 #include "core/backend.h"
 #include "member/peers.h"
 #include "misc/buf.h"
@@ -41,6 +43,8 @@
 void gossip_write_feed(struct buf *out, const struct peer_info *self,
 		       const struct backend_feed *feed);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
+void gossip_pack_change(msgpack_packer *pk, const struct backend_change *c);
+bool gossip_read_change(const msgpack_object *o, struct backend_change *out);
 void gossip_message_clear(struct gossip_message *m);
 
 #endif
--- a/member/peers.c
+++ b/member/peers.c
@@ -124,35 +124,77 @@
 	memcpy(b->own, p->own, sizeof(b->own));
 }
 
+/* Whom to name: those that can serve, all that live, or all known. */
+enum choice { CHOOSE_READY, CHOOSE_ALIVE, CHOOSE_KNOWN };
+
+static bool suits(const struct peer *p, enum choice choice, int64_t now_ms)
+{
+	bool alive = peer_alive(p, now_ms);
+
+	if (p->info.leaving && alive)
+		return false;
+	switch (choice) {
+	case CHOOSE_READY:
+		return alive && p->info.ready;
+	case CHOOSE_ALIVE:
+		return alive;
+	case CHOOSE_KNOWN:
+		break;
+	}
+	return true;
+}
+
 static size_t list_peers(const struct peer_table *t, int64_t now_ms,
-			 bool alive_only, struct peer_brief *out, size_t max)
+			 enum choice choice, struct peer_brief *out, size_t max)
 {
 	size_t n = 0;
 
-	if (!t->self.leaving)
+	if (!t->self.leaving && (t->self.ready || choice != CHOOSE_READY))
 		fill_brief(&out[n++], &t->self);
 	for (guint i = 0; i < t->peers->len && n < max; i++) {
 		const struct peer *p = g_ptr_array_index(t->peers, i);
 
-		if (p->info.leaving && peer_alive(p, now_ms))
-			continue;
-		if (!alive_only || peer_alive(p, now_ms))
+		if (suits(p, choice, now_ms))
 			fill_brief(&out[n++], &p->info);
 	}
 	return n;
 }
 
 /*
- * peers_for_callers() lists where callers may connect: this instance and the
- * live others. An instance that hears none of the others it knows is more
- * likely cut off than the last one left, so it names them all.
+ * peers_for_callers() lists where callers may connect: the live instances
+ * that can serve, or those that live when none can (they say when to come
+ * back). An instance that hears none of the others it knows is more likely
+ * cut off than the last one left, so it names them all.
  */
 size_t peers_for_callers(const struct peer_table *t, int64_t now_ms,
 			 struct peer_brief *out, size_t max)
 {
-	size_t n = list_peers(t, now_ms, true, out, max);
+	size_t n = list_peers(t, now_ms, CHOOSE_READY, out, max);
+	size_t alive = list_peers(t, now_ms, CHOOSE_ALIVE, out, max);
 
-	if (n <= 1 && t->peers->len)
-		n = list_peers(t, now_ms, false, out, max);
-	return n;
+	if (alive <= 1 && t->peers->len)
+		return list_peers(t, now_ms, CHOOSE_KNOWN, out, max);
+	return n ? list_peers(t, now_ms, CHOOSE_READY, out, max) : alive;
+}
+
+/*
+ * peers_informant() finds a live peer that can serve, to ask it for what it
+ * knows; NULL when there is none. `turn` chooses among several.
+ */
+const struct peer *peers_informant(const struct peer_table *t, unsigned turn,
+				   int64_t now_ms)
+{
+	const struct peer *first = NULL;
+	unsigned n = 0;
+
+	for (guint i = 0; i < t->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(t->peers, i);
+
+		if (!suits(p, CHOOSE_READY, now_ms))
+			continue;
+		first = first ? first : p;
+		if (n++ == turn)
+			return p;
+	}
+	return first;
 }
--- a/member/peers.h
+++ b/member/peers.h
@@ -23,6 +23,7 @@
 	struct sockaddr_in addr;     /* where its peers reach it */
 	uint64_t boot;		     /* random, one for each start */
 	bool leaving;		     /* it is stopping as planned */
+	bool ready;		     /* it knows what it needs to serve */
 	uint64_t config_offset;	     /* records of the configuration it saw */
 };
 
@@ -56,4 +57,7 @@
 size_t peers_for_callers(const struct peer_table *t, int64_t now_ms,
 			 struct peer_brief *out, size_t max);
 
+const struct peer *peers_informant(const struct peer_table *t, unsigned turn,
+				   int64_t now_ms);
+
 #endif
--- /dev/null
+++ b/member/snapshot.c
@@ -0,0 +1,94 @@
+#include <errno.h>
+#include <string.h>
+
+#include "member/snapshot.h"
+
+/* Fields of the array on the wire. */
+enum { CONFIG_OFFSET, CONFIG, BACKENDS_OFFSET, BACKENDS_AGE, BACKENDS, FIELDS };
+
+/* snapshot_init() makes an empty one. */
+void snapshot_init(struct snapshot *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->backends = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+}
+
+/* snapshot_clear() frees what it holds. */
+void snapshot_clear(struct snapshot *s)
+{
+	buf_free(&s->config);
+	g_array_unref(s->backends);
+	s->backends = NULL;
+}
+
+static int write_buf(void *buf, const char *p, size_t n)
+{
+	buf_add(buf, p, n);
+	return 0;
+}
+
+/* snapshot_write() encodes one. */
+void snapshot_write(const struct snapshot *s, struct buf *out)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, write_buf);
+	msgpack_pack_array(&pk, FIELDS);
+	msgpack_pack_uint64(&pk, s->config_offset);
+	msgpack_pack_bin_with_body(&pk, s->config.ptr, s->config.len);
+	msgpack_pack_uint64(&pk, s->backends_offset);
+	msgpack_pack_uint32(&pk, s->backends_age_ms);
+	msgpack_pack_array(&pk, s->backends->len);
+	for (guint i = 0; i < s->backends->len; i++)
+		gossip_pack_change(
+			&pk,
+			&g_array_index(s->backends, struct backend_change, i));
+}
+
+static bool is_uint(const msgpack_object *o)
+{
+	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+}
+
+static bool read_fields(const msgpack_object *o, struct snapshot *s)
+{
+	const msgpack_object *f = o->via.array.ptr;
+
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != FIELDS ||
+	    !is_uint(&f[CONFIG_OFFSET]) ||
+	    f[CONFIG].type != MSGPACK_OBJECT_BIN ||
+	    !is_uint(&f[BACKENDS_OFFSET]) || !is_uint(&f[BACKENDS_AGE]) ||
+	    f[BACKENDS].type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	s->config_offset = f[CONFIG_OFFSET].via.u64;
+	buf_add(&s->config, f[CONFIG].via.bin.ptr, f[CONFIG].via.bin.size);
+	s->backends_offset = f[BACKENDS_OFFSET].via.u64;
+	s->backends_age_ms = (uint32_t)f[BACKENDS_AGE].via.u64;
+	for (uint32_t i = 0; i < f[BACKENDS].via.array.size; i++) {
+		struct backend_change c;
+
+		if (!gossip_read_change(&f[BACKENDS].via.array.ptr[i], &c))
+			return false;
+		g_array_append_val(s->backends, c);
+	}
+	return true;
+}
+
+/*
+ * snapshot_read() decodes into s, which must be fresh. Returns 0 or -EPROTO;
+ * s is to be cleared in both cases.
+ */
+int snapshot_read(struct lstr bytes, struct snapshot *s)
+{
+	msgpack_unpacked u;
+	size_t off = 0;
+	int rc = -EPROTO;
+
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, bytes.ptr, bytes.len, &off) ==
+		    MSGPACK_UNPACK_SUCCESS &&
+	    read_fields(&u.data, s))
+		rc = 0;
+	msgpack_unpacked_destroy(&u);
+	return rc;
+}
--- /dev/null
+++ b/member/snapshot.h
@@ -0,0 +1,24 @@
+/*
+ * What one instance knows, for another that has just started while the store
+ * does not answer: the newest configuration record and the whole list of
+ * backend servers, with the offsets from which the store is to be read on.
+ */
+#ifndef MP_MEMBER_SNAPSHOT_H
+#define MP_MEMBER_SNAPSHOT_H
+
+#include "member/gossip.h"
+
+struct snapshot {
+	uint64_t config_offset;
+	struct buf config; /* the record as the store holds it; owned */
+	uint64_t backends_offset;
+	uint32_t backends_age_ms;
+	GArray *backends; /* struct backend_change, none removed */
+};
+
+void snapshot_init(struct snapshot *s);
+void snapshot_clear(struct snapshot *s);
+void snapshot_write(const struct snapshot *s, struct buf *out);
+int snapshot_read(struct lstr bytes, struct snapshot *s);
+
+#endif
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -95,6 +95,11 @@
 check "outage: calls still served" load --seconds 2 --rate 100 --seed 2
 fault 18000 down=silent
 check "silent store: calls still served" load --seconds 2 --rate 100 --seed 21
+kill -KILL "$pid_e2"
+wait "$pid_e2" 2>/dev/null
+start_entry e2
+sleep 3
+check "restarted during an outage: knows what its peer knows" test "$(call_key 18102 outage-1)" = done
 fault 18000 down=no
 sleep 1.5
 check "after outage: version kept" sh -c "$bin ctl --deployment $ini show | grep -q 'live version 2$'"
--- a/tests/test_backend_list.c
+++ b/tests/test_backend_list.c
@@ -204,6 +204,34 @@
 	assert_string_equal(state_of(&rs, "b"), "ready");
 }
 
+/* A peer's whole list stands in for one of the store; records follow it. */
+static void test_import(void **state)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	struct backend_list l, fresh;
+	struct seen s, fs;
+
+	init(&l, &s);
+	init(&fresh, &fs);
+	list_anew(&l, 0, 1000);
+	record(&l, 3, "a", "ready", 1000);
+	record(&l, 4, "b", "draining", 1000);
+	record(&l, 5, "c", "ready", 1000);
+	record(&l, 6, "c", "gone", 1000);
+	backend_list_caught_up(&l, 7, 1000, 1000);
+	backend_list_export(&l, all);
+	backend_list_import(&fresh, all, l.offset, 1000, 5000);
+	assert_true(fresh.loaded);
+	assert_int_equal(fresh.offset, 7);
+	assert_int_equal(fresh.fresh_ms, 1000);
+	assert_string_equal(state_of(&fs, "a"), "ready");
+	assert_string_equal(state_of(&fs, "b"), "draining");
+	assert_string_equal(state_of(&fs, "c"), "gone");
+	record(&fresh, 7, "a", "draining", 5100);
+	assert_string_equal(state_of(&fs, "a"), "draining");
+	g_array_unref(all);
+}
+
 static void test_read_due(void **state)
 {
 	/* The first reads twice a second; others when nobody did. */
@@ -335,6 +363,7 @@
 		cmocka_unit_test(test_removed_at_once),
 		cmocka_unit_test(test_feed_and_gap),
 		cmocka_unit_test(test_settling_is_fed),
+		cmocka_unit_test(test_import),
 		cmocka_unit_test(test_read_due),
 		cmocka_unit_test(test_histories),
 	};
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -1,7 +1,10 @@
 /* Tests of member/peers and member/gossip. */
 #include "tests/unit.h"
 
+#include <errno.h>
+
 #include "member/gossip.h"
+#include "member/snapshot.h"
 #include "member/peers.h"
 
 static struct peer_info info(const char *name, uint64_t boot)
@@ -72,23 +75,6 @@
 	assert_int_equal(peers_for_callers(&t, 9000, out, 64), 2);
 }
 
-static void test_fresh_is_told(void **state)
-{
-	struct peer_info self = info("e3", 1), p = info("e1", 1);
-	struct peer_table t;
-
-	peers_init(&t, &self);
-	assert_true(peers_heard(&t, &p, 1000));
-	assert_false(peers_heard(&t, &p, 1500));
-	p.boot = 2;
-	assert_true(peers_heard(&t, &p, 1600));
-	assert_true(peers_heard(&t, &p, 9000));
-	/* Its own datagrams don't make it a peer of itself. */
-	assert_false(peers_heard(&t, &self, 9000));
-	assert_int_equal(peers_count(&t, 9000), 2);
-	assert_int_equal(peers_count(&t, 90000), 1);
-}
-
 static void fill_changes(GArray *a, int n)
 {
 	for (int i = 0; i < n; i++) {
@@ -109,6 +95,86 @@
 	}
 }
 
+/* Those that can't serve yet are named only when nobody can. */
+static void test_ready_first(void **state)
+{
+	struct peer_info self = info("e3", 1), other = info("e1", 1);
+	struct peer_brief out[PEERS_FOR_CALLERS];
+	struct peer_table t;
+
+	self.ready = true;
+	peers_init(&t, &self);
+	peers_heard(&t, &other, 1000);
+	hear(&t, "e2", 1000);
+	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 1);
+	assert_string_equal(out[0].name, "e3");
+	assert_null(peers_informant(&t, 0, 1000));
+	other.ready = true;
+	peers_heard(&t, &other, 1000);
+	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 2);
+	for (unsigned turn = 0; turn < 4; turn++)
+		assert_string_equal(peers_informant(&t, turn, 1000)->info.name,
+				    "e1");
+	t.self.ready = false;
+	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 1);
+	assert_string_equal(out[0].name, "e1");
+	other.ready = false;
+	peers_heard(&t, &other, 1000);
+	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 3);
+}
+
+static void test_snapshot(void **state)
+{
+	struct snapshot s, got;
+	struct buf b = {0};
+
+	snapshot_init(&s);
+	s.config_offset = 7;
+	buf_add_lstr(&s.config, LSTR("any \x01 bytes"));
+	s.backends_offset = 1234567;
+	s.backends_age_ms = 89;
+	fill_changes(s.backends, 2);
+	snapshot_write(&s, &b);
+	snapshot_init(&got);
+	assert_int_equal(snapshot_read(buf_lstr(&b), &got), 0);
+	assert_int_equal(got.config_offset, 7);
+	assert_true(lstr_eq(buf_lstr(&got.config), buf_lstr(&s.config)));
+	assert_int_equal(got.backends_offset, 1234567);
+	assert_int_equal(got.backends_age_ms, 89);
+	assert_int_equal(got.backends->len, 2);
+	assert_memory_equal(got.backends->data, s.backends->data,
+			    2 * sizeof(struct backend_change));
+	snapshot_clear(&got);
+	for (size_t n = 0; n < b.len; n++) {
+		char *copy = g_memdup2(b.ptr, n ? n : 1);
+
+		snapshot_init(&got);
+		assert_int_equal(snapshot_read((struct lstr){copy, n}, &got),
+				 -EPROTO);
+		snapshot_clear(&got);
+		g_free(copy);
+	}
+	snapshot_clear(&s);
+	buf_free(&b);
+}
+
+static void test_fresh_is_told(void **state)
+{
+	struct peer_info self = info("e3", 1), p = info("e1", 1);
+	struct peer_table t;
+
+	peers_init(&t, &self);
+	assert_true(peers_heard(&t, &p, 1000));
+	assert_false(peers_heard(&t, &p, 1500));
+	p.boot = 2;
+	assert_true(peers_heard(&t, &p, 1600));
+	assert_true(peers_heard(&t, &p, 9000));
+	/* Its own datagrams don't make it a peer of itself. */
+	assert_false(peers_heard(&t, &self, 9000));
+	assert_int_equal(peers_count(&t, 9000), 2);
+	assert_int_equal(peers_count(&t, 90000), 1);
+}
+
 static void test_round_trip(void **state)
 {
 	struct peer_info self = info("e3", 77);
@@ -177,6 +243,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_rank_and_take_over),
 		cmocka_unit_test(test_for_callers),
+		cmocka_unit_test(test_ready_first),
+		cmocka_unit_test(test_snapshot),
 		cmocka_unit_test(test_fresh_is_told),
 		cmocka_unit_test(test_round_trip),
 		cmocka_unit_test(test_feed_fits),
