Explaining a failure: explain, status, fuller lines; a late second send

- mimosapitch explain ID gathers a request's story from any logs; ctl status shows the entries on a phone's screen; lines say what decided (report and its age, expected time, servers asked, budget and time left, Retry-After); metrics gain services, servers as believed, lines lost; [log] level. test_event: the bound on the rate, a reader who stopped reading delays nobody. e2e: a refused, an unknown and a served request are explained.
Now it goes to a server with room to spare after 2.5 times what was expected and after its target (core/hedge, admit_takes_rescue; test_request test_rescue fails before with 504, passes after).

--- a/app/instance.c
+++ b/app/instance.c
@@ -51,6 +51,9 @@
 	pthread_t thread;
 	int rc;
 
+	rc = mp_log_set_level(s->log_level);
+	if (rc)
+		return rc;
 	rc = control_init(&control, s, &source, &traffic.in);
 	if (!rc)
 		rc = traffic_init(&traffic, s, own, &control.view, &control.in);
--- a/app/main.c
+++ b/app/main.c
@@ -26,10 +26,12 @@
 	"                              file's name may also stand in the\n"
 	"                              environment as MIMOSAPITCH_CONFIG\n"
 	"  check [--settings FILE]     check such settings and exit\n"
+	"  explain ID < LOGS           one request's story from any logs\n"
 	"on a local deployment (--deployment FILE; default: the embedded "
 	"one):\n"
 	"  entry --name NAME           an entry instance\n"
-	"  ctl show | log | patch [--base N] [--unset K,..] [--wait] K=V ..\n"
+	"  ctl show | log | status\n"
+	"  ctl patch [--base N] [--unset K,..] [--wait] K=V ..\n"
 	"                              the operator's command line\n"
 	"  store                       stand-in: the platform's store\n"
 	"  backend --service S --index I [--seed N]\n"
@@ -99,12 +101,13 @@
 
 static int run_ctl(const struct deploy *d, struct cli *o, char **rest)
 {
-	static const char *const commands[] = {"show", "log", "patch", NULL};
+	static const char *const commands[] = {"show", "log", "patch", "status",
+					       NULL};
 	struct ctl_args a = {.base = o->base,
 			     .last = o->last ? o->last : 10,
 			     .wait = o->wait};
 
-	if (!rest || !g_strv_contains(commands, rest[0])) {
+	if (!rest || !rest[0] || !g_strv_contains(commands, rest[0])) {
 		fputs(usage_text, stderr);
 		return -EINVAL;
 	}
@@ -202,7 +205,9 @@
 	mp_log_init(argv[1]);
 	if (parse(argc - 1, argv + 1, &o, &rest))
 		return EXIT_USAGE;
-	if (!strcmp(argv[1], "instance") || !strcmp(argv[1], "check"))
+	if (!strcmp(argv[1], "explain") && rest && rest[0])
+		rc = explain_main(rest[0]);
+	else if (!strcmp(argv[1], "instance") || !strcmp(argv[1], "check"))
 		rc = run_on_platform(argv[1], &o);
 	else
 		rc = run_local(argv[1], &o, rest);
--- a/common/event.c
+++ b/common/event.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -20,7 +21,8 @@
 
 static const char *log_role = "-";
 static bool to_stdout, quiet;
-static uint64_t dropped, lines_this_s;
+static uint64_t dropped, lost, lines_this_s;
+static bool brief; /* leaves out what touches single requests */
 static uint64_t this_s;
 
 static const char *level_name(GLogLevelFlags level)
@@ -38,6 +40,31 @@
 	return "debug";
 }
 
+/* A line that was left out: told with the next one, and in all. */
+static void count_dropped(void)
+{
+	ck_pr_inc_64(&dropped);
+	ck_pr_inc_64(&lost);
+}
+
+/* mp_log_lost() counts the lines that were left out since the start. */
+guint64 mp_log_lost(void)
+{
+	return ck_pr_load_64(&lost);
+}
+
+/*
+ * mp_log_set_level() chooses "info" (all lines, the default) or "notice"
+ * (without those of single requests). Returns 0 or -EINVAL.
+ */
+int mp_log_set_level(const char *name)
+{
+	if (strcmp(name, "info") && strcmp(name, "notice"))
+		return -EINVAL;
+	brief = !strcmp(name, "notice");
+	return 0;
+}
+
 /* Tells whether one more line fits this second's allowance. */
 static bool within_rate(const struct timespec *ts)
 {
@@ -58,25 +85,25 @@
 
 	if (poll(&p, 1, 0) != 1 || !(p.revents & POLLOUT) ||
 	    write(STDOUT_FILENO, line, n) < 0)
-		ck_pr_inc_64(&dropped);
+		count_dropped();
 }
 
 static void write_stdout(const struct timespec *ts, const char *ev,
 			 GLogLevelFlags level, const char *msg)
 {
 	char line[LINE_MAX_BYTES];
-	uint64_t lost;
+	uint64_t before;
 	int n;
 
 	if (!within_rate(ts)) {
-		ck_pr_inc_64(&dropped);
+		count_dropped();
 		return;
 	}
-	lost = ck_pr_fas_64(&dropped, 0);
+	before = ck_pr_fas_64(&dropped, 0);
 	n = snprintf(line, sizeof(line),
 		     "ts=%lld.%03ld role=%s ev=%s level=%s dropped=%llu %s\n",
 		     (long long)ts->tv_sec, ts->tv_nsec / 1000000, log_role, ev,
-		     level_name(level), (unsigned long long)lost, msg);
+		     level_name(level), (unsigned long long)before, msg);
 	if (n >= (int)sizeof(line)) {
 		n = sizeof(line);
 		line[n - 1] = '\n';
@@ -97,6 +124,8 @@
 	struct timespec ts;
 
 	(void)data;
+	if (brief && (level & G_LOG_LEVEL_INFO))
+		return G_LOG_WRITER_HANDLED;
 	if (quiet && !(level & (G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_ERROR)))
 		return G_LOG_WRITER_HANDLED;
 	if ((level & G_LOG_LEVEL_DEBUG) && !g_getenv("G_MESSAGES_DEBUG"))
--- a/common/event.h
+++ b/common/event.h
@@ -49,6 +49,8 @@
 void mp_log_init(const char *role);
 void mp_log_to_stdout(void);
 void mp_log_quiet(void);
+int mp_log_set_level(const char *name);
+guint64 mp_log_lost(void);
 void mp_event(enum mp_event ev, GLogLevelFlags level, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/core/admit.c
+++ b/core/admit.c
@@ -100,3 +100,13 @@
 	return !pressed && s->has_spare &&
 	       r->spent_ms + CALLER_WAY_MS + s->estimate_ms <= r->target_ms;
 }
+
+/*
+ * admit_takes_rescue() decides about a second send of a request that is late
+ * and may never be answered by the first server: where there is room to spare,
+ * and not while others miss some.
+ */
+bool admit_takes_rescue(const struct admit_server *s, bool pressed)
+{
+	return s->has_spare && !pressed;
+}
--- a/core/admit.h
+++ b/core/admit.h
@@ -44,6 +44,7 @@
 double admit_wait_ms(const struct admit_request *r);
 bool admit_takes(const struct admit_request *r, const struct admit_server *s,
 		 bool pressed);
+bool admit_takes_rescue(const struct admit_server *s, bool pressed);
 bool admit_takes_second(const struct admit_request *r,
 			const struct admit_server *s, bool pressed);
 
--- a/core/budget.c
+++ b/core/budget.c
@@ -49,18 +49,26 @@
 	b->extra[cell_at(b, r, now_ms)]++;
 }
 
-/* budget_allows() tells whether one more extra send keeps to the rule. */
-bool budget_allows(struct retry_budget *b, const struct budget_rule *r,
+/* budget_left() says how many more extra sends keep to the rule now. */
+double budget_left(const struct retry_budget *b, const struct budget_rule *r,
 		   int64_t now_ms)
 {
+	struct retry_budget now = *b;
 	double requests = 0, extra = 0;
 	unsigned n = r->instances ? r->instances : 1;
 
-	cell_at(b, r, now_ms);
+	cell_at(&now, r, now_ms);
 	for (unsigned i = 0; i < BUDGET_CELLS; i++) {
-		requests += b->requests[i];
-		extra += b->extra[i];
+		requests += now.requests[i];
+		extra += now.extra[i];
 	}
-	return extra + 1 <=
-	       requests * r->ratio * RATIO_SHARE + r->slack * SLACK_SHARE / n;
+	return requests * r->ratio * RATIO_SHARE + r->slack * SLACK_SHARE / n -
+	       extra;
+}
+
+/* budget_allows() tells whether one more extra send keeps to the rule. */
+bool budget_allows(const struct retry_budget *b, const struct budget_rule *r,
+		   int64_t now_ms)
+{
+	return budget_left(b, r, now_ms) >= 1;
 }
--- a/core/budget.h
+++ b/core/budget.h
@@ -27,7 +27,9 @@
 
 void budget_request(struct retry_budget *b, const struct budget_rule *r,
 		    int64_t now_ms);
-bool budget_allows(struct retry_budget *b, const struct budget_rule *r,
+bool budget_allows(const struct retry_budget *b, const struct budget_rule *r,
+		   int64_t now_ms);
+double budget_left(const struct retry_budget *b, const struct budget_rule *r,
 		   int64_t now_ms);
 void budget_spend(struct retry_budget *b, const struct budget_rule *r,
 		  int64_t now_ms);
--- a/core/hedge.c
+++ b/core/hedge.c
@@ -19,3 +19,20 @@
 
 	return (int64_t)(latest > earliest ? latest : earliest);
 }
+
+/* A server that has taken this many times as long may never answer. */
+static const double RESCUE_FACTOR = 2.5;
+
+/*
+ * rescue_delay_ms() returns how long after a send a request that is late
+ * anyway goes to another server: without it one that was taken and is never
+ * answered would end with its timeout. estimate_ms is what was expected of
+ * the first server when it was chosen, so that a slow one isn't given up
+ * shortly before it answers. Not before the target has passed.
+ */
+int64_t rescue_delay_ms(double estimate_ms, uint32_t target_ms)
+{
+	double ms = RESCUE_FACTOR * estimate_ms;
+
+	return (int64_t)(ms > target_ms ? ms : target_ms);
+}
--- a/options/deploy.c
+++ b/options/deploy.c
@@ -26,6 +26,7 @@
 	{"deadline_ms", OPT_INT, E(deadline_ms), "1000", 1, 600000},
 	{"retry_budget_pct", OPT_INT, E(retry_budget_pct), "10", 0, 100},
 	{"grace_s", OPT_INT, E(grace_s), "6", 1, 600},
+	{"log_level", OPT_STR, E(log_level), "info", 0, 0},
 	OPT_END,
 };
 #undef E
--- a/options/deploy.h
+++ b/options/deploy.h
@@ -25,6 +25,7 @@
 	int deadline_ms;
 	int retry_budget_pct;
 	int grace_s;
+	char *log_level; /* of entries: info or notice */
 };
 
 struct service_opts {
--- a/options/instance.c
+++ b/options/instance.c
@@ -29,6 +29,11 @@
 	OPT_END,
 };
 
+static const struct opt_def log_opts[] = {
+	{"level", OPT_STR, FIELD(log_level), "info", 0, 0},
+	OPT_END,
+};
+
 /* Defaults are on the careful side of what the platform usually names. */
 static const struct opt_def bounds_opts[] = {
 	{"drain_ms", OPT_REAL, FIELD(bounds.drain_ms), "2000", 0, 0},
@@ -65,6 +70,13 @@
 		settings_read_group(&s, "listen", listen_opts, out, &f);
 		settings_read_group(&s, "platform", platform_opts, out, &f);
 		settings_read_group(&s, "bounds", bounds_opts, out, &f);
+		settings_read_group(&s, "log", log_opts, out, &f);
+		if (strcmp(out->log_level, "info") &&
+		    strcmp(out->log_level, "notice"))
+			findings_add(&f, path,
+				     settings_line_of(s.text, "log", "level"),
+				     "level", "'%s' is not info or notice",
+				     out->log_level);
 		settings_close(&s);
 	}
 	rc = findings_report(&f);
@@ -107,6 +119,7 @@
 	out->metrics = g_strdup_printf("%s:%d", host, port + PORT_METRICS);
 	out->peers = g_strdup_printf("%s:%d", host, port + PORT_PEERS);
 	out->store = g_strdup(d->entry.platform);
+	out->log_level = g_strdup(d->entry.log_level);
 	out->bounds = (struct bounds){
 		.drain_ms = 2000,
 		.config_ms = 2000,
--- a/options/instance.h
+++ b/options/instance.h
@@ -27,6 +27,8 @@
 	char *own; /* the product's own interface; NULL: not served */
 	/* [platform] */
 	char *store;
+	/* [log] */
+	char *log_level; /* info or notice */
 	struct bounds bounds;
 };
 
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -123,6 +123,31 @@
 check "requests never answered: invariants hold" load --seconds 3 --rate 100 --seed 34
 all_backends 'hang_pct=0'
 
+# From a failed request's id to its cause, with nothing but the logs.
+call_id() { # service tenant id
+	curl -s -m 3 -o /dev/null -X POST -H "X-Tenant: $2" -H "X-Request-Id: $3" \
+		-H "Idempotency-Key: $3" -H 'X-Deadline-Ms: 400' \
+		http://127.0.0.1:18101/v1/call/$1
+}
+explains() { # id, words that the story must have
+	local id=$1 story word
+	shift
+	story=$(grep -H . "$logs"/entry-*.log | $bin explain "$id") || return 1
+	echo "$story"
+	for word in "$@"; do grep -q -- "$word" <<<"$story" || return 1; done
+}
+all_backends shed=1
+call_id harta strada refused-1
+all_backends 'shed=0&hang_pct=100'
+call_id becas-pagos semillero unknown-1
+all_backends 'hang_pct=0'
+call_id harta strada served-1
+check "explain: a refused request" explains refused-1 'refused: it did not run' 'why=server full' 'load='
+check "explain: an unknown one" explains unknown-1 'it may have run' 'why=timeout' 'sent to a backend server'
+check "explain: a served one" explains served-1 'answered by a backend server' 'at_server_ms='
+check "explain: no such request" expect_exit 70 sh -c "cat $logs/entry-*.log | $bin explain nobody"
+check "status of the entries" sh -c "$bin ctl --deployment $ini status | grep -q '^e2 '"
+
 load --seconds 4 --rate 150 --seed 4 >"$logs/stop.txt" 2>&1 &
 load_pid=$!
 sleep 1
--- /dev/null
+++ b/tests/test_event.c
@@ -0,0 +1,152 @@
+/*
+ * Tests of common/event: what a line looks like, the bound on the rate, and
+ * that a reader who has stopped reading delays nobody.
+ */
+#include "tests/unit.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "common/event.h"
+#include "misc/clock.h"
+
+/* Puts a pipe in the place of standard output. */
+struct swap {
+	int saved, reader;
+};
+
+static struct swap swap_stdout(void)
+{
+	struct swap s;
+	int p[2];
+
+	assert_int_equal(pipe(p), 0);
+	fflush(stdout);
+	s.saved = dup(STDOUT_FILENO);
+	dup2(p[1], STDOUT_FILENO);
+	close(p[1]);
+	s.reader = p[0];
+	fcntl(s.reader, F_SETFL, O_NONBLOCK);
+	return s;
+}
+
+static void swap_back(struct swap *s)
+{
+	dup2(s->saved, STDOUT_FILENO);
+	close(s->saved);
+	close(s->reader);
+}
+
+/* Waits for the next second, so that its allowance is whole. */
+static void next_second(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_REALTIME, &t);
+	usleep((useconds_t)(1000000 - t.tv_nsec / 1000));
+}
+
+static size_t read_all(int fd, char *buf, size_t max)
+{
+	size_t n = 0;
+	ssize_t got;
+
+	while (n < max - 1 && (got = read(fd, buf + n, max - 1 - n)) > 0)
+		n += (size_t)got;
+	buf[n] = '\0';
+	return n;
+}
+
+static void test_line(void **state)
+{
+	static char buf[4096];
+	struct swap s = swap_stdout();
+
+	mp_event(EV_REQUEST_REFUSED, G_LOG_LEVEL_INFO, "id=%s why=%s", "a-1",
+		 "no room");
+	read_all(s.reader, buf, sizeof(buf));
+	swap_back(&s);
+	assert_non_null(strstr(buf, " ev=412 "));
+	assert_non_null(
+		strstr(buf, " level=info dropped=0 id=a-1 why=no room\n"));
+	assert_int_equal(strncmp(buf, "ts=", 3), 0);
+}
+
+/* A storm: the bound holds, and the next line tells how many are missing. */
+static void test_rate(void **state)
+{
+	static char buf[1 << 20];
+	struct swap s = swap_stdout();
+	guint64 lost = mp_log_lost();
+	int lines = 0;
+
+	next_second();
+	for (int i = 0; i < 2000; i++) {
+		mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO, "n=%d", i);
+		if (i % 100 == 0)
+			read_all(s.reader, buf, sizeof(buf));
+	}
+	lost = mp_log_lost() - lost;
+	read_all(s.reader, buf, sizeof(buf));
+	next_second();
+	mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO, "after");
+	read_all(s.reader, buf, sizeof(buf));
+	swap_back(&s);
+	for (char *p = buf; (p = strchr(p, '\n')); p++)
+		lines++;
+	assert_int_equal(lines, 1);
+	assert_int_equal(lost, 1600);
+	assert_non_null(strstr(buf, "dropped=1600 after"));
+}
+
+/* Nobody reads: 20,000 lines take no longer than their formatting. */
+static void test_blocked_reader(void **state)
+{
+	struct swap s = swap_stdout();
+	guint64 lost = mp_log_lost();
+	char text[900];
+	int64_t t0;
+
+	memset(text, 'x', sizeof(text));
+	text[sizeof(text) - 1] = '\0';
+	next_second();
+	t0 = clock_ms();
+	for (int i = 0; i < 20000; i++)
+		mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO, "%s", text);
+	t0 = clock_ms() - t0;
+	swap_back(&s);
+	assert_true(t0 < 2000);
+	/* A pipe holds 64 KB, some 60 of these. */
+	assert_true(mp_log_lost() - lost > 19000);
+}
+
+static void test_level(void **state)
+{
+	static char buf[4096];
+	struct swap s = swap_stdout();
+
+	next_second();
+	assert_int_equal(mp_log_set_level("notice"), 0);
+	mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO, "one request");
+	mp_event(EV_MEMBER_GONE, G_LOG_LEVEL_MESSAGE, "a server");
+	assert_int_equal(mp_log_set_level("info"), 0);
+	read_all(s.reader, buf, sizeof(buf));
+	swap_back(&s);
+	assert_null(strstr(buf, "one request"));
+	assert_non_null(strstr(buf, "a server"));
+	assert_int_not_equal(mp_log_set_level("loud"), 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_line),
+		cmocka_unit_test(test_rate),
+		cmocka_unit_test(test_blocked_reader),
+		cmocka_unit_test(test_level),
+	};
+
+	mp_log_init("test");
+	mp_log_to_stdout();
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -132,12 +132,22 @@
 	assert_in_range(hedge_delay_ms(60, 200, 150), 85, 95);
 }
 
+/* The late one waits for what was expected, and for the target. */
+static void test_rescue_delay(void **state)
+{
+	assert_int_equal(rescue_delay_ms(60, 200), 200);
+	assert_int_equal(rescue_delay_ms(240, 200), 600);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_choose), cmocka_unit_test(test_trouble),
-		cmocka_unit_test(test_room),   cmocka_unit_test(test_estimate),
+		cmocka_unit_test(test_choose),
+		cmocka_unit_test(test_trouble),
+		cmocka_unit_test(test_room),
+		cmocka_unit_test(test_estimate),
 		cmocka_unit_test(test_hedge),
+		cmocka_unit_test(test_rescue_delay),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -162,6 +162,35 @@
 	bench_free(b);
 }
 
+/* Too late to be on time, but not to be answered at all. */
+static void test_rescue(void **state)
+{
+	struct bench *b = bench_new(2);
+
+	bench_script(b, 0, SCRIPT_HANG);
+	for (int i = 0; i < 6; i++) {
+		struct caller *c;
+
+		/* The class usually takes three quarters of its target. */
+		traffic_class(&b->traffic, "harta", BENCH_TARGET_MS)->work_ms =
+			150;
+		c = bench_call(b, "GET", 1000);
+		bench_run_until(b, c);
+		assert_int_equal(c->status, 200);
+		assert_true(caller_has_own_body(c));
+	}
+	/* What may not be repeated is not. */
+	b->servers[1].dead = true;
+	bench_drain(b, 1);
+	struct caller *c = bench_call(b, "POST", 1000);
+
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 504);
+	assert_int_equal(bench_runs(b, c), 1);
+	b->servers[1].dead = false;
+	bench_free(b);
+}
+
 /* A second answer to an earlier request is never passed on. */
 static void test_extra_answers(void **state)
 {
@@ -366,6 +395,7 @@
 		cmocka_unit_test(test_room_appears),
 		cmocka_unit_test(test_silent_server),
 		cmocka_unit_test(test_hedge),
+		cmocka_unit_test(test_rescue),
 		cmocka_unit_test(test_extra_answers),
 		cmocka_unit_test(test_unsealed),
 		cmocka_unit_test(test_address_reused),
--- a/tools/ctl.c
+++ b/tools/ctl.c
@@ -112,6 +112,49 @@
 	g_list_free(keys);
 }
 
+/* One figure of an instance's metrics; -1: not there. */
+static double figure(const char *metrics, const char *name)
+{
+	char *key = g_strdup_printf("\n%s ", name);
+	const char *at = strstr(metrics, key);
+	double v = at ? g_ascii_strtod(at + strlen(key), NULL) : -1;
+
+	g_free(key);
+	return v;
+}
+
+/* One short line for each entry instance: fits a phone's screen. */
+static int print_status(const struct deploy *d)
+{
+	int silent = 0;
+
+	printf("%-8s %7s %7s %5s %5s %5s\n", "entry", "version", "age_ms",
+	       "peers", "open", "lost");
+	for (guint i = 0; i < d->entries->len; i++) {
+		const struct entry_opts *en = d->entries->pdata[i];
+		struct buf body = {0};
+
+		buf_add(&body, "\n", 1);
+		if (fetch(en->listen, "GET", "/admin/metrics",
+			  METRICS_TIMEOUT_MS, &body) != 200) {
+			printf("%-8s no answer\n", en->name);
+			silent++;
+			buf_free(&body);
+			continue;
+		}
+		buf_add(&body, "", 1);
+		/* Instances count the settings as version 1. */
+		printf("%-8s %7.0f %7.0f %5.0f %5.0f %5.0f\n", en->name,
+		       figure(body.ptr, "config_version") - 1,
+		       figure(body.ptr, "backend_list_age_ms"),
+		       figure(body.ptr, "instances"),
+		       figure(body.ptr, "open_requests"),
+		       figure(body.ptr, "log_lines_lost"));
+		buf_free(&body);
+	}
+	return silent ? EXIT_UNREACHABLE : 0;
+}
+
 /* The version that an entry instance says it has in force; 0: none. */
 static uint64_t version_at(const struct entry_opts *en)
 {
@@ -232,6 +275,8 @@
 
 static int run(struct ctl *c, const struct ctl_args *a)
 {
+	if (!strcmp(a->cmd, "status"))
+		return print_status(c->deploy);
 	if (read_live(c)) {
 		printf("not sent: the store cannot be read (%s)\n",
 		       g_strerror(-c->err));
--- /dev/null
+++ b/tools/explain.c
@@ -0,0 +1,158 @@
+/*
+ * Gathers one request's story from the logs of any number of processes: its
+ * lines in their order, each with what it says, and what the same processes
+ * came to believe shortly before (servers that left, the store lost).
+ */
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/event.h"
+#include "tools/tools.h"
+
+enum {
+	LINE_BYTES = 4096,
+	/* What a process learned this long before is told as well. */
+	CONTEXT_S = 5,
+};
+
+struct log_line {
+	double ts;
+	int ev;
+	char *text;  /* from "ts=" on */
+	char *where; /* what stands before it: a file or process name */
+};
+
+struct meaning {
+	int ev;
+	const char *text;
+};
+
+static const struct meaning meanings[] = {
+	{EV_REQUEST_SENT, "sent to a backend server"},
+	{EV_REQUEST_DONE, "answered by a backend server"},
+	{EV_REQUEST_REFUSED, "refused: it did not run and never will"},
+	{EV_REQUEST_UNKNOWN, "ended without an answer: it may have run"},
+	{EV_REQUEST_RETRY, "goes to another server"},
+	{EV_REQUEST_GONE, "the caller left"},
+	{EV_REQUEST_NO_ROUTE, "no route takes it"},
+	{EV_CALL_FOREIGN_ANSWER, "a server's answer named another request"},
+	{EV_CONFIG_APPLIED, "a configuration version came into force"},
+	{EV_PLATFORM_UNREACHABLE, "the store stopped answering"},
+	{EV_PLATFORM_RECOVERED, "the store answers again"},
+	{EV_MEMBER_LEAVING, "a server drains"},
+	{EV_MEMBER_GONE, "a server is off the list"},
+	{EV_STOPPING, "the instance began to stop"},
+	{EV_STARTED, "the instance started"},
+};
+
+static const char *meaning_of(int ev)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(meanings); i++) {
+		if (meanings[i].ev == ev)
+			return meanings[i].text;
+	}
+	return NULL;
+}
+
+/* Reads the lines that are ours; whatever a collector put before stays. */
+static GArray *read_lines(FILE *in)
+{
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct log_line));
+	char buf[LINE_BYTES];
+
+	while (fgets(buf, sizeof(buf), in)) {
+		char *ts = strstr(buf, "ts="), *ev = strstr(buf, " ev=");
+		struct log_line l;
+
+		if (!ts || !ev)
+			continue;
+		l.ts = g_ascii_strtod(ts + strlen("ts="), NULL);
+		l.ev = atoi(ev + strlen(" ev="));
+		l.text = g_strchomp(g_strdup(ts));
+		l.where = g_strchomp(g_strndup(buf, (gsize)(ts - buf)));
+		g_array_append_val(lines, l);
+	}
+	return lines;
+}
+
+static int compare_ts(gconstpointer a, gconstpointer b)
+{
+	const struct log_line *x = a, *y = b;
+
+	return x->ts < y->ts ? -1 : x->ts > y->ts;
+}
+
+/* Tells whether a line names the id, as a whole value. */
+static bool names(const struct log_line *l, const char *id)
+{
+	char *key = g_strdup_printf(" id=%s ", id);
+	bool found = strstr(l->text, key) != NULL;
+
+	g_free(key);
+	return found;
+}
+
+/* What a process believes, not what it did with some request. */
+static bool is_belief(int ev)
+{
+	return ev < EV_CALL_FOREIGN_ANSWER && ev != EV_MEMBER_JOINED &&
+	       meaning_of(ev);
+}
+
+/* The part of a line after its level, which is the same on all. */
+static const char *fields_of(const struct log_line *l)
+{
+	const char *p = strstr(l->text, " level=");
+
+	p = p ? strchr(p + 1, ' ') : NULL;
+	return p ? p + 1 : l->text;
+}
+
+static void print_line(const struct log_line *l, double t0)
+{
+	const char *text = meaning_of(l->ev);
+
+	printf("%+9.3f s  %s%s%s\n             ev=%d %s\n", l->ts - t0,
+	       l->where, *l->where ? " " : "", text ? text : "-", l->ev,
+	       fields_of(l));
+}
+
+/*
+ * explain_main() reads logs from standard input. Returns 0, or -ENOENT when
+ * no line names the request.
+ */
+int explain_main(const char *id)
+{
+	GArray *lines = read_lines(stdin);
+	double first = 0, last = 0;
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+
+	g_array_sort(lines, compare_ts);
+	for (guint i = 0; i < lines->len; i++) {
+		struct log_line *l = &g_array_index(lines, struct log_line, i);
+
+		if (!names(l, id))
+			continue;
+		first = first ? first : l->ts;
+		last = l->ts;
+		g_hash_table_add(seen, l->where);
+	}
+	if (!last) {
+		fprintf(stderr, "explain: no line names id=%s\n", id);
+		return -ENOENT;
+	}
+	for (guint i = 0; i < lines->len; i++) {
+		struct log_line *l = &g_array_index(lines, struct log_line, i);
+		bool near = l->ts >= first - CONTEXT_S && l->ts <= last &&
+			    is_belief(l->ev) &&
+			    g_hash_table_contains(seen, l->where);
+
+		if (near || names(l, id))
+			print_line(l, first);
+	}
+	return 0;
+}
--- a/tools/tools.h
+++ b/tools/tools.h
@@ -9,7 +9,7 @@
 #include "options/deploy.h"
 
 struct ctl_args {
-	const char *cmd; /* show, patch, log */
+	const char *cmd; /* show, patch, log, status */
 	int64_t base;	 /* -1: the live version */
 	char **set_kv;	 /* key=value items */
 	char **unset;	 /* keys */
@@ -19,6 +19,8 @@
 
 int ctl_main(const struct deploy *d, const struct ctl_args *a);
 
+int explain_main(const char *id);
+
 struct load_args {
 	int seconds;
 	int rate; /* calls a second, all services together */
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -1,5 +1,7 @@
 #include <ck_pr.h>
 
+#include "common/event.h"
+#include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/metrics.h"
 #include "traffic/upstream.h"
@@ -32,16 +34,41 @@
 		   c->work_ms);
 }
 
-static void write_backend(struct buf *out, const struct backend *b)
+/* What this instance believes of a server, and how old that is. */
+static void write_backend(struct buf *out, const struct backend *b,
+			  int64_t now_ms)
 {
-	buf_printf(out,
-		   "backend_in_flight{service=\"%s\",backend=\"%s\"} "
-		   "%u\n",
-		   b->service->name, b->entry.id, b->in_flight);
-	buf_printf(out,
-		   "backend_trouble{service=\"%s\",backend=\"%s\"} "
-		   "%.2f\n",
-		   b->service->name, b->entry.id, b->trouble);
+	const struct load_report *l = &b->load;
+	const struct {
+		const char *name;
+		double value;
+	} gauges[] = {
+		{"draining", b->entry.draining || b->drained},
+		{"in_flight", b->in_flight},
+		{"running", l->running},
+		{"waiting", l->waiting},
+		{"slots", l->slots},
+		{"slowdown_pct", l->slowdown_pct},
+		{"load_age_ms", l->at_ms ? (double)(now_ms - l->at_ms) : -1},
+		{"trouble", outlier_trouble(b, now_ms)},
+	};
+
+	for (size_t i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
+		buf_printf(out,
+			   "backend_%s{service=\"%s\",backend=\"%s\"} %g\n",
+			   gauges[i].name, b->service->name, b->entry.id,
+			   gauges[i].value);
+}
+
+static void write_service(struct buf *out, const struct traffic *t,
+			  const struct service *s, int64_t now_ms)
+{
+	buf_printf(out, "service_backends{service=\"%s\"} %u\n", s->name,
+		   s->backends->len);
+	buf_printf(out, "service_waiting{service=\"%s\"} %u\n", s->name,
+		   s->waiting.length);
+	buf_printf(out, "service_retries_left{service=\"%s\"} %.1f\n", s->name,
+		   budget_left(&s->budget, &t->budget_rule, now_ms));
 }
 
 /* metrics_write() writes all that an on-call engineer may want to plot. */
@@ -65,6 +92,8 @@
 		   ck_pr_load_64(&v->bytes_out));
 	buf_printf(out, "store_calls %" G_GUINT64_FORMAT "\n",
 		   ck_pr_load_64(&v->store_calls));
+	buf_printf(out, "log_lines_lost %" G_GUINT64_FORMAT "\n",
+		   mp_log_lost());
 	buf_printf(out, "instances %u\n", t->peers.instances);
 	buf_printf(out, "open_requests %u\n", t->open_requests);
 	buf_printf(out, "caller_connections %u\n", t->front.nconns);
@@ -82,7 +111,10 @@
 	g_hash_table_iter_init(&it, t->classes);
 	while (g_hash_table_iter_next(&it, NULL, &item))
 		write_class(out, item);
+	g_hash_table_iter_init(&it, t->backends.services);
+	while (g_hash_table_iter_next(&it, NULL, &item))
+		write_service(out, t, item, clock_ms());
 	g_hash_table_iter_init(&it, t->backends.by_id);
 	while (g_hash_table_iter_next(&it, NULL, &item))
-		write_backend(out, item);
+		write_backend(out, item, clock_ms());
 }
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -54,19 +54,25 @@
 						.body = body});
 }
 
+/* One line when a request ends, with what led there. */
 static void log_outcome(const struct request *r, enum mp_event ev,
-			unsigned status, const char *why)
+			unsigned status, const char *why, double retry_s)
 {
 	const struct send *last = r->nsends ? &r->sends[r->nsends - 1] : NULL;
+	int64_t now_ms = clock_ms();
 
 	mp_event(ev, G_LOG_LEVEL_INFO,
 		 "id=%.*s route=%.*s version=%" G_GUINT64_FORMAT
 		 " status=%u why=%s sends=%u last=%s ms=%" G_GINT64_FORMAT
-		 " spent_before=%.0f limit=%u",
+		 " at_server_ms=%" G_GINT64_FORMAT
+		 " asked=%u answered=%u spent_before_ms=%.0f limit_ms=%u "
+		 "retry_after_ms=%.0f waiting=%u",
 		 (int)r->call.id.len, r->call.id.ptr, (int)r->route->name.len,
 		 r->route->name.ptr, r->config->version, status, why, r->nsends,
-		 last ? last->backend->entry.id : "-", clock_ms() - r->start_ms,
-		 r->spent_before_ms, r->stats->patience.limit_ms);
+		 last ? last->backend->entry.id : "-", now_ms - r->start_ms,
+		 last ? now_ms - last->sent_ms : 0, r->asked, r->answered,
+		 r->spent_before_ms, r->stats->patience.limit_ms,
+		 retry_s * 1000, r->service->waiting.length);
 }
 
 /* Answers with a status of the instance's own. */
@@ -115,7 +121,7 @@
 	mp_invariant(!r->undenied, "id=%.*s may have run and was refused",
 		     (int)r->call.id.len, r->call.id.ptr);
 	r->stats->refused++;
-	log_outcome(r, EV_REQUEST_REFUSED, 503, why);
+	log_outcome(r, EV_REQUEST_REFUSED, 503, why, s);
 	answer_own(r, 503, s);
 }
 
@@ -126,7 +132,7 @@
 void request_fail(struct request *r, unsigned status, const char *why)
 {
 	r->stats->unknown++;
-	log_outcome(r, EV_REQUEST_UNKNOWN, status, why);
+	log_outcome(r, EV_REQUEST_UNKNOWN, status, why, 0);
 	answer_own(r, status, 0);
 }
 
@@ -152,7 +158,7 @@
 	unsigned status = answer->status;
 
 	count_answer(r, status, clock_ms() - r->start_ms);
-	log_outcome(r, EV_REQUEST_DONE, status, "answered");
+	log_outcome(r, EV_REQUEST_DONE, status, "answered", 0);
 	r->protocol->write_answer(&headers, r->call.id, answer);
 	finish(r, status, buf_lstr(&headers), buf_lstr(&answer->body));
 	buf_free(&headers);
@@ -364,7 +370,7 @@
 	if (!r)
 		return;
 	r->stats->gone++;
-	log_outcome(r, EV_REQUEST_GONE, 0, "caller left");
+	log_outcome(r, EV_REQUEST_GONE, 0, "caller left", 0);
 	r->conn = NULL;
 	if (r->route->idempotent || !request_is_out(r))
 		request_free(r);
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -54,6 +54,7 @@
 	struct upstream *upstream; /* NULL once it has ended */
 	int64_t sent_ms;
 	unsigned slowdown_pct; /* what the server told before */
+	double estimate_ms;    /* expected of the server then */
 };
 
 /* Why a request is being placed. */
@@ -78,9 +79,11 @@
 	int64_t placing_since_ms; /* begin of this placement */
 	int64_t round_ends_ms;	  /* no later than this a choice is made */
 	int64_t wait_until_ms;	  /* no room: ask again then; 0: not so */
+	unsigned asked, answered; /* questions of all placements so far */
 	unsigned waits;		  /* so far in this placement */
 	bool queued;		  /* stands in the service's queue */
-	int64_t hedge_ms;	  /* send a second time then; 0: never */
+	bool rescue;	  /* the second send is no longer to be on time */
+	int64_t hedge_ms; /* send a second time then; 0: never */
 	struct ask *asks[REQUEST_ASKS_MAX];
 	unsigned nasks;
 	struct send sends[REQUEST_SENDS_MAX];
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/event.h"
+#include "core/hedge.h"
 #include "core/outlier.h"
 #include "core/policy.h"
 #include "misc/clock.h"
@@ -27,6 +28,8 @@
 	 * requests tell of room sooner, and at no cost.
 	 */
 	WAIT_MS = 12,
+	/* A late second send is tried again after this. */
+	RESCUE_AGAIN_MS = 150,
 };
 
 /* A server that tells its load does so at once, in a round trip. */
@@ -152,10 +155,12 @@
 /* The request goes on, or nobody waits and the ask ends. */
 static void ask_over(struct ask *a, int64_t now_ms)
 {
-	if (a->request)
+	if (a->request) {
+		a->request->answered += a->answered;
 		decide(a->request, now_ms);
-	else
-		leave_ask(a);
+		return;
+	}
+	leave_ask(a);
 }
 
 static void ask_response(void *owner, struct http_message *m)
@@ -214,6 +219,7 @@
 	a->backend = backend_ref(b);
 	a->pending = true;
 	r->traffic->counters.asks++;
+	r->asked++;
 	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"), b);
 	upstream_exchange(a->upstream, buf_lstr(&bytes), ASK_TIMEOUT_S, false,
 			  &ask_ops, a);
@@ -282,6 +288,8 @@
 		.has_spare = place_has_room(b, 2),
 	};
 
+	if (r->placement == PLACE_HEDGE && r->rescue)
+		return admit_takes_rescue(&s, request_is_pressed(r, now_ms));
 	if (r->placement == PLACE_HEDGE)
 		return admit_takes_second(&view, &s,
 					  request_is_pressed(r, now_ms));
@@ -334,6 +342,17 @@
 	backend_unref(b);
 }
 
+/* No server for a second send now: again when it may be late. */
+static void plan_rescue(struct request *r, int64_t now_ms)
+{
+	const struct send *first = &r->sends[r->nsends - 1];
+	int64_t at = first->sent_ms +
+		     rescue_delay_ms(first->estimate_ms, r->route->target_ms);
+
+	r->hedge_ms = r->rescue ? now_ms + RESCUE_AGAIN_MS : at;
+	r->rescue = true;
+}
+
 /* Nobody has room: waits a moment, or gives up. */
 static void no_room(struct request *r, int64_t now_ms)
 {
@@ -347,6 +366,7 @@
 	release_asks(r);
 	if (why == PLACE_HEDGE) {
 		request_place_end(r);
+		plan_rescue(r, now_ms);
 		request_arm(r);
 		return;
 	}
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -75,9 +75,13 @@
 	}
 	if (request_may_send_again(r)) {
 		mp_event(EV_REQUEST_RETRY, G_LOG_LEVEL_INFO,
-			 "id=%.*s why=%s last=%s sends=%u", (int)r->call.id.len,
-			 r->call.id.ptr, why,
-			 r->sends[r->nsends - 1].backend->entry.id, r->nsends);
+			 "id=%.*s why=%s last=%s sends=%u of=%u "
+			 "left_ms=%" G_GINT64_FORMAT " retries_left=%.1f",
+			 (int)r->call.id.len, r->call.id.ptr, why,
+			 r->sends[r->nsends - 1].backend->entry.id, r->nsends,
+			 r->route->max_attempts, r->due_ms - clock_ms(),
+			 budget_left(&r->service->budget,
+				     &r->traffic->budget_rule, clock_ms()));
 		request_place(r, PLACE_RETRY);
 		return;
 	}
@@ -184,6 +188,26 @@
 		r->stats->retries++;
 }
 
+/* Says what decided for this server: its report, how old that is, others. */
+static void log_send(const struct request *r, const struct send *s,
+		     int64_t now_ms)
+{
+	const struct backend *b = s->backend;
+	const struct load_report *l = &b->load;
+
+	mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO,
+		 "id=%.*s backend=%s dc=%s send=%u load=%u/%u/%u "
+		 "slowdown_pct=%u load_age_ms=%" G_GINT64_FORMAT
+		 " estimate_ms=%.0f trouble=%.1f asked=%u answered=%u "
+		 "spent_ms=%.0f pressed=%d",
+		 (int)r->call.id.len, r->call.id.ptr, b->entry.id, b->entry.dc,
+		 r->nsends, l->running, l->waiting, l->slots, l->slowdown_pct,
+		 l->at_ms ? now_ms - l->at_ms : -1, s->estimate_ms,
+		 outlier_trouble(b, now_ms), r->asked, r->answered,
+		 r->spent_before_ms + (double)(now_ms - r->start_ms),
+		 request_is_pressed(r, now_ms));
+}
+
 /* request_send() sends the request to b on a connection it now owns. */
 void request_send(struct request *r, struct backend *b, struct upstream *u)
 {
@@ -194,23 +218,19 @@
 
 	r->nsends++;
 	count_send(r, now_ms);
-	*s = (struct send){.request = r,
-			   .backend = backend_ref(b),
-			   .upstream = u,
-			   .sent_ms = now_ms,
-			   .slowdown_pct = b->load.slowdown_pct};
+	*s = (struct send){
+		.request = r,
+		.backend = backend_ref(b),
+		.upstream = u,
+		.sent_ms = now_ms,
+		.slowdown_pct = b->load.slowdown_pct,
+		.estimate_ms = place_estimate_ms(b, r->traffic->settings->dc,
+						 r->stats->work_ms, now_ms)};
 	b->in_flight++;
+	r->undenied++;
+	log_send(r, s, now_ms);
 	/* Its report is older than this request. */
 	b->load.running++;
-	r->undenied++;
-	mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO,
-		 "id=%.*s backend=%s load=%u/%u/%u slowdown=%u trouble=%.1f "
-		 "send=%u spent=%.0f pressed=%d",
-		 (int)r->call.id.len, r->call.id.ptr, b->entry.id,
-		 b->load.running, b->load.waiting, b->load.slots,
-		 b->load.slowdown_pct, outlier_trouble(b, now_ms), r->nsends,
-		 r->spent_before_ms + (double)(now_ms - r->start_ms),
-		 request_is_pressed(r, now_ms));
 	exchange_write_request(&bytes, r->message, &r->call, b,
 			       left > 1 ? (uint32_t)left : 1);
 	r->hedge_ms = r->route->idempotent && r->nsends == 1
