--- a/conf/values.c
+++ b/conf/values.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "conf/values.h"
-#include "platform/codec.h"
+#include "misc/codec.h"
 
 /* conf_init() makes version 0, which holds nothing. */
 void conf_init(struct conf_values *v)
--- /dev/null
+++ b/http/conn.c
@@ -0,0 +1,379 @@
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/head.h"
+#include "http/conn.h"
+#include "http/socket.h"
+
+enum {
+	READ_CHUNK = 4096,     /* bytes a read asks for */
+	AHEAD_MAX = 64 * 1024, /* bytes read ahead of a pending reply */
+};
+
+/* A closed connection may still carry bytes to us for this long. */
+static const double LINGER_S = 1.0;
+
+static void conn_event(struct ev_loop *loop, ev_io *io, int revents);
+static void conn_input(struct http_conn *c);
+
+/* http_reason() names the status codes that an instance sends itself. */
+const char *http_reason(unsigned status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 404:
+		return "Not Found";
+	case 408:
+		return "Request Timeout";
+	case 413:
+		return "Content Too Large";
+	case 431:
+		return "Request Header Fields Too Large";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "Status";
+	}
+}
+
+/* http_conn_user() returns what http_conn_set_user() kept. */
+void *http_conn_user(const struct http_conn *c)
+{
+	return c->user;
+}
+
+/* http_conn_set_user() keeps the handler's own state with the connection. */
+void http_conn_set_user(struct http_conn *c, void *user)
+{
+	c->user = user;
+}
+
+/* http_conn_free() closes a connection and forgets it. */
+void http_conn_free(struct http_conn *c)
+{
+	struct http_server *s = c->server;
+
+	ev_io_stop(s->loop, &c->io);
+	ev_timer_stop(s->loop, &c->timer);
+	close(c->fd);
+	http_reader_free(&c->reader);
+	buf_free(&c->in);
+	buf_free(&c->out);
+	if (c->prev)
+		c->prev->next = c->next;
+	else
+		s->conns = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	s->nconns--;
+	free(c);
+}
+
+/*
+ * http_conn_abort() closes a connection at once, without an answer. The
+ * handler is not told.
+ */
+void http_conn_abort(struct http_conn *c)
+{
+	http_conn_free(c);
+}
+
+/* The caller is gone: tells the handler if it has the request. */
+static void conn_lost(struct http_conn *c)
+{
+	if (c->state == CONN_HANDLING && c->server->ops->gone)
+		c->server->ops->gone(c->server->priv, c);
+	http_conn_free(c);
+}
+
+static void watch(struct http_conn *c, int events)
+{
+	if (c->io.events == events && ev_is_active(&c->io))
+		return;
+	ev_io_stop(c->server->loop, &c->io);
+	ev_io_set(&c->io, c->fd, events);
+	if (events)
+		ev_io_start(c->server->loop, &c->io);
+}
+
+static void set_timer(struct http_conn *c, double after_s)
+{
+	ev_timer_stop(c->server->loop, &c->timer);
+	if (after_s <= 0)
+		return;
+	ev_timer_set(&c->timer, after_s, 0);
+	ev_timer_start(c->server->loop, &c->timer);
+}
+
+/* Waits for the next request on a kept connection. */
+static void conn_idle(struct http_conn *c)
+{
+	c->state = CONN_IDLE;
+	c->scanned = 0;
+	c->in_body = false;
+	c->user = NULL;
+	buf_free(&c->out);
+	if (c->in.len == 0)
+		buf_free(&c->in);
+	watch(c, EV_READ);
+	set_timer(c, c->server->idle_timeout_s);
+	if (c->in.len)
+		conn_input(c);
+}
+
+/*
+ * Everything is written. A connection with unread bytes is reset by close(),
+ * which would take the answer with it; so only the sending half is closed
+ * until the peer has closed too or LINGER_S passed.
+ */
+static void conn_written(struct http_conn *c)
+{
+	if (!c->close_after && !c->peer_done) {
+		conn_idle(c);
+		return;
+	}
+	if (c->peer_done) {
+		http_conn_free(c);
+		return;
+	}
+	shutdown(c->fd, SHUT_WR);
+	c->state = CONN_LINGER;
+	watch(c, EV_READ);
+	set_timer(c, LINGER_S);
+}
+
+static void conn_write(struct http_conn *c)
+{
+	ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		n = 0;
+	if (n < 0) {
+		http_conn_free(c);
+		return;
+	}
+	buf_consume(&c->out, (size_t)n);
+	if (c->out.len == 0) {
+		conn_written(c);
+		return;
+	}
+	watch(c, EV_WRITE);
+	set_timer(c, c->server->idle_timeout_s);
+}
+
+/*
+ * http_conn_reply() answers the request at hand. The connection is kept
+ * unless the caller, the reply or the server's state asks to close it.
+ */
+void http_conn_reply(struct http_conn *c, const struct http_reply *r)
+{
+	c->close_after = r->close || !c->keep_alive || c->server->last_answers;
+	buf_printf(&c->out, "HTTP/1.1 %u %s\r\n", r->status,
+		   http_reason(r->status));
+	buf_add_lstr(&c->out, r->headers);
+	if (c->close_after)
+		buf_add_lstr(&c->out, LSTR("Connection: close\r\n"));
+	buf_printf(&c->out, "Content-Length: %zu\r\n\r\n", r->body.len);
+	if (!c->head_request)
+		buf_add_lstr(&c->out, r->body);
+	c->state = CONN_WRITING;
+	conn_write(c);
+}
+
+/*
+ * http_conn_reply_raw() answers the request at hand with bytes that the
+ * caller made, be they a message or not: stand-ins misbehave with it.
+ */
+void http_conn_reply_raw(struct http_conn *c, struct lstr bytes, bool close)
+{
+	c->close_after = close || !c->keep_alive;
+	buf_add_lstr(&c->out, bytes);
+	c->state = CONN_WRITING;
+	conn_write(c);
+}
+
+/* Refuses bytes that are no acceptable request and closes. */
+static void conn_refuse(struct http_conn *c, unsigned status)
+{
+	c->keep_alive = false;
+	c->head_request = false;
+	http_conn_reply(c,
+			&(struct http_reply){.status = status, .close = true});
+}
+
+static unsigned status_of_error(ssize_t err, bool in_head)
+{
+	if (err == -EFBIG)
+		return 413;
+	if (err == -EMSGSIZE)
+		return 431;
+	(void)in_head;
+	return 400;
+}
+
+/* A request is whole: hands it over. */
+static void conn_dispatch(struct http_conn *c)
+{
+	struct http_message *m = http_reader_take(&c->reader);
+
+	c->keep_alive = m->keep_alive;
+	c->head_request = lstr_eq(m->method, LSTR("HEAD"));
+	c->state = CONN_HANDLING;
+	c->had_request = true;
+	c->scanned = 0;
+	c->in_body = false;
+	set_timer(c, 0);
+	c->server->ops->request(c->server->priv, c, m);
+}
+
+/* Callers that wait for leave to send their body get it. */
+static void grant_continue(struct http_conn *c)
+{
+	struct lstr e = http_find(c->reader.msg, LSTR("expect"));
+
+	if (e.ptr && lstr_eq_nocase(e, LSTR("100-continue")) &&
+	    !c->reader.msg->done)
+		(void)!send(c->fd, "HTTP/1.1 100 Continue\r\n\r\n", 25,
+			    MSG_NOSIGNAL);
+}
+
+/* Feeds n bytes of the input; false when the connection was answered. */
+static bool feed(struct http_conn *c, size_t n)
+{
+	ssize_t used = http_reader_feed(&c->reader, c->in.ptr, n);
+
+	if (used < 0) {
+		conn_refuse(c, status_of_error(used, !c->in_body));
+		return false;
+	}
+	buf_consume(&c->in, (size_t)used);
+	return true;
+}
+
+/* Looks for a whole, proper head; true when it went to the reader. */
+static bool read_head(struct http_conn *c)
+{
+	size_t max = c->server->limits.head_max;
+	ptrdiff_t end = head_find_end(c->in.ptr, c->in.len, c->scanned);
+
+	if (end == 0 && max && c->in.len > max) {
+		conn_refuse(c, 431);
+		return false;
+	}
+	if (end == 0) {
+		c->scanned = c->in.len;
+		return false;
+	}
+	if (end > 0 && max && (size_t)end > max) {
+		conn_refuse(c, 431);
+		return false;
+	}
+	if (end < 0 || head_check(c->in.ptr, (size_t)end)) {
+		conn_refuse(c, 400);
+		return false;
+	}
+	if (!feed(c, (size_t)end))
+		return false;
+	c->in_body = true;
+	grant_continue(c);
+	return true;
+}
+
+/* Goes on with what has been read. */
+static void conn_input(struct http_conn *c)
+{
+	if (c->state == CONN_IDLE) {
+		/* Blank lines before a request are skipped (RFC 9112, 2.2). */
+		while (c->in.len >= 2 && !memcmp(c->in.ptr, "\r\n", 2))
+			buf_consume(&c->in, 2);
+		if (c->in.len == 0)
+			return;
+		c->state = CONN_READING;
+		set_timer(c, c->server->head_timeout_s);
+	}
+	if (!c->in_body && !read_head(c))
+		return;
+	if (!c->reader.msg->done && c->in.len) {
+		if (!feed(c, c->in.len))
+			return;
+		set_timer(c, c->server->head_timeout_s);
+	}
+	if (c->reader.msg && c->reader.msg->done)
+		conn_dispatch(c);
+}
+
+static void conn_read(struct http_conn *c)
+{
+	if (c->state == CONN_HANDLING && c->in.len >= AHEAD_MAX) {
+		watch(c, 0);
+		return;
+	}
+	ssize_t n = recv(c->fd, buf_room(&c->in, READ_CHUNK), READ_CHUNK, 0);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		conn_lost(c);
+		return;
+	}
+	if (c->state == CONN_LINGER)
+		return;
+	c->in.len += (size_t)n;
+	if (c->state == CONN_IDLE || c->state == CONN_READING)
+		conn_input(c);
+}
+
+static void conn_event(struct ev_loop *loop, ev_io *io, int revents)
+{
+	struct http_conn *c = io->data;
+
+	if (revents & EV_WRITE)
+		conn_write(c);
+	else
+		conn_read(c);
+}
+
+static void conn_timeout(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct http_conn *c = t->data;
+
+	if (c->state == CONN_READING)
+		conn_refuse(c, 408);
+	else
+		conn_lost(c);
+}
+
+/* http_conn_new() takes an accepted socket into the server. */
+void http_conn_new(struct http_server *s, int fd)
+{
+	struct http_conn *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		abort();
+	socket_tune(fd);
+	c->server = s;
+	c->fd = fd;
+	c->opened = ev_now(s->loop);
+	http_reader_init(&c->reader, HTTP_REQUEST, s->limits);
+	ev_io_init(&c->io, conn_event, fd, EV_READ);
+	c->io.data = c;
+	ev_init(&c->timer, conn_timeout);
+	c->timer.data = c;
+	c->next = s->conns;
+	if (s->conns)
+		s->conns->prev = c;
+	s->conns = c;
+	s->nconns++;
+	ev_io_start(s->loop, &c->io);
+	conn_idle(c);
+}
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -4,6 +4,7 @@
 #include <msgpack.h>
 
 #include "member/gossip.h"
+#include "misc/codec.h"
 
 /* Positions in the arrays on the wire. */
 enum { HEAD_FIELDS = 11, FEED_FIELDS = 5, CHANGE_FIELDS = 9 };
@@ -11,17 +12,6 @@
 /* Room that one change takes at most, with names of usual length. */
 enum { CHANGE_BYTES = 160 };
 
-static int write_buf(void *buf, const char *p, size_t n)
-{
-	buf_add(buf, p, n);
-	return 0;
-}
-
-static void pack_text(msgpack_packer *pk, const char *s)
-{
-	msgpack_pack_str_with_body(pk, s, strlen(s));
-}
-
 static void pack_addr(msgpack_packer *pk, const struct sockaddr_in *sa)
 {
 	msgpack_pack_uint32(pk, ntohl(sa->sin_addr.s_addr));
@@ -33,10 +23,10 @@
 {
 	msgpack_pack_array(pk, HEAD_FIELDS + (kind == GOSSIP_FEED));
 	msgpack_pack_int(pk, kind);
-	pack_text(pk, p->name);
-	pack_text(pk, p->dc);
-	pack_text(pk, p->callers);
-	pack_text(pk, p->own);
+	codec_pack_cstr(pk, p->name);
+	codec_pack_cstr(pk, p->dc);
+	codec_pack_cstr(pk, p->callers);
+	codec_pack_cstr(pk, p->own);
 	pack_addr(pk, &p->addr);
 	msgpack_pack_uint64(pk, p->boot);
 	msgpack_pack_uint8(pk, p->leaving);
@@ -49,7 +39,7 @@
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_buf);
+	msgpack_packer_init(&pk, out, codec_buf_write);
 	pack_sender(&pk, GOSSIP_BEAT, self);
 }
 
@@ -61,14 +51,14 @@
 	if (c->removed) {
 		msgpack_pack_array(pk, 2);
 		msgpack_pack_uint64(pk, c->offset);
-		pack_text(pk, e->id);
+		codec_pack_cstr(pk, e->id);
 		return;
 	}
 	msgpack_pack_array(pk, CHANGE_FIELDS);
 	msgpack_pack_uint64(pk, c->offset);
-	pack_text(pk, e->id);
-	pack_text(pk, e->service);
-	pack_text(pk, e->dc);
+	codec_pack_cstr(pk, e->id);
+	codec_pack_cstr(pk, e->service);
+	codec_pack_cstr(pk, e->dc);
 	pack_addr(pk, &e->addr);
 	msgpack_pack_uint32(pk, e->slots);
 	msgpack_pack_uint8(pk, e->draining);
@@ -92,7 +82,7 @@
 				     skip - 1)
 			       .offset +
 		       1;
-	msgpack_packer_init(&pk, out, write_buf);
+	msgpack_packer_init(&pk, out, codec_buf_write);
 	pack_sender(&pk, GOSSIP_FEED, self);
 	msgpack_pack_array(&pk, FEED_FIELDS);
 	msgpack_pack_uint64(&pk, from);
--- a/member/snapshot.c
+++ b/member/snapshot.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "member/snapshot.h"
+#include "misc/codec.h"
 
 /* Fields of the array on the wire. */
 enum { CONFIG_OFFSET, CONFIG, BACKENDS_OFFSET, BACKENDS_AGE, BACKENDS, FIELDS };
@@ -21,18 +22,12 @@
 	s->backends = NULL;
 }
 
-static int write_buf(void *buf, const char *p, size_t n)
-{
-	buf_add(buf, p, n);
-	return 0;
-}
-
 /* snapshot_write() encodes one. */
 void snapshot_write(const struct snapshot *s, struct buf *out)
 {
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, out, write_buf);
+	msgpack_packer_init(&pk, out, codec_buf_write);
 	msgpack_pack_array(&pk, FIELDS);
 	msgpack_pack_uint64(&pk, s->config_offset);
 	msgpack_pack_bin_with_body(&pk, s->config.ptr, s->config.len);
--- a/platform/codec.c
+++ b/misc/codec.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "platform/codec.h"
+#include "misc/codec.h"
 
 /* codec_text() views a string or binary value; {NULL, 0} for others. */
 struct lstr codec_text(const msgpack_object *o)
--- a/platform/codec.h
+++ b/misc/codec.h
@@ -1,10 +1,10 @@
 /*
- * Reading and writing the platform's bodies: msgpack maps (deploy/wire.toml
- * chooses msgpack). Lookups are by name; a value of another type than asked
- * for counts as absent.
+ * msgpack values by libmsgpack-c, for the platform's bodies, our records and
+ * the datagrams between instances. Lookups in maps are by name; a value of
+ * another type than asked for counts as absent.
  */
-#ifndef MP_PLATFORM_CODEC_H
-#define MP_PLATFORM_CODEC_H
+#ifndef MP_MISC_CODEC_H
+#define MP_MISC_CODEC_H
 
 #include <stdbool.h>
 #include <stdint.h>
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -15,7 +15,7 @@
 #include "http/server.h"
 #include "http/socket.h"
 #include "misc/clock.h"
-#include "platform/codec.h"
+#include "misc/codec.h"
 #include "stand/query.h"
 #include "stand/stand.h"
 #include "stand/work.h"
--- a/stand/operator.c
+++ b/stand/operator.c
@@ -7,7 +7,7 @@
 #include <stdio.h>
 
 #include "http/socket.h"
-#include "platform/codec.h"
+#include "misc/codec.h"
 #include "stand/stand.h"
 
 enum { TIMEOUT_MS = 1000, TARGET_MS = 200, MAX_ATTEMPTS = 2 };
--- a/stand/store.c
+++ b/stand/store.c
@@ -13,7 +13,7 @@
 #include "common/event.h"
 #include "http/server.h"
 #include "misc/clock.h"
-#include "platform/codec.h"
+#include "misc/codec.h"
 #include "platform/store.h"
 #include "stand/log.h"
 #include "stand/query.h"
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -3,7 +3,7 @@
 
 #include <errno.h>
 
-#include "platform/codec.h"
+#include "misc/codec.h"
 #include "platform/directory.h"
 #include "platform/records.h"
 
