One ill server no longer turns the questions off; asking in a file of its own

Cause (read as a newcomer): a single health answer without a load report, as a failing or leaving server may give it (503), made an instance take the whole service for one that tells no load, for good: it stopped asking and chose blindly.

--- a/tests/bench.h
+++ b/tests/bench.h
@@ -48,6 +48,7 @@
 	unsigned busy; /* slots taken by others, as it reports */
 	unsigned running, received, connections;
 	bool tells_load, dead;
+	bool ill; /* its health answer is 503, without a load */
 };
 
 /* A request at a server. */
@@ -149,10 +150,10 @@
 	char headers[160];
 
 	snprintf(headers, sizeof(headers), "Instance-Id: %s\r\n", s->id);
-	if (s->tells_load)
+	if (s->tells_load && !s->ill)
 		snprintf(headers + strlen(headers), 80,
 			 "Server-Load: %u,0,2,100\r\n", s->busy + s->running);
-	http_conn_reply(c, &(struct http_reply){.status = 200,
+	http_conn_reply(c, &(struct http_reply){.status = s->ill ? 503 : 200,
 						.headers = lstr0(headers)});
 }
 
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -314,6 +314,26 @@
 	bench_free(b);
 }
 
+/* One ill server doesn't make the service count as one without reports. */
+static void test_ill_server(void **state)
+{
+	struct bench *b = bench_new(2);
+
+	b->servers[0].ill = true;
+	for (int i = 0; i < 10; i++) {
+		struct caller *c = bench_call(b, i % 2 ? "GET" : "POST", 1000);
+
+		bench_run_until(b, c);
+		assert_int_equal(c->status, 200);
+	}
+	assert_int_equal(b->servers[0].received, 0);
+	assert_int_equal(
+		backend_set_service(&b->traffic.backends, LSTR("harta"))
+			->load_support,
+		LOAD_TOLD);
+	bench_free(b);
+}
+
 /* A service whose servers don't tell their load is served as well. */
 static void test_load_not_told(void **state)
 {
@@ -409,6 +429,7 @@
 		cmocka_unit_test(test_leaving_and_dead),
 		cmocka_unit_test(test_caller_leaves),
 		cmocka_unit_test(test_no_route),
+		cmocka_unit_test(test_ill_server),
 		cmocka_unit_test(test_load_not_told),
 		cmocka_unit_test(test_days),
 	};
--- /dev/null
+++ b/traffic/ask.h
@@ -0,0 +1,26 @@
+/*
+ * Asking backend servers for their load, just before one of them is chosen.
+ */
+#ifndef MP_TRAFFIC_ASK_H
+#define MP_TRAFFIC_ASK_H
+
+#include "traffic/request.h"
+
+/*
+ * A question for a server's load, on the connection the request may use. A
+ * request that no longer waits for the answer leaves it to come by itself, so
+ * that the connection is kept.
+ */
+struct ask {
+	struct request *request; /* NULL: nobody waits for it any more */
+	struct traffic *traffic;
+	struct backend *backend;
+	struct upstream *upstream; /* held; NULL once given away or failed */
+	bool pending;
+	bool answered;
+};
+
+void ask_start(struct request *r, struct backend *b);
+void ask_release(struct request *r);
+
+#endif
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -33,19 +33,7 @@
 	void (*settled)(struct request *r, unsigned status, struct lstr body);
 };
 
-/*
- * A question for a server's load, on the connection the request may use. A
- * request that no longer waits for the answer leaves it to come by itself, so
- * that the connection is kept.
- */
-struct ask {
-	struct request *request; /* NULL: nobody waits for it any more */
-	struct traffic *traffic;
-	struct backend *backend;
-	struct upstream *upstream; /* held; NULL once given away or failed */
-	bool pending;
-	bool answered;
-};
+struct ask;
 
 /* The request at one backend server. */
 struct send {
@@ -100,6 +88,7 @@
 
 /* Between the parts of the state machine. */
 void request_place(struct request *r, enum placement why);
+void request_place_decide(struct request *r, int64_t now_ms);
 void request_place_tick(struct request *r, int64_t now_ms);
 void request_place_end(struct request *r);
 void request_use_room(struct traffic *t, struct backend *b);
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -6,7 +6,7 @@
 #include "core/outlier.h"
 #include "core/policy.h"
 #include "misc/clock.h"
-#include "traffic/request.h"
+#include "traffic/ask.h"
 
 enum {
 	ASK_FIRST = 2,	 /* servers of the own data centre asked first */
@@ -32,12 +32,6 @@
 	RESCUE_AGAIN_MS = 150,
 };
 
-/* A server that tells its load does so at once, in a round trip. */
-static const double ASK_TIMEOUT_S = 0.06;
-
-/* No answer to a question is a failure of the server, of full weight. */
-static const double SILENT_TROUBLE = 1.0;
-
 /*
  * After a request that could be on time has missed room, others that can't
  * leave it to such for so long: a few waits, and the pause in which callers
@@ -45,39 +39,6 @@
  */
 enum { PRESSED_MS = 400 };
 
-static void free_ask(struct ask *a)
-{
-	backend_unref(a->backend);
-	g_free(a);
-}
-
-/* Closes the connection of an ask that has ended badly. */
-static void drop_ask(struct ask *a)
-{
-	if (a->upstream)
-		upstream_drop(a->upstream);
-	a->upstream = NULL;
-	a->pending = false;
-}
-
-/* Ends one ask of a request, or leaves it to end by itself. */
-static void leave_ask(struct ask *a)
-{
-	a->request = NULL;
-	if (a->pending)
-		return;
-	if (a->upstream)
-		upstream_put(a->upstream, clock_ms());
-	free_ask(a);
-}
-
-static void release_asks(struct request *r)
-{
-	for (unsigned i = 0; i < r->nasks; i++)
-		leave_ask(r->asks[i]);
-	r->nasks = 0;
-}
-
 /* The more important first, then the older. */
 static gint compare_waiting(gconstpointer a, gconstpointer b, gpointer data)
 {
@@ -109,123 +70,11 @@
 void request_place_end(struct request *r)
 {
 	dequeue(r);
-	release_asks(r);
+	ask_release(r);
 	r->placement = PLACE_NONE;
 	r->wait_until_ms = 0;
 }
 
-static void decide(struct request *r, int64_t now_ms);
-
-static enum http_verdict ask_judge(void *owner, const struct http_message *m)
-{
-	struct ask *a = owner;
-	struct answer_info info;
-
-	/* Only an answer that names its server answers the question. */
-	exchange_read_answer(m, &info);
-	if (info.id.ptr || !info.backend.ptr) {
-		a->traffic->counters.foreign_answers++;
-		return HTTP_SKIP;
-	}
-	return HTTP_TAKE;
-}
-
-/* The address belongs to another start by now: this one has ended. */
-static void forget_backend(struct traffic *t, struct backend *b)
-{
-	mp_event(EV_MEMBER_GONE, G_LOG_LEVEL_MESSAGE,
-		 "backend=%s why=another answers at its address", b->entry.id);
-	backend_set_remove(&t->backends, b->entry.id);
-}
-
-static void note_report(struct ask *a, const struct answer_info *info,
-			int64_t now_ms)
-{
-	struct service *s = a->backend->service;
-
-	if (!info->has_load) {
-		s->load_support = LOAD_NOT_TOLD;
-		return;
-	}
-	s->load_support = LOAD_TOLD;
-	a->backend->load = info->load;
-	a->backend->load.at_ms = now_ms;
-}
-
-/* The request goes on, or nobody waits and the ask ends. */
-static void ask_over(struct ask *a, int64_t now_ms)
-{
-	if (a->request) {
-		a->request->answered += a->answered;
-		decide(a->request, now_ms);
-		return;
-	}
-	leave_ask(a);
-}
-
-static void ask_response(void *owner, struct http_message *m)
-{
-	struct ask *a = owner;
-	int64_t now_ms = clock_ms();
-	struct answer_info info;
-
-	exchange_read_answer(m, &info);
-	a->pending = false;
-	if (!lstr_eq(info.backend, lstr0(a->backend->entry.id))) {
-		drop_ask(a);
-		forget_backend(a->traffic, a->backend);
-	} else {
-		note_report(a, &info, now_ms);
-		a->answered = a->upstream->http.reusable;
-		if (!a->answered)
-			drop_ask(a);
-	}
-	http_message_free(m);
-	ask_over(a, now_ms);
-}
-
-static void ask_failed(void *owner, int err, bool sent)
-{
-	struct ask *a = owner;
-	int64_t now_ms = clock_ms();
-
-	a->upstream = NULL;
-	a->pending = false;
-	a->traffic->counters.ask_failures++;
-	/* A kept connection may be closed at any time: nobody's fault. */
-	if (err != -EPIPE && err != -ECONNRESET)
-		outlier_note(a->backend, SILENT_TROUBLE, now_ms);
-	ask_over(a, now_ms);
-}
-
-static const struct http_client_ops ask_ops = {ask_judge, ask_response,
-					       ask_failed};
-
-static void ask_backend(struct request *r, struct backend *b)
-{
-	const struct service_config *sc =
-		config_service(r->config, lstr0(r->service->name));
-	struct upstream *u = upstream_get(r->traffic->loop, b, 0);
-	struct buf bytes = {0};
-	struct ask *a;
-
-	if (!u)
-		return;
-	a = g_new0(struct ask, 1);
-	a->request = r;
-	a->traffic = r->traffic;
-	a->upstream = u;
-	r->asks[r->nasks++] = a;
-	a->backend = backend_ref(b);
-	a->pending = true;
-	r->traffic->counters.asks++;
-	r->asked++;
-	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"), b);
-	upstream_exchange(a->upstream, buf_lstr(&bytes), ASK_TIMEOUT_S, false,
-			  &ask_ops, a);
-	buf_free(&bytes);
-}
-
 /* Fills `out` with the servers that this placement may not ask again. */
 static unsigned avoided(const struct request *r, struct backend **out)
 {
@@ -261,7 +110,7 @@
 			    first ? 1 : 0, now_ms);
 
 	for (unsigned i = 0; i < n; i++)
-		ask_backend(r, chosen[i]);
+		ask_start(r, chosen[i]);
 	r->round++;
 	r->round_ends_ms = now_ms + ROUND_MS;
 	return n > 0;
@@ -363,7 +212,7 @@
 
 	if (admit_can_be_on_time(&view) && why != PLACE_HEDGE)
 		r->service->pressed_ms = now_ms;
-	release_asks(r);
+	ask_release(r);
 	if (why == PLACE_HEDGE) {
 		request_place_end(r);
 		plan_rescue(r, now_ms);
@@ -421,7 +270,7 @@
 	struct backend *b;
 	struct upstream *u;
 
-	release_asks(r);
+	ask_release(r);
 	b = pick_by_policy(r);
 	u = b ? upstream_get(r->traffic->loop, b, since) : NULL;
 	if (!u) {
@@ -432,8 +281,11 @@
 	request_send(r, b, u);
 }
 
-/* Chooses as soon as it is clear enough; else waits for more answers. */
-static void decide(struct request *r, int64_t now_ms)
+/*
+ * request_place_decide() chooses as soon as it is clear enough, and else waits
+ * for more answers; called whenever one has come or a time is over.
+ */
+void request_place_decide(struct request *r, int64_t now_ms)
 {
 	struct ask *best;
 
@@ -477,7 +329,7 @@
 	if (r->wait_until_ms)
 		request_arm(r);
 	else
-		decide(r, now_ms);
+		request_place_decide(r, now_ms);
 }
 
 /*
@@ -517,12 +369,12 @@
 {
 	int64_t now_ms = clock_ms();
 
-	release_asks(r);
+	ask_release(r);
 	r->placement = why;
 	r->round = 0;
 	r->wait_until_ms = 0;
 	r->waits = 0;
 	r->placing_since_ms = now_ms;
 	r->round_ends_ms = now_ms;
-	decide(r, now_ms);
+	request_place_decide(r, now_ms);
 }
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -134,6 +134,7 @@
 
 	exchange_read_answer(m, &info);
 	if (info.has_load) {
+		s->backend->service->load_support = LOAD_TOLD;
 		s->backend->load = info.load;
 		s->backend->load.at_ms = now_ms;
 	}
