Servers that tell no load: judged by the requests of all instances

Change: core/peer_load: instances tell each other what they have out at such servers (a datagram within 5 ms of a change, again every 0.4 s, valid 1.2 s); busy_view() lets room, estimate and admission work on it as on reports.

--- a/control/control.c
+++ b/control/control.c
@@ -179,6 +179,9 @@
 		backend_watch_feed(&c->backends, &m.feed, now_ms);
 		publish_age(c);
 	}
+	if (m.kind == GOSSIP_LOAD)
+		send_to_traffic(c, TO_TRAFFIC_LOAD,
+				g_memdup2(&m.load, sizeof(m.load)));
 	/* Somebody knows of a version that this poll should have brought. */
 	if (m.sender.config_offset > c->config.offset &&
 	    c->config.store.call != STORE_NO_CALL &&
@@ -275,11 +278,37 @@
 		 rc ? "bad, kept the old" : "checked");
 }
 
-static void on_stopped(void *priv, struct mail *m)
+/* Tells every live peer what this instance has out. */
+static void send_load(struct control *c, const struct peer_load *load)
+{
+	struct buf b = {0};
+	int64_t now_ms = clock_ms();
+
+	gossip_write_load(&b, &c->peers.self, load);
+	for (guint i = 0; i < c->peers.peers->len; i++) {
+		struct peer *p = g_ptr_array_index(c->peers.peers, i);
+
+		if (!peer_alive(p, now_ms))
+			continue;
+		send_datagram(c, &b, p);
+		p->sent_ms = now_ms;
+	}
+	buf_free(&b);
+}
+
+static void from_traffic(void *priv, struct mail *m)
 {
 	struct control *c = priv;
 
-	ev_break(c->loop, EVBREAK_ALL);
+	switch ((enum from_traffic)m->kind) {
+	case FROM_TRAFFIC_STOPPED:
+		ev_break(c->loop, EVBREAK_ALL);
+		break;
+	case FROM_TRAFFIC_LOAD:
+		send_load(c, m->data);
+		g_free(m->data);
+		break;
+	}
 }
 
 static int open_peer_socket(struct control *c)
@@ -340,7 +369,7 @@
 			    &c->config, &c->backends);
 	if (rc)
 		return rc;
-	mailbox_init(&c->in, c->loop, on_stopped, c);
+	mailbox_init(&c->in, c->loop, from_traffic, c);
 	watch_signal(c, &c->term, SIGTERM, on_term);
 	watch_signal(c, &c->interrupt, SIGINT, on_term);
 	watch_signal(c, &c->hup, SIGHUP, on_hup);
--- a/control/control.h
+++ b/control/control.h
@@ -10,6 +10,7 @@
 #include "control/config_watch.h"
 #include "control/introduce.h"
 #include "control/member_record.h"
+#include "core/peer_load.h"
 #include "misc/mailbox.h"
 #include "options/instance.h"
 
@@ -18,9 +19,16 @@
 	TO_TRAFFIC_CONFIG = 1,	/* struct config * */
 	TO_TRAFFIC_BACKEND = 2, /* struct backend_change * */
 	TO_TRAFFIC_PEERS = 3,	/* struct peer_view * */
+	TO_TRAFFIC_LOAD = 5,	/* struct peer_load * */
 	TO_TRAFFIC_STOP = 4,	/* nothing: stop as planned */
 };
 
+/* Messages from the traffic thread; the receiver owns the data. */
+enum from_traffic {
+	FROM_TRAFFIC_STOPPED = 1, /* nothing: all is served */
+	FROM_TRAFFIC_LOAD = 2,	  /* struct peer_load *, without a name */
+};
+
 /* What the traffic thread needs of the peers. */
 struct peer_view {
 	unsigned instances; /* that share the system's allowances */
--- a/core/backend.h
+++ b/core/backend.h
@@ -45,10 +45,11 @@
 	bool gone; /* off the list: no new work */
 	int64_t warm_until_ms;
 	struct load_report load;
-	unsigned in_flight; /* requests of this instance that it has */
-	uint64_t picked;    /* a running number: when it last was */
-	bool drained;	    /* the configuration gives it no new work */
-	double trouble;	    /* decayed failures, see core/outlier.h */
+	unsigned in_flight;  /* requests of this instance that it has */
+	int peers_in_flight; /* of the others, see core/peer_load.h */
+	uint64_t picked;     /* a running number: when it last was */
+	bool drained;	     /* the configuration gives it no new work */
+	double trouble;	     /* decayed failures, see core/outlier.h */
 	int64_t trouble_at_ms;
 	void *conns; /* the traffic side's connections */
 };
--- /dev/null
+++ b/core/peer_load.c
@@ -0,0 +1,105 @@
+#include <string.h>
+
+#include "core/peer_load.h"
+
+/*
+ * What an instance said counts for this long. It says so again while it has
+ * requests out, so a lost datagram or a lost instance is forgotten soon.
+ */
+enum { VALID_MS = 1200 };
+
+/* What was added to the servers for one peer. */
+struct applied {
+	struct peer_load load;
+	int64_t at_ms;
+};
+
+/* peer_load_hash() is the same on all instances. */
+uint32_t peer_load_hash(const char *backend_id)
+{
+	return g_str_hash(backend_id);
+}
+
+/* peer_loads_init() makes an empty table. */
+void peer_loads_init(struct peer_loads *p)
+{
+	p->by_peer =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+}
+
+/* peer_loads_collect() lists this instance's own requests for the peers. */
+void peer_loads_collect(struct backend_set *set, struct peer_load *out)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	out->n = 0;
+	g_hash_table_iter_init(&it, set->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v) &&
+	       out->n < PEER_LOAD_MAX) {
+		const struct backend *b = v;
+
+		if (!b->in_flight || b->service->load_support != LOAD_NOT_TOLD)
+			continue;
+		out->items[out->n++] = (struct peer_load_item){
+			peer_load_hash(b->entry.id), b->in_flight};
+	}
+}
+
+/* Adds (sign 1) or takes off (-1) what a peer has at the servers. */
+static void add(struct backend_set *set, const struct peer_load *load, int sign)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, set->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct backend *b = v;
+		uint32_t hash = peer_load_hash(b->entry.id);
+
+		for (unsigned i = 0; i < load->n; i++) {
+			if (load->items[i].backend == hash)
+				b->peers_in_flight +=
+					sign * (int)load->items[i].count;
+		}
+		if (b->peers_in_flight < 0)
+			b->peers_in_flight = 0;
+	}
+}
+
+/* peer_loads_apply() takes in what a peer says, in the place of before. */
+void peer_loads_apply(struct peer_loads *p, struct backend_set *set,
+		      const struct peer_load *load, int64_t now_ms)
+{
+	struct applied *a = g_hash_table_lookup(p->by_peer, load->peer);
+
+	if (a) {
+		add(set, &a->load, -1);
+	} else {
+		a = g_new0(struct applied, 1);
+		g_strlcpy(a->load.peer, load->peer, sizeof(a->load.peer));
+		g_hash_table_insert(p->by_peer, a->load.peer, a);
+	}
+	a->load.n = load->n;
+	memcpy(a->load.items, load->items, load->n * sizeof(*load->items));
+	a->at_ms = now_ms;
+	add(set, &a->load, 1);
+}
+
+/* peer_loads_expire() forgets what is too old. */
+void peer_loads_expire(struct peer_loads *p, struct backend_set *set,
+		       int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, p->by_peer);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct applied *a = v;
+
+		if (now_ms - a->at_ms < VALID_MS)
+			continue;
+		add(set, &a->load, -1);
+		g_hash_table_iter_remove(&it);
+	}
+}
--- a/core/place.c
+++ b/core/place.c
@@ -42,6 +42,21 @@
 	return below * KNEE_SLOWDOWN >= slots ? below : slots;
 }
 
+/*
+ * How busy b is: by its report, or, if the service's servers make none, by
+ * the requests that the instances together have there.
+ */
+static struct load_report busy_view(const struct backend *b)
+{
+	if (b->service->load_support != LOAD_NOT_TOLD)
+		return b->load;
+	return (struct load_report){
+		.running = b->in_flight + (unsigned)b->peers_in_flight,
+		.slots = b->entry.slots ? b->entry.slots : 1,
+		.slowdown_pct = 100,
+	};
+}
+
 static bool is_avoided(const struct place_query *q, const struct backend *b)
 {
 	for (unsigned i = 0; i < q->navoid; i++) {
@@ -151,7 +166,7 @@
 double place_estimate_ms(const struct backend *b, const char *dc,
 			 double work_ms, int64_t now_ms)
 {
-	const struct load_report *l = &b->load;
+	const struct load_report view = busy_view(b), *l = &view;
 	unsigned slots = l->slots ? l->slots : 1;
 	unsigned busy = l->running + l->waiting;
 	double ms = work_ms;
@@ -177,7 +192,7 @@
  */
 bool place_has_room(const struct backend *b, unsigned more)
 {
-	const struct load_report *l = &b->load;
+	const struct load_report view = busy_view(b), *l = &view;
 
 	return l->running + l->waiting + more <= best_concurrency(l->slots);
 }
--- a/core/policy.c
+++ b/core/policy.c
@@ -2,12 +2,16 @@
 
 #include "core/policy.h"
 
-/* Requests that a server has as far as is known here. */
+/*
+ * Requests that a server has as far as is known here: those it told, or those
+ * that the instances together have there.
+ */
 static unsigned known_load(const struct backend *b)
 {
 	unsigned told = b->load.running + b->load.waiting;
+	unsigned ours = b->in_flight + (unsigned)b->peers_in_flight;
 
-	return b->in_flight > told ? b->in_flight : told;
+	return ours > told ? ours : told;
 }
 
 static unsigned pick_random(void *priv, struct backend *const *servers,
@@ -51,8 +55,29 @@
 	return known_load(servers[a]) <= known_load(servers[b]) ? a : b;
 }
 
+/* The least loaded; of several one at random. */
+static unsigned pick_known(void *priv, struct backend *const *servers,
+			   unsigned n, GRand *rand)
+{
+	unsigned best = 0, same = 0;
+
+	for (unsigned i = 0; i < n; i++) {
+		unsigned load = known_load(servers[i]);
+		unsigned least = known_load(servers[best]);
+
+		if (i == 0 || load < least) {
+			best = i;
+			same = 1;
+		} else if (load == least &&
+			   g_rand_int_range(rand, 0, (gint32)++same) == 0) {
+			best = i;
+		}
+	}
+	return best;
+}
+
 const struct place_policy place_policies[] = {
-	{"load", true, pick_two, NULL},
+	{"load", true, pick_known, NULL},
 	{"p2c", false, pick_two, NULL},
 	{"least", false, pick_least, NULL},
 	{"rr", false, pick_round_robin, NULL},
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -21,7 +21,7 @@
 static void pack_sender(msgpack_packer *pk, enum gossip_kind kind,
 			const struct peer_info *p)
 {
-	msgpack_pack_array(pk, HEAD_FIELDS + (kind == GOSSIP_FEED));
+	msgpack_pack_array(pk, HEAD_FIELDS + (kind != GOSSIP_BEAT));
 	msgpack_pack_int(pk, kind);
 	codec_pack_cstr(pk, p->name);
 	codec_pack_cstr(pk, p->dc);
@@ -96,6 +96,21 @@
 						  struct backend_change, i));
 }
 
+/* gossip_write_load() writes what this instance has out. */
+void gossip_write_load(struct buf *out, const struct peer_info *self,
+		       const struct peer_load *load)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	pack_sender(&pk, GOSSIP_LOAD, self);
+	msgpack_pack_array(&pk, 2 * (size_t)load->n);
+	for (unsigned i = 0; i < load->n; i++) {
+		msgpack_pack_uint32(&pk, load->items[i].backend);
+		msgpack_pack_uint32(&pk, load->items[i].count);
+	}
+}
+
 /* A reader of array elements that remembers whether one was unfit. */
 struct cursor {
 	const msgpack_object *at, *end;
@@ -193,6 +208,21 @@
 	return !c.bad && !list.bad;
 }
 
+static bool read_load(const msgpack_object *o, const char *peer,
+		      struct peer_load *load)
+{
+	struct cursor c = cursor_of(o);
+
+	g_strlcpy(load->peer, peer, sizeof(load->peer));
+	while (!c.bad && c.at < c.end && load->n < PEER_LOAD_MAX) {
+		struct peer_load_item *i = &load->items[load->n++];
+
+		i->backend = (uint32_t)next_uint(&c);
+		i->count = (uint32_t)next_uint(&c);
+	}
+	return !c.bad;
+}
+
 /*
  * gossip_read() decodes a datagram. Returns 0, or -EPROTO when it is none of
  * ours; m is to be cleared in both cases.
@@ -220,9 +250,11 @@
 		p->leaving = next_uint(&c) != 0;
 		p->ready = next_uint(&c) != 0;
 		p->config_offset = next_uint(&c);
-		if (!c.bad &&
-		    (m->kind == GOSSIP_BEAT ||
-		     (m->kind == GOSSIP_FEED && read_feed(next(&c), &m->feed))))
+		if (!c.bad && (m->kind == GOSSIP_BEAT ||
+			       (m->kind == GOSSIP_FEED &&
+				read_feed(next(&c), &m->feed)) ||
+			       (m->kind == GOSSIP_LOAD &&
+				read_load(next(&c), p->name, &m->load))))
 			rc = 0;
 	}
 	msgpack_unpacked_destroy(&u);
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -10,10 +10,11 @@
 #include <msgpack.h>
 
 #include "core/backend.h"
+#include "core/peer_load.h"
 #include "member/peers.h"
 #include "misc/buf.h"
 
-enum gossip_kind { GOSSIP_BEAT = 1, GOSSIP_FEED = 2 };
+enum gossip_kind { GOSSIP_BEAT = 1, GOSSIP_FEED = 2, GOSSIP_LOAD = 3 };
 
 /* One record of the list of backend servers. */
 struct backend_change {
@@ -34,6 +35,7 @@
 	enum gossip_kind kind;
 	struct peer_info sender;
 	struct backend_feed feed; /* of GOSSIP_FEED */
+	struct peer_load load;	  /* of GOSSIP_LOAD */
 };
 
 /* Fits an Ethernet frame, so that no datagram comes in pieces. */
@@ -42,6 +44,8 @@
 void gossip_write_beat(struct buf *out, const struct peer_info *self);
 void gossip_write_feed(struct buf *out, const struct peer_info *self,
 		       const struct backend_feed *feed);
+void gossip_write_load(struct buf *out, const struct peer_info *self,
+		       const struct peer_load *load);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
 void gossip_pack_change(msgpack_packer *pk, const struct backend_change *c);
 bool gossip_read_change(const msgpack_object *o, struct backend_change *out);
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -75,7 +75,7 @@
 	struct ev_loop *loop;
 	struct instance_settings settings;
 	struct traffic traffic;
-	struct mailbox control;
+	struct mailbox control; /* nobody runs it: its messages stay */
 	struct control_view view;
 	struct server servers[BENCH_SERVERS];
 	int n;
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -215,6 +215,23 @@
 	g_array_unref(f.changes);
 }
 
+static void test_load_round_trip(void **state)
+{
+	struct peer_info self = info("e3", 77);
+	struct peer_load l = {.n = 2, .items = {{123456, 3}, {7, 1}}};
+	struct gossip_message m;
+	struct buf b = {0};
+
+	gossip_write_load(&b, &self, &l);
+	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+	assert_int_equal(m.kind, GOSSIP_LOAD);
+	assert_string_equal(m.load.peer, "e3");
+	assert_int_equal(m.load.n, 2);
+	assert_memory_equal(m.load.items, l.items, 2 * sizeof(*l.items));
+	gossip_message_clear(&m);
+	buf_free(&b);
+}
+
 /* Many changes: the newest fit, and the feed says what it covers. */
 static void test_feed_fits(void **state)
 {
@@ -247,6 +264,7 @@
 		cmocka_unit_test(test_snapshot),
 		cmocka_unit_test(test_fresh_is_told),
 		cmocka_unit_test(test_round_trip),
+		cmocka_unit_test(test_load_round_trip),
 		cmocka_unit_test(test_feed_fits),
 	};
 
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -358,6 +358,38 @@
 	bench_free(b);
 }
 
+/* Servers without reports are full when the peers fill them. */
+static void test_filled_by_peers(void **state)
+{
+	struct bench *b = bench_new(2);
+	struct peer_load l = {.peer = "e9", .n = 1};
+	struct caller *c;
+
+	b->servers[0].tells_load = b->servers[1].tells_load = false;
+	c = bench_call(b, "GET", 1000);
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 200);
+	l.items[0] = (struct peer_load_item){peer_load_hash("i-0"), 2};
+	peer_loads_apply(&b->traffic.peer_loads, &b->traffic.backends, &l,
+			 clock_ms());
+	b->servers[0].received = 0;
+	for (int i = 0; i < 6; i++) {
+		c = bench_call(b, "POST", 1000);
+		bench_run_until(b, c);
+		assert_int_equal(c->status, 200);
+	}
+	assert_int_equal(b->servers[0].received, 0);
+	l.n = 2;
+	l.items[1] = (struct peer_load_item){peer_load_hash("i-1"), 2};
+	peer_loads_apply(&b->traffic.peer_loads, &b->traffic.backends, &l,
+			 clock_ms());
+	c = bench_call(b, "POST", 1000);
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 503);
+	assert_int_equal(bench_runs(b, c), 0);
+	bench_free(b);
+}
+
 /*
  * Seeded days of misbehaving servers: whatever they do, the promises to the
  * callers hold.
@@ -431,6 +463,7 @@
 		cmocka_unit_test(test_no_route),
 		cmocka_unit_test(test_ill_server),
 		cmocka_unit_test(test_load_not_told),
+		cmocka_unit_test(test_filled_by_peers),
 		cmocka_unit_test(test_days),
 	};
 
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -242,15 +242,22 @@
 		request_refuse(r, "no room");
 }
 
-/* The service's policy picks among those that take new work. */
-static struct backend *pick_by_policy(struct request *r)
+/* Lists the servers that may get the request; unref the array after use. */
+static GPtrArray *candidates(const struct request *r)
 {
-	const struct place_policy *p = r->service->policy;
 	struct backend *avoid[REQUEST_ASKS_MAX + REQUEST_SENDS_MAX];
 	struct place_query q = {.service = r->service,
 				.avoid = avoid,
 				.navoid = avoided(r, avoid)};
-	GPtrArray *fit = place_candidates(&q);
+
+	return place_candidates(&q);
+}
+
+/* The service's policy picks among those that take new work. */
+static struct backend *pick_by_policy(struct request *r)
+{
+	const struct place_policy *p = r->service->policy;
+	GPtrArray *fit = candidates(r);
 	struct backend *b = NULL;
 
 	if (fit->len)
@@ -262,6 +269,32 @@
 	return b;
 }
 
+/*
+ * Servers that tell no load: the admission decides on what the instances
+ * together have there. Of several that suit as well one at random.
+ */
+static struct backend *pick_unreported(struct request *r, int64_t now_ms)
+{
+	GPtrArray *fit = candidates(r);
+	struct backend *best = NULL;
+	double best_ms = 0;
+
+	for (guint i = 0; i < fit->len; i++) {
+		struct backend *b = fit->pdata[i];
+		double ms = place_estimate_ms(b, r->traffic->settings->dc,
+					      r->stats->work_ms, now_ms);
+		/* A tie-break that is small beside any real difference. */
+		double rank = ms + g_rand_double(r->traffic->rand);
+
+		if ((best && rank >= best_ms) || !takes(r, b, ms, now_ms))
+			continue;
+		best = b;
+		best_ms = rank;
+	}
+	g_ptr_array_unref(fit);
+	return best;
+}
+
 /* Places without asking for load. */
 static void place_by_policy(struct request *r, int64_t now_ms)
 {
@@ -271,7 +304,8 @@
 	struct upstream *u;
 
 	ask_release(r);
-	b = pick_by_policy(r);
+	b = r->service->policy->asks ? pick_unreported(r, now_ms)
+				     : pick_by_policy(r);
 	u = b ? upstream_get(r->traffic->loop, b, since) : NULL;
 	if (!u) {
 		no_room(r, now_ms);
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -6,6 +6,7 @@
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/request.h"
+#include "traffic/share.h"
 
 /* Weights of outcomes in the failure memory of a server. */
 static const double TROUBLE_BROKEN = 1.0;  /* reset, cut or no message */
@@ -25,6 +26,7 @@
 {
 	s->upstream = NULL;
 	s->backend->in_flight--;
+	share_changed(s->request->traffic, s->backend->service);
 }
 
 /*
@@ -233,6 +235,7 @@
 		.estimate_ms = place_estimate_ms(b, r->traffic->settings->dc,
 						 r->stats->work_ms, now_ms)};
 	b->in_flight++;
+	share_changed(r->traffic, b->service);
 	r->undenied++;
 	log_send(r, s, now_ms);
 	/* Its report is older than this request. */
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -10,6 +10,7 @@
 #include "platform/directory.h"
 #include "traffic/metrics.h"
 #include "traffic/request.h"
+#include "traffic/share.h"
 #include "traffic/traffic.h"
 #include "traffic/upstream.h"
 
@@ -228,6 +229,11 @@
 		t->ask_rule.instances = v->instances;
 		g_free(v);
 		break;
+	case TO_TRAFFIC_LOAD:
+		peer_loads_apply(&t->peer_loads, &t->backends, m->data,
+				 clock_ms());
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_STOP:
 		begin_stop(t);
 		break;
@@ -303,6 +309,7 @@
 		.per_server_s = b->questions_per_s,
 		.instances = t->budget_rule.instances,
 	};
+	share_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	backend_set_init(&t->backends, on_backend_gone, t);
 	mailbox_init(&t->in, t->loop, receive, t);
@@ -315,6 +322,6 @@
 	struct traffic *t = traffic;
 
 	ev_run(t->loop, 0);
-	mailbox_send(t->control, 0, NULL);
+	mailbox_send(t->control, FROM_TRAFFIC_STOPPED, NULL);
 	return NULL;
 }
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -40,6 +40,9 @@
 	struct http_server front, ready, directory, metrics, own;
 	struct config *config;
 	struct backend_set backends;
+	struct peer_loads peer_loads;
+	ev_timer share_timer;
+	bool share_pending;
 	struct peer_view peers;
 	struct budget_rule budget_rule;
 	struct ask_rule ask_rule;
