A request whose caller has left is neither sent again nor left unaccounted

Cause (read as a newcomer): when a caller left, work that may not be repeated goes on at its server; but a server that then said it had not run it made the instance send it to another, for nobody. And a protected call of the own interface whose caller left while it looked for a server kept its key as running for ever, so that every later try was told 'unknown'. Tests: test_request left_is_not_sent_again (2 servers got it, now 1) and leaves_while_placing (never settled, now once as not run); both fail before.

--- a/tests/bench.h
+++ b/tests/bench.h
@@ -34,6 +34,7 @@
 	SCRIPT_TWICE,	    /* answers twice at once */
 	SCRIPT_TWICE_LATE,  /* the second answer comes some ms later */
 	SCRIPT_UNSEALED,    /* answers without its receipt */
+	SCRIPT_REFUSE_LATE, /* says so after some ms, as from a queue */
 	SCRIPT_COUNT,
 };
 
@@ -57,7 +58,7 @@
 	struct http_conn *conn;
 	char id[32];
 	ev_timer timer;
-	bool late_twin;
+	bool refuse; /* it was not run, and the answer says so */
 };
 
 struct caller {
@@ -105,7 +106,12 @@
 						  : "Response-Seal: x.1\r\n",
 		     load, strlen(body), body);
 	http_conn_set_user(c, NULL);
-	if (s->script == SCRIPT_RUN_RESET)
+	if (j->refuse)
+		http_conn_reply(
+			c, &(struct http_reply){
+				   .status = 503,
+				   .headers = LSTR("Not-Executed: 1\r\n")});
+	else if (s->script == SCRIPT_RUN_RESET)
 		http_conn_abort(c);
 	else if (s->script == SCRIPT_RUN_CUT)
 		http_conn_reply_raw(c, (struct lstr){text, (size_t)n - 3},
@@ -187,10 +193,12 @@
 	j->conn = c;
 	g_snprintf(j->id, sizeof(j->id), "%.*s", (int)id.len, id.ptr);
 	http_message_free(m);
-	g_hash_table_replace(
-		s->bench->ran, g_strdup(j->id),
-		GINT_TO_POINTER(1 + GPOINTER_TO_INT(g_hash_table_lookup(
-					    s->bench->ran, j->id))));
+	if (s->script != SCRIPT_REFUSE_LATE)
+		g_hash_table_replace(
+			s->bench->ran, g_strdup(j->id),
+			GINT_TO_POINTER(1 + GPOINTER_TO_INT(g_hash_table_lookup(
+						    s->bench->ran, j->id))));
+	j->refuse = s->script == SCRIPT_REFUSE_LATE;
 	s->running++;
 	http_conn_set_user(c, j);
 	ev_timer_init(&j->timer, on_job_done, s->work_ms / 1000.0, 0);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -11,6 +11,7 @@
 #include "common/event.h"
 #include "misc/clock.h"
 #include "tests/bench.h"
+#include "traffic/request.h"
 
 /* A calm service: every request is answered with its own body. */
 static void test_calm(void **state)
@@ -293,6 +294,63 @@
 	bench_free(b);
 }
 
+static unsigned settled_status, settled_count;
+
+static void on_settled(struct request *r, unsigned status, struct lstr body)
+{
+	settled_status = status;
+	settled_count++;
+}
+
+/*
+ * The caller leaves while its request still looks for a server: it did not
+ * run, and whoever keeps account of it (keys of protected calls) hears so.
+ */
+static void test_leaves_while_placing(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct caller_protocol counting;
+	struct request *r;
+	struct caller *c;
+
+	b->servers[0].busy = 2;
+	c = bench_call(b, "POST", 1000);
+	for (int i = 0; i < 20 && b->traffic.open_requests == 0; i++)
+		bench_run_ms(b, 1);
+	r = http_conn_user(b->traffic.front.conns);
+	assert_non_null(r);
+	counting = *r->protocol;
+	counting.settled = on_settled;
+	r->protocol = &counting;
+	settled_count = 0;
+	caller_leave(c);
+	bench_run_ms(b, 10);
+	assert_int_equal(settled_count, 1);
+	assert_int_equal(settled_status, 503);
+	assert_int_equal(b->traffic.open_requests, 0);
+	bench_free(b);
+}
+
+/* Nobody waits any more: a refused request isn't taken to another server. */
+static void test_left_is_not_sent_again(void **state)
+{
+	struct bench *b = bench_new(2);
+	struct caller *c;
+
+	for (int i = 0; i < 2; i++) {
+		bench_script(b, i, SCRIPT_REFUSE_LATE);
+		b->servers[i].work_ms = 60;
+	}
+	c = bench_call(b, "POST", 1000);
+	bench_run_ms(b, 30);
+	assert_int_equal(b->servers[0].received + b->servers[1].received, 1);
+	caller_leave(c);
+	bench_run_ms(b, 150);
+	assert_int_equal(b->servers[0].received + b->servers[1].received, 1);
+	assert_int_equal(b->traffic.open_requests, 0);
+	bench_free(b);
+}
+
 /* Before any configuration 503, afterwards 404 for what isn't there. */
 static void test_no_route(void **state)
 {
@@ -460,6 +518,8 @@
 		cmocka_unit_test(test_address_reused),
 		cmocka_unit_test(test_leaving_and_dead),
 		cmocka_unit_test(test_caller_leaves),
+		cmocka_unit_test(test_leaves_while_placing),
+		cmocka_unit_test(test_left_is_not_sent_again),
 		cmocka_unit_test(test_no_route),
 		cmocka_unit_test(test_ill_server),
 		cmocka_unit_test(test_load_not_told),
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -372,6 +372,9 @@
 	r->stats->gone++;
 	log_outcome(r, EV_REQUEST_GONE, 0, "caller left", 0);
 	r->conn = NULL;
-	if (r->route->idempotent || !request_is_out(r))
-		request_free(r);
+	if (!r->route->idempotent && request_is_out(r))
+		return;
+	if (r->protocol->settled)
+		r->protocol->settled(r, r->undenied ? 504 : 503, LSTR(""));
+	request_free(r);
 }
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -80,7 +80,8 @@
 		request_arm(r);
 		return;
 	}
-	if (request_may_send_again(r)) {
+	/* Nobody waits for it any more: the outcome is all that is left. */
+	if (r->conn && request_may_send_again(r)) {
 		mp_event(EV_REQUEST_RETRY, G_LOG_LEVEL_INFO,
 			 "id=%.*s why=%s last=%s sends=%u of=%u "
 			 "left_ms=%" G_GINT64_FORMAT " retries_left=%.1f",
