--- a/control/control.c
+++ b/control/control.c
@@ -271,11 +271,19 @@
  */
 static void on_hup(struct ev_loop *loop, ev_signal *s, int revents)
 {
+	struct control *c = s->data;
 	struct instance_settings fresh;
+	struct buf what = {0};
 	int rc = instance_settings_load(getenv("MIMOSAPITCH_CONFIG"), &fresh);
 
-	mp_event(EV_RELOADED, G_LOG_LEVEL_MESSAGE, "settings=%s",
-		 rc ? "bad, kept the old" : "checked");
+	if (!rc)
+		instance_settings_differences(c->settings, &fresh, &what);
+	mp_event(EV_RELOADED, G_LOG_LEVEL_MESSAGE, "settings=%s%.*s",
+		 rc	    ? "bad, the old ones stay"
+		 : what.len ? "differ, the old ones stay:"
+			    : "as at the start",
+		 (int)what.len, what.len ? what.ptr : "");
+	buf_free(&what);
 }
 
 /* Tells every live peer what this instance has out. */
--- a/core/backend.h
+++ b/core/backend.h
@@ -51,7 +51,8 @@
 	bool drained;	     /* the configuration gives it no new work */
 	double trouble;	     /* decayed failures, see core/outlier.h */
 	int64_t trouble_at_ms;
-	void *conns; /* the traffic side's connections */
+	bool shunned; /* what was last logged of it */
+	void *conns;  /* the traffic side's connections */
 };
 
 /* Whether a service's backend servers report their load. */
--- a/core/outlier.h
+++ b/core/outlier.h
@@ -10,5 +10,6 @@
 
 void outlier_note(struct backend *b, double weight, int64_t now_ms);
 double outlier_trouble(const struct backend *b, int64_t now_ms);
+bool outlier_shuns(const struct backend *b, int64_t now_ms);
 
 #endif
--- a/core/place.c
+++ b/core/place.c
@@ -20,9 +20,6 @@
  */
 static const double TROUBLE_SLOWDOWN = 2.0;
 
-/* Trouble from which a server is asked only when no other is left. */
-static const double TROUBLE_SHUN = 1.5;
-
 /* Worth of keeping a request in its data centre: one round trip, and the
  * bytes between data centres, which are paid for. */
 static const double OTHER_DC_MS = 6;
@@ -109,7 +106,7 @@
 	double rank = g_rand_double(q->rand);
 	double trouble = outlier_trouble(b, q->now_ms);
 
-	if (trouble >= TROUBLE_SHUN)
+	if (outlier_shuns(b, q->now_ms))
 		rank += 8 + trouble;
 	else if (trouble > 0)
 		rank += trouble;
--- a/options/instance.c
+++ b/options/instance.c
@@ -84,6 +84,44 @@
 	return rc;
 }
 
+static void text_difference(const char *name, const char *a, const char *b,
+			    struct buf *out)
+{
+	if (g_strcmp0(a, b))
+		buf_printf(out, " %s=%s->%s", name, a ? a : "-", b ? b : "-");
+}
+
+/* Names the options of a table whose values differ. */
+static void group_differences(const struct opt_def *opts,
+			      const struct instance_settings *a,
+			      const struct instance_settings *b,
+			      struct buf *out)
+{
+	for (const struct opt_def *o = opts; o->key; o++) {
+		const void *x = (const char *)a + o->offset;
+		const void *y = (const char *)b + o->offset;
+
+		if (o->type != OPT_REAL)
+			text_difference(o->key, *(char *const *)x,
+					*(char *const *)y, out);
+		else if (*(const double *)x != *(const double *)y)
+			buf_printf(out, " %s=%g->%g", o->key,
+				   *(const double *)x, *(const double *)y);
+	}
+}
+
+/* instance_settings_differences() appends " key=old->new" for each. */
+void instance_settings_differences(const struct instance_settings *a,
+				   const struct instance_settings *b,
+				   struct buf *out)
+{
+	group_differences(instance_opts, a, b, out);
+	group_differences(listen_opts, a, b, out);
+	group_differences(platform_opts, a, b, out);
+	group_differences(log_opts, a, b, out);
+	group_differences(bounds_opts, a, b, out);
+}
+
 /* Ports of a local instance, counted from that of its own interface. */
 enum {
 	PORT_CALLERS = 1000,
--- a/options/instance.h
+++ b/options/instance.h
@@ -5,6 +5,7 @@
 #ifndef MP_OPTIONS_INSTANCE_H
 #define MP_OPTIONS_INSTANCE_H
 
+#include "misc/buf.h"
 #include "options/settings.h"
 
 /* What the users are promised of the system as a whole. */
@@ -36,6 +37,9 @@
 
 int instance_settings_of_deploy(const struct deploy *d, const char *name,
 				struct instance_settings *out);
+void instance_settings_differences(const struct instance_settings *a,
+				   const struct instance_settings *b,
+				   struct buf *out);
 int instance_settings_load(const char *path, struct instance_settings *out);
 
 #endif
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -114,6 +114,28 @@
 	g_free(path);
 }
 
+/* A reload says what differs. */
+static void test_differences(void **state)
+{
+	struct instance_settings a, b;
+	char *path = render(NULL);
+	struct buf out = {0};
+
+	assert_int_equal(instance_settings_load(path, &a), 0);
+	assert_int_equal(instance_settings_load(path, &b), 0);
+	instance_settings_differences(&a, &b, &out);
+	assert_int_equal(out.len, 0);
+	b.bounds.drain_ms = 2500;
+	b.callers = "10.9.9.9:1";
+	instance_settings_differences(&a, &b, &out);
+	assert_true(lstr_eq(buf_lstr(&out),
+			    LSTR(" callers=10.1.0.18:8381->10.9.9.9:1"
+				 " drain_ms=2000->2500")));
+	buf_free(&out);
+	unlink(path);
+	g_free(path);
+}
+
 static void test_no_file(void **state)
 {
 	struct instance_settings s;
@@ -140,6 +162,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_template),
 		cmocka_unit_test(test_figure_left_empty),
+		cmocka_unit_test(test_differences),
 		cmocka_unit_test(test_no_file),
 		cmocka_unit_test(test_of_deploy),
 	};
