--- a/core/place.c
+++ b/core/place.c
@@ -69,14 +69,33 @@
  */
 enum { REPORT_FRESH_MS = 250 };
 
+/*
+ * Whom to ask first: ranks add up and the lowest go first. A random part
+ * below 1 spreads instances over servers that are alike; the steps below say
+ * what goes before what. Another data centre costs a round trip and paid
+ * bytes, so it comes after all of the own one that are not known to be full;
+ * a server that keeps failing comes last.
+ */
+static const double RANK_SHUNNED = 8;
+static const double RANK_FULL = 3;
+static const double RANK_OTHER_DC = 2;
+static const double RANK_SLOW = 1.5;
+static const double RANK_COLD = 0.7;
+static const double RANK_EACH_OF_OURS = 0.5;
+static const double RANK_QUICK = -0.5;
+
+/* Remembered failure up to which a server counts as sound. */
+static const double SOUND_TROUBLE = 0.5;
+
 /* What a remembered report says for or against asking b now. */
 static double report_rank(const struct place_query *q, const struct backend *b)
 {
 	if (!b->load.at_ms || q->now_ms - b->load.at_ms > REPORT_FRESH_MS)
 		return 0;
 	if (!place_has_room(b, 1))
-		return 3;
-	return b->load.slowdown_pct > PROMPT_SLOWDOWN_PCT ? 1.5 : -0.5;
+		return RANK_FULL;
+	return b->load.slowdown_pct > PROMPT_SLOWDOWN_PCT ? RANK_SLOW
+							  : RANK_QUICK;
 }
 
 /* Tells whether b may get new work for this query. */
@@ -107,14 +126,14 @@
 	double trouble = outlier_trouble(b, q->now_ms);
 
 	if (outlier_shuns(b, q->now_ms))
-		rank += 8 + trouble;
+		rank += RANK_SHUNNED + trouble;
 	else if (trouble > 0)
 		rank += trouble;
 	if (strcmp(b->entry.dc, q->dc))
-		rank += 2;
+		rank += RANK_OTHER_DC;
 	if (b->warm_until_ms > q->now_ms)
-		rank += 0.7;
-	rank += 0.5 * b->in_flight;
+		rank += RANK_COLD;
+	rank += RANK_EACH_OF_OURS * b->in_flight;
 	return rank + report_rank(q, b);
 }
 
@@ -204,5 +223,6 @@
 
 	return l->running + l->waiting + 1 <= KNEE_SHARE * l->slots &&
 	       l->slowdown_pct <= PROMPT_SLOWDOWN_PCT &&
-	       b->warm_until_ms <= now_ms && outlier_trouble(b, now_ms) < 0.5;
+	       b->warm_until_ms <= now_ms &&
+	       outlier_trouble(b, now_ms) < SOUND_TROUBLE;
 }
--- a/options/instance.c
+++ b/options/instance.c
@@ -158,6 +158,8 @@
 	out->peers = g_strdup_printf("%s:%d", host, port + PORT_PEERS);
 	out->store = g_strdup(d->entry.platform);
 	out->log_level = g_strdup(d->entry.log_level);
+	/* What the users' platform promises today, but for the questions:
+	 * stand-ins work in milliseconds and get many more requests. */
 	out->bounds = (struct bounds){
 		.drain_ms = 2000,
 		.config_ms = 2000,
