--- a/control/control.c
+++ b/control/control.c
@@ -79,6 +79,19 @@
 		      sizeof(p->info.addr));
 }
 
+/* Whatever a peer is sent also is a heartbeat. */
+static void send_to_live(struct control *c, const struct buf *b, int64_t now_ms)
+{
+	for (guint i = 0; i < c->peers.peers->len; i++) {
+		struct peer *p = g_ptr_array_index(c->peers.peers, i);
+
+		if (!peer_alive(p, now_ms))
+			continue;
+		send_datagram(c, b, p);
+		p->sent_ms = now_ms;
+	}
+}
+
 static void send_beat(struct control *c, struct peer *p, int64_t now_ms)
 {
 	struct buf b = {0};
@@ -141,14 +154,7 @@
 	c->peers.self.config_offset = c->config.offset;
 	backend_list_outline(&c->backends.list, &f, now_ms);
 	gossip_write_feed(&b, &c->peers.self, &f);
-	for (guint i = 0; i < c->peers.peers->len; i++) {
-		struct peer *p = g_ptr_array_index(c->peers.peers, i);
-
-		if (!peer_alive(p, now_ms))
-			continue;
-		send_datagram(c, &b, p);
-		p->sent_ms = now_ms;
-	}
+	send_to_live(c, &b, now_ms);
 	buf_free(&b);
 	if (recovered)
 		config_watch_restart(&c->config);
@@ -293,14 +299,7 @@
 	int64_t now_ms = clock_ms();
 
 	gossip_write_load(&b, &c->peers.self, load);
-	for (guint i = 0; i < c->peers.peers->len; i++) {
-		struct peer *p = g_ptr_array_index(c->peers.peers, i);
-
-		if (!peer_alive(p, now_ms))
-			continue;
-		send_datagram(c, &b, p);
-		p->sent_ms = now_ms;
-	}
+	send_to_live(c, &b, now_ms);
 	buf_free(&b);
 }
 
