Parameters that nothing reads are gone

Read of the whole change: status_of_error, request_answer and on_not_run took arguments that they didn't use. No behaviour or assertion changes; all unit programs pass.

--- a/http/conn.c
+++ b/http/conn.c
@@ -211,13 +211,12 @@
 			&(struct http_reply){.status = status, .close = true});
 }
 
-static unsigned status_of_error(ssize_t err, bool in_head)
+static unsigned status_of_error(ssize_t err)
 {
 	if (err == -EFBIG)
 		return 413;
 	if (err == -EMSGSIZE)
 		return 431;
-	(void)in_head;
 	return 400;
 }
 
@@ -253,7 +252,7 @@
 	ssize_t used = http_reader_feed(&c->reader, c->in.ptr, n);
 
 	if (used < 0) {
-		conn_refuse(c, status_of_error(used, !c->in_body));
+		conn_refuse(c, status_of_error(used));
 		return false;
 	}
 	buf_consume(&c->in, (size_t)used);
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -151,8 +151,7 @@
 }
 
 /* request_answer() passes a backend server's answer on; it takes `answer`. */
-void request_answer(struct request *r, struct http_message *answer,
-		    const struct send *from)
+void request_answer(struct request *r, struct http_message *answer)
 {
 	struct buf headers = {0};
 	unsigned status = answer->status;
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -101,7 +101,6 @@
 void request_arm(struct request *r);
 void request_refuse(struct request *r, const char *why);
 void request_fail(struct request *r, unsigned status, const char *why);
-void request_answer(struct request *r, struct http_message *answer,
-		    const struct send *from);
+void request_answer(struct request *r, struct http_message *answer);
 
 #endif
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -100,8 +100,7 @@
 }
 
 /* The server says that it has not run the request. */
-static void on_not_run(struct request *r, struct send *s, unsigned status,
-		       int64_t now_ms)
+static void on_not_run(struct request *r, struct send *s, unsigned status)
 {
 	r->undenied--;
 	if (status == 421)
@@ -124,7 +123,7 @@
 		request_arm(r);
 		return;
 	}
-	request_answer(r, m, s);
+	request_answer(r, m);
 }
 
 static void send_response(void *owner, struct http_message *m)
@@ -150,7 +149,7 @@
 		unsigned status = m->status;
 
 		http_message_free(m);
-		on_not_run(r, s, status, now_ms);
+		on_not_run(r, s, status);
 		return;
 	}
 	if (m->status / 100 == 2 && !info.sealed) {
@@ -163,7 +162,7 @@
 	} else {
 		outlier_note(s->backend, RELIEF_SERVED, now_ms);
 		learn(r, s, now_ms);
-		request_answer(r, m, s);
+		request_answer(r, m);
 	}
 }
 
