Lines of a request that fails are told in full also in a storm; reloads change what may change

Cause: every request wrote its lines until 400 a second were spent, so in a storm those of failures were dropped like all others.

Now 100 requests a second are written as they go; further ones hold their lines back and write them only when they fail, are late or are sent again. The lines carry the time and the retry budget left. SIGHUP takes over the bounds and the log level and says what waits for the next start. A peer whose heartbeats stop and the members' records that can be reached again have lines of their own.

--- a/app/instance.c
+++ b/app/instance.c
@@ -37,12 +37,14 @@
 
 /*
  * instance_run() runs an entry instance until it was stopped as planned: the
- * control thread is the calling one, traffic has another. `patched` is the
+ * control thread is the calling one, traffic has another. On SIGHUP the
+ * settings come from `settings_source` anew. `patched` is the
  * deployment whose configuration operators patch (NULL: the users' operator
  * writes it), `own` the one that the product's own interface serves (NULL:
  * none). Returns 0 or a negative errno.
  */
 int instance_run(const struct instance_settings *s,
+		 const struct settings_source *settings_source,
 		 const struct deploy *patched, const struct deploy *own)
 {
 	static struct control control;
@@ -54,7 +56,7 @@
 	rc = mp_log_set_level(s->log_level);
 	if (rc)
 		return rc;
-	rc = control_init(&control, s, &source, &traffic.in);
+	rc = control_init(&control, s, settings_source, &source, &traffic.in);
 	if (!rc)
 		rc = traffic_init(&traffic, s, own, &control.view, &control.in);
 	if (rc)
--- a/app/instance.h
+++ b/app/instance.h
@@ -6,6 +6,7 @@
 #include "options/instance.h"
 
 int instance_run(const struct instance_settings *s,
+		 const struct settings_source *settings_source,
 		 const struct deploy *patched, const struct deploy *own);
 
 #endif
--- a/app/main.c
+++ b/app/main.c
@@ -136,13 +136,28 @@
 	return load_main(d, &a);
 }
 
-static int run_entry(const struct deploy *d, const struct cli *o)
+/* Reads the deployment's file anew for the instance that `priv` names. */
+static int reload_entry(void *priv, struct instance_settings *out)
 {
+	const struct cli *o = priv;
+	struct deploy d;
+	int rc = deploy_load(o->deployment, &d);
+
+	return rc ? rc : instance_settings_of_deploy(&d, o->name, out);
+}
+
+static int run_entry(const struct deploy *d, struct cli *o)
+{
+	struct settings_source source = {reload_entry, o};
 	struct instance_settings s;
-	int rc = instance_settings_of_deploy(d, o->name ? o->name : "e1", &s);
+	int rc;
 
+	o->name = o->name ? o->name : "e1";
+	rc = instance_settings_of_deploy(d, o->name, &s);
 	mp_log_to_stdout();
-	return rc ? rc : instance_run(&s, o->from_operator ? NULL : d, d);
+	if (rc)
+		return rc;
+	return instance_run(&s, &source, o->from_operator ? NULL : d, d);
 }
 
 /* Runs a role of a local deployment. */
@@ -173,17 +188,24 @@
 	return -EINVAL;
 }
 
+static int reload_file(void *priv, struct instance_settings *out)
+{
+	return instance_settings_load(priv, out);
+}
+
 /* Runs or checks an instance on the platform. */
 static int run_on_platform(const char *role, const struct cli *o)
 {
 	const char *path =
 		o->settings ? o->settings : getenv("MIMOSAPITCH_CONFIG");
+	struct settings_source source = {reload_file, (void *)path};
 	struct instance_settings s;
 
 	mp_log_to_stdout();
 	if (instance_settings_load(path, &s))
 		return EXIT_CONFIG;
-	return strcmp(role, "check") ? instance_run(&s, NULL, NULL) : 0;
+	return strcmp(role, "check") ? instance_run(&s, &source, NULL, NULL)
+				     : 0;
 }
 
 /* Exit status: 0 done, 1 a rejected patch, 2 unknown, 64 usage, 78 config. */
--- a/caller/own.c
+++ b/caller/own.c
@@ -113,8 +113,7 @@
 			   first ? "" : ",", p->name, p->own, p->dc);
 		first = false;
 	}
-	buf_printf(&body, "],\"ttl_s\":%g}",
-		   t->settings->bounds.directory_keep_s);
+	buf_printf(&body, "],\"ttl_s\":%g}", t->bounds.directory_keep_s);
 	reply(c, 200, LSTR("Content-Type: application/json\r\n"),
 	      buf_lstr(&body));
 	buf_free(&body);
--- a/common/event.c
+++ b/common/event.c
@@ -17,13 +17,19 @@
 	 * instance decides in a second, so that a storm costs no service.
 	 */
 	LINES_PER_S = 400,
+	/*
+	 * Requests a second whose lines are written also when all goes well.
+	 * Two lines each are half of all lines; the other half stays for
+	 * requests that fail and for what the process comes to believe.
+	 */
+	ROUTINE_REQUESTS_PER_S = 100,
 };
 
 static const char *log_role = "-";
 static bool to_stdout, quiet;
 static uint64_t dropped, lost, lines_this_s;
 static bool brief; /* leaves out what touches single requests */
-static uint64_t this_s;
+static uint64_t this_s, routine_this_s;
 
 static const char *level_name(GLogLevelFlags level)
 {
@@ -65,16 +71,45 @@
 	return 0;
 }
 
+/* Begins a new second's allowances when it is time. */
+static void turn_second(const struct timespec *ts)
+{
+	if (ck_pr_load_64(&this_s) == (uint64_t)ts->tv_sec)
+		return;
+	ck_pr_store_64(&this_s, (uint64_t)ts->tv_sec);
+	ck_pr_store_64(&lines_this_s, 0);
+	ck_pr_store_64(&routine_this_s, 0);
+}
+
 /* Tells whether one more line fits this second's allowance. */
 static bool within_rate(const struct timespec *ts)
 {
-	if (ck_pr_load_64(&this_s) != (uint64_t)ts->tv_sec) {
-		ck_pr_store_64(&this_s, (uint64_t)ts->tv_sec);
-		ck_pr_store_64(&lines_this_s, 0);
-	}
+	turn_second(ts);
 	return ck_pr_faa_64(&lines_this_s, 1) < LINES_PER_S;
 }
 
+/*
+ * mp_log_routine() tells whether one more request may have its lines written
+ * as they come. Otherwise the caller holds them back until the request ends:
+ * one that fails is still told in full, one that went well is only counted,
+ * with mp_log_withheld().
+ */
+bool mp_log_routine(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	turn_second(&ts);
+	return ck_pr_faa_64(&routine_this_s, 1) < ROUTINE_REQUESTS_PER_S;
+}
+
+/* mp_log_withheld() counts lines of a request that went well as left out. */
+void mp_log_withheld(unsigned lines)
+{
+	ck_pr_add_64(&dropped, lines);
+	ck_pr_add_64(&lost, lines);
+}
+
 /*
  * Writes a line if that can't block: a pipe that polls as writable takes a
  * line whole. Lines that were left out are counted and told later.
--- a/common/event.h
+++ b/common/event.h
@@ -7,6 +7,8 @@
 #ifndef MP_COMMON_EVENT_H
 #define MP_COMMON_EVENT_H
 
+#include <stdbool.h>
+
 #include <glib.h>
 
 enum mp_event {
@@ -33,6 +35,7 @@
 	EV_PEER_BAD_DATAGRAM = 321,
 	EV_PEERS_CHANGED = 322,
 	EV_PEER_INTRODUCED = 323,
+	EV_PEER_LOST = 324,
 
 	EV_CALL_FOREIGN_ANSWER = 401,
 
@@ -53,6 +56,8 @@
 void mp_log_quiet(void);
 int mp_log_set_level(const char *name);
 guint64 mp_log_lost(void);
+bool mp_log_routine(void);
+void mp_log_withheld(unsigned lines);
 void mp_event(enum mp_event ev, GLogLevelFlags level, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/control/control.c
+++ b/control/control.c
@@ -240,6 +240,17 @@
 	send_to_traffic(c, TO_TRAFFIC_PEERS, copy);
 }
 
+static void log_lost_peers(struct control *c, int64_t now_ms)
+{
+	const struct peer *p;
+
+	while ((p = peers_next_lost(&c->peers, now_ms)) != NULL)
+		mp_event(EV_PEER_LOST, G_LOG_LEVEL_MESSAGE,
+			 "peer=%s dc=%s leaving=%d silent_ms=%" G_GINT64_FORMAT,
+			 p->info.name, p->info.dc, p->info.leaving,
+			 now_ms - p->heard_ms);
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct control *c = t->data;
@@ -253,6 +264,7 @@
 	c->peers.self.ready = c->config.version && c->backends.list.loaded;
 	introduce_tick(&c->introduce, now_ms);
 	send_beats(c, now_ms, false);
+	log_lost_peers(c, now_ms);
 	publish_peers(c, now_ms);
 }
 
@@ -271,25 +283,39 @@
 	send_to_traffic(c, TO_TRAFFIC_STOP, NULL);
 }
 
-/*
- * SIGHUP: the settings are read and checked anew. Addresses can't change in
- * a running process; the bounds are taken over by the next start.
- */
+/* Takes over changed settings and says which wait for the next start. */
+static void take_settings(struct control *c,
+			  const struct instance_settings *fresh)
+{
+	struct buf all = {0}, rest = {0};
+
+	instance_settings_differences(&c->settings, fresh, &all);
+	instance_settings_take_over(&c->settings, fresh);
+	instance_settings_differences(&c->settings, fresh, &rest);
+	mp_event(EV_RELOADED, G_LOG_LEVEL_MESSAGE,
+		 "settings=%s changed=[%.*s ] at_next_start=[%.*s ]",
+		 all.len ? "changed" : "as before", (int)all.len,
+		 all.len ? all.ptr : "", (int)rest.len,
+		 rest.len ? rest.ptr : "");
+	buf_free(&all);
+	buf_free(&rest);
+	mp_log_set_level(c->settings.log_level);
+	send_to_traffic(
+		c, TO_TRAFFIC_BOUNDS,
+		g_memdup2(&c->settings.bounds, sizeof(c->settings.bounds)));
+}
+
+/* SIGHUP: the settings are read and checked anew; bad ones change nothing. */
 static void on_hup(struct ev_loop *loop, ev_signal *s, int revents)
 {
 	struct control *c = s->data;
 	struct instance_settings fresh;
-	struct buf what = {0};
-	int rc = instance_settings_load(getenv("MIMOSAPITCH_CONFIG"), &fresh);
-
-	if (!rc)
-		instance_settings_differences(c->settings, &fresh, &what);
-	mp_event(EV_RELOADED, G_LOG_LEVEL_MESSAGE, "settings=%s%.*s",
-		 rc	    ? "bad, the old ones stay"
-		 : what.len ? "differ, the old ones stay:"
-			    : "as at the start",
-		 (int)what.len, what.len ? what.ptr : "");
-	buf_free(&what);
+
+	if (c->settings_source.load(c->settings_source.priv, &fresh))
+		mp_event(EV_RELOADED, G_LOG_LEVEL_MESSAGE,
+			 "settings=bad; the old ones stay in force");
+	else
+		take_settings(c, &fresh);
 }
 
 /* Tells every live peer what this instance has out. */
@@ -321,7 +347,7 @@
 static int open_peer_socket(struct control *c)
 {
 	struct sockaddr_in sa;
-	int rc = socket_addr(c->settings->peers, &sa);
+	int rc = socket_addr(c->settings.peers, &sa);
 
 	if (rc)
 		return rc;
@@ -350,6 +376,7 @@
  * calling thread. Returns 0 or a negative errno.
  */
 int control_init(struct control *c, const struct instance_settings *s,
+		 const struct settings_source *settings_source,
 		 const struct config_source *source, struct mailbox *out)
 {
 	struct peer_info self = {0};
@@ -357,7 +384,8 @@
 
 	memset(c, 0, sizeof(*c));
 	c->loop = ev_default_loop(EVFLAG_NOENV);
-	c->settings = s;
+	c->settings = *s;
+	c->settings_source = *settings_source;
 	c->source = *source;
 	c->out = out;
 	g_strlcpy(self.name, s->name, sizeof(self.name));
@@ -388,7 +416,7 @@
 {
 	struct sockaddr_in store;
 
-	socket_addr(c->settings->store, &store);
+	socket_addr(c->settings.store, &store);
 	member_record_start(&c->record, c->loop, &store, &c->peers);
 	config_watch_start(&c->config, c->loop, &store, &c->source, on_config,
 			   c);
--- a/control/control.h
+++ b/control/control.h
@@ -21,6 +21,7 @@
 	TO_TRAFFIC_PEERS = 3,	/* struct peer_view * */
 	TO_TRAFFIC_LOAD = 5,	/* struct peer_load * */
 	TO_TRAFFIC_STOP = 4,	/* nothing: stop as planned */
+	TO_TRAFFIC_BOUNDS = 6,	/* struct bounds *, of changed settings */
 };
 
 /* Messages from the traffic thread; the receiver owns the data. */
@@ -46,7 +47,8 @@
 
 struct control {
 	struct ev_loop *loop;
-	const struct instance_settings *settings;
+	struct instance_settings settings; /* in force */
+	struct settings_source settings_source;
 	struct mailbox *out;
 	struct mailbox in; /* from the traffic thread: it has stopped */
 	struct peer_table peers;
@@ -66,6 +68,7 @@
 };
 
 int control_init(struct control *c, const struct instance_settings *s,
+		 const struct settings_source *settings_source,
 		 const struct config_source *source, struct mailbox *out);
 void control_run(struct control *c);
 
--- a/control/member_record.c
+++ b/control/member_record.c
@@ -57,6 +57,9 @@
 		call_later(m, wait < RETRY_MAX_MS ? wait : RETRY_MAX_MS);
 		return;
 	}
+	if (m->failures)
+		mp_event(EV_PLATFORM_RECOVERED, G_LOG_LEVEL_MESSAGE,
+			 "what=members failures=%u", m->failures);
 	m->failures = 0;
 	if (!m->written) {
 		m->written = true;
--- a/member/peers.c
+++ b/member/peers.c
@@ -64,6 +64,7 @@
 
 	p->info = *info;
 	p->heard_ms = now_ms;
+	p->believed = true;
 	return fresh;
 }
 
@@ -73,6 +74,23 @@
 	return p->heard_ms && now_ms - p->heard_ms < ALIVE_MS;
 }
 
+/*
+ * peers_next_lost() finds a peer whose heartbeats have stopped since it was
+ * last heard, each once; NULL when there is none.
+ */
+const struct peer *peers_next_lost(struct peer_table *t, int64_t now_ms)
+{
+	for (guint i = 0; i < t->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(t->peers, i);
+
+		if (!p->believed || peer_alive(p, now_ms))
+			continue;
+		p->believed = false;
+		return p;
+	}
+	return NULL;
+}
+
 /* peer_due() tells whether it is time for a heartbeat to p. */
 bool peer_due(const struct peer *p, int64_t now_ms)
 {
--- a/member/peers.h
+++ b/member/peers.h
@@ -32,6 +32,7 @@
 	int64_t known_ms; /* since when */
 	int64_t heard_ms; /* its last heartbeat; 0: never */
 	int64_t sent_ms;  /* our last heartbeat to it */
+	bool believed;	  /* alive, as far as the log has told */
 };
 
 /* What callers are told of an instance. */
@@ -52,6 +53,7 @@
 		 int64_t now_ms);
 bool peer_alive(const struct peer *p, int64_t now_ms);
 bool peer_due(const struct peer *p, int64_t now_ms);
+const struct peer *peers_next_lost(struct peer_table *t, int64_t now_ms);
 unsigned peers_rank(const struct peer_table *t, int64_t now_ms);
 unsigned peers_count(const struct peer_table *t, int64_t now_ms);
 size_t peers_for_callers(const struct peer_table *t, int64_t now_ms,
--- a/misc/findings.c
+++ b/misc/findings.c
@@ -55,7 +55,7 @@
 			 fd->key ? fd->key : "-", fd->message);
 	}
 	mp_event(EV_SETTINGS_BAD, G_LOG_LEVEL_CRITICAL,
-		 "%u problem(s) in settings; not starting", f->list->len);
+		 "%u problem(s) in the settings", f->list->len);
 	return -EINVAL;
 }
 
--- a/options/instance.c
+++ b/options/instance.c
@@ -122,6 +122,21 @@
 	group_differences(bounds_opts, a, b, out);
 }
 
+/*
+ * instance_settings_take_over() takes over what may change in a running
+ * process: the log level and the bounds. The window of the retry budget stays:
+ * what was spent is counted in parts of it. Addresses and names stay too.
+ */
+void instance_settings_take_over(struct instance_settings *s,
+				 const struct instance_settings *fresh)
+{
+	double window_s = s->bounds.retry_window_s;
+
+	s->bounds = fresh->bounds;
+	s->bounds.retry_window_s = window_s;
+	s->log_level = fresh->log_level;
+}
+
 /* Ports of a local instance, counted from that of its own interface. */
 enum {
 	PORT_CALLERS = 1000,
--- a/options/instance.h
+++ b/options/instance.h
@@ -33,6 +33,13 @@
 	struct bounds bounds;
 };
 
+/* Where the settings of a running process are read anew. */
+struct settings_source {
+	/* Logs what is wrong; returns 0 or a negative errno. */
+	int (*load)(void *priv, struct instance_settings *out);
+	void *priv;
+};
+
 struct deploy;
 
 int instance_settings_of_deploy(const struct deploy *d, const char *name,
@@ -41,5 +48,7 @@
 				   const struct instance_settings *b,
 				   struct buf *out);
 int instance_settings_load(const char *path, struct instance_settings *out);
+void instance_settings_take_over(struct instance_settings *s,
+				 const struct instance_settings *fresh);
 
 #endif
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -8,8 +8,9 @@
 set -u
 cd "$(dirname "$0")/.."
 bin=${MP_BIN:-target/mimosapitch}
-ini=tests/e2e.ini
 logs=$(mktemp -d)
+ini=$logs/deployment.ini # a copy, as a step changes it
+cp tests/e2e.ini "$ini"
 pids=()
 fails=0
 stop_all() {
@@ -148,6 +149,32 @@
 check "explain: no such request" expect_exit 70 sh -c "cat $logs/entry-*.log | $bin explain nobody"
 check "status of the entries" sh -c "$bin ctl --deployment $ini status | grep -q '^e2 '"
 
+# A reload under load: taken over, refused as a whole, waiting for a start.
+keep_time() { # seconds: what the running entry tells callers
+	curl -s -m 2 http://127.0.0.1:18101/v1/entries | grep -q "\"ttl_s\":$1}"
+}
+reload() { # sed script: changes the file and has the entry read it
+	sed -i "$1" "$ini"
+	kill -HUP "$pid_e1"
+	sleep 0.3
+}
+load --seconds 3 --rate 150 --seed 7 >"$logs/reload.txt" 2>&1 &
+load_pid=$!
+check "before the reload: the standard of 30 s" keep_time 30
+reload 's/^\[entry\]$/&\nanswer_ttl_s = 7/'
+check "reload: new setting in force" keep_time 7
+check "reload: logged with old and new" grep -q 'ev=103 .*settings=changed changed=\[ directory_keep_s=30->7 \] at_next_start=\[ \]' "$logs/entry-e1.log"
+reload 's/^answer_ttl_s = 7$/answer_ttl_s = many/'
+check "reload of a bad file: what was in force stays" keep_time 7
+check "reload of a bad file: named with its line" grep -q 'ev=111 .*deployment.ini:[0-9]*: answer_ttl_s' "$logs/entry-e1.log"
+check "reload of a bad file: said so" grep -q 'ev=103 .*settings=bad' "$logs/entry-e1.log"
+reload 's/^answer_ttl_s = many$/answer_ttl_s = 7/; s/^listen = 127.0.0.1:18101$/listen = 127.0.0.1:18109/'
+check "reload: an address waits for the next start" grep -q 'ev=103 .*at_next_start=\[.* callers=127.0.0.1:19101->127.0.0.1:19109' "$logs/entry-e1.log"
+sed -i 's/^listen = 127.0.0.1:18109$/listen = 127.0.0.1:18101/' "$ini"
+wait $load_pid
+check "reloads under load: invariants hold" test $? -eq 0
+check "reloads under load: no call cut" grep -q 'calls cut in flight 0$' "$logs/reload.txt"
+
 load --seconds 4 --rate 150 --seed 4 >"$logs/stop.txt" 2>&1 &
 load_pid=$!
 sleep 1
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -136,6 +136,32 @@
 	g_free(path);
 }
 
+/* A running process takes over bounds and log level, and nothing else. */
+static void test_take_over(void **state)
+{
+	struct instance_settings a, b;
+	char *path = render(NULL);
+	struct buf out = {0};
+
+	assert_int_equal(instance_settings_load(path, &a), 0);
+	assert_int_equal(instance_settings_load(path, &b), 0);
+	b.bounds.retry_slack = 90;
+	b.bounds.retry_window_s = 20;
+	b.log_level = "notice";
+	b.callers = "10.9.9.9:1";
+	instance_settings_take_over(&a, &b);
+	assert_true(a.bounds.retry_slack == 90);
+	assert_string_equal(a.log_level, "notice");
+	/* What is left waits for the next start. */
+	instance_settings_differences(&a, &b, &out);
+	assert_true(lstr_eq(buf_lstr(&out),
+			    LSTR(" callers=10.1.0.18:8381->10.9.9.9:1"
+				 " retry_window_s=10->20")));
+	buf_free(&out);
+	unlink(path);
+	g_free(path);
+}
+
 static void test_no_file(void **state)
 {
 	struct instance_settings s;
@@ -163,6 +189,7 @@
 		cmocka_unit_test(test_template),
 		cmocka_unit_test(test_figure_left_empty),
 		cmocka_unit_test(test_differences),
+		cmocka_unit_test(test_take_over),
 		cmocka_unit_test(test_no_file),
 		cmocka_unit_test(test_of_deploy),
 	};
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -48,6 +48,24 @@
 	assert_int_equal(peers_rank(&t, 3100), 0);
 }
 
+/* A peer whose heartbeats stop is told once, and again after it was back. */
+static void test_lost_once(void **state)
+{
+	struct peer_info self = info("e3", 1);
+	struct peer_table t;
+
+	peers_init(&t, &self);
+	hear(&t, "e1", 1000);
+	hear(&t, "e2", 1000);
+	assert_null(peers_next_lost(&t, 2000));
+	hear(&t, "e2", 3000);
+	assert_string_equal(peers_next_lost(&t, 3000)->info.name, "e1");
+	assert_null(peers_next_lost(&t, 3000));
+	hear(&t, "e1", 4000);
+	assert_string_equal(peers_next_lost(&t, 5500)->info.name, "e2");
+	assert_string_equal(peers_next_lost(&t, 5900)->info.name, "e1");
+}
+
 static void test_for_callers(void **state)
 {
 	struct peer_info self = info("e3", 1), stopping = info("e1", 1);
@@ -259,6 +277,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_rank_and_take_over),
+		cmocka_unit_test(test_lost_once),
 		cmocka_unit_test(test_for_callers),
 		cmocka_unit_test(test_ready_first),
 		cmocka_unit_test(test_snapshot),
--- /dev/null
+++ b/tests/test_request_log.c
@@ -0,0 +1,149 @@
+/*
+ * Tests of traffic/request_log: what is written of a request while lines are
+ * plenty, and what of it remains when a storm has used up the allowance.
+ */
+#include "tests/unit.h"
+
+#include <glib.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "common/event.h"
+#include "misc/clock.h"
+#include "tests/bench.h"
+
+static GString *lines;
+
+/* Takes the place of the process's own log writer. */
+static GLogWriterOutput keep_line(GLogLevelFlags level, const GLogField *fields,
+				  gsize n, gpointer data)
+{
+	const char *ev = "", *msg = "";
+
+	for (gsize i = 0; i < n; i++) {
+		if (!g_strcmp0(fields[i].key, "EVENT"))
+			ev = fields[i].value;
+		else if (!g_strcmp0(fields[i].key, "MESSAGE"))
+			msg = fields[i].value;
+	}
+	g_string_append_printf(lines, "ev=%s %s\n", ev, msg);
+	return G_LOG_WRITER_HANDLED;
+}
+
+/* Waits for a new second and uses up its allowance for what goes well. */
+static void begin_storm(void)
+{
+	struct timespec t;
+
+	clock_gettime(CLOCK_REALTIME, &t);
+	usleep((useconds_t)(1000000 - t.tv_nsec / 1000));
+	while (mp_log_routine())
+		;
+}
+
+/* Counts the lines of event ev that name the caller's id. */
+static unsigned count_lines(const char *ev, const struct caller *c)
+{
+	char *start = g_strdup_printf("ev=%s id=%s ", ev, c->id);
+	char **all = g_strsplit(lines->str, "\n", -1);
+	unsigned n = 0;
+
+	for (char **l = all; *l; l++)
+		n += g_str_has_prefix(*l, start);
+	g_strfreev(all);
+	g_free(start);
+	return n;
+}
+
+static struct caller *call(struct bench *b, const char *method)
+{
+	struct caller *c;
+
+	g_string_truncate(lines, 0);
+	c = bench_call(b, method, 1000);
+	bench_run_until(b, c);
+	return c;
+}
+
+/* While lines are plenty: each decision, with the retry budget. */
+static void test_plenty(void **state)
+{
+	struct bench *b = bench_new(2);
+	struct caller *c = call(b, "GET");
+
+	assert_int_equal(c->status, 200);
+	assert_int_equal(count_lines("410", c), 1);
+	assert_int_equal(count_lines("411", c), 1);
+	assert_non_null(strstr(lines->str, " retries_left="));
+	assert_non_null(strstr(lines->str, " left_ms="));
+	bench_free(b);
+}
+
+/* In a storm: one that is served in time is counted, not written. */
+static void test_storm_served(void **state)
+{
+	struct bench *b = bench_new(2);
+	guint64 lost = mp_log_lost();
+	struct caller *c;
+
+	begin_storm();
+	c = call(b, "GET");
+	assert_int_equal(c->status, 200);
+	assert_int_equal(count_lines("410", c), 0);
+	assert_int_equal(count_lines("411", c), 0);
+	assert_int_equal(mp_log_lost() - lost, 2);
+	bench_free(b);
+}
+
+/* In a storm: one that fails is told in full, with every server it went to. */
+static void test_storm_refused(void **state)
+{
+	struct bench *b = bench_new(2);
+	struct caller *c;
+
+	bench_script(b, 0, SCRIPT_REFUSE);
+	bench_script(b, 1, SCRIPT_REFUSE);
+	begin_storm();
+	c = call(b, "POST");
+	assert_int_equal(c->status, 503);
+	assert_int_equal(count_lines("410", c), 2);
+	assert_int_equal(count_lines("414", c), 1);
+	assert_int_equal(count_lines("412", c), 1);
+	bench_free(b);
+}
+
+/* In a storm: late, and an unknown outcome. */
+static void test_storm_late(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct caller *c;
+
+	b->servers[0].work_ms = BENCH_TARGET_MS + 50;
+	begin_storm();
+	c = call(b, "POST");
+	assert_int_equal(c->status, 200);
+	assert_int_equal(count_lines("410", c), 1);
+	assert_int_equal(count_lines("411", c), 1);
+	bench_script(b, 0, SCRIPT_RUN_RESET);
+	b->servers[0].work_ms = 5;
+	begin_storm();
+	c = call(b, "POST");
+	assert_int_equal(c->status, 502);
+	assert_int_equal(count_lines("410", c), 1);
+	assert_int_equal(count_lines("413", c), 1);
+	bench_free(b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_plenty),
+		cmocka_unit_test(test_storm_served),
+		cmocka_unit_test(test_storm_refused),
+		cmocka_unit_test(test_storm_late),
+	};
+
+	lines = g_string_new(NULL);
+	g_log_set_writer_func(keep_line, NULL, NULL);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -54,27 +54,6 @@
 						.body = body});
 }
 
-/* One line when a request ends, with what led there. */
-static void log_outcome(const struct request *r, enum mp_event ev,
-			unsigned status, const char *why, double retry_s)
-{
-	const struct send *last = r->nsends ? &r->sends[r->nsends - 1] : NULL;
-	int64_t now_ms = clock_ms();
-
-	mp_event(ev, G_LOG_LEVEL_INFO,
-		 "id=%.*s route=%.*s version=%" G_GUINT64_FORMAT
-		 " status=%u why=%s sends=%u last=%s ms=%" G_GINT64_FORMAT
-		 " at_server_ms=%" G_GINT64_FORMAT
-		 " asked=%u answered=%u spent_before_ms=%.0f limit_ms=%u "
-		 "retry_after_ms=%.0f waiting=%u",
-		 (int)r->call.id.len, r->call.id.ptr, (int)r->route->name.len,
-		 r->route->name.ptr, r->config->version, status, why, r->nsends,
-		 last ? last->backend->entry.id : "-", now_ms - r->start_ms,
-		 last ? now_ms - last->sent_ms : 0, r->asked, r->answered,
-		 r->spent_before_ms, r->stats->patience.limit_ms,
-		 retry_s * 1000, r->service->waiting.length);
-}
-
 /* Answers with a status of the instance's own. */
 static void answer_own(struct request *r, unsigned status, double retry_s)
 {
@@ -121,7 +100,7 @@
 	mp_invariant(!r->undenied, "id=%.*s may have run and was refused",
 		     (int)r->call.id.len, r->call.id.ptr);
 	r->stats->refused++;
-	log_outcome(r, EV_REQUEST_REFUSED, 503, why, s);
+	request_log_outcome(r, EV_REQUEST_REFUSED, 503, why, s);
 	answer_own(r, 503, s);
 }
 
@@ -132,7 +111,7 @@
 void request_fail(struct request *r, unsigned status, const char *why)
 {
 	r->stats->unknown++;
-	log_outcome(r, EV_REQUEST_UNKNOWN, status, why, 0);
+	request_log_outcome(r, EV_REQUEST_UNKNOWN, status, why, 0);
 	answer_own(r, status, 0);
 }
 
@@ -157,7 +136,7 @@
 	unsigned status = answer->status;
 
 	count_answer(r, status, clock_ms() - r->start_ms);
-	log_outcome(r, EV_REQUEST_DONE, status, "answered", 0);
+	request_log_outcome(r, EV_REQUEST_DONE, status, "answered", 0);
 	r->protocol->write_answer(&headers, r->call.id, answer);
 	finish(r, status, buf_lstr(&headers), buf_lstr(&answer->body));
 	buf_free(&headers);
@@ -174,6 +153,13 @@
 	return false;
 }
 
+/* request_retries_left() tells what the service's retry budget still allows. */
+double request_retries_left(const struct request *r, int64_t now_ms)
+{
+	return budget_left(&r->service->budget, &r->traffic->budget_rule,
+			   now_ms);
+}
+
 /*
  * request_may_send_again() tells whether one more backend server may get the
  * request: the route's count, the retry budget and the time allow it, and it
@@ -317,6 +303,7 @@
 		&t->backends, route_pick(route, g_rand_int(t->rand)));
 	r->stats = traffic_class(t, r->service->name, route->target_ms);
 	r->start_ms = clock_ms();
+	r->untold = !mp_log_routine();
 	if (call->has_time_left) {
 		patience_note(&r->stats->patience, left);
 		r->spent_before_ms =
@@ -369,7 +356,7 @@
 	if (!r)
 		return;
 	r->stats->gone++;
-	log_outcome(r, EV_REQUEST_GONE, 0, "caller left", 0);
+	request_log_outcome(r, EV_REQUEST_GONE, 0, "caller left", 0);
 	r->conn = NULL;
 	if (!r->route->idempotent && request_is_out(r))
 		return;
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -6,6 +6,7 @@
 #ifndef MP_TRAFFIC_REQUEST_H
 #define MP_TRAFFIC_REQUEST_H
 
+#include "common/event.h"
 #include "core/place.h"
 #include "platform/exchange.h"
 #include "traffic/traffic.h"
@@ -35,6 +36,18 @@
 
 struct ask;
 
+/* What decided for a server, for the log. */
+struct send_basis {
+	struct load_report load;
+	int64_t load_age_ms;	  /* -1: the server has told none */
+	double trouble;		  /* remembered failures */
+	double spent_ms;	  /* by the caller, with its earlier attempts */
+	double retries_left;	  /* in the service's retry budget */
+	int64_t left_ms;	  /* until the request is due */
+	unsigned asked, answered; /* questions for load before */
+	bool pressed;		  /* others miss room */
+};
+
 /* The request at one backend server. */
 struct send {
 	struct request *request;
@@ -43,6 +56,7 @@
 	int64_t sent_ms;
 	unsigned slowdown_pct; /* what the server told before */
 	double estimate_ms;    /* expected of the server then */
+	struct send_basis basis;
 };
 
 /* Why a request is being placed. */
@@ -77,6 +91,7 @@
 	struct send sends[REQUEST_SENDS_MAX];
 	unsigned nsends;
 	unsigned undenied; /* sends that may have run it */
+	bool untold;	   /* its lines are held back until it ends */
 };
 
 void request_begin(void *priv, struct http_conn *c, struct http_message *m);
@@ -102,5 +117,14 @@
 void request_refuse(struct request *r, const char *why);
 void request_fail(struct request *r, unsigned status, const char *why);
 void request_answer(struct request *r, struct http_message *answer);
+double request_retries_left(const struct request *r, int64_t now_ms);
+
+/* The log lines of a request. */
+void request_log_sent(struct request *r, struct send *s, int64_t now_ms);
+void request_log_retry(struct request *r, const char *why);
+void request_log_foreign(struct request *r, const struct send *s,
+			 struct lstr answered);
+void request_log_outcome(struct request *r, enum mp_event ev, unsigned status,
+			 const char *why, double retry_s);
 
 #endif
--- /dev/null
+++ b/traffic/request_log.c
@@ -0,0 +1,122 @@
+/*
+ * The log lines of one request. While there are few, each is written when
+ * its decision falls. Beyond that the lines of a request are held back: they
+ * are written if it fails, is late or is sent again, and only counted if it
+ * goes well. So a storm costs few lines, and none of those that explain a
+ * failure.
+ */
+#include "core/outlier.h"
+#include "misc/clock.h"
+#include "traffic/request.h"
+
+static void write_sent(const struct request *r, const struct send *s,
+		       unsigned number, int64_t now_ms)
+{
+	const struct send_basis *b = &s->basis;
+
+	mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO,
+		 "id=%.*s backend=%s dc=%s send=%u ago_ms=%" G_GINT64_FORMAT
+		 " load=%u/%u/%u slowdown_pct=%u load_age_ms=%" G_GINT64_FORMAT
+		 " estimate_ms=%.0f trouble=%.1f asked=%u answered=%u "
+		 "spent_ms=%.0f left_ms=%" G_GINT64_FORMAT
+		 " retries_left=%.1f pressed=%d",
+		 (int)r->call.id.len, r->call.id.ptr, s->backend->entry.id,
+		 s->backend->entry.dc, number, now_ms - s->sent_ms,
+		 b->load.running, b->load.waiting, b->load.slots,
+		 b->load.slowdown_pct, b->load_age_ms, s->estimate_ms,
+		 b->trouble, b->asked, b->answered, b->spent_ms, b->left_ms,
+		 b->retries_left, b->pressed);
+}
+
+/* Writes what was held back; from now on each line is written at once. */
+static void tell(struct request *r, int64_t now_ms)
+{
+	if (!r->untold)
+		return;
+	r->untold = false;
+	for (unsigned i = 0; i < r->nsends; i++)
+		write_sent(r, &r->sends[i], i + 1, now_ms);
+}
+
+/*
+ * request_log_sent() says what decided for a server: its report and how old
+ * that is, remembered trouble, the time and the retry budget left.
+ */
+void request_log_sent(struct request *r, struct send *s, int64_t now_ms)
+{
+	const struct backend *b = s->backend;
+
+	s->basis = (struct send_basis){
+		.load = b->load,
+		.load_age_ms = b->load.at_ms ? now_ms - b->load.at_ms : -1,
+		.trouble = outlier_trouble(b, now_ms),
+		.spent_ms = r->spent_before_ms + (double)(now_ms - r->start_ms),
+		.retries_left = request_retries_left(r, now_ms),
+		.left_ms = r->due_ms - now_ms,
+		.asked = r->asked,
+		.answered = r->answered,
+		.pressed = request_is_pressed(r, now_ms)};
+	if (!r->untold)
+		write_sent(r, s, r->nsends, now_ms);
+}
+
+/* request_log_retry() says why the request goes to one more server. */
+void request_log_retry(struct request *r, const char *why)
+{
+	int64_t now_ms = clock_ms();
+
+	tell(r, now_ms);
+	mp_event(EV_REQUEST_RETRY, G_LOG_LEVEL_INFO,
+		 "id=%.*s why=%s last=%s sends=%u of=%u "
+		 "left_ms=%" G_GINT64_FORMAT " retries_left=%.1f",
+		 (int)r->call.id.len, r->call.id.ptr, why,
+		 r->sends[r->nsends - 1].backend->entry.id, r->nsends,
+		 r->route->max_attempts, r->due_ms - now_ms,
+		 request_retries_left(r, now_ms));
+}
+
+/* request_log_foreign() names an answer that belongs to another request. */
+void request_log_foreign(struct request *r, const struct send *s,
+			 struct lstr answered)
+{
+	tell(r, clock_ms());
+	mp_event(EV_CALL_FOREIGN_ANSWER, G_LOG_LEVEL_WARNING,
+		 "id=%.*s backend=%s answered=%.*s; skipped",
+		 (int)r->call.id.len, r->call.id.ptr, s->backend->entry.id,
+		 (int)answered.len, answered.ptr ? answered.ptr : "");
+}
+
+/* One that was served in time needs no explanation. */
+static bool went_well(const struct request *r, enum mp_event ev,
+		      unsigned status, int64_t now_ms)
+{
+	return ev == EV_REQUEST_DONE && status / 100 == 2 &&
+	       now_ms - r->start_ms <= r->route->target_ms;
+}
+
+/* request_log_outcome() says how a request ended, with what led there. */
+void request_log_outcome(struct request *r, enum mp_event ev, unsigned status,
+			 const char *why, double retry_s)
+{
+	const struct send *last = r->nsends ? &r->sends[r->nsends - 1] : NULL;
+	int64_t now_ms = clock_ms();
+
+	if (r->untold && went_well(r, ev, status, now_ms)) {
+		mp_log_withheld(r->nsends + 1);
+		return;
+	}
+	tell(r, now_ms);
+	mp_event(ev, G_LOG_LEVEL_INFO,
+		 "id=%.*s route=%.*s version=%" G_GUINT64_FORMAT
+		 " status=%u why=%s sends=%u last=%s ms=%" G_GINT64_FORMAT
+		 " at_server_ms=%" G_GINT64_FORMAT
+		 " asked=%u answered=%u spent_before_ms=%.0f limit_ms=%u "
+		 "retry_after_ms=%.0f waiting=%u retries_left=%.1f",
+		 (int)r->call.id.len, r->call.id.ptr, (int)r->route->name.len,
+		 r->route->name.ptr, r->config->version, status, why, r->nsends,
+		 last ? last->backend->entry.id : "-", now_ms - r->start_ms,
+		 last ? now_ms - last->sent_ms : 0, r->asked, r->answered,
+		 r->spent_before_ms, r->stats->patience.limit_ms,
+		 retry_s * 1000, r->service->waiting.length,
+		 request_retries_left(r, now_ms));
+}
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -1,7 +1,6 @@
 #include <errno.h>
 #include <string.h>
 
-#include "common/event.h"
 #include "core/hedge.h"
 #include "core/outlier.h"
 #include "misc/clock.h"
@@ -54,11 +53,7 @@
 	if (exchange_is_for(&info, s->request->call.id))
 		return HTTP_TAKE;
 	s->request->traffic->counters.foreign_answers++;
-	mp_event(EV_CALL_FOREIGN_ANSWER, G_LOG_LEVEL_WARNING,
-		 "id=%.*s backend=%s answered=%.*s; skipped",
-		 (int)s->request->call.id.len, s->request->call.id.ptr,
-		 s->backend->entry.id, (int)info.id.len,
-		 info.id.ptr ? info.id.ptr : "");
+	request_log_foreign(s->request, s, info.id);
 	return HTTP_SKIP;
 }
 
@@ -82,14 +77,7 @@
 	}
 	/* Nobody waits for it any more: the outcome is all that is left. */
 	if (r->conn && request_may_send_again(r)) {
-		mp_event(EV_REQUEST_RETRY, G_LOG_LEVEL_INFO,
-			 "id=%.*s why=%s last=%s sends=%u of=%u "
-			 "left_ms=%" G_GINT64_FORMAT " retries_left=%.1f",
-			 (int)r->call.id.len, r->call.id.ptr, why,
-			 r->sends[r->nsends - 1].backend->entry.id, r->nsends,
-			 r->route->max_attempts, r->due_ms - clock_ms(),
-			 budget_left(&r->service->budget,
-				     &r->traffic->budget_rule, clock_ms()));
+		request_log_retry(r, why);
 		request_place(r, PLACE_RETRY);
 		return;
 	}
@@ -196,26 +184,6 @@
 		r->stats->retries++;
 }
 
-/* Says what decided for this server: its report, how old that is, others. */
-static void log_send(const struct request *r, const struct send *s,
-		     int64_t now_ms)
-{
-	const struct backend *b = s->backend;
-	const struct load_report *l = &b->load;
-
-	mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO,
-		 "id=%.*s backend=%s dc=%s send=%u load=%u/%u/%u "
-		 "slowdown_pct=%u load_age_ms=%" G_GINT64_FORMAT
-		 " estimate_ms=%.0f trouble=%.1f asked=%u answered=%u "
-		 "spent_ms=%.0f pressed=%d",
-		 (int)r->call.id.len, r->call.id.ptr, b->entry.id, b->entry.dc,
-		 r->nsends, l->running, l->waiting, l->slots, l->slowdown_pct,
-		 l->at_ms ? now_ms - l->at_ms : -1, s->estimate_ms,
-		 outlier_trouble(b, now_ms), r->asked, r->answered,
-		 r->spent_before_ms + (double)(now_ms - r->start_ms),
-		 request_is_pressed(r, now_ms));
-}
-
 /* request_send() sends the request to b on a connection it now owns. */
 void request_send(struct request *r, struct backend *b, struct upstream *u)
 {
@@ -237,7 +205,7 @@
 	b->in_flight++;
 	share_changed(r->traffic, b->service);
 	r->undenied++;
-	log_send(r, s, now_ms);
+	request_log_sent(r, s, now_ms);
 	/* Its report is older than this request. */
 	if (b->load.at_ms)
 		b->load.running++;
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -90,8 +90,7 @@
 	t->counters.directory++;
 	for (size_t i = 0; i < t->peers.n; i++)
 		addrs[i] = lstr0(t->peers.peers[i].callers);
-	directory_write(&body, addrs, t->peers.n,
-			t->settings->bounds.directory_keep_s);
+	directory_write(&body, addrs, t->peers.n, t->bounds.directory_keep_s);
 	reply_plain(c, 200, LSTR("Content-Type: application/msgpack\r\n"),
 		    buf_lstr(&body));
 	buf_free(&body);
@@ -183,7 +182,7 @@
 {
 	struct traffic *t = timer->data;
 	int64_t since = clock_ms() - t->stopping_ms;
-	int64_t grace = (int64_t)(t->settings->bounds.grace_s * 1000);
+	int64_t grace = (int64_t)(t->bounds.grace_s * 1000);
 
 	if (since < STOP_ACCEPT_MS && since < grace / 2)
 		return;
@@ -211,6 +210,16 @@
 	ev_timer_start(t->loop, &t->stop_timer);
 }
 
+/* The allowances of all instances together; their count comes from control. */
+static void take_bounds(struct traffic *t, const struct bounds *b)
+{
+	t->bounds = *b;
+	t->budget_rule.ratio = b->retry_ratio;
+	t->budget_rule.slack = b->retry_slack;
+	t->budget_rule.window_ms = (uint32_t)(b->retry_window_s * 1000);
+	t->ask_rule.per_server_s = b->questions_per_s;
+}
+
 static void receive(void *priv, struct mail *m)
 {
 	struct traffic *t = priv;
@@ -234,6 +243,10 @@
 				 clock_ms());
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_BOUNDS:
+		take_bounds(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_STOP:
 		begin_stop(t);
 		break;
@@ -288,8 +301,6 @@
 		 const struct deploy *deploy, const struct control_view *view,
 		 struct mailbox *control)
 {
-	const struct bounds *b = &s->bounds;
-
 	memset(t, 0, sizeof(*t));
 	t->loop = ev_loop_new(EVFLAG_NOENV);
 	t->settings = s;
@@ -298,17 +309,9 @@
 	t->control_view = view;
 	t->rand = g_rand_new();
 	t->classes = g_hash_table_new(g_str_hash, g_str_equal);
-	t->budget_rule = (struct budget_rule){
-		.ratio = b->retry_ratio,
-		.slack = b->retry_slack,
-		.window_ms = (uint32_t)(b->retry_window_s * 1000),
-		/* Unknown yet: as many as a large system has. */
-		.instances = 64,
-	};
-	t->ask_rule = (struct ask_rule){
-		.per_server_s = b->questions_per_s,
-		.instances = t->budget_rule.instances,
-	};
+	/* Unknown yet: as many as a large system has. */
+	t->budget_rule.instances = t->ask_rule.instances = 64;
+	take_bounds(t, &s->bounds);
 	share_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	backend_set_init(&t->backends, on_backend_gone, t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -33,7 +33,8 @@
 
 struct traffic {
 	struct ev_loop *loop;
-	const struct instance_settings *settings;
+	const struct instance_settings *settings; /* as at the start */
+	struct bounds bounds;			  /* in force */
 	struct mailbox in;
 	struct mailbox *control;
 	const struct control_view *control_view;
