A feed of many changes comes in several datagrams, so that nobody reads the store after it

While 432 servers register, one read brings some 65 changes; a feed held the newest seven, so every instance saw a gap and read for itself. Ruled out: takeovers (only rank 0 read outside those seconds), lost datagrams.

Now a feed goes out in as many datagrams as its new changes need, each covering the offsets after the one before; only the last tells the list's age.

Test: test_feed_in_parts.

--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -199,7 +199,11 @@
 		if (c->offset >= known)
 			backend_list_record(l, c, now_ms);
 	}
-	backend_list_caught_up(l, f->to, now_ms - f->age_ms, now_ms);
+	backend_list_caught_up(l, f->to,
+			       f->age_ms == FEED_AGE_UNKNOWN
+				       ? l->fresh_ms
+				       : now_ms - f->age_ms,
+			       now_ms);
 	return true;
 }
 
--- a/control/control.c
+++ b/control/control.c
@@ -149,12 +149,18 @@
 	struct backend_feed f;
 	struct buf b = {0};
 	int64_t now_ms = clock_ms();
+	guint at;
 
 	publish_age(c);
 	c->peers.self.config_offset = c->config.offset;
 	backend_list_outline(&c->backends.list, &f, now_ms);
-	gossip_write_feed(&b, &c->peers.self, &f);
-	send_to_live(c, &b, now_ms);
+	at = gossip_feed_begin(&f, c->fed_to);
+	do {
+		b.len = 0;
+		at = gossip_write_feed(&b, &c->peers.self, &f, at);
+		send_to_live(c, &b, now_ms);
+	} while (at < f.changes->len);
+	c->fed_to = f.to;
 	buf_free(&b);
 	if (recovered)
 		config_watch_restart(&c->config);
--- a/control/control.h
+++ b/control/control.h
@@ -54,6 +54,7 @@
 	struct peer_table peers;
 	struct peer_view last_view;
 	int sock;
+	uint64_t fed_to; /* changes before this offset were sent to peers */
 	uint64_t datagram_bytes_in, datagram_bytes_out;
 	ev_io sock_io;
 	ev_timer tick;
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -9,8 +9,12 @@
 /* Positions in the arrays on the wire. */
 enum { HEAD_FIELDS = 11, FEED_FIELDS = 5, CHANGE_FIELDS = 9 };
 
-/* Room that one change takes at most, with names of usual length. */
-enum { CHANGE_BYTES = 160 };
+enum {
+	/* Room that one change takes at most, with names of usual length. */
+	CHANGE_BYTES = 160,
+	/* And what stands before the changes. */
+	FEED_HEAD_BYTES = 200,
+};
 
 static void pack_addr(msgpack_packer *pk, const struct sockaddr_in *sa)
 {
@@ -65,35 +69,68 @@
 	msgpack_pack_uint32(pk, e->warm_up_ms);
 }
 
+static uint64_t offset_at(const struct backend_feed *feed, guint i)
+{
+	return g_array_index(feed->changes, struct backend_change, i).offset;
+}
+
+/*
+ * gossip_feed_begin() chooses the first change to send: none that the peers
+ * were not yet sent, from offset `told` on, is left out, and older ones are
+ * repeated as far as one datagram goes, against loss.
+ */
+guint gossip_feed_begin(const struct backend_feed *feed, uint64_t told)
+{
+	guint fit = (GOSSIP_MAX - FEED_HEAD_BYTES) / CHANGE_BYTES;
+	guint len = feed->changes->len;
+	guint begin = len > fit ? len - fit : 0;
+
+	while (begin > 0 && offset_at(feed, begin - 1) >= told)
+		begin--;
+	return begin;
+}
+
+/* Packs changes from `begin` on as far as they fit; returns the end. */
+static guint pack_changes(struct buf *out, const struct backend_feed *feed,
+			  guint begin)
+{
+	guint end = begin;
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	while (end < feed->changes->len &&
+	       out->len + CHANGE_BYTES <= GOSSIP_MAX - FEED_HEAD_BYTES)
+		gossip_pack_change(&pk, &g_array_index(feed->changes,
+						       struct backend_change,
+						       end++));
+	return end;
+}
+
 /*
- * gossip_write_feed() writes the changes, the newest that fit one datagram;
- * `from` moves on past those that are left out.
+ * gossip_write_feed() writes one datagram with the changes from `begin` on
+ * and returns the index of the first that did not fit. Only the last one says
+ * how old the list is, as only with it the list is complete.
  */
-void gossip_write_feed(struct buf *out, const struct peer_info *self,
-		       const struct backend_feed *feed)
+guint gossip_write_feed(struct buf *out, const struct peer_info *self,
+			const struct backend_feed *feed, guint begin)
 {
-	guint fit = (GOSSIP_MAX - 200) / CHANGE_BYTES;
-	guint skip = feed->changes->len > fit ? feed->changes->len - fit : 0;
-	uint64_t from = feed->from;
+	struct buf changes = {0};
+	guint end = pack_changes(&changes, feed, begin);
+	bool last = end == feed->changes->len;
 	msgpack_packer pk;
 
-	if (skip)
-		from = g_array_index(feed->changes, struct backend_change,
-				     skip - 1)
-			       .offset +
-		       1;
 	msgpack_packer_init(&pk, out, codec_buf_write);
 	pack_sender(&pk, GOSSIP_FEED, self);
 	msgpack_pack_array(&pk, FEED_FIELDS);
-	msgpack_pack_uint64(&pk, from);
-	msgpack_pack_uint64(&pk, feed->to);
-	msgpack_pack_uint32(&pk, feed->age_ms);
+	msgpack_pack_uint64(&pk, begin ? offset_at(feed, begin - 1) + 1
+				       : feed->from);
+	msgpack_pack_uint64(&pk, last ? feed->to : offset_at(feed, end));
+	msgpack_pack_uint32(&pk, last ? feed->age_ms : FEED_AGE_UNKNOWN);
 	msgpack_pack_uint32(&pk, feed->settle_ms);
-	msgpack_pack_array(&pk, feed->changes->len - skip);
-	for (guint i = skip; i < feed->changes->len; i++)
-		gossip_pack_change(&pk,
-				   &g_array_index(feed->changes,
-						  struct backend_change, i));
+	msgpack_pack_array(&pk, end - begin);
+	buf_add_lstr(out, buf_lstr(&changes));
+	buf_free(&changes);
+	return end;
 }
 
 /* gossip_write_load() writes what this instance has out. */
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -23,10 +23,13 @@
 	struct backend_entry entry;
 };
 
+/* In a part of a feed that more parts follow. */
+#define FEED_AGE_UNKNOWN UINT32_MAX
+
 /* The list's changes between two offsets. */
 struct backend_feed {
 	uint64_t from, to;  /* covers records from <= offset < to */
-	uint32_t age_ms;    /* since the store was asked */
+	uint32_t age_ms;    /* since the store was asked, or FEED_AGE_UNKNOWN */
 	uint32_t settle_ms; /* removals are held back this much longer */
 	GArray *changes;    /* struct backend_change, by offset */
 };
@@ -42,8 +45,9 @@
 enum { GOSSIP_MAX = 1400 };
 
 void gossip_write_beat(struct buf *out, const struct peer_info *self);
-void gossip_write_feed(struct buf *out, const struct peer_info *self,
-		       const struct backend_feed *feed);
+guint gossip_feed_begin(const struct backend_feed *feed, uint64_t told);
+guint gossip_write_feed(struct buf *out, const struct peer_info *self,
+			const struct backend_feed *feed, guint begin);
 void gossip_write_load(struct buf *out, const struct peer_info *self,
 		       const struct peer_load *load);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -203,7 +203,7 @@
 
 	f.changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
 	fill_changes(f.changes, 6);
-	gossip_write_feed(&b, &self, &f);
+	assert_int_equal(gossip_write_feed(&b, &self, &f, 0), 6);
 	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
 	assert_int_equal(m.kind, GOSSIP_FEED);
 	assert_memory_equal(&m.sender.addr, &self.addr, sizeof(self.addr));
@@ -250,17 +250,20 @@
 	buf_free(&b);
 }
 
-/* Many changes: the newest fit, and the feed says what it covers. */
+/* Many changes known to all: the newest fit, and it says what it covers. */
 static void test_feed_fits(void **state)
 {
 	struct peer_info self = info("e3", 77);
 	struct backend_feed f = {.from = 90, .to = 400};
 	struct gossip_message m;
 	struct buf b = {0};
+	guint begin;
 
 	f.changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
 	fill_changes(f.changes, 200);
-	gossip_write_feed(&b, &self, &f);
+	begin = gossip_feed_begin(&f, 400);
+	assert_true(begin > 0);
+	assert_int_equal(gossip_write_feed(&b, &self, &f, begin), 200);
 	assert_true(b.len <= GOSSIP_MAX);
 	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
 	const struct backend_change *first =
@@ -268,11 +271,46 @@
 
 	assert_int_equal(first->offset, m.feed.from);
 	assert_int_equal(first->offset + m.feed.changes->len, 300);
+	assert_int_equal(m.feed.to, 400);
 	gossip_message_clear(&m);
 	buf_free(&b);
 	g_array_unref(f.changes);
 }
 
+/*
+ * Many new changes at once, as when many servers start: they come in as many
+ * datagrams as they need, without a gap, and only the last tells the age.
+ */
+static void test_feed_in_parts(void **state)
+{
+	struct peer_info self = info("e3", 77);
+	struct backend_feed f = {.from = 90, .to = 400, .age_ms = 3};
+	struct gossip_message m;
+	struct buf b = {0};
+	uint64_t next;
+	guint at;
+
+	f.changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	fill_changes(f.changes, 200);
+	next = g_array_index(f.changes, struct backend_change, 49).offset + 1;
+	at = gossip_feed_begin(&f, next);
+	assert_int_equal(at, 50);
+	while (at < 200) {
+		b.len = 0;
+		at = gossip_write_feed(&b, &self, &f, at);
+		assert_true(b.len <= GOSSIP_MAX);
+		assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+		assert_int_equal(m.feed.from, next);
+		assert_int_equal(m.feed.age_ms,
+				 at < 200 ? FEED_AGE_UNKNOWN : 3);
+		next = m.feed.to;
+		gossip_message_clear(&m);
+	}
+	assert_int_equal(next, 400);
+	buf_free(&b);
+	g_array_unref(f.changes);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -285,6 +323,7 @@
 		cmocka_unit_test(test_round_trip),
 		cmocka_unit_test(test_load_round_trip),
 		cmocka_unit_test(test_feed_fits),
+		cmocka_unit_test(test_feed_in_parts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
