Many instances tell only the first three that they live; the first tells all

Cause: everyone told everyone twice a second: 133 instances send 35,000 datagrams a second, three quarters of them between data centres, and each one wakes its receiver.

Above 20 instances heartbeats go to the first three by name (hubs); the first sends all the roll, the ids of those it hears. Without a roll for 1.2 s each tells all again, until a new first one sends it. A name that a roll has and nobody told of is asked for.

The peers' datagrams moved from control.c to peer_channel.c.

--- a/control/control.c
+++ b/control/control.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <ck_pr.h>
@@ -16,7 +15,6 @@
 enum {
 	/* Granularity of all that is due; reads are due twice a second. */
 	TICK_MS = 100,
-	DATAGRAMS_AT_ONCE = 32, /* so that timers get their turn */
 	/* Waits for room in the queue to the traffic thread: 5 s in all. */
 	SEND_TRIES = 5000,
 	SEND_PAUSE_US = 1000,
@@ -69,50 +67,6 @@
 	send_to_traffic(priv, TO_TRAFFIC_BACKEND, copy);
 }
 
-static void send_datagram(struct control *c, const struct buf *b,
-			  const struct peer *p)
-{
-	c->datagram_bytes_out += b->len;
-	/* A datagram that can't be sent is as good as lost. */
-	(void)!sendto(c->sock, b->ptr, b->len, MSG_DONTWAIT | MSG_NOSIGNAL,
-		      (const struct sockaddr *)&p->info.addr,
-		      sizeof(p->info.addr));
-}
-
-/* Whatever a peer is sent also is a heartbeat. */
-static void send_to_live(struct control *c, const struct buf *b, int64_t now_ms)
-{
-	for (guint i = 0; i < c->peers.peers->len; i++) {
-		struct peer *p = g_ptr_array_index(c->peers.peers, i);
-
-		if (!peer_alive(p, now_ms))
-			continue;
-		send_datagram(c, b, p);
-		p->sent_ms = now_ms;
-	}
-}
-
-static void send_beat(struct control *c, struct peer *p, int64_t now_ms)
-{
-	struct buf b = {0};
-
-	c->peers.self.config_offset = c->config.offset;
-	gossip_write_beat(&b, &c->peers.self);
-	send_datagram(c, &b, p);
-	p->sent_ms = now_ms;
-	buf_free(&b);
-}
-
-static void send_beats(struct control *c, int64_t now_ms, bool to_all)
-{
-	for (guint i = 0; i < c->peers.peers->len; i++) {
-		struct peer *p = g_ptr_array_index(c->peers.peers, i);
-
-		if (to_all || peer_due(p, now_ms))
-			send_beat(c, p, now_ms);
-	}
-}
-
 /* Publishes how old the list of backend servers is. */
 static void publish_age(struct control *c)
 {
@@ -125,7 +79,7 @@
 {
 	const struct store_channel *channels[] = {
 		&c->config.store, &c->backends.store, &c->record.store};
-	uint64_t in = c->datagram_bytes_in, out = c->datagram_bytes_out;
+	uint64_t in = c->peers.bytes_in, out = c->peers.bytes_out;
 	uint64_t calls = 0;
 	struct timespec cpu;
 
@@ -152,13 +106,13 @@
 	guint at;
 
 	publish_age(c);
-	c->peers.self.config_offset = c->config.offset;
+	c->peers.peers.self.config_offset = c->config.offset;
 	backend_list_outline(&c->backends.list, &f, now_ms);
 	at = gossip_feed_begin(&f, c->fed_to);
 	do {
 		b.len = 0;
-		at = gossip_write_feed(&b, &c->peers.self, &f, at);
-		send_to_live(c, &b, now_ms);
+		at = gossip_write_feed(&b, &c->peers.peers.self, &f, at);
+		peer_channel_send_live(&c->peers, &b, now_ms);
 	} while (at < f.changes->len);
 	c->fed_to = f.to;
 	buf_free(&b);
@@ -166,55 +120,24 @@
 		config_watch_restart(&c->config);
 }
 
-static void on_datagram(struct control *c, struct lstr bytes)
+/* What a peer tells that is not about who lives. */
+static void on_peer(void *priv, const struct gossip_message *m)
 {
-	struct gossip_message m;
+	struct control *c = priv;
 	int64_t now_ms = clock_ms();
 
-	if (gossip_read(bytes, &m)) {
-		mp_event(EV_PEER_BAD_DATAGRAM, G_LOG_LEVEL_WARNING,
-			 "%zu bytes that are no message of ours", bytes.len);
-		gossip_message_clear(&m);
-		return;
-	}
-	bool fresh = peers_heard(&c->peers, &m.sender, now_ms);
-
-	if (fresh) {
-		struct peer *p = peers_add(&c->peers, &m.sender, now_ms);
-
-		mp_event(EV_PEER_JOINED, G_LOG_LEVEL_MESSAGE,
-			 "peer=%s dc=%s boot=%" G_GUINT64_FORMAT, m.sender.name,
-			 m.sender.dc, m.sender.boot);
-		send_beat(c, p, now_ms);
-	}
-	if (m.kind == GOSSIP_FEED) {
-		backend_watch_feed(&c->backends, &m.feed, now_ms);
+	if (m->kind == GOSSIP_FEED) {
+		backend_watch_feed(&c->backends, &m->feed, now_ms);
 		publish_age(c);
 	}
-	if (m.kind == GOSSIP_LOAD)
+	if (m->kind == GOSSIP_LOAD)
 		send_to_traffic(c, TO_TRAFFIC_LOAD,
-				g_memdup2(&m.load, sizeof(m.load)));
+				g_memdup2(&m->load, sizeof(m->load)));
 	/* Somebody knows of a version that this poll should have brought. */
-	if (m.sender.config_offset > c->config.offset &&
+	if (m->sender.config_offset > c->config.offset &&
 	    c->config.store.call != STORE_NO_CALL &&
 	    now_ms - c->config.asked_ms > 2 * TICK_MS)
 		config_watch_restart(&c->config);
-	gossip_message_clear(&m);
-}
-
-static void on_sock(struct ev_loop *loop, ev_io *io, int revents)
-{
-	struct control *c = io->data;
-	char bytes[GOSSIP_MAX + 200];
-
-	for (int i = 0; i < DATAGRAMS_AT_ONCE; i++) {
-		ssize_t n = recv(c->sock, bytes, sizeof(bytes), MSG_DONTWAIT);
-
-		if (n <= 0)
-			return;
-		c->datagram_bytes_in += (uint64_t)n;
-		on_datagram(c, (struct lstr){bytes, (size_t)n});
-	}
 }
 
 static bool same_view(const struct peer_view *a, const struct peer_view *b)
@@ -234,8 +157,9 @@
 {
 	struct peer_view v = {0}, *copy;
 
-	v.instances = peers_count(&c->peers, now_ms);
-	v.n = peers_for_callers(&c->peers, now_ms, v.peers, PEERS_FOR_CALLERS);
+	v.instances = peers_count(&c->peers.peers, now_ms);
+	v.n = peers_for_callers(&c->peers.peers, now_ms, v.peers,
+				PEERS_FOR_CALLERS);
 	if (same_view(&v, &c->last_view))
 		return;
 	c->last_view = v;
@@ -250,7 +174,7 @@
 {
 	const struct peer *p;
 
-	while ((p = peers_next_lost(&c->peers, now_ms)) != NULL)
+	while ((p = peers_next_lost(&c->peers.peers, now_ms)) != NULL)
 		mp_event(EV_PEER_LOST, G_LOG_LEVEL_MESSAGE,
 			 "peer=%s dc=%s leaving=%d silent_ms=%" G_GINT64_FORMAT,
 			 p->info.name, p->info.dc, p->info.leaving,
@@ -261,15 +185,17 @@
 {
 	struct control *c = t->data;
 	int64_t now_ms = clock_ms();
-	unsigned rank = peers_rank(&c->peers, now_ms);
+	unsigned rank = peers_rank(&c->peers.peers, now_ms);
 
 	c->config.short_waits = rank < 2;
 	backend_watch_tick(&c->backends, rank, now_ms);
 	publish_age(c);
 	publish_cost(c);
-	c->peers.self.ready = c->config.version && c->backends.list.loaded;
+	c->peers.peers.self.ready =
+		c->config.version && c->backends.list.loaded;
 	introduce_tick(&c->introduce, now_ms);
-	send_beats(c, now_ms, false);
+	c->peers.peers.self.config_offset = c->config.offset;
+	peer_channel_tick(&c->peers, now_ms);
 	log_lost_peers(c, now_ms);
 	publish_peers(c, now_ms);
 }
@@ -283,8 +209,8 @@
 		return;
 	c->stopping_ms = clock_ms();
 	mp_event(EV_STOPPING, G_LOG_LEVEL_MESSAGE, "signal=%d", s->signum);
-	c->peers.self.leaving = true;
-	send_beats(c, c->stopping_ms, true);
+	c->peers.peers.self.leaving = true;
+	peer_channel_beat_all(&c->peers, c->stopping_ms);
 	publish_peers(c, c->stopping_ms);
 	send_to_traffic(c, TO_TRAFFIC_STOP, NULL);
 }
@@ -330,8 +256,8 @@
 	struct buf b = {0};
 	int64_t now_ms = clock_ms();
 
-	gossip_write_load(&b, &c->peers.self, load);
-	send_to_live(c, &b, now_ms);
+	gossip_write_load(&b, &c->peers.peers.self, load);
+	peer_channel_send_live(&c->peers, &b, now_ms);
 	buf_free(&b);
 }
 
@@ -350,25 +276,6 @@
 	}
 }
 
-static int open_peer_socket(struct control *c)
-{
-	struct sockaddr_in sa;
-	int rc = socket_addr(c->settings.peers, &sa);
-
-	if (rc)
-		return rc;
-	c->sock = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (c->sock < 0)
-		return -errno;
-	if (bind(c->sock, (struct sockaddr *)&sa, sizeof(sa)))
-		return -errno;
-	c->peers.self.addr = sa;
-	ev_io_init(&c->sock_io, on_sock, c->sock, EV_READ);
-	c->sock_io.data = c;
-	ev_io_start(c->loop, &c->sock_io);
-	return 0;
-}
-
 static void watch_signal(struct control *c, ev_signal *s, int signum,
 			 void (*cb)(struct ev_loop *, ev_signal *, int))
 {
@@ -402,11 +309,10 @@
 	if (getrandom(&self.boot, sizeof(self.boot), 0) != sizeof(self.boot))
 		return -EIO;
 	self.boot >>= 1; /* fits a signed reader too */
-	peers_init(&c->peers, &self);
-	rc = open_peer_socket(c);
+	rc = peer_channel_open(&c->peers, c->loop, s->peers, &self, on_peer, c);
 	if (rc)
 		return rc;
-	rc = introduce_init(&c->introduce, c->loop, s->peers, &c->peers,
+	rc = introduce_init(&c->introduce, c->loop, s->peers, &c->peers.peers,
 			    &c->config, &c->backends);
 	if (rc)
 		return rc;
@@ -423,7 +329,7 @@
 	struct sockaddr_in store;
 
 	socket_addr(c->settings.store, &store);
-	member_record_start(&c->record, c->loop, &store, &c->peers);
+	member_record_start(&c->record, c->loop, &store, &c->peers.peers);
 	config_watch_start(&c->config, c->loop, &store, &c->source, on_config,
 			   c);
 	backend_watch_start(&c->backends, c->loop, &store, on_backend,
--- a/control/control.h
+++ b/control/control.h
@@ -10,6 +10,7 @@
 #include "control/config_watch.h"
 #include "control/introduce.h"
 #include "control/member_record.h"
+#include "control/peer_channel.h"
 #include "core/peer_load.h"
 #include "misc/mailbox.h"
 #include "options/instance.h"
@@ -51,12 +52,9 @@
 	struct settings_source settings_source;
 	struct mailbox *out;
 	struct mailbox in; /* from the traffic thread: it has stopped */
-	struct peer_table peers;
+	struct peer_channel peers;
 	struct peer_view last_view;
-	int sock;
 	uint64_t fed_to; /* changes before this offset were sent to peers */
-	uint64_t datagram_bytes_in, datagram_bytes_out;
-	ev_io sock_io;
 	ev_timer tick;
 	ev_signal term, interrupt, hup;
 	struct config_source source;
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -7,13 +7,15 @@
 #include "misc/codec.h"
 
 /* Positions in the arrays on the wire. */
-enum { HEAD_FIELDS = 11, FEED_FIELDS = 5, CHANGE_FIELDS = 9 };
+enum { HEAD_FIELDS = 11, FEED_FIELDS = 5, CHANGE_FIELDS = 9, ROLL_FIELDS = 4 };
 
 enum {
 	/* Room that one change takes at most, with names of usual length. */
 	CHANGE_BYTES = 160,
 	/* And what stands before the changes. */
 	FEED_HEAD_BYTES = 200,
+	/* Entries of a roll that fit one, behind its sender's names. */
+	ROLL_PART = (GOSSIP_MAX - 250) / 5,
 };
 
 static void pack_addr(msgpack_packer *pk, const struct sockaddr_in *sa)
@@ -22,11 +24,8 @@
 	msgpack_pack_uint16(pk, ntohs(sa->sin_port));
 }
 
-static void pack_sender(msgpack_packer *pk, enum gossip_kind kind,
-			const struct peer_info *p)
+static void pack_info(msgpack_packer *pk, const struct peer_info *p)
 {
-	msgpack_pack_array(pk, HEAD_FIELDS + (kind != GOSSIP_BEAT));
-	msgpack_pack_int(pk, kind);
 	codec_pack_cstr(pk, p->name);
 	codec_pack_cstr(pk, p->dc);
 	codec_pack_cstr(pk, p->callers);
@@ -38,6 +37,14 @@
 	msgpack_pack_uint64(pk, p->config_offset);
 }
 
+static void pack_sender(msgpack_packer *pk, enum gossip_kind kind,
+			const struct peer_info *p)
+{
+	msgpack_pack_array(pk, HEAD_FIELDS + (kind != GOSSIP_BEAT));
+	msgpack_pack_int(pk, kind);
+	pack_info(pk, p);
+}
+
 /* gossip_write_beat() writes a heartbeat. */
 void gossip_write_beat(struct buf *out, const struct peer_info *self)
 {
@@ -148,6 +155,71 @@
 	}
 }
 
+/* Ids that are ready, or those that aren't. */
+static void pack_roll_ids(msgpack_packer *pk, const struct roll *r, bool ready)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < r->entries->len; i++)
+		n += g_array_index(r->entries, struct roll_entry, i).ready ==
+		     ready;
+	msgpack_pack_array(pk, n);
+	for (guint i = 0; i < r->entries->len; i++) {
+		const struct roll_entry *e =
+			&g_array_index(r->entries, struct roll_entry, i);
+
+		if (e->ready == ready)
+			msgpack_pack_fix_uint32(pk, e->id);
+	}
+}
+
+/*
+ * gossip_write_roll() writes the entries of a roll from `begin` on that fit a
+ * datagram, 5 bytes each, and returns the index of the next one.
+ */
+guint gossip_write_roll(struct buf *out, const struct peer_info *self,
+			const struct roll *roll, guint begin)
+{
+	struct roll part;
+	msgpack_packer pk;
+	guint end;
+
+	roll_init(&part);
+	end = roll_part(roll, begin, ROLL_PART, &part);
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	pack_sender(&pk, GOSSIP_ROLL, self);
+	msgpack_pack_array(&pk, ROLL_FIELDS);
+	msgpack_pack_uint32(&pk, part.lo);
+	msgpack_pack_uint32(&pk, part.hi);
+	pack_roll_ids(&pk, &part, true);
+	pack_roll_ids(&pk, &part, false);
+	roll_clear(&part);
+	return end;
+}
+
+/* gossip_write_who() asks for one that a roll names and nobody else did. */
+void gossip_write_who(struct buf *out, const struct peer_info *self,
+		      uint32_t id)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	pack_sender(&pk, GOSSIP_WHO, self);
+	msgpack_pack_uint32(&pk, id);
+}
+
+/* gossip_write_person() passes on what another instance said of itself. */
+void gossip_write_person(struct buf *out, const struct peer_info *self,
+			 const struct peer_info *person)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	pack_sender(&pk, GOSSIP_PERSON, self);
+	msgpack_pack_array(&pk, HEAD_FIELDS - 1);
+	pack_info(&pk, person);
+}
+
 /* A reader of array elements that remembers whether one was unfit. */
 struct cursor {
 	const msgpack_object *at, *end;
@@ -260,6 +332,71 @@
 	return !c.bad;
 }
 
+static void read_info(struct cursor *c, struct peer_info *p)
+{
+	next_text(c, p->name, sizeof(p->name));
+	next_text(c, p->dc, sizeof(p->dc));
+	next_text(c, p->callers, sizeof(p->callers));
+	next_text(c, p->own, sizeof(p->own));
+	next_addr(c, &p->addr);
+	p->boot = next_uint(c);
+	p->leaving = next_uint(c) != 0;
+	p->ready = next_uint(c) != 0;
+	p->config_offset = next_uint(c);
+}
+
+static bool read_person(const msgpack_object *o, struct peer_info *p)
+{
+	struct cursor c = cursor_of(o);
+
+	read_info(&c, p);
+	return !c.bad;
+}
+
+static bool read_roll_ids(const msgpack_object *o, bool ready, GArray *out)
+{
+	struct cursor c = cursor_of(o);
+
+	while (!c.bad && c.at < c.end) {
+		struct roll_entry e = {(uint32_t)next_uint(&c), ready};
+
+		g_array_append_val(out, e);
+	}
+	return !c.bad;
+}
+
+static bool read_roll(const msgpack_object *o, struct roll *r)
+{
+	struct cursor c = cursor_of(o);
+
+	roll_init(r);
+	r->lo = (uint32_t)next_uint(&c);
+	r->hi = (uint32_t)next_uint(&c);
+	return read_roll_ids(next(&c), true, r->entries) &&
+	       read_roll_ids(next(&c), false, r->entries) && !c.bad;
+}
+
+/* Reads what stands after the sender. */
+static bool read_rest(struct cursor *c, struct gossip_message *m)
+{
+	switch (m->kind) {
+	case GOSSIP_BEAT:
+		return true;
+	case GOSSIP_FEED:
+		return read_feed(next(c), &m->feed);
+	case GOSSIP_LOAD:
+		return read_load(next(c), m->sender.name, &m->load);
+	case GOSSIP_ROLL:
+		return read_roll(next(c), &m->roll);
+	case GOSSIP_WHO:
+		m->who = (uint32_t)next_uint(c);
+		return !c->bad;
+	case GOSSIP_PERSON:
+		return read_person(next(c), &m->person);
+	}
+	return false;
+}
+
 /*
  * gossip_read() decodes a datagram. Returns 0, or -EPROTO when it is none of
  * ours; m is to be cleared in both cases.
@@ -275,23 +412,10 @@
 	if (msgpack_unpack_next(&u, bytes.ptr, bytes.len, &off) ==
 	    MSGPACK_UNPACK_SUCCESS) {
 		struct cursor c = cursor_of(&u.data);
-		struct peer_info *p = &m->sender;
 
 		m->kind = (enum gossip_kind)next_uint(&c);
-		next_text(&c, p->name, sizeof(p->name));
-		next_text(&c, p->dc, sizeof(p->dc));
-		next_text(&c, p->callers, sizeof(p->callers));
-		next_text(&c, p->own, sizeof(p->own));
-		next_addr(&c, &p->addr);
-		p->boot = next_uint(&c);
-		p->leaving = next_uint(&c) != 0;
-		p->ready = next_uint(&c) != 0;
-		p->config_offset = next_uint(&c);
-		if (!c.bad && (m->kind == GOSSIP_BEAT ||
-			       (m->kind == GOSSIP_FEED &&
-				read_feed(next(&c), &m->feed)) ||
-			       (m->kind == GOSSIP_LOAD &&
-				read_load(next(&c), p->name, &m->load))))
+		read_info(&c, &m->sender);
+		if (!c.bad && read_rest(&c, m))
 			rc = 0;
 	}
 	msgpack_unpacked_destroy(&u);
@@ -304,4 +428,5 @@
 	if (m->feed.changes)
 		g_array_unref(m->feed.changes);
 	m->feed.changes = NULL;
+	roll_clear(&m->roll);
 }
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -11,10 +11,18 @@
 
 #include "core/backend.h"
 #include "core/peer_load.h"
+#include "member/hubs.h"
 #include "member/peers.h"
 #include "misc/buf.h"
 
-enum gossip_kind { GOSSIP_BEAT = 1, GOSSIP_FEED = 2, GOSSIP_LOAD = 3 };
+enum gossip_kind {
+	GOSSIP_BEAT = 1,
+	GOSSIP_FEED = 2,
+	GOSSIP_LOAD = 3,
+	GOSSIP_ROLL = 4,   /* who lives, as a hub hears it */
+	GOSSIP_WHO = 5,	   /* asks who an id of a roll is */
+	GOSSIP_PERSON = 6, /* what another instance said of itself */
+};
 
 /* One record of the list of backend servers. */
 struct backend_change {
@@ -39,6 +47,9 @@
 	struct peer_info sender;
 	struct backend_feed feed; /* of GOSSIP_FEED */
 	struct peer_load load;	  /* of GOSSIP_LOAD */
+	struct roll roll;	  /* of GOSSIP_ROLL */
+	uint32_t who;		  /* of GOSSIP_WHO: the id asked for */
+	struct peer_info person;  /* of GOSSIP_PERSON */
 };
 
 /* Fits an Ethernet frame, so that no datagram comes in pieces. */
@@ -50,6 +61,12 @@
 			const struct backend_feed *feed, guint begin);
 void gossip_write_load(struct buf *out, const struct peer_info *self,
 		       const struct peer_load *load);
+guint gossip_write_roll(struct buf *out, const struct peer_info *self,
+			const struct roll *roll, guint begin);
+void gossip_write_who(struct buf *out, const struct peer_info *self,
+		      uint32_t id);
+void gossip_write_person(struct buf *out, const struct peer_info *self,
+			 const struct peer_info *person);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
 void gossip_pack_change(msgpack_packer *pk, const struct backend_change *c);
 bool gossip_read_change(const msgpack_object *o, struct backend_change *out);
--- a/member/peers.c
+++ b/member/peers.c
@@ -4,15 +4,19 @@
 
 enum {
 	/*
-	 * Heartbeats go out twice a second, so that an instance that is gone
-	 * leaves the callers' answers within two seconds.
+	 * Three heartbeats, which go out twice a second, and the way: an
+	 * instance that is gone leaves the callers' answers within two
+	 * seconds.
 	 */
-	BEAT_MS = 500,
-	ALIVE_MS = 1700,     /* three heartbeats and the way */
-	LOST_MS = 10 * 1000, /* from here on it is tried seldom */
-	LOST_BEAT_MS = 5 * 1000,
+	ALIVE_MS = 1700,
 };
 
+/* peer_id() shortens a name for the roll. */
+uint32_t peer_id(const char *name)
+{
+	return g_str_hash(name);
+}
+
 /* peers_init() makes a table that knows only this instance. */
 void peers_init(struct peer_table *t, const struct peer_info *self)
 {
@@ -43,11 +47,24 @@
 	}
 	p = g_new0(struct peer, 1);
 	p->info = *info;
+	p->id = peer_id(info->name);
 	p->known_ms = now_ms;
 	g_ptr_array_insert(t->peers, (gint)at, p);
 	return p;
 }
 
+/* peers_find() finds a peer by name, or NULL. */
+struct peer *peers_find(const struct peer_table *t, const char *name)
+{
+	for (guint i = 0; i < t->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(t->peers, i);
+
+		if (!strcmp(p->info.name, name))
+			return p;
+	}
+	return NULL;
+}
+
 /*
  * peers_heard() takes in a heartbeat. Returns whether the peer is new, has
  * started anew or was thought lost: it is then answered at once, so that it
@@ -68,10 +85,23 @@
 	return fresh;
 }
 
-/* peer_alive() tells whether a peer's heartbeats come. */
+/*
+ * peer_alive() tells whether a peer's heartbeats come, here or at the hub
+ * whose roll came last.
+ */
 bool peer_alive(const struct peer *p, int64_t now_ms)
 {
-	return p->heard_ms && now_ms - p->heard_ms < ALIVE_MS;
+	if (p->heard_ms && now_ms - p->heard_ms < ALIVE_MS)
+		return true;
+	return p->told && now_ms - p->told_ms < ALIVE_MS;
+}
+
+/* peer_seen_ms() tells when somebody last heard of a peer. */
+int64_t peer_seen_ms(const struct peer *p)
+{
+	int64_t seen = p->heard_ms > p->told_ms ? p->heard_ms : p->told_ms;
+
+	return seen ? seen : p->known_ms;
 }
 
 /*
@@ -91,15 +121,6 @@
 	return NULL;
 }
 
-/* peer_due() tells whether it is time for a heartbeat to p. */
-bool peer_due(const struct peer *p, int64_t now_ms)
-{
-	int64_t seen = p->heard_ms ? p->heard_ms : p->known_ms;
-	int64_t every = now_ms - seen > LOST_MS ? LOST_BEAT_MS : BEAT_MS;
-
-	return now_ms - p->sent_ms >= every;
-}
-
 /*
  * peers_rank() counts the live instances that stand before this one. The
  * first reads the list of backend servers for all; the next take over in
@@ -126,9 +147,7 @@
 
 	for (guint i = 0; i < t->peers->len; i++) {
 		const struct peer *p = g_ptr_array_index(t->peers, i);
-		int64_t seen = p->heard_ms ? p->heard_ms : p->known_ms;
-
-		if (now_ms - seen < LOST_MS)
+		if (now_ms - peer_seen_ms(p) < PEER_LOST_MS)
 			n++;
 	}
 	return n;
--- a/member/peers.h
+++ b/member/peers.h
@@ -12,7 +12,12 @@
 
 #include <glib.h>
 
-enum { PEER_NAME_MAX = 64, PEER_ADDR_MAX = 32, PEERS_FOR_CALLERS = 64 };
+enum {
+	PEER_NAME_MAX = 64,
+	PEER_ADDR_MAX = 32,
+	PEERS_FOR_CALLERS = 64,
+	PEER_LOST_MS = 10 * 1000, /* unheard of for so long: taken as gone */
+};
 
 /* What an instance says of itself. */
 struct peer_info {
@@ -31,7 +36,11 @@
 	struct peer_info info;
 	int64_t known_ms; /* since when */
 	int64_t heard_ms; /* its last heartbeat; 0: never */
-	int64_t sent_ms;  /* our last heartbeat to it */
+	uint32_t id;	  /* peer_id() of its name */
+	bool told;	  /* the last roll that covers it names it */
+	int64_t told_ms;  /* when one last did; 0: never */
+	int64_t sent_ms;  /* our last datagram to it; 0: none yet */
+	bool hub;	  /* heartbeats go to it, see member/hubs.h */
 	bool believed;	  /* alive, as far as the log has told */
 };
 
@@ -44,6 +53,7 @@
 struct peer_table {
 	struct peer_info self;
 	GPtrArray *peers; /* struct peer *, ordered by name */
+	int64_t roll_ms;  /* when a part of a roll last came; 0: never */
 };
 
 void peers_init(struct peer_table *t, const struct peer_info *self);
@@ -52,7 +62,9 @@
 bool peers_heard(struct peer_table *t, const struct peer_info *info,
 		 int64_t now_ms);
 bool peer_alive(const struct peer *p, int64_t now_ms);
-bool peer_due(const struct peer *p, int64_t now_ms);
+uint32_t peer_id(const char *name);
+int64_t peer_seen_ms(const struct peer *p);
+struct peer *peers_find(const struct peer_table *t, const char *name);
 const struct peer *peers_next_lost(struct peer_table *t, int64_t now_ms);
 unsigned peers_rank(const struct peer_table *t, int64_t now_ms);
 unsigned peers_count(const struct peer_table *t, int64_t now_ms);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -233,6 +233,73 @@
 	g_array_unref(f.changes);
 }
 
+static void refuse_prefixes(const struct buf *b)
+{
+	struct gossip_message m;
+
+	for (size_t n = 0; n < b->len; n++) {
+		char *copy = g_memdup2(b->ptr, n ? n : 1);
+
+		assert_int_not_equal(gossip_read((struct lstr){copy, n}, &m),
+				     0);
+		gossip_message_clear(&m);
+		g_free(copy);
+	}
+}
+
+/* A roll of 1,000 in parts that fit a datagram each, and who somebody is. */
+static void test_roll_round_trip(void **state)
+{
+	struct peer_info self = info("e3", 77), other = info("e4", 78);
+	struct gossip_message m;
+	struct buf b = {0};
+	struct roll r;
+	guint at = 0, seen = 0;
+	uint32_t next = 0;
+
+	roll_init(&r);
+	for (uint32_t i = 0; i < 1000; i++) {
+		struct roll_entry e = {1000 + i * 7, i % 3 != 0};
+
+		g_array_append_val(r.entries, e);
+	}
+	while (at < 1000) {
+		b.len = 0;
+		at = gossip_write_roll(&b, &self, &r, at);
+		assert_true(b.len <= GOSSIP_MAX);
+		assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+		assert_int_equal(m.kind, GOSSIP_ROLL);
+		assert_int_equal(m.roll.lo, next);
+		next = m.roll.hi + 1;
+		for (guint i = 0; i < m.roll.entries->len; i++, seen++) {
+			struct roll_entry e = g_array_index(
+				m.roll.entries, struct roll_entry, i);
+
+			assert_int_equal(e.ready, (e.id - 1000) / 7 % 3 != 0);
+		}
+		gossip_message_clear(&m);
+	}
+	assert_int_equal(seen, 1000);
+	assert_int_equal(next, 0);
+	refuse_prefixes(&b);
+	b.len = 0;
+	gossip_write_who(&b, &self, 4711);
+	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+	assert_int_equal(m.who, 4711);
+	gossip_message_clear(&m);
+	refuse_prefixes(&b);
+	b.len = 0;
+	gossip_write_person(&b, &self, &other);
+	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+	assert_string_equal(m.sender.name, "e3");
+	assert_string_equal(m.person.name, "e4");
+	assert_string_equal(m.person.callers, other.callers);
+	gossip_message_clear(&m);
+	refuse_prefixes(&b);
+	buf_free(&b);
+	roll_clear(&r);
+}
+
 static void test_load_round_trip(void **state)
 {
 	struct peer_info self = info("e3", 77);
@@ -322,6 +389,7 @@
 		cmocka_unit_test(test_fresh_is_told),
 		cmocka_unit_test(test_round_trip),
 		cmocka_unit_test(test_load_round_trip),
+		cmocka_unit_test(test_roll_round_trip),
 		cmocka_unit_test(test_feed_fits),
 		cmocka_unit_test(test_feed_in_parts),
 	};
