The first two instances poll for the configuration; the others hear of new records

Ruled out: longer polls (each version wakes them all the same).

Now every datagram says which records its sender knows and as of when. The first two by rank poll in spells of 2.5 s and tell all at once of a new record; the others read it when they hear of it, and poll by themselves when nobody has told for 1 s that there is nothing newer.

--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -8,12 +8,17 @@
 enum {
 	/*
 	 * A long poll costs one call and is answered when a version comes. One
-	 * that the store lost is never answered, so that the instances which
-	 * stand first ask in short spells; the others hear from them by their
-	 * heartbeats that they missed something.
+	 * that the store lost is never answered, so each is short.
 	 */
-	WAIT_MS = 20 * 1000,
-	WAIT_SHORT_MS = 2500,
+	WAIT_MS = 2500,
+	WAIT_LATE_MS = 500, /* beyond it no answer will come */
+	/*
+	 * The first instances poll and the others hear from them, some four
+	 * times a second; one that hears nothing for this long polls too.
+	 */
+	QUIET_MS = 1000,
+	/* A poll this young may still bring what a peer has told. */
+	YOUNG_MS = 200,
 	/*
 	 * Pause after a version, so that a series of them costs a few calls;
 	 * a version must be in force 2 s after its confirmation.
@@ -112,10 +117,10 @@
 
 /*
  * config_watch_introduce() takes a peer's newest record, which stands before
- * `offset`; the store is read on from there.
+ * `offset` and was the newest at told_ms; the store is read on from there.
  */
 void config_watch_introduce(struct config_watch *w, struct lstr record,
-			    uint64_t offset)
+			    uint64_t offset, int64_t told_ms)
 {
 	struct store_record rec = {
 		.offset = offset, .key = lstr0(w->source.key), .value = record};
@@ -129,6 +134,7 @@
 	take(w, c, &rec);
 	w->offset = offset;
 	w->listed = true;
+	w->told_ms = told_ms;
 }
 
 static void on_failure(struct config_watch *w, int err)
@@ -158,12 +164,14 @@
 			 "what=config failures=%u", w->failures);
 	w->failures = 0;
 	w->listed = true;
+	w->fresh_ms = clock_ms();
 	take_newest(w, r);
 	if (!w->version && w->source.usable_when_absent)
 		take_absent(w);
 	if (r->end_offset > w->offset)
 		w->offset = r->end_offset;
-	ask_later(w, r->nrecords ? PAUSE_MS : 0);
+	if (w->polls || w->told_offset > w->offset)
+		ask_later(w, r->nrecords ? PAUSE_MS : 0);
 }
 
 static void ask(struct config_watch *w)
@@ -172,8 +180,60 @@
 	if (!w->listed)
 		store_newest(&w->store, w->source.topic, LSTR(""));
 	else
-		store_read(&w->store, w->source.topic, w->offset,
-			   w->short_waits ? WAIT_SHORT_MS : WAIT_MS);
+		store_read(&w->store, w->source.topic, w->offset, WAIT_MS);
+}
+
+static bool is_idle(const struct config_watch *w)
+{
+	return w->store.call == STORE_NO_CALL && !ev_is_active(&w->retry);
+}
+
+/*
+ * config_watch_tick() polls when it is this instance's turn (`first`), or
+ * when no peer says that it knows the newest version; call it every 0.1 s
+ * or so.
+ */
+void config_watch_tick(struct config_watch *w, bool first, int64_t now_ms)
+{
+	w->polls = first || now_ms - w->told_ms > QUIET_MS;
+	if (w->polls && is_idle(w))
+		ask(w);
+}
+
+/*
+ * config_watch_heard() takes in what a peer knows: all records before
+ * `offset`, as of age_ms ago. Records that are new here are read at once.
+ */
+void config_watch_heard(struct config_watch *w, uint64_t offset,
+			uint32_t age_ms, int64_t now_ms)
+{
+	if (offset == w->offset && w->version && now_ms - age_ms > w->told_ms)
+		w->told_ms = now_ms - age_ms;
+	if (offset <= w->offset)
+		return;
+	w->told_offset = offset;
+	if (is_idle(w))
+		ask(w);
+	else if (w->store.call != STORE_NO_CALL &&
+		 now_ms - w->asked_ms > YOUNG_MS)
+		config_watch_restart(w);
+}
+
+/*
+ * config_watch_age_ms() tells how old the knowledge of the newest version is.
+ * While a poll waits it is as new as the last sign of the store, which came
+ * at store_ms.
+ */
+uint32_t config_watch_age_ms(const struct config_watch *w, int64_t store_ms,
+			     int64_t now_ms)
+{
+	bool waits = w->store.call == STORE_READ && w->failures == 0 &&
+		     now_ms - w->asked_ms < WAIT_MS + WAIT_LATE_MS;
+	int64_t at = w->fresh_ms > w->told_ms ? w->fresh_ms : w->told_ms;
+
+	if (waits && store_ms > at)
+		at = store_ms;
+	return (uint32_t)(now_ms - at);
 }
 
 /* config_watch_start() begins to follow; `changed` owns what it gets. */
@@ -191,7 +251,6 @@
 	ev_init(&w->retry, on_retry);
 	w->retry.data = w;
 	store_open(&w->store, loop, store, on_done, w);
-	ask(w);
 }
 
 /*
--- a/control/control.c
+++ b/control/control.c
@@ -18,6 +18,11 @@
 	/* Waits for room in the queue to the traffic thread: 5 s in all. */
 	SEND_TRIES = 5000,
 	SEND_PAUSE_US = 1000,
+	/*
+	 * Instances that poll for the configuration: one poll may be lost
+	 * for 3 s, and a version must be in force everywhere within 2 s.
+	 */
+	CONFIG_POLLERS = 2,
 };
 
 /*
@@ -35,13 +40,6 @@
 		     kind);
 }
 
-static void on_config(void *priv, struct config *cfg)
-{
-	struct control *c = priv;
-
-	send_to_traffic(c, TO_TRAFFIC_CONFIG, cfg);
-}
-
 static void log_change(const struct backend_change *ch)
 {
 	if (ch->removed)
@@ -96,6 +94,33 @@
 	ck_pr_store_64(&c->view.store_calls, calls);
 }
 
+/* What every datagram says of this instance. */
+static void stamp_self(struct control *c, int64_t now_ms)
+{
+	struct peer_info *self = &c->peers.peers.self;
+
+	self->config_offset = c->config.offset;
+	self->config_age_ms = config_watch_age_ms(
+		&c->config, c->backends.list.fresh_ms, now_ms);
+	self->ready = c->config.version && c->backends.list.loaded;
+}
+
+/*
+ * A new version. One that a poll brought is told to the peers at once: they
+ * would hear of it half a second later.
+ */
+static void on_config(void *priv, struct config *cfg)
+{
+	struct control *c = priv;
+	int64_t now_ms = clock_ms();
+
+	send_to_traffic(c, TO_TRAFFIC_CONFIG, cfg);
+	if (!c->config.polls)
+		return;
+	stamp_self(c, now_ms);
+	peer_channel_beat_live(&c->peers, now_ms);
+}
+
 /* After an own read: passes it on, which also is a heartbeat. */
 static void on_read_done(void *priv, bool recovered)
 {
@@ -106,7 +131,7 @@
 	guint at;
 
 	publish_age(c);
-	c->peers.peers.self.config_offset = c->config.offset;
+	stamp_self(c, now_ms);
 	backend_list_outline(&c->backends.list, &f, now_ms);
 	at = gossip_feed_begin(&f, c->fed_to);
 	do {
@@ -133,11 +158,8 @@
 	if (m->kind == GOSSIP_LOAD)
 		send_to_traffic(c, TO_TRAFFIC_LOAD,
 				g_memdup2(&m->load, sizeof(m->load)));
-	/* Somebody knows of a version that this poll should have brought. */
-	if (m->sender.config_offset > c->config.offset &&
-	    c->config.store.call != STORE_NO_CALL &&
-	    now_ms - c->config.asked_ms > 2 * TICK_MS)
-		config_watch_restart(&c->config);
+	config_watch_heard(&c->config, m->sender.config_offset,
+			   m->sender.config_age_ms, now_ms);
 }
 
 static bool same_view(const struct peer_view *a, const struct peer_view *b)
@@ -187,14 +209,12 @@
 	int64_t now_ms = clock_ms();
 	unsigned rank = peers_rank(&c->peers.peers, now_ms);
 
-	c->config.short_waits = rank < 2;
+	config_watch_tick(&c->config, rank < CONFIG_POLLERS, now_ms);
 	backend_watch_tick(&c->backends, rank, now_ms);
 	publish_age(c);
 	publish_cost(c);
-	c->peers.peers.self.ready =
-		c->config.version && c->backends.list.loaded;
+	stamp_self(c, now_ms);
 	introduce_tick(&c->introduce, now_ms);
-	c->peers.peers.self.config_offset = c->config.offset;
 	peer_channel_tick(&c->peers, now_ms);
 	log_lost_peers(c, now_ms);
 	publish_peers(c, now_ms);
@@ -256,6 +276,7 @@
 	struct buf b = {0};
 	int64_t now_ms = clock_ms();
 
+	stamp_self(c, now_ms);
 	gossip_write_load(&b, &c->peers.peers.self, load);
 	peer_channel_send_live(&c->peers, &b, now_ms);
 	buf_free(&b);
--- a/control/introduce.c
+++ b/control/introduce.c
@@ -29,6 +29,7 @@
 
 	snapshot_init(&s);
 	s.config_offset = in->config->offset;
+	s.config_age_ms = in->peers->self.config_age_ms;
 	buf_add_lstr(&s.config, buf_lstr(&in->config->record));
 	s.backends_offset = in->backends->list.offset;
 	s.backends_age_ms = (uint32_t)(now_ms - in->backends->list.fresh_ms);
@@ -64,7 +65,8 @@
 
 	if (config)
 		config_watch_introduce(in->config, buf_lstr(&s->config),
-				       s->config_offset);
+				       s->config_offset,
+				       clock_ms() - s->config_age_ms);
 	if (backends)
 		backend_list_import(
 			&in->backends->list, s->backends, s->backends_offset,
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -35,7 +35,11 @@
 	}
 }
 
-static void send_beats(struct peer_channel *ch, int64_t now_ms, bool to_all)
+/* Whom a heartbeat goes to now. */
+enum addressees { TO_DUE, TO_LIVE, TO_ALL };
+
+static void send_beats(struct peer_channel *ch, int64_t now_ms,
+		       enum addressees to)
 {
 	struct buf b = {0};
 
@@ -43,16 +47,23 @@
 	for (guint i = 0; i < ch->peers.peers->len; i++) {
 		struct peer *p = g_ptr_array_index(ch->peers.peers, i);
 
-		if (to_all || hubs_beat_due(&ch->peers, p, now_ms))
+		if (to == TO_ALL || (to == TO_LIVE && peer_alive(p, now_ms)) ||
+		    hubs_beat_due(&ch->peers, p, now_ms))
 			send_datagram(ch, &b, p, now_ms);
 	}
 	buf_free(&b);
 }
 
-/* peer_channel_beat_all() tells everyone what changed here, at once. */
+/* peer_channel_beat_live() tells the live ones at once what changed here. */
+void peer_channel_beat_live(struct peer_channel *ch, int64_t now_ms)
+{
+	send_beats(ch, now_ms, TO_LIVE);
+}
+
+/* peer_channel_beat_all() tells also those that seem gone. */
 void peer_channel_beat_all(struct peer_channel *ch, int64_t now_ms)
 {
-	send_beats(ch, now_ms, true);
+	send_beats(ch, now_ms, TO_ALL);
 }
 
 static void send_roll(struct peer_channel *ch, int64_t now_ms)
@@ -168,7 +179,7 @@
 	hubs_mark(&ch->peers, now_ms);
 	if (hubs_roll_due(&ch->peers, ch->rolled_ms, now_ms))
 		send_roll(ch, now_ms);
-	send_beats(ch, now_ms, false);
+	send_beats(ch, now_ms, TO_DUE);
 }
 
 /*
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -7,7 +7,7 @@
 #include "misc/codec.h"
 
 /* Positions in the arrays on the wire. */
-enum { HEAD_FIELDS = 11, FEED_FIELDS = 5, CHANGE_FIELDS = 9, ROLL_FIELDS = 4 };
+enum { HEAD_FIELDS = 12, FEED_FIELDS = 5, CHANGE_FIELDS = 9, ROLL_FIELDS = 4 };
 
 enum {
 	/* Room that one change takes at most, with names of usual length. */
@@ -35,6 +35,7 @@
 	msgpack_pack_uint8(pk, p->leaving);
 	msgpack_pack_uint8(pk, p->ready);
 	msgpack_pack_uint64(pk, p->config_offset);
+	msgpack_pack_uint32(pk, p->config_age_ms);
 }
 
 static void pack_sender(msgpack_packer *pk, enum gossip_kind kind,
@@ -343,6 +344,7 @@
 	p->leaving = next_uint(c) != 0;
 	p->ready = next_uint(c) != 0;
 	p->config_offset = next_uint(c);
+	p->config_age_ms = (uint32_t)next_uint(c);
 }
 
 static bool read_person(const msgpack_object *o, struct peer_info *p)
--- a/member/peers.h
+++ b/member/peers.h
@@ -30,6 +30,7 @@
 	bool leaving;		     /* it is stopping as planned */
 	bool ready;		     /* it knows what it needs to serve */
 	uint64_t config_offset;	     /* records of the configuration it saw */
+	uint32_t config_age_ms;	     /* it knew then that these are all */
 };
 
 struct peer {
--- a/member/snapshot.c
+++ b/member/snapshot.c
@@ -5,7 +5,15 @@
 #include "misc/codec.h"
 
 /* Fields of the array on the wire. */
-enum { CONFIG_OFFSET, CONFIG, BACKENDS_OFFSET, BACKENDS_AGE, BACKENDS, FIELDS };
+enum {
+	CONFIG_OFFSET,
+	CONFIG_AGE,
+	CONFIG,
+	BACKENDS_OFFSET,
+	BACKENDS_AGE,
+	BACKENDS,
+	FIELDS
+};
 
 /* snapshot_init() makes an empty one. */
 void snapshot_init(struct snapshot *s)
@@ -30,6 +38,7 @@
 	msgpack_packer_init(&pk, out, codec_buf_write);
 	msgpack_pack_array(&pk, FIELDS);
 	msgpack_pack_uint64(&pk, s->config_offset);
+	msgpack_pack_uint32(&pk, s->config_age_ms);
 	msgpack_pack_bin_with_body(&pk, s->config.ptr, s->config.len);
 	msgpack_pack_uint64(&pk, s->backends_offset);
 	msgpack_pack_uint32(&pk, s->backends_age_ms);
@@ -50,12 +59,13 @@
 	const msgpack_object *f = o->via.array.ptr;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != FIELDS ||
-	    !is_uint(&f[CONFIG_OFFSET]) ||
+	    !is_uint(&f[CONFIG_OFFSET]) || !is_uint(&f[CONFIG_AGE]) ||
 	    f[CONFIG].type != MSGPACK_OBJECT_BIN ||
 	    !is_uint(&f[BACKENDS_OFFSET]) || !is_uint(&f[BACKENDS_AGE]) ||
 	    f[BACKENDS].type != MSGPACK_OBJECT_ARRAY)
 		return false;
 	s->config_offset = f[CONFIG_OFFSET].via.u64;
+	s->config_age_ms = (uint32_t)f[CONFIG_AGE].via.u64;
 	buf_add(&s->config, f[CONFIG].via.bin.ptr, f[CONFIG].via.bin.size);
 	s->backends_offset = f[BACKENDS_OFFSET].via.u64;
 	s->backends_age_ms = (uint32_t)f[BACKENDS_AGE].via.u64;
--- a/member/snapshot.h
+++ b/member/snapshot.h
@@ -10,7 +10,8 @@
 
 struct snapshot {
 	uint64_t config_offset;
-	struct buf config; /* the record as the store holds it; owned */
+	uint32_t config_age_ms; /* it was known then that these are all */
+	struct buf config;	/* the record as the store holds it; owned */
 	uint64_t backends_offset;
 	uint32_t backends_age_ms;
 	GArray *backends; /* struct backend_change, none removed */
