In a large system a started instance asks a peer for what it needs

Cause: 133 instances that start made 9 store calls each; the configuration and the list can be had from a peer that runs already. When all start at once, the first two read the store and what they know spreads from one to the next.

control/start decides where to read: members first (they tell how many there are), then a peer of the own data centre; the store by itself after 2.5 s, or as soon as a call fails. Few instances read the store as before.

Test: test_start.

--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -104,14 +104,18 @@
 		store_newest(&w->store, STORE_TOPIC_BACKENDS, LSTR(""));
 }
 
-/* backend_watch_tick() reads when it is due; call it every 0.1 s or so. */
-void backend_watch_tick(struct backend_watch *w, unsigned rank, int64_t now_ms)
+/*
+ * backend_watch_tick() reads when it is due; without `may_list` a list that
+ * isn't known is left to a peer. Call it every 0.1 s or so.
+ */
+void backend_watch_tick(struct backend_watch *w, bool may_list, unsigned rank,
+			int64_t now_ms)
 {
 	int64_t due = backend_read_due(rank, w->list.fresh_ms, w->tried_ms,
 				       w->failures);
 
 	backend_list_settle(&w->list, now_ms);
-	if (w->store.call != STORE_NO_CALL)
+	if (w->store.call != STORE_NO_CALL || !(may_list || w->list.loaded))
 		return;
 	if ((!w->list.loaded || w->gap) && w->failures == 0)
 		due = 0;
--- a/control/backend_watch.h
+++ b/control/backend_watch.h
@@ -28,7 +28,8 @@
 					 const struct backend_change *c),
 			 void (*read_done)(void *priv, bool recovered),
 			 void *priv);
-void backend_watch_tick(struct backend_watch *w, unsigned rank, int64_t now_ms);
+void backend_watch_tick(struct backend_watch *w, bool may_list, unsigned rank,
+			int64_t now_ms);
 void backend_watch_feed(struct backend_watch *w, const struct backend_feed *f,
 			int64_t now_ms);
 
--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -190,12 +190,13 @@
 
 /*
  * config_watch_tick() polls when it is this instance's turn (`first`), or
- * when no peer says that it knows the newest version; call it every 0.1 s
- * or so.
+ * when no peer says that it knows the newest version. Without `may_ask` it
+ * waits for a peer to introduce it. Call it every 0.1 s or so.
  */
-void config_watch_tick(struct config_watch *w, bool first, int64_t now_ms)
+void config_watch_tick(struct config_watch *w, bool may_ask, bool first,
+		       int64_t now_ms)
 {
-	w->polls = first || now_ms - w->told_ms > QUIET_MS;
+	w->polls = may_ask && (first || now_ms - w->told_ms > QUIET_MS);
 	if (w->polls && is_idle(w))
 		ask(w);
 }
@@ -212,6 +213,8 @@
 	if (offset <= w->offset)
 		return;
 	w->told_offset = offset;
+	if (!w->listed)
+		return;
 	if (is_idle(w))
 		ask(w);
 	else if (w->store.call != STORE_NO_CALL &&
--- a/control/config_watch.h
+++ b/control/config_watch.h
@@ -44,7 +44,8 @@
 			void *priv);
 void config_watch_introduce(struct config_watch *w, struct lstr record,
 			    uint64_t offset, int64_t told_ms);
-void config_watch_tick(struct config_watch *w, bool first, int64_t now_ms);
+void config_watch_tick(struct config_watch *w, bool may_ask, bool first,
+		       int64_t now_ms);
 void config_watch_heard(struct config_watch *w, uint64_t offset,
 			uint32_t age_ms, int64_t now_ms);
 uint32_t config_watch_age_ms(const struct config_watch *w, int64_t store_ms,
--- a/control/control.c
+++ b/control/control.c
@@ -203,18 +203,33 @@
 			 now_ms - p->heard_ms);
 }
 
+static struct start_view start_view(const struct control *c, int64_t now_ms)
+{
+	return (struct start_view){
+		.knows = c->config.version && c->backends.list.loaded,
+		.many = hubs_serve(&c->peers.peers),
+		.listed = c->record.listed,
+		.failures = c->record.failures,
+		.rank = peers_start_rank(&c->peers.peers, now_ms),
+		.since_ms = c->started_ms,
+	};
+}
+
 static void on_tick(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct control *c = t->data;
 	int64_t now_ms = clock_ms();
 	unsigned rank = peers_rank(&c->peers.peers, now_ms);
+	struct start_view start = start_view(c, now_ms);
+	bool reads = start_reads_store(&start, now_ms);
 
-	config_watch_tick(&c->config, rank < CONFIG_POLLERS, now_ms);
-	backend_watch_tick(&c->backends, rank, now_ms);
+	config_watch_tick(&c->config, reads, rank < CONFIG_POLLERS, now_ms);
+	backend_watch_tick(&c->backends, reads, rank, now_ms);
 	publish_age(c);
 	publish_cost(c);
 	stamp_self(c, now_ms);
-	introduce_tick(&c->introduce, now_ms);
+	if (start_asks_peers(&start, c->config.failures + c->backends.failures))
+		introduce_tick(&c->introduce, now_ms);
 	peer_channel_tick(&c->peers, now_ms);
 	log_lost_peers(c, now_ms);
 	publish_peers(c, now_ms);
@@ -355,7 +370,7 @@
 			   c);
 	backend_watch_start(&c->backends, c->loop, &store, on_backend,
 			    on_read_done, c);
-	backend_watch_tick(&c->backends, 0, clock_ms());
+	c->started_ms = clock_ms();
 	ev_timer_init(&c->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
 	c->tick.data = c;
 	ev_timer_start(c->loop, &c->tick);
--- a/control/control.h
+++ b/control/control.h
@@ -11,6 +11,7 @@
 #include "control/introduce.h"
 #include "control/member_record.h"
 #include "control/peer_channel.h"
+#include "control/start.h"
 #include "core/peer_load.h"
 #include "misc/mailbox.h"
 #include "options/instance.h"
@@ -62,6 +63,7 @@
 	struct backend_watch backends;
 	struct member_record record;
 	struct introduce introduce;
+	int64_t started_ms;
 	int64_t stopping_ms; /* 0: not stopping */
 	struct control_view view;
 };
--- a/control/introduce.c
+++ b/control/introduce.c
@@ -6,11 +6,6 @@
 #include "misc/clock.h"
 
 enum {
-	/*
-	 * Time for the store to answer first: it does in 4 ms, and in 0.4 s
-	 * when it is a hundred times slower.
-	 */
-	ASK_AFTER_FAILURES = 1,
 	ASK_EVERY_MS = 300, /* another peer each time */
 	SNAPSHOT_MAX = 16 << 20,
 	HEAD_MAX = 4096,
@@ -128,19 +123,15 @@
 	buf_free(&b);
 }
 
-/* introduce_tick() asks when it is due; call it every 0.1 s or so. */
+/* introduce_tick() asks the next peer when it is time; call it often. */
 void introduce_tick(struct introduce *in, int64_t now_ms)
 {
-	bool knows = in->config->version && in->backends->list.loaded;
-	unsigned failures = in->config->failures + in->backends->failures;
 	const struct peer *p;
 
-	if (knows || failures < ASK_AFTER_FAILURES ||
-	    in->client.state != CLIENT_CLOSED ||
+	if (in->client.state != CLIENT_CLOSED ||
 	    now_ms - in->asked_ms < ASK_EVERY_MS)
 		return;
-	p = peers_informant(in->peers, in->turn++ % (in->peers->peers->len + 1),
-			    now_ms);
+	p = peers_informant(in->peers, in->turn++, now_ms);
 	if (!p)
 		return;
 	in->asked_ms = now_ms;
@@ -161,6 +152,8 @@
 	in->config = config;
 	in->backends = backends;
 	in->client.state = CLIENT_CLOSED;
+	/* Those that start together don't all ask the same one. */
+	in->turn = (unsigned)peers->self.boot;
 	in->server.limits = (struct http_limits){HEAD_MAX, HEAD_MAX};
 	in->server.head_timeout_s = SERVER_TIMEOUT_S;
 	in->server.idle_timeout_s = SERVER_TIMEOUT_S;
--- /dev/null
+++ b/control/start.c
@@ -0,0 +1,37 @@
+#include "control/start.h"
+
+enum {
+	/*
+	 * A peer answers within 0.3 s. When a whole system starts, the first
+	 * instances need 0.2 s, and what they know spreads in a second.
+	 */
+	PEERS_FIRST_MS = 2500,
+	/* Read the store at once, so that there is somebody to ask. */
+	READERS = 2,
+	/*
+	 * The store answers in 4 ms, and in 0.4 s when it is a hundred times
+	 * slower; a call that failed means that it may be away.
+	 */
+	STORE_FAILURES = 1,
+};
+
+/*
+ * start_reads_store() tells whether the instance is to read the configuration
+ * and the list from the store by itself. In a system of 133 instances that
+ * saves four calls at each start.
+ */
+bool start_reads_store(const struct start_view *v, int64_t now_ms)
+{
+	if (v->knows || v->failures || now_ms - v->since_ms > PEERS_FIRST_MS)
+		return true;
+	/* Until the members are read it isn't known how many there are. */
+	if (!v->listed)
+		return false;
+	return !v->many || v->rank < READERS;
+}
+
+/* start_asks_peers() tells whether a peer is to be asked for what it knows. */
+bool start_asks_peers(const struct start_view *v, unsigned store_failures)
+{
+	return !v->knows && (v->many || store_failures >= STORE_FAILURES);
+}
--- /dev/null
+++ b/control/start.h
@@ -0,0 +1,24 @@
+/*
+ * How an instance that has just started comes to know the configuration and
+ * the list of backend servers: in a large system from a peer, as the store's
+ * calls are dear and limited; from the store when no peer helps in time.
+ */
+#ifndef MP_CONTROL_START_H
+#define MP_CONTROL_START_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct start_view {
+	bool knows;	   /* configuration and list are known: it has ended */
+	bool many;	   /* the system is a large one */
+	bool listed;	   /* the members' records were read */
+	unsigned failures; /* of the calls that read them, in a row */
+	unsigned rank;	   /* instances that stand before this one */
+	int64_t since_ms;  /* the start */
+};
+
+bool start_reads_store(const struct start_view *v, int64_t now_ms);
+bool start_asks_peers(const struct start_view *v, unsigned store_failures);
+
+#endif
--- a/member/hubs.c
+++ b/member/hubs.c
@@ -60,9 +60,10 @@
 	return begin + n;
 }
 
-static bool is_mesh(const struct peer_table *t)
+/* hubs_serve() tells whether the system is so large that it has hubs. */
+bool hubs_serve(const struct peer_table *t)
 {
-	return t->peers->len < MESH_MAX;
+	return t->peers->len >= MESH_MAX;
 }
 
 /* hubs_mark() finds the hubs: the first live ones by name. */
@@ -86,8 +87,8 @@
 /* hubs_roll_due() tells whether this instance is to send the roll now. */
 bool hubs_roll_due(const struct peer_table *t, int64_t sent_ms, int64_t now_ms)
 {
-	return !is_mesh(t) && !t->self.leaving && now_ms - sent_ms >= ROLL_MS &&
-	       peers_rank(t, now_ms) == 0;
+	return hubs_serve(t) && !t->self.leaving &&
+	       now_ms - sent_ms >= ROLL_MS && peers_rank(t, now_ms) == 0;
 }
 
 static int compare_ids(gconstpointer a, gconstpointer b)
@@ -174,7 +175,7 @@
 	bool rolled = t->roll_ms && now_ms - t->roll_ms < ROLL_SILENT_MS;
 	bool lost = now_ms - peer_seen_ms(p) > PEER_LOST_MS;
 
-	if (p->sent_ms && rolled && !is_mesh(t) && !p->hub)
+	if (p->sent_ms && rolled && hubs_serve(t) && !p->hub)
 		return false;
 	return now_ms - p->sent_ms >= (lost ? LOST_BEAT_MS : BEAT_MS);
 }
--- a/member/hubs.h
+++ b/member/hubs.h
@@ -28,6 +28,7 @@
 void roll_clear(struct roll *r);
 guint roll_part(const struct roll *r, guint begin, guint most,
 		struct roll *part);
+bool hubs_serve(const struct peer_table *t);
 void hubs_mark(struct peer_table *t, int64_t now_ms);
 bool hubs_roll_due(const struct peer_table *t, int64_t sent_ms, int64_t now_ms);
 void hubs_write_roll(const struct peer_table *t, struct roll *r,
--- a/member/peers.c
+++ b/member/peers.c
@@ -9,6 +9,8 @@
 	 * seconds.
 	 */
 	ALIVE_MS = 1700,
+	/* A peer that lives has answered the first heartbeat by then. */
+	ANSWER_MS = 1000,
 };
 
 /* peer_id() shortens a name for the roll. */
@@ -140,6 +142,26 @@
 	return rank;
 }
 
+/*
+ * peers_start_rank() is peers_rank() for an instance that has just started:
+ * peers that were not heard yet count while they may still answer.
+ */
+unsigned peers_start_rank(const struct peer_table *t, int64_t now_ms)
+{
+	unsigned rank = 0;
+
+	for (guint i = 0; i < t->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(t->peers, i);
+		bool expected =
+			!p->heard_ms && now_ms - p->known_ms < ANSWER_MS;
+
+		if (strcmp(p->info.name, t->self.name) < 0 &&
+		    (expected || (peer_alive(p, now_ms) && !p->info.leaving)))
+			rank++;
+	}
+	return rank;
+}
+
 /* peers_count() counts the instances that may be serving, this one too. */
 unsigned peers_count(const struct peer_table *t, int64_t now_ms)
 {
@@ -216,22 +238,27 @@
 
 /*
  * peers_informant() finds a live peer that can serve, to ask it for what it
- * knows; NULL when there is none. `turn` chooses among several.
+ * knows: of the own data centre if there is one, as what crosses data centres
+ * is slower and dearer. `turn` chooses among several; NULL: there is none.
  */
 const struct peer *peers_informant(const struct peer_table *t, unsigned turn,
 				   int64_t now_ms)
 {
-	const struct peer *first = NULL;
-	unsigned n = 0;
+	GPtrArray *near = g_ptr_array_new(), *far = g_ptr_array_new();
+	const struct peer *chosen = NULL;
 
 	for (guint i = 0; i < t->peers->len; i++) {
-		const struct peer *p = g_ptr_array_index(t->peers, i);
+		struct peer *p = g_ptr_array_index(t->peers, i);
 
-		if (!suits(p, CHOOSE_READY, now_ms))
-			continue;
-		first = first ? first : p;
-		if (n++ == turn)
-			return p;
+		if (suits(p, CHOOSE_READY, now_ms))
+			g_ptr_array_add(
+				strcmp(p->info.dc, t->self.dc) ? far : near, p);
 	}
-	return first;
+	if (near->len)
+		chosen = g_ptr_array_index(near, turn % near->len);
+	else if (far->len)
+		chosen = g_ptr_array_index(far, turn % far->len);
+	g_ptr_array_unref(near);
+	g_ptr_array_unref(far);
+	return chosen;
 }
--- /dev/null
+++ b/tests/test_start.c
@@ -0,0 +1,59 @@
+/* Tests of control/start: where a started instance gets what it needs. */
+#include "tests/unit.h"
+
+#include "control/start.h"
+
+/* An instance of a large system that has read the members' records. */
+static const struct start_view large = {
+	.many = true, .listed = true, .rank = 40, .since_ms = 1000};
+
+static void test_members_first(void **state)
+{
+	struct start_view v = {.since_ms = 1000};
+
+	/* How many there are isn't known yet. */
+	assert_false(start_reads_store(&v, 1050));
+	v.listed = true;
+	assert_true(start_reads_store(&v, 1060));
+	assert_false(start_asks_peers(&v, 0));
+	/* The store doesn't answer: both ways at once. */
+	v.listed = false;
+	v.failures = 1;
+	assert_true(start_reads_store(&v, 2100));
+	assert_true(start_asks_peers(&v, 1));
+}
+
+static void test_large(void **state)
+{
+	struct start_view v = large;
+
+	assert_false(start_reads_store(&v, 1100));
+	assert_true(start_asks_peers(&v, 0));
+	/* The first two read, so that there is somebody to ask. */
+	v.rank = 1;
+	assert_true(start_reads_store(&v, 1100));
+	v.rank = 2;
+	assert_false(start_reads_store(&v, 1100));
+	/* Nobody helped in time. */
+	assert_true(start_reads_store(&v, 3600));
+}
+
+static void test_ended(void **state)
+{
+	struct start_view v = large;
+
+	v.knows = true;
+	assert_true(start_reads_store(&v, 1100));
+	assert_false(start_asks_peers(&v, 3));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_members_first),
+		cmocka_unit_test(test_large),
+		cmocka_unit_test(test_ended),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
