--- a/control/control.c
+++ b/control/control.c
@@ -215,9 +215,9 @@
 	};
 }
 
-static void on_tick(struct ev_loop *loop, ev_timer *t, int revents)
+/* Does all that is due. */
+static void step(struct control *c)
 {
-	struct control *c = t->data;
 	int64_t now_ms = clock_ms();
 	unsigned rank = peers_rank(&c->peers.peers, now_ms);
 	struct start_view start = start_view(c, now_ms);
@@ -228,13 +228,25 @@
 	publish_age(c);
 	publish_cost(c);
 	stamp_self(c, now_ms);
-	if (start_asks_peers(&start, c->config.failures + c->backends.failures))
+	if (start_asks_peers(&start, c->config.failures + c->backends.failures +
+					     c->record.failures))
 		introduce_tick(&c->introduce, now_ms);
 	peer_channel_tick(&c->peers, now_ms);
 	log_lost_peers(c, now_ms);
 	publish_peers(c, now_ms);
 }
 
+static void on_tick(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	step(t->data);
+}
+
+/* The members are known: what to do next depends on how many there are. */
+static void on_members(void *priv)
+{
+	step(priv);
+}
+
 /* SIGTERM: peers drop this instance from their answers at once. */
 static void on_term(struct ev_loop *loop, ev_signal *s, int revents)
 {
@@ -365,7 +377,8 @@
 	struct sockaddr_in store;
 
 	socket_addr(c->settings.store, &store);
-	member_record_start(&c->record, c->loop, &store, &c->peers.peers);
+	member_record_start(&c->record, c->loop, &store, &c->peers.peers,
+			    on_members, c);
 	config_watch_start(&c->config, c->loop, &store, &c->source, on_config,
 			   c);
 	backend_watch_start(&c->backends, c->loop, &store, on_backend,
--- a/control/member_record.c
+++ b/control/member_record.c
@@ -69,16 +69,24 @@
 	take_members(m, r);
 	if (r->more)
 		store_newest(&m->store, STORE_TOPIC_MEMBERS, r->last_key);
-	else
+	else {
 		m->listed = true;
+		m->done(m->priv);
+	}
 }
 
-/* member_record_start() writes the record, then reads the others'. */
+/*
+ * member_record_start() writes the record, then reads the others'; `done` is
+ * called when they are known.
+ */
 void member_record_start(struct member_record *m, struct ev_loop *loop,
 			 const struct sockaddr_in *store,
-			 struct peer_table *peers)
+			 struct peer_table *peers, void (*done)(void *priv),
+			 void *priv)
 {
 	memset(m, 0, sizeof(*m));
+	m->done = done;
+	m->priv = priv;
 	m->loop = loop;
 	m->peers = peers;
 	ev_init(&m->retry, on_retry);
--- a/control/member_record.h
+++ b/control/member_record.h
@@ -13,6 +13,8 @@
 	struct ev_loop *loop;
 	struct store_channel store;
 	ev_timer retry;
+	void (*done)(void *priv); /* the members are known */
+	void *priv;
 	struct peer_table *peers;
 	bool written, listed;
 	unsigned failures;
@@ -20,6 +22,7 @@
 
 void member_record_start(struct member_record *m, struct ev_loop *loop,
 			 const struct sockaddr_in *store,
-			 struct peer_table *peers);
+			 struct peer_table *peers, void (*done)(void *priv),
+			 void *priv);
 
 #endif
