Callers are told of the instances of their own data centre, and of all in turn

Cause: an answer names at most 64 instances, and each named itself and the first 63 by name: of 133 the 64 of two data centres got all callers, and their neighbours' servers all work (busiest server 2.2 times the mean, 53 servers never used), while those of the other two stood idle.

A caller whose data centre has eight instances or more is told of these only; others are told of all, drawn at random when they don't fit an answer.

--- a/caller/own.c
+++ b/caller/own.c
@@ -103,8 +103,9 @@
 	bool first = true;
 
 	buf_add_lstr(&body, LSTR("{\"entries\":["));
-	for (size_t i = 0; i < t->peers.n; i++) {
-		const struct peer_brief *p = &t->peers.peers[i];
+	for (guint i = 0; t->peers.named && i < t->peers.named->len; i++) {
+		const struct peer_brief *p =
+			&g_array_index(t->peers.named, struct peer_brief, i);
 
 		if (!*p->own)
 			continue;
--- a/control/control.c
+++ b/control/control.c
@@ -164,32 +164,32 @@
 
 static bool same_view(const struct peer_view *a, const struct peer_view *b)
 {
-	if (a->instances != b->instances || a->n != b->n)
-		return false;
-	for (size_t i = 0; i < a->n; i++) {
-		if (strcmp(a->peers[i].callers, b->peers[i].callers) ||
-		    strcmp(a->peers[i].name, b->peers[i].name))
-			return false;
-	}
-	return true;
+	return a->instances == b->instances && a->named && b->named &&
+	       a->named->len == b->named->len &&
+	       !memcmp(a->named->data, b->named->data,
+		       a->named->len * sizeof(struct peer_brief));
 }
 
 /* Tells the traffic thread of the peers when something changed. */
 static void publish_peers(struct control *c, int64_t now_ms)
 {
-	struct peer_view v = {0}, *copy;
+	struct peer_view v = {
+		.instances = peers_count(&c->peers.peers, now_ms),
+		.named = peers_for_callers(&c->peers.peers, now_ms),
+	};
 
-	v.instances = peers_count(&c->peers.peers, now_ms);
-	v.n = peers_for_callers(&c->peers.peers, now_ms, v.peers,
-				PEERS_FOR_CALLERS);
-	if (same_view(&v, &c->last_view))
+	if (same_view(&v, &c->last_view)) {
+		g_array_unref(v.named);
 		return;
-	c->last_view = v;
-	copy = g_new(struct peer_view, 1);
-	*copy = v;
+	}
 	mp_event(EV_PEERS_CHANGED, G_LOG_LEVEL_MESSAGE,
-		 "instances=%u for_callers=%zu", v.instances, v.n);
-	send_to_traffic(c, TO_TRAFFIC_PEERS, copy);
+		 "instances=%u for_callers=%u", v.instances, v.named->len);
+	if (c->last_view.named)
+		g_array_unref(c->last_view.named);
+	c->last_view = v;
+	/* Both threads only read it, and hold it by a reference each. */
+	g_array_ref(v.named);
+	send_to_traffic(c, TO_TRAFFIC_PEERS, g_memdup2(&v, sizeof(v)));
 }
 
 static void log_lost_peers(struct control *c, int64_t now_ms)
--- a/control/control.h
+++ b/control/control.h
@@ -35,8 +35,7 @@
 /* What the traffic thread needs of the peers. */
 struct peer_view {
 	unsigned instances; /* that share the system's allowances */
-	size_t n;
-	struct peer_brief peers[PEERS_FOR_CALLERS];
+	GArray *named;	    /* struct peer_brief, those that callers may use */
 };
 
 /* What the traffic thread reads of the control thread, by atomic loads. */
--- /dev/null
+++ b/member/advise.h
@@ -0,0 +1,15 @@
+/*
+ * Which entry instances a caller is told of: those of its own data centre
+ * where there are enough, as what crosses data centres is slower and paid for;
+ * and others each time when there are more than fit an answer, so that all
+ * get callers. Decisions on values only.
+ */
+#ifndef MP_MEMBER_ADVISE_H
+#define MP_MEMBER_ADVISE_H
+
+#include "member/peers.h"
+
+size_t advise(const struct peer_brief *all, size_t n, const char *dc,
+	      GRand *rand, const struct peer_brief **out, size_t max);
+
+#endif
--- a/member/peers.c
+++ b/member/peers.c
@@ -175,14 +175,6 @@
 	return n;
 }
 
-static void fill_brief(struct peer_brief *b, const struct peer_info *p)
-{
-	memcpy(b->name, p->name, sizeof(b->name));
-	memcpy(b->dc, p->dc, sizeof(b->dc));
-	memcpy(b->callers, p->callers, sizeof(b->callers));
-	memcpy(b->own, p->own, sizeof(b->own));
-}
-
 /* Whom to name: those that can serve, all that live, or all known. */
 enum choice { CHOOSE_READY, CHOOSE_ALIVE, CHOOSE_KNOWN };
 
@@ -203,37 +195,50 @@
 	return true;
 }
 
-static size_t list_peers(const struct peer_table *t, int64_t now_ms,
-			 enum choice choice, struct peer_brief *out, size_t max)
+static void add_brief(GArray *out, const struct peer_info *p)
 {
-	size_t n = 0;
+	struct peer_brief b;
+
+	memcpy(b.name, p->name, sizeof(b.name));
+	memcpy(b.dc, p->dc, sizeof(b.dc));
+	memcpy(b.callers, p->callers, sizeof(b.callers));
+	memcpy(b.own, p->own, sizeof(b.own));
+	g_array_append_val(out, b);
+}
 
+/* Lists those that suit; returns how many they are. */
+static guint list_peers(const struct peer_table *t, int64_t now_ms,
+			enum choice choice, GArray *out)
+{
+	g_array_set_size(out, 0);
 	if (!t->self.leaving && (t->self.ready || choice != CHOOSE_READY))
-		fill_brief(&out[n++], &t->self);
-	for (guint i = 0; i < t->peers->len && n < max; i++) {
+		add_brief(out, &t->self);
+	for (guint i = 0; i < t->peers->len; i++) {
 		const struct peer *p = g_ptr_array_index(t->peers, i);
 
 		if (suits(p, choice, now_ms))
-			fill_brief(&out[n++], &p->info);
+			add_brief(out, &p->info);
 	}
-	return n;
+	return out->len;
 }
 
 /*
  * peers_for_callers() lists where callers may connect: the live instances
  * that can serve, or those that live when none can (they say when to come
  * back). An instance that hears none of the others it knows is more likely
- * cut off than the last one left, so it names them all.
+ * cut off than the last one left, so it names them all. The result is an array
+ * of struct peer_brief; unref it after use.
  */
-size_t peers_for_callers(const struct peer_table *t, int64_t now_ms,
-			 struct peer_brief *out, size_t max)
+GArray *peers_for_callers(const struct peer_table *t, int64_t now_ms)
 {
-	size_t n = list_peers(t, now_ms, CHOOSE_READY, out, max);
-	size_t alive = list_peers(t, now_ms, CHOOSE_ALIVE, out, max);
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct peer_brief));
+	guint alive = list_peers(t, now_ms, CHOOSE_ALIVE, out);
 
 	if (alive <= 1 && t->peers->len)
-		return list_peers(t, now_ms, CHOOSE_KNOWN, out, max);
-	return n ? list_peers(t, now_ms, CHOOSE_READY, out, max) : alive;
+		list_peers(t, now_ms, CHOOSE_KNOWN, out);
+	else if (list_peers(t, now_ms, CHOOSE_READY, out) == 0)
+		list_peers(t, now_ms, CHOOSE_ALIVE, out);
+	return out;
 }
 
 /*
--- a/member/peers.h
+++ b/member/peers.h
@@ -15,7 +15,6 @@
 enum {
 	PEER_NAME_MAX = 64,
 	PEER_ADDR_MAX = 32,
-	PEERS_FOR_CALLERS = 64,
 	PEER_LOST_MS = 10 * 1000, /* unheard of for so long: taken as gone */
 };
 
@@ -70,8 +69,7 @@
 unsigned peers_rank(const struct peer_table *t, int64_t now_ms);
 unsigned peers_start_rank(const struct peer_table *t, int64_t now_ms);
 unsigned peers_count(const struct peer_table *t, int64_t now_ms);
-size_t peers_for_callers(const struct peer_table *t, int64_t now_ms,
-			 struct peer_brief *out, size_t max);
+GArray *peers_for_callers(const struct peer_table *t, int64_t now_ms);
 
 const struct peer *peers_informant(const struct peer_table *t, unsigned turn,
 				   int64_t now_ms);
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -66,31 +66,44 @@
 	assert_string_equal(peers_next_lost(&t, 5900)->info.name, "e1");
 }
 
+/* Checks how many callers are told of, and the name or address at `at`. */
+static void expect_told(const struct peer_table *t, int64_t now, guint n,
+			guint at, const char *name)
+{
+	GArray *out = peers_for_callers(t, now);
+
+	assert_int_equal(out->len, n);
+	assert_string_equal(g_array_index(out, struct peer_brief, at).name,
+			    name);
+	g_array_unref(out);
+}
+
 static void test_for_callers(void **state)
 {
 	struct peer_info self = info("e3", 1), stopping = info("e1", 1);
-	struct peer_brief out[PEERS_FOR_CALLERS];
+	GArray *out;
 	struct peer_table t;
 
 	peers_init(&t, &self);
 	hear(&t, "e1", 1000);
 	hear(&t, "e2", 1000);
-	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 3);
-	assert_string_equal(out[0].callers, "10.0.0.3:80");
-	assert_int_equal(peers_for_callers(&t, 1000, out, 2), 2);
+	out = peers_for_callers(&t, 1000);
+	assert_int_equal(out->len, 3);
+	assert_string_equal(g_array_index(out, struct peer_brief, 0).callers,
+			    "10.0.0.3:80");
+	g_array_unref(out);
 	stopping.leaving = true;
 	peers_heard(&t, &stopping, 1100);
-	assert_int_equal(peers_for_callers(&t, 1200, out, 64), 2);
+	expect_told(&t, 1200, 2, 1, "e2");
 	/* A dead one leaves the list within two seconds. */
 	hear(&t, "e1", 2900);
-	assert_int_equal(peers_for_callers(&t, 3000, out, 64), 2);
-	assert_string_equal(out[1].name, "e1");
+	expect_told(&t, 3000, 2, 1, "e1");
 	/* Whoever hears nobody is cut off: all it knows are named. */
-	assert_int_equal(peers_for_callers(&t, 9000, out, 64), 3);
+	expect_told(&t, 9000, 3, 0, "e3");
 	/* One that stops names the others only. */
 	t.self.leaving = true;
 	hear(&t, "e1", 9000);
-	assert_int_equal(peers_for_callers(&t, 9000, out, 64), 2);
+	expect_told(&t, 9000, 2, 0, "e1");
 }
 
 static void fill_changes(GArray *a, int n)
@@ -117,28 +130,25 @@
 static void test_ready_first(void **state)
 {
 	struct peer_info self = info("e3", 1), other = info("e1", 1);
-	struct peer_brief out[PEERS_FOR_CALLERS];
 	struct peer_table t;
 
 	self.ready = true;
 	peers_init(&t, &self);
 	peers_heard(&t, &other, 1000);
 	hear(&t, "e2", 1000);
-	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 1);
-	assert_string_equal(out[0].name, "e3");
+	expect_told(&t, 1000, 1, 0, "e3");
 	assert_null(peers_informant(&t, 0, 1000));
 	other.ready = true;
 	peers_heard(&t, &other, 1000);
-	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 2);
+	expect_told(&t, 1000, 2, 1, "e1");
 	for (unsigned turn = 0; turn < 4; turn++)
 		assert_string_equal(peers_informant(&t, turn, 1000)->info.name,
 				    "e1");
 	t.self.ready = false;
-	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 1);
-	assert_string_equal(out[0].name, "e1");
+	expect_told(&t, 1000, 1, 0, "e1");
 	other.ready = false;
 	peers_heard(&t, &other, 1000);
-	assert_int_equal(peers_for_callers(&t, 1000, out, 64), 3);
+	expect_told(&t, 1000, 3, 0, "e3");
 }
 
 static void test_snapshot(void **state)
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -245,11 +245,23 @@
 	msgpack_unpacked u;
 	struct buf b = {0};
 	size_t off = 0;
+	char dc[16];
 
-	assert_true(directory_is_question(LSTR("/resolution?name=x")));
-	assert_true(directory_is_question(LSTR("/resolution")));
-	assert_false(directory_is_question(LSTR("/resolutions")));
-	assert_false(directory_is_question(LSTR("/")));
+	assert_true(directory_question(LSTR("/resolution?name=x"), dc, 16));
+	assert_string_equal(dc, "");
+	assert_true(directory_question(LSTR("/resolution"), dc, 16));
+	assert_string_equal(dc, "");
+	assert_true(directory_question(
+		LSTR("/resolution?name=x&region=r&zone=gt-a%2d1"), dc, 16));
+	assert_string_equal(dc, "gt-a-1");
+	/* A name too long for any data centre, and none at all. */
+	assert_true(directory_question(
+		LSTR("/resolution?zone=0123456789abcdef"), dc, 16));
+	assert_string_equal(dc, "");
+	assert_true(directory_question(LSTR("/resolution?&&=%zz"), dc, 16));
+	assert_string_equal(dc, "");
+	assert_false(directory_question(LSTR("/resolutions"), dc, 16));
+	assert_false(directory_question(LSTR("/"), dc, 16));
 	directory_write(&b, addrs, 2, 2.5);
 	msgpack_unpacked_init(&u);
 	assert_int_equal(msgpack_unpack_next(&u, b.ptr, b.len, &off),
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -7,6 +7,7 @@
 #include "common/event.h"
 #include "core/policy.h"
 #include "misc/clock.h"
+#include "member/advise.h"
 #include "platform/directory.h"
 #include "traffic/metrics.h"
 #include "traffic/request.h"
@@ -78,9 +79,12 @@
 			 struct http_message *m)
 {
 	struct traffic *t = priv;
+	const struct peer_brief *named[DIRECTORY_MAX];
 	struct lstr addrs[DIRECTORY_MAX];
 	struct buf body = {0};
-	bool question = directory_is_question(m->target);
+	char dc[PEER_NAME_MAX];
+	bool question = directory_question(m->target, dc, sizeof(dc));
+	size_t n = 0;
 
 	http_message_free(m);
 	if (!question) {
@@ -88,9 +92,13 @@
 		return;
 	}
 	t->counters.directory++;
-	for (size_t i = 0; i < t->peers.n; i++)
-		addrs[i] = lstr0(t->peers.peers[i].callers);
-	directory_write(&body, addrs, t->peers.n, t->bounds.directory_keep_s);
+	if (t->peers.named)
+		n = advise(
+			(const struct peer_brief *)(void *)t->peers.named->data,
+			t->peers.named->len, dc, t->rand, named, DIRECTORY_MAX);
+	for (size_t i = 0; i < n; i++)
+		addrs[i] = lstr0(named[i]->callers);
+	directory_write(&body, addrs, n, t->bounds.directory_keep_s);
 	reply_plain(c, 200, LSTR("Content-Type: application/msgpack\r\n"),
 		    buf_lstr(&body));
 	buf_free(&body);
@@ -233,6 +241,8 @@
 		take_change(t, m->data);
 		break;
 	case TO_TRAFFIC_PEERS:
+		if (t->peers.named)
+			g_array_unref(t->peers.named);
 		t->peers = *v;
 		t->budget_rule.instances = v->instances;
 		t->ask_rule.instances = v->instances;
