In a large system only the hubs feed all; the first also passes on what others read

Ruled out: the big configuration itself (150 KB a machine), the servers (none was lost).

Now a reader that is no hub tells only the hubs, the first hub passes that on, and one feed is six datagrams at most; who misses more reads the store.

--- a/control/control.c
+++ b/control/control.c
@@ -125,22 +125,14 @@
 static void on_read_done(void *priv, bool recovered)
 {
 	struct control *c = priv;
-	struct backend_feed f;
-	struct buf b = {0};
 	int64_t now_ms = clock_ms();
-	guint at;
+	bool many = hubs_serve(&c->peers.peers);
+	unsigned rank = peers_rank(&c->peers.peers, now_ms);
 
 	publish_age(c);
 	stamp_self(c, now_ms);
-	backend_list_outline(&c->backends.list, &f, now_ms);
-	at = gossip_feed_begin(&f, c->fed_to);
-	do {
-		b.len = 0;
-		at = gossip_write_feed(&b, &c->peers.peers.self, &f, at);
-		peer_channel_send_live(&c->peers, &b, now_ms);
-	} while (at < f.changes->len);
-	c->fed_to = f.to;
-	buf_free(&b);
+	feeder_send(&c->feeder, &c->peers, &c->backends.list,
+		    feeder_after_read(many, rank), now_ms);
 	if (recovered)
 		config_watch_restart(&c->config);
 }
@@ -231,6 +223,10 @@
 	if (start_asks_peers(&start, c->config.failures + c->backends.failures +
 					     c->record.failures))
 		introduce_tick(&c->introduce, now_ms);
+	feeder_send(&c->feeder, &c->peers, &c->backends.list,
+		    feeder_after_feed(&c->feeder, start.many, rank,
+				      c->backends.list.fresh_ms, now_ms),
+		    now_ms);
 	peer_channel_tick(&c->peers, now_ms);
 	log_lost_peers(c, now_ms);
 	publish_peers(c, now_ms);
--- a/control/control.h
+++ b/control/control.h
@@ -8,6 +8,7 @@
 
 #include "control/backend_watch.h"
 #include "control/config_watch.h"
+#include "control/feeder.h"
 #include "control/introduce.h"
 #include "control/member_record.h"
 #include "control/peer_channel.h"
@@ -54,7 +55,7 @@
 	struct mailbox in; /* from the traffic thread: it has stopped */
 	struct peer_channel peers;
 	struct peer_view last_view;
-	uint64_t fed_to; /* changes before this offset were sent to peers */
+	struct feeder feeder;
 	ev_timer tick;
 	ev_signal term, interrupt, hup;
 	struct config_source source;
--- /dev/null
+++ b/control/feeder.h
@@ -0,0 +1,25 @@
+/*
+ * Passes on what this instance knows of the list of backend servers, after it
+ * has read it or, as the first hub, after another instance has.
+ */
+#ifndef MP_CONTROL_FEEDER_H
+#define MP_CONTROL_FEEDER_H
+
+#include "control/backend_list.h"
+#include "control/peer_channel.h"
+
+enum feed_to { FEED_NOBODY, FEED_HUBS, FEED_ALL };
+
+struct feeder {
+	uint64_t told_to; /* changes before this offset were sent */
+	int64_t fresh_ms; /* the list was complete as of then when sent */
+	int64_t sent_ms;
+};
+
+enum feed_to feeder_after_read(bool many, unsigned rank);
+enum feed_to feeder_after_feed(const struct feeder *f, bool many, unsigned rank,
+			       int64_t list_fresh_ms, int64_t now_ms);
+void feeder_send(struct feeder *f, struct peer_channel *ch,
+		 struct backend_list *list, enum feed_to to, int64_t now_ms);
+
+#endif
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -35,6 +35,18 @@
 	}
 }
 
+/* peer_channel_send_hubs() sends to the hubs only. */
+void peer_channel_send_hubs(struct peer_channel *ch, const struct buf *b,
+			    int64_t now_ms)
+{
+	for (guint i = 0; i < ch->peers.peers->len; i++) {
+		struct peer *p = g_ptr_array_index(ch->peers.peers, i);
+
+		if (p->hub)
+			send_datagram(ch, b, p, now_ms);
+	}
+}
+
 /* Whom a heartbeat goes to now. */
 enum addressees { TO_DUE, TO_LIVE, TO_ALL };
 
--- a/member/hubs.c
+++ b/member/hubs.c
@@ -10,8 +10,6 @@
 	 * 0.1 MB; 133 would send 35,000 and 4 MB.
 	 */
 	MESH_MAX = 20,
-	/* The first serves, the next two know all and can take over at once. */
-	HUBS = 3,
 	ROLL_MS = 450,
 	/* Two rolls were lost or the hub is: tell all. */
 	ROLL_SILENT_MS = 1200,
--- a/member/hubs.h
+++ b/member/hubs.h
@@ -10,6 +10,9 @@
 
 #include "member/peers.h"
 
+/* The first serves, the next two know all and can take over at once. */
+enum { HUBS = 3 };
+
 struct roll_entry {
 	uint32_t id;
 	bool ready; /* it can serve */
