First attempts that differ in their limits are no longer taken for later ones

Cause: an instance works out what a caller has spent from the longest times that callers of the class name. Where each request has a limit of its own (by 15% here) two of three first attempts seemed to have spent up to 350 ms of a target of 300: they counted as late, took the slow servers, and when refused were told to come back after a third of their time.

The spread of first attempts is learned in calm, from all classes together, and what lies within it counts as a first attempt. patience moved to a module.

--- a/core/admit.c
+++ b/core/admit.c
@@ -1,6 +1,3 @@
-#include <stdlib.h>
-#include <string.h>
-
 #include "core/admit.h"
 
 /* One round trip between callers and instances, in ms (8 ms each way). */
@@ -12,45 +9,6 @@
  */
 static const double WAIT_SHARE = 0.125;
 
-/*
- * First attempts all name nearly the same time, later ones what is left of
- * it. Callers make up to three attempts, and a few name more than usual; so
- * of the last 32 values the one that a sixth lie above is a first attempt's,
- * in calm as in the worst overload.
- */
-enum { ABOVE_LIMIT = PATIENCE_SEEN / 6 };
-
-/* First attempts differ by the time that their connections took. */
-static const double SPENT_LEAST_MS = 40;
-
-static int compare_down(const void *a, const void *b)
-{
-	uint32_t x = *(const uint32_t *)a, y = *(const uint32_t *)b;
-
-	return x > y ? -1 : x < y;
-}
-
-/* patience_note() takes in how long a caller says that it will wait. */
-void patience_note(struct patience *p, uint32_t left_ms)
-{
-	uint32_t sorted[PATIENCE_SEEN];
-	unsigned n;
-
-	p->seen[p->n++ % PATIENCE_SEEN] = left_ms;
-	n = p->n < PATIENCE_SEEN ? p->n : PATIENCE_SEEN;
-	memcpy(sorted, p->seen, n * sizeof(*sorted));
-	qsort(sorted, n, sizeof(*sorted), compare_down);
-	p->limit_ms = sorted[n * ABOVE_LIMIT / PATIENCE_SEEN];
-}
-
-/* patience_spent_ms() returns how much of its time a caller has used up. */
-double patience_spent_ms(const struct patience *p, uint32_t left_ms)
-{
-	double spent = (double)p->limit_ms - left_ms;
-
-	return spent >= SPENT_LEAST_MS ? spent : 0;
-}
-
 /* admit_can_be_on_time() tells whether a quick server would do. */
 bool admit_can_be_on_time(const struct admit_request *r)
 {
--- a/core/admit.h
+++ b/core/admit.h
@@ -14,15 +14,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* The time that callers of a class give a request, found from what they say. */
-enum { PATIENCE_SEEN = 32 };
-
-struct patience {
-	uint32_t seen[PATIENCE_SEEN]; /* what the last requests named */
-	unsigned n;
-	uint32_t limit_ms; /* 0: not known yet */
-};
-
 struct admit_request {
 	double target_ms; /* on time up to here */
 	double spent_ms;  /* since the caller's first attempt */
@@ -37,9 +28,6 @@
 	bool has_spare; /* room for one more besides */
 };
 
-void patience_note(struct patience *p, uint32_t left_ms);
-double patience_spent_ms(const struct patience *p, uint32_t left_ms);
-
 bool admit_can_be_on_time(const struct admit_request *r);
 double admit_wait_ms(const struct admit_request *r);
 bool admit_takes(const struct admit_request *r, const struct admit_server *s,
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -20,6 +20,8 @@
 	 * here may exist by now; 404 would be final for the caller.
 	 */
 	NEWS_TOO_OLD_MS = 4000,
+	/* Most callers that were refused have come back after so long. */
+	CALM_MS = 3000,
 };
 
 static void request_free(struct request *r)
@@ -100,6 +102,7 @@
 	mp_invariant(!r->undenied, "id=%.*s may have run and was refused",
 		     (int)r->call.id.len, r->call.id.ptr);
 	r->stats->refused++;
+	r->traffic->trouble_ms = now_ms;
 	request_log_outcome(r, EV_REQUEST_REFUSED, 503, why, s);
 	answer_own(r, 503, s);
 }
@@ -111,6 +114,7 @@
 void request_fail(struct request *r, unsigned status, const char *why)
 {
 	r->stats->unknown++;
+	r->traffic->trouble_ms = clock_ms();
 	request_log_outcome(r, EV_REQUEST_UNKNOWN, status, why, 0);
 	answer_own(r, status, 0);
 }
@@ -276,6 +280,16 @@
 static const struct caller_protocol platform_protocol = {write_own,
 							 write_answer, NULL};
 
+/* Learns how long callers wait, and how much their limits differ. */
+static void note_patience(struct request *r, uint32_t left_ms)
+{
+	struct traffic *t = r->traffic;
+	bool calm = r->start_ms - t->trouble_ms > CALM_MS;
+
+	patience_note(&r->stats->patience, left_ms);
+	patience_spread_note(&t->spread, &r->stats->patience, left_ms, calm);
+}
+
 /*
  * request_start() gives a matched request its state and begins to place it;
  * the message belongs to it from now on.
@@ -305,9 +319,9 @@
 	r->start_ms = clock_ms();
 	r->untold = !mp_log_routine();
 	if (call->has_time_left) {
-		patience_note(&r->stats->patience, left);
-		r->spent_before_ms =
-			patience_spent_ms(&r->stats->patience, left);
+		note_patience(r, left);
+		r->spent_before_ms = patience_spent_ms(&r->stats->patience,
+						       &t->spread, left);
 	}
 	left -= reserve;
 	r->due_ms = r->start_ms +
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -13,6 +13,7 @@
 #include "core/backend.h"
 #include "core/config.h"
 #include "core/dedup.h"
+#include "core/patience.h"
 #include "http/server.h"
 #include "misc/hist.h"
 
@@ -49,6 +50,8 @@
 	struct ask_rule ask_rule;
 	struct ask_budget asks;
 	GRand *rand;
+	struct patience_spread spread;
+	int64_t trouble_ms;  /* a request was last refused or failed then */
 	GHashTable *classes; /* name -> struct class_stats * */
 	struct traffic_counters counters;
 	unsigned open_requests;
