A restarted instance reads the store at once when no peer can help

Each waited for the first two to be ready and asked them for all they know, 250 KB with 1,021 routes: 25 MB over a link of 10 Mbit/s. Answers took over 0.5 s, instances were ready after 1.5 to 2.5 s, and the answering process held 33.8 MB.

Now a restart (the platform says whether it is the first start of the whole system) that finds no peer ready, or is sent away by one, reads the store; a peer answers eight at once; a large configuration is left to the store unless that doesn't answer. Before the first start nobody is waiting, and it goes on to spread from the first two.

Tests: test_start, test_instance, test_peers.

--- a/control/control.c
+++ b/control/control.c
@@ -212,7 +212,11 @@
 	return (struct start_view){
 		.knows = c->config.version && c->backends.list.loaded,
 		.many = hubs_serve(&c->peers.peers),
+		.first = c->settings.first_start,
 		.listed = c->record.listed,
+		.listed_ms = c->record.listed_ms,
+		.ready = peers_ready(&c->peers.peers, now_ms),
+		.refused = c->introduce.refused,
 		.failures = c->record.failures,
 		.rank = peers_start_rank(&c->peers.peers, now_ms),
 		.since_ms = c->started_ms,
@@ -226,15 +230,17 @@
 	unsigned rank = peers_rank(&c->peers.peers, now_ms);
 	struct start_view start = start_view(c, now_ms);
 	bool reads = start_reads_store(&start, now_ms);
+	unsigned store_failures =
+		c->config.failures + c->backends.failures + c->record.failures;
 
-	config_watch_tick(&c->config, reads, rank < CONFIG_POLLERS, now_ms);
+	config_watch_tick(&c->config, reads || c->introduce.config_left,
+			  rank < CONFIG_POLLERS, now_ms);
 	backend_watch_tick(&c->backends, reads, rank, now_ms);
 	publish_age(c);
 	publish_cost(c);
 	stamp_self(c, now_ms);
-	if (start_asks_peers(&start, c->config.failures + c->backends.failures +
-					     c->record.failures))
-		introduce_tick(&c->introduce, now_ms);
+	if (start_asks_peers(&start, store_failures))
+		introduce_tick(&c->introduce, store_failures > 0, now_ms);
 	feeder_send(&c->feeder, &c->peers, &c->backends.list,
 		    feeder_after_feed(&c->feeder, start.many, rank,
 				      c->backends.list.fresh_ms, now_ms),
--- a/control/introduce.c
+++ b/control/introduce.c
@@ -16,25 +16,35 @@
 	 * force. Twenty routes take 4 KB.
 	 */
 	CONFIG_MAX = 8 * 1024,
+	/*
+	 * Answers at once. More don't come sooner: eight of 30 KB take 0.2 s
+	 * on a link of 10 Mbit/s; the others ask elsewhere.
+	 */
+	ANSWERS_MAX = 8,
 };
 
 static const double ASK_TIMEOUT_S = 0.5;
 static const double SERVER_TIMEOUT_S = 5;
 
+/* All that is known; without a large configuration; a small one only. */
+#define WHOLE_PATH    LSTR("/snapshot/whole")
 #define SNAPSHOT_PATH LSTR("/snapshot")
 #define CONFIG_PATH   LSTR("/config")
 
-/* Writes what this instance knows: all, or of the configuration only. */
-static void write_own(const struct introduce *in, bool all, struct buf *body)
+/* Writes what this instance knows of the configuration, the list, or both. */
+static void write_own(const struct introduce *in, bool config, bool backends,
+		      struct buf *body)
 {
 	struct snapshot s;
 	int64_t now_ms = clock_ms();
 
 	snapshot_init(&s);
+	s.has_config = config;
 	s.config_offset = in->config->offset;
 	s.config_age_ms = in->peers->self.config_age_ms;
-	buf_add_lstr(&s.config, buf_lstr(&in->config->record));
-	if (all) {
+	if (config)
+		buf_add_lstr(&s.config, buf_lstr(&in->config->record));
+	if (backends) {
 		s.backends_offset = in->backends->list.offset;
 		s.backends_age_ms =
 			(uint32_t)(now_ms - in->backends->list.fresh_ms);
@@ -44,20 +54,30 @@
 	snapshot_clear(&s);
 }
 
+static unsigned answer(const struct introduce *in, struct lstr path,
+		       struct buf *body)
+{
+	bool small = in->config->record.len <= CONFIG_MAX;
+
+	if (!in->peers->self.ready || in->server.nconns > ANSWERS_MAX)
+		return 503;
+	if (lstr_eq(path, WHOLE_PATH))
+		write_own(in, true, true, body);
+	else if (lstr_eq(path, SNAPSHOT_PATH))
+		write_own(in, small, true, body);
+	else if (lstr_eq(path, CONFIG_PATH) && small)
+		write_own(in, true, false, body);
+	else
+		return 404;
+	return 200;
+}
+
 static void on_request(void *priv, struct http_conn *c, struct http_message *m)
 {
-	struct introduce *in = priv;
-	struct http_reply r = {.status = 404, .close = true};
+	struct http_reply r = {.close = true};
 	struct buf body = {0};
 
-	bool all = lstr_eq(m->target, SNAPSHOT_PATH);
-
-	if (all || lstr_eq(m->target, CONFIG_PATH))
-		r.status = in->peers->self.ready ? 200 : 503;
-	if (!all && in->config->record.len > CONFIG_MAX)
-		r.status = 413;
-	if (r.status == 200)
-		write_own(in, all, &body);
+	r.status = answer(priv, m->target, &body);
 	r.body = buf_lstr(&body);
 	http_message_free(m);
 	http_conn_reply(c, &r);
@@ -72,7 +92,8 @@
 	bool config = in->config->version == 0;
 	bool backends = !in->backends->list.loaded;
 
-	if (config)
+	in->config_left = config && !s->has_config;
+	if (config && s->has_config)
 		config_watch_introduce(in->config, buf_lstr(&s->config),
 				       s->config_offset,
 				       clock_ms() - s->config_age_ms);
@@ -82,7 +103,10 @@
 			clock_ms() - s->backends_age_ms, clock_ms());
 	mp_event(EV_PEER_INTRODUCED, G_LOG_LEVEL_MESSAGE,
 		 "peer=%s config=%s backends=%s servers=%u age_ms=%u",
-		 in->asked.name, config ? "taken" : "known",
+		 in->asked.name,
+		 in->config_left ? "left"
+		 : config	 ? "taken"
+				 : "known",
 		 backends ? "taken" : "known", s->backends->len,
 		 s->backends_age_ms);
 }
@@ -101,23 +125,30 @@
 	return HTTP_TAKE;
 }
 
+/* A peer that is busy says 503 and isn't at fault. */
+static void no_answer(struct introduce *in, unsigned status, const char *err)
+{
+	in->refused++;
+	mp_event(EV_PEER_SILENT, G_LOG_LEVEL_MESSAGE,
+		 "peer=%s what=%s status=%u err=%s", in->asked.name,
+		 in->config_only ? "config" : "snapshot", status,
+		 err ? err : "-");
+	if (in->config_only)
+		config_watch_read(in->config);
+}
+
 static void on_response(void *priv, struct http_message *m)
 {
 	struct introduce *in = priv;
 	struct snapshot s;
 
 	snapshot_init(&s);
-	if (m->status == 200 && snapshot_read(buf_lstr(&m->body), &s) == 0) {
-		if (in->config_only)
-			take_config(in, &s);
-		else
-			take(in, &s);
-	} else if (in->config_only) {
-		config_watch_read(in->config);
-	} else
-		mp_event(EV_PEER_BAD_DATAGRAM, G_LOG_LEVEL_WARNING,
-			 "peer=%s status=%u; no snapshot", in->asked.name,
-			 m->status);
+	if (m->status != 200 || snapshot_read(buf_lstr(&m->body), &s))
+		no_answer(in, m->status, NULL);
+	else if (in->config_only)
+		take_config(in, &s);
+	else
+		take(in, &s);
 	snapshot_clear(&s);
 	http_message_free(m);
 	http_client_close(&in->client);
@@ -125,29 +156,22 @@
 
 static void on_failed(void *priv, int err, bool sent)
 {
-	struct introduce *in = priv;
-
-	mp_event(EV_PEER_BAD_DATAGRAM, G_LOG_LEVEL_WARNING,
-		 "peer=%s err=%s; no snapshot", in->asked.name,
-		 g_strerror(-err));
-	if (in->config_only)
-		config_watch_read(in->config);
+	no_answer(priv, 0, g_strerror(-err));
 }
 
 static const struct http_client_ops client_ops = {judge, on_response,
 						  on_failed};
 
 static int ask(struct introduce *in, const struct peer_info *peer,
-	       bool config_only)
+	       struct lstr path)
 {
 	struct http_limits limits = {.head_max = HEAD_MAX,
 				     .body_max = SNAPSHOT_MAX};
-	struct lstr path = config_only ? CONFIG_PATH : SNAPSHOT_PATH;
 	struct buf b = {0};
 	int rc;
 
 	in->asked = *peer;
-	in->config_only = config_only;
+	in->config_only = lstr_eq(path, CONFIG_PATH);
 	rc = http_client_open(&in->client, in->loop, &peer->addr, ASK_TIMEOUT_S,
 			      limits, &client_ops, in);
 	if (rc)
@@ -168,11 +192,14 @@
 {
 	if (in->client.state != CLIENT_CLOSED)
 		return in->config_only ? 0 : -EBUSY;
-	return ask(in, peer, true);
+	return ask(in, peer, CONFIG_PATH);
 }
 
-/* introduce_tick() asks the next peer when it is time; call it often. */
-void introduce_tick(struct introduce *in, int64_t now_ms)
+/*
+ * introduce_tick() asks the next peer when it is time; call it often. `whole`:
+ * for a large configuration too, as the store doesn't answer.
+ */
+void introduce_tick(struct introduce *in, bool whole, int64_t now_ms)
 {
 	const struct peer *p;
 
@@ -183,7 +210,8 @@
 	if (!p)
 		return;
 	in->asked_ms = now_ms;
-	(void)ask(in, &p->info, false); /* another is asked next time */
+	/* If that fails at once another is asked next time. */
+	(void)ask(in, &p->info, whole ? WHOLE_PATH : SNAPSHOT_PATH);
 }
 
 /*
--- a/control/introduce.h
+++ b/control/introduce.h
@@ -21,6 +21,8 @@
 	struct http_client client; /* asks */
 	struct peer_info asked;
 	bool config_only; /* the question under way is for a version */
+	bool config_left; /* the configuration is large: read the store */
+	unsigned refused; /* questions that brought nothing */
 	int64_t asked_ms;
 	unsigned turn;
 };
@@ -29,6 +31,6 @@
 		   const char *listen, struct peer_table *peers,
 		   struct config_watch *config, struct backend_watch *backends);
 int introduce_config(struct introduce *in, const struct peer_info *peer);
-void introduce_tick(struct introduce *in, int64_t now_ms);
+void introduce_tick(struct introduce *in, bool whole, int64_t now_ms);
 
 #endif
--- a/control/member_record.c
+++ b/control/member_record.c
@@ -71,6 +71,7 @@
 		store_newest(&m->store, STORE_TOPIC_MEMBERS, r->last_key);
 	else {
 		m->listed = true;
+		m->listed_ms = clock_ms();
 		m->done(m->priv);
 	}
 }
--- a/control/member_record.h
+++ b/control/member_record.h
@@ -17,6 +17,7 @@
 	void *priv;
 	struct peer_table *peers;
 	bool written, listed;
+	int64_t listed_ms;
 	unsigned failures;
 };
 
--- a/control/start.c
+++ b/control/start.c
@@ -6,6 +6,8 @@
 	 * instances need 0.2 s, and what they know spreads in a second.
 	 */
 	PEERS_FIRST_MS = 2500,
+	/* Peers that live answer the first heartbeat by then. */
+	READY_TOLD_MS = 80,
 	/* Read the store at once, so that there is somebody to ask. */
 	READERS = 2,
 	/*
@@ -15,10 +17,22 @@
 	STORE_FAILURES = 1,
 };
 
+/*
+ * In a hurry, with callers at the door, one question that failed is enough;
+ * and when all have been killed no peer can help.
+ */
+static bool peers_help(const struct start_view *v, int64_t now_ms)
+{
+	if (v->first)
+		return true;
+	return !v->refused &&
+	       (v->ready || now_ms - v->listed_ms < READY_TOLD_MS);
+}
+
 /*
  * start_reads_store() tells whether the instance is to read the configuration
- * and the list from the store by itself. In a system of 133 instances that
- * saves four calls at each start.
+ * and the list from the store by itself. In a system of 133 instances it
+ * saves four calls at each start that they come from a peer.
  */
 bool start_reads_store(const struct start_view *v, int64_t now_ms)
 {
@@ -27,7 +41,7 @@
 	/* Until the members are read it isn't known how many there are. */
 	if (!v->listed)
 		return false;
-	return !v->many || v->rank < READERS;
+	return !v->many || v->rank < READERS || !peers_help(v, now_ms);
 }
 
 /* start_asks_peers() tells whether a peer is to be asked for what it knows. */
--- a/control/start.h
+++ b/control/start.h
@@ -12,7 +12,11 @@
 struct start_view {
 	bool knows;	   /* configuration and list are known: it has ended */
 	bool many;	   /* the system is a large one */
+	bool first;	   /* the whole system starts for the first time */
 	bool listed;	   /* the members' records were read */
+	int64_t listed_ms; /* when */
+	unsigned ready;	   /* live peers that can serve */
+	unsigned refused;  /* questions to peers that brought nothing */
 	unsigned failures; /* of the calls that read them, in a row */
 	unsigned rank;	   /* instances that stand before this one */
 	int64_t since_ms;  /* the start */
--- a/member/peers.c
+++ b/member/peers.c
@@ -241,6 +241,17 @@
 	return out;
 }
 
+/* peers_ready() counts the live peers that can serve. */
+unsigned peers_ready(const struct peer_table *t, int64_t now_ms)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < t->peers->len; i++)
+		n += suits(g_ptr_array_index(t->peers, i), CHOOSE_READY,
+			   now_ms);
+	return n;
+}
+
 /*
  * peers_informant() finds a live peer that can serve, to ask it for what it
  * knows: of the own data centre if there is one, as what crosses data centres
--- a/member/peers.h
+++ b/member/peers.h
@@ -68,6 +68,7 @@
 const struct peer *peers_next_lost(struct peer_table *t, int64_t now_ms);
 unsigned peers_rank(const struct peer_table *t, int64_t now_ms);
 unsigned peers_start_rank(const struct peer_table *t, int64_t now_ms);
+unsigned peers_ready(const struct peer_table *t, int64_t now_ms);
 unsigned peers_count(const struct peer_table *t, int64_t now_ms);
 GArray *peers_for_callers(const struct peer_table *t, int64_t now_ms);
 
--- a/member/snapshot.c
+++ b/member/snapshot.c
@@ -6,6 +6,7 @@
 
 /* Fields of the array on the wire. */
 enum {
+	HAS_CONFIG,
 	CONFIG_OFFSET,
 	CONFIG_AGE,
 	CONFIG,
@@ -37,6 +38,7 @@
 
 	msgpack_packer_init(&pk, out, codec_buf_write);
 	msgpack_pack_array(&pk, FIELDS);
+	msgpack_pack_uint8(&pk, s->has_config);
 	msgpack_pack_uint64(&pk, s->config_offset);
 	msgpack_pack_uint32(&pk, s->config_age_ms);
 	msgpack_pack_bin_with_body(&pk, s->config.ptr, s->config.len);
@@ -59,11 +61,12 @@
 	const msgpack_object *f = o->via.array.ptr;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != FIELDS ||
-	    !is_uint(&f[CONFIG_OFFSET]) || !is_uint(&f[CONFIG_AGE]) ||
-	    f[CONFIG].type != MSGPACK_OBJECT_BIN ||
+	    !is_uint(&f[HAS_CONFIG]) || !is_uint(&f[CONFIG_OFFSET]) ||
+	    !is_uint(&f[CONFIG_AGE]) || f[CONFIG].type != MSGPACK_OBJECT_BIN ||
 	    !is_uint(&f[BACKENDS_OFFSET]) || !is_uint(&f[BACKENDS_AGE]) ||
 	    f[BACKENDS].type != MSGPACK_OBJECT_ARRAY)
 		return false;
+	s->has_config = f[HAS_CONFIG].via.u64 != 0;
 	s->config_offset = f[CONFIG_OFFSET].via.u64;
 	s->config_age_ms = (uint32_t)f[CONFIG_AGE].via.u64;
 	buf_add(&s->config, f[CONFIG].via.bin.ptr, f[CONFIG].via.bin.size);
--- a/member/snapshot.h
+++ b/member/snapshot.h
@@ -9,6 +9,7 @@
 #include "member/gossip.h"
 
 struct snapshot {
+	bool has_config; /* else the receiver is to read it in the store */
 	uint64_t config_offset;
 	uint32_t config_age_ms; /* it was known then that these are all */
 	struct buf config;	/* the record as the store holds it; owned */
--- a/options/instance.c
+++ b/options/instance.c
@@ -11,6 +11,7 @@
 	{"dc", OPT_STR, FIELD(dc), NULL, 0, 0},
 	{"region", OPT_STR, FIELD(region), "", 0, 0},
 	{"ip", OPT_STR, FIELD(ip), NULL, 0, 0},
+	{"first_start", OPT_BOOL, FIELD(first_start), "false", 0, 0},
 	OPT_END,
 };
 
@@ -91,6 +92,13 @@
 		buf_printf(out, " %s=%s->%s", name, a ? a : "-", b ? b : "-");
 }
 
+static void bool_difference(const char *name, bool a, bool b, struct buf *out)
+{
+	if (a != b)
+		buf_printf(out, " %s=%s->%s", name, a ? "true" : "false",
+			   b ? "true" : "false");
+}
+
 /* Names the options of a table whose values differ. */
 static void group_differences(const struct opt_def *opts,
 			      const struct instance_settings *a,
@@ -101,7 +109,10 @@
 		const void *x = (const char *)a + o->offset;
 		const void *y = (const char *)b + o->offset;
 
-		if (o->type != OPT_REAL)
+		if (o->type == OPT_BOOL)
+			bool_difference(o->key, *(const bool *)x,
+					*(const bool *)y, out);
+		else if (o->type != OPT_REAL)
 			text_difference(o->key, *(char *const *)x,
 					*(char *const *)y, out);
 		else if (*(const double *)x != *(const double *)y)
--- a/options/instance.h
+++ b/options/instance.h
@@ -23,6 +23,7 @@
 struct instance_settings {
 	/* [instance] */
 	char *name, *dc, *region, *ip;
+	bool first_start; /* the whole system starts: no hurry yet */
 	/* [listen] */
 	char *callers, *ready, *directory, *peers, *metrics;
 	char *own; /* the product's own interface; NULL: not served */
--- a/options/settings.c
+++ b/options/settings.c
@@ -139,6 +139,8 @@
 				     "'%s' is not a number from 0 on", raw);
 		break;
 	case OPT_BOOL:
+		if (*raw == '\0' && d->def)
+			raw = d->def; /* a template that had no value */
 		if (!strcmp(raw, "true") || !strcmp(raw, "false"))
 			*(bool *)field = !strcmp(raw, "true");
 		else
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -21,6 +21,7 @@
 	{"zone", "hala-cluj"},
 	{"region", "ro-central"},
 	{"ipAddress", "10.1.0.18"},
+	{"firstStart", "true"},
 	{"listen.front", "10.1.0.18:8381"},
 	{"listen.ready", "10.1.0.18:8388"},
 	{"listen.directory", "10.1.0.18:8383"},
@@ -105,6 +106,13 @@
 
 	assert_int_equal(instance_settings_load(path, &s), 0);
 	assert_true(s.bounds.questions_per_s == 10);
+	assert_true(s.first_start);
+	unlink(path);
+	g_free(path);
+	/* Without the word it is a restart, which is in more of a hurry. */
+	path = render("firstStart");
+	assert_int_equal(instance_settings_load(path, &s), 0);
+	assert_false(s.first_start);
 	unlink(path);
 	g_free(path);
 	/* An address is not a figure: without it nothing starts. */
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -157,6 +157,7 @@
 	struct buf b = {0};
 
 	snapshot_init(&s);
+	s.has_config = true;
 	s.config_offset = 7;
 	buf_add_lstr(&s.config, LSTR("any \x01 bytes"));
 	s.backends_offset = 1234567;
@@ -165,6 +166,7 @@
 	snapshot_write(&s, &b);
 	snapshot_init(&got);
 	assert_int_equal(snapshot_read(buf_lstr(&b), &got), 0);
+	assert_true(got.has_config);
 	assert_int_equal(got.config_offset, 7);
 	assert_true(lstr_eq(buf_lstr(&got.config), buf_lstr(&s.config)));
 	assert_int_equal(got.backends_offset, 1234567);
--- a/tests/test_start.c
+++ b/tests/test_start.c
@@ -3,9 +3,16 @@
 
 #include "control/start.h"
 
-/* An instance of a large system that has read the members' records. */
-static const struct start_view large = {
-	.many = true, .listed = true, .rank = 40, .since_ms = 1000};
+/*
+ * An instance of a large system that has read the members' records and heard
+ * of peers that can serve.
+ */
+static const struct start_view large = {.many = true,
+					.listed = true,
+					.listed_ms = 1020,
+					.ready = 30,
+					.rank = 40,
+					.since_ms = 1000};
 
 static void test_members_first(void **state)
 {
@@ -38,6 +45,34 @@
 	assert_true(start_reads_store(&v, 3600));
 }
 
+/* All were killed: nobody can help, and callers are at the door. */
+static void test_nobody_ready(void **state)
+{
+	struct start_view v = large;
+
+	v.ready = 0;
+	/* The first heartbeats are being answered. */
+	assert_false(start_reads_store(&v, 1060));
+	assert_true(start_reads_store(&v, 1120));
+	/* When the whole system starts there is no hurry. */
+	v.first = true;
+	assert_false(start_reads_store(&v, 1120));
+	assert_false(start_reads_store(&v, 3400));
+	assert_true(start_reads_store(&v, 3600));
+}
+
+/* A peer that is asked by too many at once sends them away. */
+static void test_refused(void **state)
+{
+	struct start_view v = large;
+
+	v.refused = 1;
+	assert_true(start_reads_store(&v, 1100));
+	assert_true(start_asks_peers(&v, 0));
+	v.first = true;
+	assert_false(start_reads_store(&v, 1100));
+}
+
 static void test_ended(void **state)
 {
 	struct start_view v = large;
@@ -52,6 +87,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_members_first),
 		cmocka_unit_test(test_large),
+		cmocka_unit_test(test_nobody_ready),
+		cmocka_unit_test(test_refused),
 		cmocka_unit_test(test_ended),
 	};
 
