In a large system those behind the hubs retry the store seldom

Ruled out for the hubs and for small systems, which stay as quick.

After failures others wait up to 2.8 s; what a peer tells ends the pause (a feed that leaves a gap, a version that is new here).

Tests: test_backend_list, test_config_watch.

--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -26,6 +26,12 @@
 	RANK_MAX = 12,
 	RETRY_MS = 200, /* after a failure, doubled up to the longest */
 	RETRY_MAX_MS = 1000,
+	/*
+	 * In a large system those behind the hubs try this seldom: the hubs
+	 * find out that the store is back and feed them. One that hears of no
+	 * feed must know within 3 s what the store says.
+	 */
+	RETRY_PATIENT_MS = 2800,
 };
 
 struct listed {
@@ -327,20 +333,22 @@
  * first in rank always, another when nobody's news have come for too long,
  * later the further back it stands, and after failures not too often.
  */
-int64_t backend_read_due(unsigned rank, int64_t fresh_ms, int64_t tried_ms,
-			 unsigned failures)
+int64_t backend_read_due(unsigned rank, bool many, int64_t fresh_ms,
+			 int64_t tried_ms, unsigned failures)
 {
+	int64_t longest =
+		many && rank >= HUBS ? RETRY_PATIENT_MS : RETRY_MAX_MS;
 	unsigned r = rank < RANK_MAX ? rank : RANK_MAX;
 	int64_t due =
 		fresh_ms +
 		(rank ? TAKE_OVER_MS + (int64_t)r * RANK_STEP_MS : READ_MS);
 
 	if (failures) {
-		unsigned shift = failures < 4 ? failures - 1 : 3;
+		unsigned shift = failures < 5 ? failures - 1 : 4;
 		int64_t wait = (int64_t)RETRY_MS << shift;
 
-		if (wait > RETRY_MAX_MS)
-			wait = RETRY_MAX_MS;
+		if (wait > longest)
+			wait = longest;
 		if (tried_ms + wait > due)
 			due = tried_ms + wait;
 	}
--- a/control/backend_list.h
+++ b/control/backend_list.h
@@ -41,7 +41,7 @@
 void backend_list_export(const struct backend_list *l, GArray *changes);
 void backend_list_import(struct backend_list *l, const GArray *changes,
 			 uint64_t end, int64_t as_of_ms, int64_t now_ms);
-int64_t backend_read_due(unsigned rank, int64_t fresh_ms, int64_t tried_ms,
-			 unsigned failures);
+int64_t backend_read_due(unsigned rank, bool many, int64_t fresh_ms,
+			 int64_t tried_ms, unsigned failures);
 
 #endif
--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -109,16 +109,19 @@
  * isn't known is left to a peer. Call it every 0.1 s or so.
  */
 void backend_watch_tick(struct backend_watch *w, bool may_list, unsigned rank,
-			int64_t now_ms)
+			bool many, int64_t now_ms)
 {
-	int64_t due = backend_read_due(rank, w->list.fresh_ms, w->tried_ms,
-				       w->failures);
+	int64_t due = backend_read_due(rank, many, w->list.fresh_ms,
+				       w->tried_ms, w->failures);
 
 	backend_list_settle(&w->list, now_ms);
 	if (w->store.call != STORE_NO_CALL || !(may_list || w->list.loaded))
 		return;
 	if ((!w->list.loaded || w->gap) && w->failures == 0)
 		due = 0;
+	/* Somebody has read the store since it failed here. */
+	if (w->gap && w->gap_ms > w->tried_ms)
+		due = 0;
 	if (now_ms >= due)
 		read_now(w, now_ms);
 }
@@ -128,8 +131,10 @@
 			int64_t now_ms)
 {
 	/* An instance that is still starting reads or is introduced anyway. */
-	if (!backend_list_feed(&w->list, f, now_ms) && w->list.loaded)
-		w->gap = true;
+	if (backend_list_feed(&w->list, f, now_ms) || !w->list.loaded)
+		return;
+	w->gap = true;
+	w->gap_ms = now_ms;
 }
 
 /* backend_watch_start() begins with a whole listing. */
--- a/control/backend_watch.h
+++ b/control/backend_watch.h
@@ -14,6 +14,7 @@
 	int64_t tried_ms;  /* the last read was sent then */
 	unsigned failures; /* in a row */
 	bool gap;	   /* a feed began after what is known */
+	int64_t gap_ms;	   /* when */
 	bool asked_all;	   /* the call under way asks for a whole listing */
 	bool listing;
 	uint64_t listing_end;
@@ -29,7 +30,7 @@
 			 void (*read_done)(void *priv, bool recovered),
 			 void *priv);
 void backend_watch_tick(struct backend_watch *w, bool may_list, unsigned rank,
-			int64_t now_ms);
+			bool many, int64_t now_ms);
 void backend_watch_feed(struct backend_watch *w, const struct backend_feed *f,
 			int64_t now_ms);
 
--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -26,6 +26,11 @@
 	PAUSE_MS = 300,
 	RETRY_MS = 200, /* after a failure, doubled up to the longest */
 	RETRY_MAX_MS = 800,
+	/*
+	 * When others look after the store: they tell when it is back, and
+	 * one that hears nobody must have a version in force within 5 s.
+	 */
+	RETRY_PATIENT_MS = 2800,
 };
 
 static void ask(struct config_watch *w);
@@ -139,8 +144,9 @@
 
 static void on_failure(struct config_watch *w, int err)
 {
-	unsigned shift = w->failures < 3 ? w->failures : 2;
+	unsigned shift = w->failures < 5 ? w->failures : 4;
 	int wait = RETRY_MS << shift;
+	int longest = w->patient ? RETRY_PATIENT_MS : RETRY_MAX_MS;
 
 	if (w->failures++ == 0)
 		mp_event(EV_PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING,
@@ -148,7 +154,7 @@
 			 g_strerror(-err), w->version);
 	if (err == -ERANGE)
 		w->listed = false;
-	ask_later(w, wait < RETRY_MAX_MS ? wait : RETRY_MAX_MS);
+	ask_later(w, wait < longest ? wait : longest);
 }
 
 static void on_done(void *priv, const struct store_result *r)
@@ -249,6 +255,9 @@
 		return false;
 	if (w->store.call != STORE_NO_CALL && now_ms - w->asked_ms > YOUNG_MS)
 		config_watch_restart(w);
+	/* Somebody could read it: the pause after a failure is over. */
+	if (w->failures && ev_is_active(&w->retry))
+		ev_timer_stop(w->loop, &w->retry);
 	return is_idle(w);
 }
 
--- a/control/config_watch.h
+++ b/control/config_watch.h
@@ -29,6 +29,7 @@
 	uint64_t version;     /* the newest usable one; 0: none */
 	unsigned failures;    /* in a row */
 	int64_t asked_ms;     /* the call under way was sent then */
+	bool patient;	      /* others find out when the store is back */
 	bool polls;	      /* a poll is to be under way all the time */
 	int64_t fresh_ms;     /* the store told of the newest record then */
 	int64_t told_ms;      /* a peer knew that there is nothing newer */
--- a/control/control.c
+++ b/control/control.c
@@ -233,9 +233,10 @@
 	unsigned store_failures =
 		c->config.failures + c->backends.failures + c->record.failures;
 
+	c->config.patient = start.many && rank >= HUBS;
 	config_watch_tick(&c->config, reads || c->introduce.config_left,
 			  rank < CONFIG_POLLERS, now_ms);
-	backend_watch_tick(&c->backends, reads, rank, now_ms);
+	backend_watch_tick(&c->backends, reads, rank, start.many, now_ms);
 	publish_age(c);
 	publish_cost(c);
 	stamp_self(c, now_ms);
--- a/tests/test_backend_list.c
+++ b/tests/test_backend_list.c
@@ -235,11 +235,11 @@
 static void test_read_due(void **state)
 {
 	/* The first reads twice a second; others when nobody did. */
-	assert_in_range(backend_read_due(0, 1000, 0, 0), 1400, 1500);
+	assert_in_range(backend_read_due(0, false, 1000, 0, 0), 1400, 1500);
 	int64_t last = 0;
 
 	for (unsigned rank = 1; rank < 600; rank++) {
-		int64_t due = backend_read_due(rank, 1000, 0, 0);
+		int64_t due = backend_read_due(rank, rank % 2, 1000, 0, 0);
 
 		assert_true(due >= last && due > 1500);
 		/* Room to read and act within two seconds. */
@@ -247,8 +247,12 @@
 		last = due;
 	}
 	/* Failures: later, but within a second. */
-	assert_in_range(backend_read_due(0, 0, 5000, 1), 5100, 5300);
-	assert_in_range(backend_read_due(0, 0, 5000, 50), 5500, 6000);
+	assert_in_range(backend_read_due(0, true, 0, 5000, 1), 5100, 5300);
+	assert_in_range(backend_read_due(0, true, 0, 5000, 50), 5500, 6000);
+	assert_in_range(backend_read_due(100, false, 0, 5000, 50), 5500, 6000);
+	/* In a large system those behind the hubs are in less of a hurry. */
+	assert_in_range(backend_read_due(100, true, 0, 5000, 1), 5100, 5300);
+	assert_in_range(backend_read_due(100, true, 0, 5000, 50), 7000, 8000);
 }
 
 enum { HISTORIES = 60, STEPS = 400, INSTANCES = 4, IDS = 6 };
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -80,6 +80,29 @@
 	buf_free(&w.record);
 }
 
+/* A failed read waits before the next; a peer's news end that. */
+static void test_heard_after_failure(void **state)
+{
+	struct config_watch w;
+
+	init(&w, "5", 10);
+	w.loop = ev_default_loop(0);
+	ev_init(&w.retry, NULL);
+	ev_timer_set(&w.retry, 3, 0);
+	ev_timer_start(w.loop, &w.retry);
+	w.failures = 4;
+	assert_false(config_watch_heard(&w, 10, 300, 10000));
+	assert_true(ev_is_active(&w.retry));
+	assert_true(config_watch_heard(&w, 11, 300, 10000));
+	assert_false(ev_is_active(&w.retry));
+	/* The pause after a version is kept. */
+	ev_timer_start(w.loop, &w.retry);
+	w.failures = 0;
+	assert_false(config_watch_heard(&w, 12, 300, 10000));
+	ev_timer_stop(w.loop, &w.retry);
+	buf_free(&w.record);
+}
+
 /* While a poll waits, the store's other answers vouch for it, for a time. */
 static void test_age_of_poll(void **state)
 {
@@ -102,6 +125,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_heard),
 		cmocka_unit_test(test_update),
+		cmocka_unit_test(test_heard_after_failure),
 		cmocka_unit_test(test_age_of_poll),
 	};
 
