A soak from outside, and the two faults that it found in the list of servers

tests/soak.sh plays one system as separate processes under load: signals, proxies that delay, reset, refuse or silence connections (stand/proxy), a store and servers that misbehave, configurations and reloads, in series and overlapping; then all must be whole again.

Cause: after the store had forgotten its history while instances were behind, each took that for an outage and asked the others for their list; an older list removed entries that were newer here, and its offset was again one that the store had forgotten, so that they emptied each other's lists for as long as they ran. Ruled out: the proxies (connections were whole again), the servers (they ran and were on the store's list).

Now 410 is no outage: the list is read anew at once; an instance that has known what it needs asks no peer again; an older list takes nothing away.

--- a/app/main.c
+++ b/app/main.c
@@ -40,6 +40,9 @@
 	"  fill --index FROM --version TO\n"
 	"                              stand-in: entries of servers that are\n"
 	"                              not there, to measure their cost\n"
+	"  proxy [--service S]         stand-in: harms connections to the "
+	"store\n"
+	"                              or to the servers of a service\n"
 	"  load [--seconds N] [--rate N] [--concurrency N] [--seed N]\n"
 	"       [--service S] [--tenant T] [--direct]\n"
 	"                              the load and experiment tool\n"
@@ -178,6 +181,8 @@
 	if (!strcmp(role, "backend") && o->service)
 		return stand_backend_main(&d, o->service, o->index,
 					  (unsigned)o->seed);
+	if (!strcmp(role, "proxy"))
+		return stand_proxy_main(&d, o->service);
 	if (!strcmp(role, "ctl"))
 		return run_ctl(&d, o, rest);
 	if (!strcmp(role, "load"))
--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -134,6 +134,8 @@
 		return;
 	}
 	e = g_hash_table_lookup(l->entries, c->entry.id);
+	if (e)
+		e->seen = true;
 	if (e && c->offset < e->offset)
 		return;
 	bool changed = !e || e->missing || differs(&e->entry, &c->entry);
@@ -241,7 +243,10 @@
 
 	g_hash_table_iter_init(&it, l->entries);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		if (!((struct listed *)v)->seen)
+		const struct listed *e = v;
+
+		/* What is newer than the listing can't be in it. */
+		if (!e->seen && e->offset < end)
 			g_ptr_array_add(lost, v);
 	}
 	for (guint i = 0; i < lost->len; i++) {
@@ -253,12 +258,12 @@
 		remove_entry(l, &c, now_ms);
 	}
 	g_ptr_array_unref(lost);
+	l->loaded = true;
+	backend_list_caught_up(l, end, as_of_ms, now_ms);
 	/* Peers that are behind can't be fed across a listing. */
 	g_array_set_size(l->recent, 0);
 	g_array_set_size(l->recent_ms, 0);
-	l->recent_from = end;
-	l->loaded = true;
-	backend_list_caught_up(l, end, as_of_ms, now_ms);
+	l->recent_from = l->offset;
 }
 
 /* backend_list_settle() removes what is still missing in due time. */
--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -39,13 +39,16 @@
 
 static void on_failure(struct backend_watch *w, int err)
 {
+	w->listing = false;
+	/* The store answers, but not from there: it is listed anew at once. */
+	if (err == -ERANGE) {
+		w->list.loaded = false;
+		return;
+	}
 	if (w->failures++ == 0)
 		mp_event(EV_PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING,
 			 "what=backends err=%s age_ms=%" G_GINT64_FORMAT,
 			 g_strerror(-err), clock_ms() - w->list.fresh_ms);
-	if (err == -ERANGE)
-		w->list.loaded = false;
-	w->listing = false;
 }
 
 /* One page of a whole listing; the first one's end is where to read on. */
--- a/control/control.c
+++ b/control/control.c
@@ -102,7 +102,8 @@
 	self->config_offset = c->config.offset;
 	self->config_age_ms = config_watch_age_ms(
 		&c->config, c->backends.list.fresh_ms, now_ms);
-	self->ready = c->config.version && c->backends.list.loaded;
+	c->knew = c->knew || (c->config.version && c->backends.list.loaded);
+	self->ready = c->knew;
 }
 
 /*
@@ -210,7 +211,7 @@
 static struct start_view start_view(const struct control *c, int64_t now_ms)
 {
 	return (struct start_view){
-		.knows = c->config.version && c->backends.list.loaded,
+		.knows = c->knew,
 		.many = hubs_serve(&c->peers.peers),
 		.first = c->settings.first_start,
 		.listed = c->record.listed,
--- a/control/control.h
+++ b/control/control.h
@@ -64,6 +64,7 @@
 	struct member_record record;
 	struct introduce introduce;
 	int64_t started_ms;
+	bool knew; /* it has known what it needs to serve, and may serve */
 	int64_t stopping_ms; /* 0: not stopping */
 	struct control_view view;
 };
--- a/control/start.h
+++ b/control/start.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 struct start_view {
-	bool knows;	   /* configuration and list are known: it has ended */
+	bool knows;	   /* configuration and list were known: it has ended */
 	bool many;	   /* the system is a large one */
 	bool first;	   /* the whole system starts for the first time */
 	bool listed;	   /* the members' records were read */
--- a/options/deploy.c
+++ b/options/deploy.c
@@ -38,6 +38,7 @@
 	{"slots", OPT_INT, S(slots), "2", 1, 1024},
 	{"connections", OPT_INT, S(connections), "220", 1, 100000},
 	{"base_port", OPT_INT, S(base_port), NULL, 1024, 65000},
+	{"proxy_offset", OPT_INT, S(proxy_offset), "0", 0, 30000},
 	{"work_ms", OPT_INT, S(work_ms), "4", 0, 60000},
 	{"protected", OPT_BOOL, S(protected_action), "false", 0, 0},
 	{"hangs", OPT_BOOL, S(hangs), "false", 0, 0},
@@ -164,6 +165,20 @@
 	return NULL;
 }
 
+/*
+ * deploy_worker_told() writes the address by which others are to reach worker
+ * index: a proxy's, if the service has one. Returns 0 or -ERANGE.
+ */
+int deploy_worker_told(const struct service_opts *svc, int index, char *buf,
+		       size_t len)
+{
+	if (index < 0 || index >= svc->workers)
+		return -ERANGE;
+	snprintf(buf, len, "127.0.0.1:%d",
+		 svc->base_port + svc->proxy_offset + index);
+	return 0;
+}
+
 /*
  * deploy_worker_addr() writes worker index's loopback address. Returns 0,
  * or -ERANGE when index is not one of the service's workers.
--- a/options/deploy.h
+++ b/options/deploy.h
@@ -35,6 +35,7 @@
 	int slots;
 	int connections;
 	int base_port;
+	int proxy_offset; /* they tell ports so much higher; 0: their own */
 	int work_ms;
 	bool protected_action;
 	bool hangs; /* when full it never answers, instead of refusing */
@@ -61,6 +62,8 @@
 const struct service_opts *deploy_service(const struct deploy *d,
 					  const char *name);
 const struct entry_opts *deploy_entry(const struct deploy *d, const char *name);
+int deploy_worker_told(const struct service_opts *svc, int index, char *buf,
+		       size_t len);
 int deploy_worker_addr(const struct service_opts *svc, int index, char *buf,
 		       size_t len);
 
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -42,6 +42,7 @@
 	struct http_client store;
 	struct sockaddr_in store_addr;
 	ev_timer beat, drained;
+	char told[64]; /* where others reach it */
 	unsigned beats;
 	int64_t leaving_ms; /* 0: not leaving */
 };
@@ -313,7 +314,7 @@
 	msgpack_packer_init(&pk, value, codec_buf_write);
 	msgpack_pack_map(&pk, 3);
 	codec_pack_cstr(&pk, "address");
-	codec_pack_cstr(&pk, s->addr);
+	codec_pack_cstr(&pk, s->told);
 	codec_pack_cstr(&pk, "info");
 	msgpack_pack_map(&pk, 4);
 	codec_pack_cstr(&pk, "service");
@@ -378,7 +379,8 @@
 {
 	s->service = deploy_service(d, service);
 	if (!s->service ||
-	    deploy_worker_addr(s->service, index, s->addr, sizeof(s->addr)))
+	    deploy_worker_addr(s->service, index, s->addr, sizeof(s->addr)) ||
+	    deploy_worker_told(s->service, index, s->told, sizeof(s->told)))
 		return -ENOENT;
 	snprintf(s->id, sizeof(s->id), "%s-%d-%x", service, index,
 		 g_random_int());
--- /dev/null
+++ b/stand/proxy.c
@@ -0,0 +1,289 @@
+/*
+ * A loopback proxy for the fault soak: passes TCP connections on to the store
+ * or to the servers of a service, and harms them when told to. POST
+ * /stand/faults?NAME=VALUE on its control port, one below the first that it
+ * listens on:
+ *   delay_ms=N              bytes are passed on so much later
+ *   silent=up|down|both|no  bytes to the server, from it, or all are swallowed
+ *   refuse=1|0              new connections are reset at once
+ *   reset=1                 the connections of now are reset
+ */
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <ev.h>
+
+#include "common/event.h"
+#include "http/server.h"
+#include "http/socket.h"
+#include "misc/buf.h"
+#include "options/settings.h"
+#include "stand/query.h"
+#include "stand/stand.h"
+
+enum { CHUNK = 16 * 1024, CONTROL_TIMEOUT_S = 5, CONTROL_MAX = 4096 };
+
+struct proxy {
+	struct ev_loop *loop;
+	struct http_server control;
+	int delay_ms;
+	bool silent_up, silent_down, refuse;
+	GPtrArray *links; /* struct link * */
+};
+
+struct port {
+	struct proxy *proxy;
+	struct sockaddr_in target;
+	ev_io accept;
+};
+
+/* One end of a connection, with the bytes that are to be written to it. */
+struct side {
+	struct link *link;
+	struct side *other;
+	int fd;
+	ev_io readable, writable;
+	ev_timer delay;
+	struct buf out;
+	bool up; /* the server's end: what is written to it goes up */
+};
+
+struct link {
+	struct proxy *proxy;
+	struct side caller, server;
+	bool ending; /* one end has closed: what is left goes out */
+};
+
+static void side_close(struct ev_loop *loop, struct side *s, bool reset)
+{
+	struct linger at_once = {1, 0};
+
+	ev_io_stop(loop, &s->readable);
+	ev_io_stop(loop, &s->writable);
+	ev_timer_stop(loop, &s->delay);
+	if (reset)
+		setsockopt(s->fd, SOL_SOCKET, SO_LINGER, &at_once,
+			   sizeof(at_once));
+	close(s->fd);
+	buf_free(&s->out);
+}
+
+static void link_close(struct link *l, bool reset)
+{
+	side_close(l->proxy->loop, &l->caller, reset);
+	side_close(l->proxy->loop, &l->server, reset);
+	g_ptr_array_remove_fast(l->proxy->links, l);
+	g_free(l);
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *io, int revents)
+{
+	struct side *s = io->data;
+	ssize_t n = send(s->fd, s->out.ptr, s->out.len, MSG_NOSIGNAL);
+
+	if (n < 0 && errno != EAGAIN) {
+		link_close(s->link, true);
+		return;
+	}
+	if (n > 0)
+		buf_consume(&s->out, (size_t)n);
+	if (s->out.len)
+		return;
+	ev_io_stop(loop, &s->writable);
+	if (s->link->ending)
+		link_close(s->link, false);
+}
+
+static void on_delay(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct side *s = t->data;
+
+	ev_io_start(loop, &s->writable);
+}
+
+/* Passes bytes on to a side, now or later, or not at all. */
+static void pass_on(struct side *to, const char *bytes, size_t n)
+{
+	struct proxy *p = to->link->proxy;
+
+	if (to->up ? p->silent_up : p->silent_down)
+		return;
+	buf_add(&to->out, bytes, n);
+	if (p->delay_ms == 0) {
+		ev_io_start(p->loop, &to->writable);
+	} else if (!ev_is_active(&to->delay)) {
+		ev_timer_set(&to->delay, p->delay_ms / 1000.0, 0);
+		ev_timer_start(p->loop, &to->delay);
+	}
+}
+
+static void on_readable(struct ev_loop *loop, ev_io *io, int revents)
+{
+	struct side *s = io->data;
+	char bytes[CHUNK];
+	ssize_t n = recv(s->fd, bytes, sizeof(bytes), 0);
+
+	if (n > 0) {
+		pass_on(s->other, bytes, (size_t)n);
+		return;
+	}
+	if (n < 0 && errno == EAGAIN)
+		return;
+	ev_io_stop(loop, &s->readable);
+	s->link->ending = true;
+	if (n < 0 || s->other->out.len == 0)
+		link_close(s->link, n < 0);
+}
+
+static void side_open(struct link *l, struct side *s, struct side *other,
+		      int fd)
+{
+	s->link = l;
+	s->other = other;
+	s->fd = fd;
+	ev_io_init(&s->readable, on_readable, fd, EV_READ);
+	ev_io_init(&s->writable, on_writable, fd, EV_WRITE);
+	ev_timer_init(&s->delay, on_delay, 0, 0);
+	s->readable.data = s->writable.data = s->delay.data = s;
+	ev_io_start(l->proxy->loop, &s->readable);
+}
+
+static void on_accept(struct ev_loop *loop, ev_io *io, int revents)
+{
+	struct port *port = io->data;
+	struct linger at_once = {1, 0};
+	int fd = accept4(io->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	int server;
+	struct link *l;
+
+	if (fd < 0)
+		return;
+	socket_tune(fd);
+	server = port->proxy->refuse ? -ECONNREFUSED
+				     : socket_connect(&port->target);
+	if (server < 0) {
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once,
+			   sizeof(at_once));
+		close(fd);
+		return;
+	}
+	l = g_new0(struct link, 1);
+	l->proxy = port->proxy;
+	l->server.up = true;
+	side_open(l, &l->caller, &l->server, fd);
+	side_open(l, &l->server, &l->caller, server);
+	g_ptr_array_add(port->proxy->links, l);
+}
+
+static void set_faults(struct proxy *p, const struct query *q)
+{
+	const char *silent = query_text(q, "silent");
+
+	p->delay_ms = (int)query_int(q, "delay_ms", p->delay_ms);
+	p->refuse = query_int(q, "refuse", p->refuse) != 0;
+	if (silent) {
+		bool both = !strcmp(silent, "both");
+
+		p->silent_up = both || !strcmp(silent, "up");
+		p->silent_down = both || !strcmp(silent, "down");
+	}
+	while (query_int(q, "reset", 0) && p->links->len)
+		link_close(g_ptr_array_index(p->links, 0), true);
+}
+
+static void on_control(void *priv, struct http_conn *c, struct http_message *m)
+{
+	struct http_reply r = {.status = 404, .close = true};
+	struct query q;
+	char *path = query_split(m->target, &q);
+
+	if (!strcmp(path, "/stand/faults")) {
+		set_faults(priv, &q);
+		r.status = 200;
+	}
+	g_free(path);
+	query_free(&q);
+	http_message_free(m);
+	http_conn_reply(c, &r);
+}
+
+static const struct http_server_ops control_ops = {on_control, NULL};
+
+/* Listens on `listen` and passes on to `target`. */
+static int open_port(struct proxy *p, const char *listen, const char *target)
+{
+	struct port *port = g_new0(struct port, 1);
+	int fd = socket_listen(listen);
+
+	if (fd < 0) {
+		mp_event(EV_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL,
+			 "addr=%s err=%s", listen, g_strerror(-fd));
+		return fd;
+	}
+	port->proxy = p;
+	ev_io_init(&port->accept, on_accept, fd, EV_READ);
+	port->accept.data = port;
+	ev_io_start(p->loop, &port->accept);
+	return socket_addr(target, &port->target);
+}
+
+static int open_service(struct proxy *p, const struct service_opts *s)
+{
+	char told[64], real[64];
+	int rc = 0;
+
+	for (int i = 0; i < s->workers && !rc; i++) {
+		deploy_worker_addr(s, i, real, sizeof(real));
+		deploy_worker_told(s, i, told, sizeof(told));
+		rc = open_port(p, told, real);
+	}
+	return rc;
+}
+
+static int open_control(struct proxy *p, const char *first)
+{
+	char host[32], addr[64];
+	int port;
+
+	if (addr_split(first, host, sizeof(host), &port))
+		return -EINVAL;
+	snprintf(addr, sizeof(addr), "%s:%d", host, port - 1);
+	p->control.limits = (struct http_limits){CONTROL_MAX, CONTROL_MAX};
+	p->control.head_timeout_s = CONTROL_TIMEOUT_S;
+	p->control.idle_timeout_s = CONTROL_TIMEOUT_S;
+	return http_server_open(&p->control, p->loop, addr, &control_ops, p);
+}
+
+/*
+ * stand_proxy_main() stands before the servers of a service, at the addresses
+ * that they tell, or before the store (no service named), at the address that
+ * entries are told. Returns a negative errno when it can't.
+ */
+int stand_proxy_main(const struct deploy *d, const char *service)
+{
+	struct proxy p = {.loop = ev_default_loop(EVFLAG_NOENV),
+			  .links = g_ptr_array_new()};
+	char first[64];
+	int rc;
+
+	g_strlcpy(first, d->entry.platform, sizeof(first));
+	if (service) {
+		const struct service_opts *s = deploy_service(d, service);
+
+		if (!s || s->proxy_offset == 0)
+			return -ENOENT;
+		deploy_worker_told(s, 0, first, sizeof(first));
+		rc = open_service(&p, s);
+	} else {
+		rc = open_port(&p, d->entry.platform, d->platform.listen);
+	}
+	if (!rc)
+		rc = open_control(&p, first);
+	if (rc)
+		return rc;
+	ev_run(p.loop, 0);
+	return 0;
+}
--- /dev/null
+++ b/tests/soak.sh
@@ -0,0 +1,216 @@
+#!/bin/bash
+# The fault soak: one system as separate processes on loopback, under load,
+# while faults come from outside, in series and overlapping: processes are
+# stopped, paused, killed and started again by signals; connections to the
+# store and to the servers are delayed, reset, refused or silenced by proxies;
+# the store and the servers misbehave; configurations and settings change.
+# Then the faults end, and it must be whole again. Checked, from what callers
+# and servers saw: nothing protected ran twice, no false "not run", no foreign
+# answer, versions never go back, nothing ends by itself, and afterwards a
+# version is in force everywhere and calls are served.
+#   tests/soak.sh SEED [SECONDS [SLOT]]    (a slot is a range of ports)
+# An even seed plays a system with hubs. Stops what it started, by pid.
+set -u
+cd "$(dirname "$0")/.."
+bin=${MP_BIN:-target/mimosapitch}
+seed=${1:?SEED}
+seconds=${2:-10}
+slot=${3:-0}
+base=$((24000 + 100 * slot))
+logs=$(mktemp -d)
+ini=$logs/soak.ini
+RANDOM=$seed
+entries=$((seed % 2 ? 4 : 22))
+declare -A pids # name -> pid of what should run now
+fails=0
+
+stop_all() {
+	for p in "${pids[@]}"; do kill -KILL "$p" 2>/dev/null; done
+	wait 2>/dev/null
+}
+trap stop_all EXIT
+
+write_ini() {
+	cat <<-INI
+		[platform]
+		listen = 127.0.0.1:$base
+		append_limit_per_s = 1000
+		member_ttl_ms = 3000
+		[entry]
+		platform = 127.0.0.1:$((base + 2))
+		[service.harta]
+		tenant = strada
+		workers = 3
+		slots = 2
+		base_port = $((base + 50))
+		proxy_offset = 10
+		work_ms = 4
+		dcs = hala-cluj,hala-sibiu
+		[service.becas-pagos]
+		tenant = semillero
+		workers = 3
+		slots = 4
+		base_port = $((base + 70))
+		proxy_offset = 10
+		work_ms = 6
+		protected = true
+		hangs = true
+		dcs = gt-central-a,gt-central-b
+	INI
+	for ((i = 1; i <= entries; i++)); do
+		printf '[entry.e%02d]\nlisten = 127.0.0.1:%d\ndc = hala-cluj\n' \
+			"$i" $((base + 9 + i))
+	done
+}
+
+start() { # name: what its name says
+	local name=$1 kind=${1%%:*} rest=${1#*:}
+	case $kind in
+	store) exec $bin store --deployment "$ini" ;;
+	proxy) exec $bin proxy --deployment "$ini" ${rest:+--service "$rest"} ;;
+	server) exec $bin backend --deployment "$ini" --service "${rest%-*}" --index "${rest##*-}" --seed "$seed" ;;
+	entry) exec $bin entry --deployment "$ini" --name "$rest" ;;
+	esac >>"$logs/$name.log" 2>&1 &
+	pids[$name]=$!
+}
+
+note() { echo "$(date +%s.%N | cut -c1-14) $*" >>"$logs/faults.log"; }
+rnd() { echo $((RANDOM % $1)); }
+nap() { sleep "$(printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)))"; }
+post() { # port, query
+	curl -s -m 1 -X POST "http://127.0.0.1:$1/stand/faults?$2" >/dev/null
+}
+an_entry() { printf 'entry:e%02d' $((1 + RANDOM % entries)); }
+a_server() {
+	if ((RANDOM % 2)); then echo "server:harta-$((RANDOM % 3))"; else echo "server:becas-pagos-$((RANDOM % 3))"; fi
+}
+server_port() { # server:NAME-INDEX
+	case $1 in
+	server:harta-*) echo $((base + 50 + ${1##*-})) ;;
+	*) echo $((base + 70 + ${1##*-})) ;;
+	esac
+}
+a_proxy() { # its control port
+	local all=($((base + 1)) $((base + 59)) $((base + 79)))
+	echo "${all[$((RANDOM % 3))]}"
+}
+
+# One fault for some time; runs beside others in the background of itself.
+end_and_start() { # signal, name, pause in ms
+	note "$1 $2"
+	kill "-$1" "${pids[$2]}" 2>/dev/null
+	wait "${pids[$2]}" 2>/dev/null
+	nap "$3"
+	start "$2"
+}
+pause() { # name, ms
+	local pid=${pids[$1]}
+	note "STOP $1 $2 ms"
+	kill -STOP "$pid" 2>/dev/null
+	(nap "$2"; kill -CONT "$pid" 2>/dev/null) &
+}
+harm() { # port, query that harms, query that mends, ms
+	note "$1 $2 for $4 ms"
+	post "$1" "$2"
+	(nap "$4"; post "$1" "$3") &
+}
+fault() {
+	local ms=$((200 + RANDOM % 1800)) s
+	case $(rnd 16) in
+	0) end_and_start TERM "$(an_entry)" 100 ;;
+	1) end_and_start KILL "$(an_entry)" $((RANDOM % 500)) ;;
+	2) end_and_start KILL "$(an_entry)" 0; end_and_start KILL "$(an_entry)" 0 ;;
+	3) pause "$(an_entry)" $ms ;;
+	4) end_and_start KILL "$(a_server)" $((RANDOM % 500)) ;;
+	5) s=$(a_server); note "TERM $s"; kill -TERM "${pids[$s]}" 2>/dev/null; end_and_start KILL "$s" $((2500 + RANDOM % 500)) ;;
+	6) pause "$(a_server)" $ms ;;
+	7) harm $base "down=$( ((RANDOM % 2)) && echo busy || echo silent)" down=no $ms ;;
+	8) harm $base lost_pct=30 lost_pct=0 $ms ;;
+	9) note forget; post $base forget=1 ;;
+	10) harm "$(a_proxy)" "delay_ms=$((1 + RANDOM % 60))" delay_ms=0 $ms ;;
+	11) harm "$(a_proxy)" "silent=$( ((RANDOM % 2)) && echo up || echo down)" silent=no $ms ;;
+	12) note reset; post "$(a_proxy)" reset=1 ;;
+	13) harm "$(a_proxy)" refuse=1 refuse=0 $ms ;;
+	14) harm "$(server_port "$(a_server)")" "$( ((RANDOM % 2)) && echo hang_pct=20 || echo cut_pct=20)" 'hang_pct=0&cut_pct=0' $ms ;;
+	15) note patch; $bin ctl --deployment "$ini" patch "soak.k$RANDOM=true" >/dev/null 2>&1 &
+		s=$(an_entry); kill -HUP "${pids[$s]}" 2>/dev/null ;;
+	esac
+}
+mend() {
+	post $base 'down=no&lost_pct=0'
+	for p in $((base + 1)) $((base + 59)) $((base + 79)); do
+		post $p 'delay_ms=0&silent=no&refuse=0&reset=1'
+	done
+	for s in 0 1 2; do
+		post $((base + 50 + s)) 'hang_pct=0&cut_pct=0'
+		post $((base + 70 + s)) 'hang_pct=0&cut_pct=0'
+	done
+	for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null; done
+}
+check() { # what, command...
+	local what=$1
+	shift
+	"$@" >>"$logs/checks.log" 2>&1 && return
+	echo "soak seed $seed: FAIL $what"
+	fails=$((fails + 1))
+}
+versions_rise() { # in each lifetime of each entry
+	awk 'FNR == 1 {v = 0} / ev=100 / {v = 0}
+		/ ev=200 / {match($0, /version=[0-9]+/); n = substr($0, RSTART + 8, RLENGTH - 8) + 0
+			if (n <= v) {print FILENAME ": " $0; bad = 1}; v = n}
+		END {exit bad}' "$logs"/entry:*.log
+}
+all_run() { # whatever was not ended by a fault still runs
+	for name in "${!pids[@]}"; do
+		kill -0 "${pids[$name]}" 2>/dev/null || {
+			echo "$name has ended by itself"
+			return 1
+		}
+	done
+}
+served() { # of the calls after the faults at least 95%
+	awk '/^calls [0-9]+:/ {n = $2 + 0} $1 == "strada" || $1 == "semillero" {c += $3; d += $4}
+		END {print d " of " c; exit !(c > 0 && d >= 0.95 * c)}' "$logs/after.txt"
+}
+
+write_ini >"$ini"
+start store:
+sleep 0.2
+start proxy:
+start proxy:harta
+start proxy:becas-pagos
+sleep 0.1
+for i in 0 1 2; do
+	start server:harta-$i
+	start server:becas-pagos-$i
+done
+for ((i = 1; i <= entries; i++)); do start "$(printf 'entry:e%02d' "$i")"; done
+sleep 3
+$bin load --deployment "$ini" --seconds "$((seconds + 1))" --rate 150 --seed "$seed" >"$logs/load.txt" 2>&1 &
+load_pid=$!
+end=$((SECONDS + seconds))
+while ((SECONDS < end)); do
+	fault
+	nap $((RANDOM % 600))
+done
+wait $load_pid
+load_rc=$?
+mend
+sleep 4
+check "under faults: nothing twice, no false 'not run', no foreign answer" test $load_rc -eq 0
+check "afterwards: a version is in force everywhere" timeout 10 $bin ctl --deployment "$ini" patch soak.end=true --wait
+$bin load --deployment "$ini" --seconds 2 --rate 150 --seed "$((seed + 1))" >"$logs/after.txt" 2>&1
+check "afterwards: invariants" test $? -eq 0
+check "afterwards: served" served
+check "versions never go back" versions_rise
+check "nothing ends by itself" all_run
+check "no invariant broken" sh -c "! grep -l ' ev=900 ' '$logs'/*.log"
+if ((fails)); then
+	echo "soak seed $seed: $fails check(s) failed; logs in $logs"
+	tail -n 5 "$logs/checks.log"
+	exit 1
+fi
+echo "soak seed $seed: ok, $(wc -l <"$logs/faults.log") faults, $entries entries"
+stop_all
+rm -rf "$logs"
+exit 0
--- a/tests/test_backend_list.c
+++ b/tests/test_backend_list.c
@@ -232,6 +232,37 @@
 	g_array_unref(all);
 }
 
+/*
+ * A peer's list that is older than what is known here: it takes nothing away
+ * and changes nothing back.
+ */
+static void test_import_older(void **state)
+{
+	struct backend_list l, old;
+	struct seen seen, old_seen;
+	struct backend_change c;
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+
+	init(&old, &old_seen);
+	list_anew(&old, 0, 1000);
+	c = change(1, "i-1", "ready");
+	backend_list_record(&old, &c, 1000);
+	backend_list_caught_up(&old, 2, 1000, 1000);
+	backend_list_export(&old, all);
+	init(&l, &seen);
+	list_anew(&l, 0, 1000);
+	c = change(5, "i-1", "draining");
+	backend_list_record(&l, &c, 1100);
+	c = change(6, "i-2", "ready");
+	backend_list_record(&l, &c, 1100);
+	backend_list_caught_up(&l, 7, 1100, 1100);
+	backend_list_import(&l, all, 2, 1000, 1200);
+	assert_string_equal(state_of(&seen, "i-1"), "draining");
+	assert_string_equal(state_of(&seen, "i-2"), "ready");
+	assert_int_equal(l.offset, 7);
+	g_array_unref(all);
+}
+
 static void test_read_due(void **state)
 {
 	/* The first reads twice a second; others when nobody did. */
@@ -368,6 +399,7 @@
 		cmocka_unit_test(test_feed_and_gap),
 		cmocka_unit_test(test_settling_is_fed),
 		cmocka_unit_test(test_import),
+		cmocka_unit_test(test_import_older),
 		cmocka_unit_test(test_read_due),
 		cmocka_unit_test(test_histories),
 	};
