While the roll stays the same only its digest goes out; versions are never refused

Cause: the roll names all instances twice a second, 0.6 KB to each of 132 peers and 1.6 KB with 300 instances (9 Mbit/s from the first hub, whose link may have 10).

A changed roll is sent whole for 1.5 s, then its digest; who misses a part asks for it.

--- a/control/introduce.c
+++ b/control/introduce.c
@@ -17,7 +17,7 @@
 	 */
 	CONFIG_MAX = 8 * 1024,
 	/*
-	 * Answers at once. More don't come sooner: eight of 30 KB take 0.2 s
+	 * Snapshots at once. More don't come sooner: eight of 30 KB take 0.2 s
 	 * on a link of 10 Mbit/s; the others ask elsewhere.
 	 */
 	ANSWERS_MAX = 8,
@@ -59,13 +59,17 @@
 {
 	bool small = in->config->record.len <= CONFIG_MAX;
 
-	if (!in->peers->self.ready || in->server.nconns > ANSWERS_MAX)
+	bool version = lstr_eq(path, CONFIG_PATH);
+
+	/* A version is small, and all ask for it at the same moment. */
+	if (!in->peers->self.ready ||
+	    (!version && in->server.nconns > ANSWERS_MAX))
 		return 503;
 	if (lstr_eq(path, WHOLE_PATH))
 		write_own(in, true, true, body);
 	else if (lstr_eq(path, SNAPSHOT_PATH))
 		write_own(in, small, true, body);
-	else if (lstr_eq(path, CONFIG_PATH) && small)
+	else if (version && small)
 		write_own(in, true, false, body);
 	else
 		return 404;
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -7,7 +7,11 @@
 #include "http/socket.h"
 #include "misc/clock.h"
 
-enum { DATAGRAMS_AT_ONCE = 32 /* so that timers get their turn */ };
+enum {
+	DATAGRAMS_AT_ONCE = 32, /* so that timers get their turn */
+	/* A changed roll is sent whole this long, three times, against loss. */
+	ROLL_WHOLE_MS = 1500,
+};
 
 static void send_datagram(struct peer_channel *ch, const struct buf *b,
 			  struct peer *p, int64_t now_ms)
@@ -78,24 +82,76 @@
 	send_beats(ch, now_ms, TO_ALL);
 }
 
+/* Sends the whole roll to one peer, or to all live ones. */
+static void send_whole_roll(struct peer_channel *ch, const struct roll *r,
+			    struct peer *to, int64_t now_ms)
+{
+	struct buf b = {0};
+	guint at = 0;
+
+	do {
+		b.len = 0;
+		at = gossip_write_roll(&b, &ch->peers.self, r, at);
+		if (to)
+			send_datagram(ch, &b, to, now_ms);
+		else
+			peer_channel_send_live(ch, &b, now_ms);
+	} while (at < r->entries->len);
+	buf_free(&b);
+}
+
+/* While the roll changes it is sent whole, later its digest only. */
 static void send_roll(struct peer_channel *ch, int64_t now_ms)
 {
 	struct buf b = {0};
 	struct roll r;
-	guint at = 0;
+	uint32_t digest;
 
-	ch->rolled_ms = now_ms;
 	roll_init(&r);
 	hubs_write_roll(&ch->peers, &r, now_ms);
-	do {
-		b.len = 0;
-		at = gossip_write_roll(&b, &ch->peers.self, &r, at);
+	digest = roll_digest(&r);
+	if (digest != ch->roll_digest || ch->rolled_ms == 0)
+		ch->roll_changed_ms = now_ms;
+	ch->roll_digest = digest;
+	ch->rolled_ms = now_ms;
+	if (now_ms - ch->roll_changed_ms < ROLL_WHOLE_MS) {
+		send_whole_roll(ch, &r, NULL, now_ms);
+	} else {
+		gossip_write_same(&b, &ch->peers.self, digest);
 		peer_channel_send_live(ch, &b, now_ms);
-	} while (at < r.entries->len);
+	}
 	roll_clear(&r);
 	buf_free(&b);
 }
 
+/* A peer that missed a part of the roll gets it whole. */
+static void send_roll_again(struct peer_channel *ch, const char *name,
+			    int64_t now_ms)
+{
+	struct peer *p = peers_find(&ch->peers, name);
+	struct roll r;
+
+	if (!p)
+		return;
+	roll_init(&r);
+	hubs_write_roll(&ch->peers, &r, now_ms);
+	send_whole_roll(ch, &r, p, now_ms);
+	roll_clear(&r);
+}
+
+static void take_digest(struct peer_channel *ch, const struct gossip_message *m,
+			int64_t now_ms)
+{
+	struct peer *hub = peers_find(&ch->peers, m->sender.name);
+	struct buf b = {0};
+
+	if (hubs_take_digest(&ch->peers, m->digest, now_ms) || !hub)
+		return;
+	gossip_write_again(&b, &ch->peers.self);
+	send_datagram(ch, &b, hub, now_ms);
+	buf_free(&b);
+}
+
 /* Asks the sender of a roll who those are that it names. */
 static void ask_who(struct peer_channel *ch, struct peer *hub,
 		    const GArray *ids, int64_t now_ms)
@@ -158,6 +214,10 @@
 		welcome(ch, &m->sender, now_ms);
 	if (m->kind == GOSSIP_ROLL)
 		take_roll(ch, m, now_ms);
+	else if (m->kind == GOSSIP_SAME)
+		take_digest(ch, m, now_ms);
+	else if (m->kind == GOSSIP_AGAIN)
+		send_roll_again(ch, m->sender.name, now_ms);
 	else if (m->kind == GOSSIP_WHO)
 		answer_who(ch, m, now_ms);
 	else if (m->kind == GOSSIP_PERSON)
--- a/control/peer_channel.h
+++ b/control/peer_channel.h
@@ -14,8 +14,10 @@
 	struct peer_table peers;
 	int sock;
 	ev_io io;
-	bool joined;	   /* a peer is new; it hasn't heard of changes */
-	int64_t rolled_ms; /* this instance's last roll; 0: none */
+	bool joined;		 /* a peer is new; it hasn't heard of changes */
+	uint32_t roll_digest;	 /* of the last one sent */
+	int64_t roll_changed_ms; /* it was another then */
+	int64_t rolled_ms;	 /* this instance's last roll; 0: none */
 	uint64_t bytes_in, bytes_out;
 	/* A message that is not only about who lives. */
 	void (*received)(void *priv, const struct gossip_message *m);
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -41,7 +41,9 @@
 static void pack_sender(msgpack_packer *pk, enum gossip_kind kind,
 			const struct peer_info *p)
 {
-	msgpack_pack_array(pk, HEAD_FIELDS + (kind != GOSSIP_BEAT));
+	bool alone = kind == GOSSIP_BEAT || kind == GOSSIP_AGAIN;
+
+	msgpack_pack_array(pk, HEAD_FIELDS + !alone);
 	msgpack_pack_int(pk, kind);
 	pack_info(pk, p);
 }
@@ -212,6 +214,26 @@
 	msgpack_pack_uint32(&pk, id);
 }
 
+/* gossip_write_same() says that the roll is as it was. */
+void gossip_write_same(struct buf *out, const struct peer_info *self,
+		       uint32_t digest)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	pack_sender(&pk, GOSSIP_SAME, self);
+	msgpack_pack_uint32(&pk, digest);
+}
+
+/* gossip_write_again() asks for the whole roll. */
+void gossip_write_again(struct buf *out, const struct peer_info *self)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	pack_sender(&pk, GOSSIP_AGAIN, self);
+}
+
 /* gossip_write_person() passes on what another instance said of itself. */
 void gossip_write_person(struct buf *out, const struct peer_info *self,
 			 const struct peer_info *person)
@@ -386,7 +408,11 @@
 {
 	switch (m->kind) {
 	case GOSSIP_BEAT:
+	case GOSSIP_AGAIN:
 		return true;
+	case GOSSIP_SAME:
+		m->digest = (uint32_t)next_uint(c);
+		return !c->bad;
 	case GOSSIP_FEED:
 		return read_feed(next(c), &m->feed);
 	case GOSSIP_LOAD:
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -21,6 +21,8 @@
 	GOSSIP_LOAD = 3,
 	GOSSIP_ROLL = 4,   /* who lives, as a hub hears it */
 	GOSSIP_WHO = 5,	   /* asks who an id of a roll is */
+	GOSSIP_SAME = 8,   /* the roll hasn't changed: its digest */
+	GOSSIP_AGAIN = 9,  /* asks for the whole roll */
 	GOSSIP_PERSON = 6, /* what another instance said of itself */
 };
 
@@ -49,6 +51,7 @@
 	struct peer_load load;	  /* of GOSSIP_LOAD */
 	struct roll roll;	  /* of GOSSIP_ROLL */
 	uint32_t who;		  /* of GOSSIP_WHO: the id asked for */
+	uint32_t digest;	  /* of GOSSIP_SAME */
 	struct peer_info person;  /* of GOSSIP_PERSON */
 };
 
@@ -66,6 +69,9 @@
 			const struct roll *roll, guint begin);
 void gossip_write_who(struct buf *out, const struct peer_info *self,
 		      uint32_t id);
+void gossip_write_same(struct buf *out, const struct peer_info *self,
+		       uint32_t digest);
+void gossip_write_again(struct buf *out, const struct peer_info *self);
 void gossip_write_person(struct buf *out, const struct peer_info *self,
 			 const struct peer_info *person);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
--- a/member/hubs.c
+++ b/member/hubs.c
@@ -89,6 +89,24 @@
 	       now_ms - sent_ms >= ROLL_MS && peers_rank(t, now_ms) == 0;
 }
 
+/* Mixes one entry's bits, so that sums of entries differ. */
+static uint32_t entry_hash(struct roll_entry e)
+{
+	uint64_t x = ((uint64_t)e.id << 1 | e.ready) * 0x9e3779b97f4a7c15;
+
+	return e.id ? (uint32_t)(x >> 32) : 0;
+}
+
+/* roll_digest() is the same for the same entries, in whatever order. */
+uint32_t roll_digest(const struct roll *r)
+{
+	uint32_t sum = 0;
+
+	for (guint i = 0; i < r->entries->len; i++)
+		sum += entry_hash(*entry_at(r, i));
+	return sum;
+}
+
 static int compare_ids(gconstpointer a, gconstpointer b)
 {
 	const struct roll_entry *x = a, *y = b;
@@ -131,11 +149,39 @@
 	p->told = true;
 	p->told_ms = now_ms;
 	p->believed = true;
+	p->told_ready = e->ready;
 	p->info.ready = e->ready;
 	if (now_ms - p->heard_ms > LEAVING_OLD_MS)
 		p->info.leaving = false;
 }
 
+/*
+ * hubs_take_digest() takes in that the roll has not changed. Returns false
+ * when what is known here isn't that roll; then it is to be asked for.
+ */
+bool hubs_take_digest(struct peer_table *t, uint32_t digest, int64_t now_ms)
+{
+	uint32_t sum = entry_hash(t->self_told);
+
+	for (guint i = 0; i < t->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(t->peers, i);
+
+		if (p->told)
+			sum += entry_hash(
+				(struct roll_entry){p->id, p->told_ready});
+	}
+	if (sum != digest)
+		return false;
+	t->roll_ms = now_ms;
+	for (guint i = 0; i < t->peers->len; i++) {
+		struct peer *p = g_ptr_array_index(t->peers, i);
+
+		if (p->told)
+			p->told_ms = now_ms;
+	}
+	return true;
+}
+
 /*
  * hubs_take_roll() takes in a part of a roll; the ids of those that aren't
  * known here are appended to `unknown`.
@@ -146,6 +192,8 @@
 	uint32_t self = peer_id(t->self.name);
 
 	t->roll_ms = now_ms;
+	if (self >= r->lo && self <= r->hi)
+		t->self_told.id = 0;
 	for (guint i = 0; i < t->peers->len; i++) {
 		struct peer *p = g_ptr_array_index(t->peers, i);
 
@@ -158,7 +206,9 @@
 
 		if (p)
 			take_entry(p, e, now_ms);
-		else if (e->id != self)
+		else if (e->id == self)
+			t->self_told = *e;
+		else
 			g_array_append_val(unknown, e->id);
 	}
 }
--- a/member/hubs.h
+++ b/member/hubs.h
@@ -1,8 +1,8 @@
 /*
  * Who tells whom that it lives. A few instances all tell each other. Many
  * tell only the first ones by name, the hubs; the first of these sends all of
- * them the roll: the ids of those it hears. So n instances send some 4n
- * datagrams a heartbeat and not n x n. Without a roll each tells every other,
+ * them the roll: the ids of those it hears, or, while that stays the same, its
+ * digest only. So n instances send some 4n datagrams a heartbeat and not n x n. Without a roll each tells every other,
  * until one comes again. Decisions on values only.
  */
 #ifndef MP_MEMBER_HUBS_H
@@ -13,11 +13,6 @@
 /* The first serves, the next two know all and can take over at once. */
 enum { HUBS = 3 };
 
-struct roll_entry {
-	uint32_t id;
-	bool ready; /* it can serve */
-};
-
 /*
  * Who lives and stays, as a hub hears it, or a part of it: of the instances
  * with ids from `lo` to `hi` these and no others.
@@ -36,6 +31,8 @@
 bool hubs_roll_due(const struct peer_table *t, int64_t sent_ms, int64_t now_ms);
 void hubs_write_roll(const struct peer_table *t, struct roll *r,
 		     int64_t now_ms);
+uint32_t roll_digest(const struct roll *r);
+bool hubs_take_digest(struct peer_table *t, uint32_t digest, int64_t now_ms);
 void hubs_take_roll(struct peer_table *t, const struct roll *r, GArray *unknown,
 		    int64_t now_ms);
 bool hubs_beat_due(const struct peer_table *t, const struct peer *p,
--- a/member/peers.h
+++ b/member/peers.h
@@ -37,6 +37,7 @@
 	int64_t known_ms; /* since when */
 	int64_t heard_ms; /* its last heartbeat; 0: never */
 	uint32_t id;	  /* peer_id() of its name */
+	bool told_ready;  /* as the roll says */
 	bool told;	  /* the last roll that covers it names it */
 	int64_t told_ms;  /* when one last did; 0: never */
 	int64_t sent_ms;  /* our last datagram to it; 0: none yet */
@@ -50,10 +51,17 @@
 	char callers[PEER_ADDR_MAX], own[PEER_ADDR_MAX];
 };
 
+/* One that lives and stays, as a hub hears it. */
+struct roll_entry {
+	uint32_t id; /* peer_id() of its name; 0: nobody */
+	bool ready;  /* it can serve */
+};
+
 struct peer_table {
 	struct peer_info self;
 	GPtrArray *peers; /* struct peer *, ordered by name */
 	int64_t roll_ms;  /* when a part of a roll last came; 0: never */
+	struct roll_entry self_told; /* how a roll named this instance */
 };
 
 void peers_init(struct peer_table *t, const struct peer_info *self);
--- a/tests/test_hubs.c
+++ b/tests/test_hubs.c
@@ -261,6 +261,53 @@
 		run_history(seed + i);
 }
 
+static void take(struct peer_table *t, const struct roll *r, int64_t now)
+{
+	GArray *unknown = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+
+	hubs_take_roll(t, r, unknown, now);
+	g_array_unref(unknown);
+}
+
+/*
+ * A digest is as good as the whole roll for who has that, and no good for
+ * who missed a change: one that left, one that came, one that got ready.
+ */
+static void test_digest(void **state)
+{
+	struct world *w = world_new(MANY, 4);
+	struct peer_table *hub = &w->nodes[0].t, *t;
+	struct roll before, after;
+
+	run_ms(w, 2000);
+	roll_init(&before);
+	hubs_write_roll(hub, &before, w->now);
+	start(w, 30);
+	t = &w->nodes[30].t;
+	assert_false(hubs_take_digest(t, roll_digest(&before), w->now));
+	take(t, &before, w->now);
+	assert_true(hubs_take_digest(t, roll_digest(&before), w->now + 1000));
+	/* It keeps all alive beyond the time of the roll itself. */
+	assert_true(peer_alive(g_ptr_array_index(t->peers, 5), w->now + 2500));
+	assert_false(peer_alive(g_ptr_array_index(t->peers, 5), w->now + 2800));
+	for (int i = 0; i < 3; i++) {
+		roll_init(&after);
+		g_array_append_vals(after.entries, before.entries->data,
+				    before.entries->len);
+		if (i == 0)
+			g_array_remove_index(after.entries, 7);
+		else if (i == 1)
+			g_array_index(after.entries, struct roll_entry, 7)
+				.ready ^= true;
+		else
+			g_array_index(after.entries, struct roll_entry, 7).id++;
+		assert_false(hubs_take_digest(t, roll_digest(&after), w->now));
+		roll_clear(&after);
+	}
+	roll_clear(&before);
+	world_free(w);
+}
+
 /* A roll in parts: each says of its ids who lives, and of no others. */
 static void test_parts(void **state)
 {
@@ -313,6 +360,7 @@
 		cmocka_unit_test(test_calm),
 		cmocka_unit_test(test_hubs_killed),
 		cmocka_unit_test(test_parts),
+		cmocka_unit_test(test_digest),
 		cmocka_unit_test(test_histories),
 	};
 
