--- a/control/introduce.c
+++ b/control/introduce.c
@@ -54,11 +54,11 @@
 	snapshot_clear(&s);
 }
 
+/* Answers with a status, and with a body if that is 200. */
 static unsigned answer(const struct introduce *in, struct lstr path,
 		       struct buf *body)
 {
 	bool small = in->config->record.len <= CONFIG_MAX;
-
 	bool version = lstr_eq(path, CONFIG_PATH);
 
 	/* A version is small, and all ask for it at the same moment. */
--- a/member/advise.c
+++ b/member/advise.c
@@ -47,7 +47,8 @@
 	if (count > max)
 		draw(list, count, max, rand);
 	count = count < max ? count : max;
-	memcpy(out, list, count * sizeof(*out));
+	for (size_t i = 0; i < count; i++)
+		out[i] = list[i];
 	g_free(list);
 	return count;
 }
--- a/member/peers.c
+++ b/member/peers.c
@@ -123,43 +123,42 @@
 	return NULL;
 }
 
-/*
- * peers_rank() counts the live instances that stand before this one. The
- * first reads the list of backend servers for all; the next take over in
- * turn when it falls silent.
- */
-unsigned peers_rank(const struct peer_table *t, int64_t now_ms)
+/* Counts the peers that stand before this instance and may serve. */
+static unsigned count_before(const struct peer_table *t, int64_t now_ms,
+			     bool expected_too)
 {
 	unsigned rank = 0;
 
 	for (guint i = 0; i < t->peers->len; i++) {
 		const struct peer *p = g_ptr_array_index(t->peers, i);
+		bool expected = expected_too && !p->heard_ms &&
+				now_ms - p->known_ms < ANSWER_MS;
+		bool alive = peer_alive(p, now_ms) && !p->info.leaving;
 
-		if (peer_alive(p, now_ms) && !p->info.leaving &&
+		if ((alive || expected) &&
 		    strcmp(p->info.name, t->self.name) < 0)
 			rank++;
 	}
 	return rank;
 }
 
+/*
+ * peers_rank() counts the live instances that stand before this one. The
+ * first reads the list of backend servers for all; the next take over in
+ * turn when it falls silent.
+ */
+unsigned peers_rank(const struct peer_table *t, int64_t now_ms)
+{
+	return count_before(t, now_ms, false);
+}
+
 /*
  * peers_start_rank() is peers_rank() for an instance that has just started:
  * peers that were not heard yet count while they may still answer.
  */
 unsigned peers_start_rank(const struct peer_table *t, int64_t now_ms)
 {
-	unsigned rank = 0;
-
-	for (guint i = 0; i < t->peers->len; i++) {
-		const struct peer *p = g_ptr_array_index(t->peers, i);
-		bool expected =
-			!p->heard_ms && now_ms - p->known_ms < ANSWER_MS;
-
-		if (strcmp(p->info.name, t->self.name) < 0 &&
-		    (expected || (peer_alive(p, now_ms) && !p->info.leaving)))
-			rank++;
-	}
-	return rank;
+	return count_before(t, now_ms, true);
 }
 
 /* peers_count() counts the instances that may be serving, this one too. */
--- a/stand/proxy.c
+++ b/stand/proxy.c
@@ -178,6 +178,16 @@
 	g_ptr_array_add(port->proxy->links, l);
 }
 
+static void reset_all(struct proxy *p)
+{
+	GPtrArray *all = p->links;
+
+	p->links = g_ptr_array_new();
+	for (guint i = 0; i < all->len; i++)
+		link_close(g_ptr_array_index(all, i), true);
+	g_ptr_array_unref(all);
+}
+
 static void set_faults(struct proxy *p, const struct query *q)
 {
 	const char *silent = query_text(q, "silent");
@@ -190,8 +200,8 @@
 		p->silent_up = both || !strcmp(silent, "up");
 		p->silent_down = both || !strcmp(silent, "down");
 	}
-	while (query_int(q, "reset", 0) && p->links->len)
-		link_close(g_ptr_array_index(p->links, 0), true);
+	if (query_int(q, "reset", 0))
+		reset_all(p);
 }
 
 static void on_control(void *priv, struct http_conn *c, struct http_message *m)
@@ -215,14 +225,15 @@
 /* Listens on `listen` and passes on to `target`. */
 static int open_port(struct proxy *p, const char *listen, const char *target)
 {
-	struct port *port = g_new0(struct port, 1);
 	int fd = socket_listen(listen);
+	struct port *port;
 
 	if (fd < 0) {
 		mp_event(EV_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL,
 			 "addr=%s err=%s", listen, g_strerror(-fd));
 		return fd;
 	}
+	port = g_new0(struct port, 1);
 	port->proxy = p;
 	ev_io_init(&port->accept, on_accept, fd, EV_READ);
 	port->accept.data = port;
