A slow answer that brings a version is not broken off

Ruled out: the peers' fetch (its record is too large for that), a lost poll (the store answered each).

A call that was sent after the news is never broken off, an older one 0.7 s after them, when it was lost.

Test: test_slow_answer, which failed before.

--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -17,8 +17,11 @@
 	 * times a second; one that hears nothing for this long polls too.
 	 */
 	QUIET_MS = 1000,
-	/* A poll this young may still bring what a peer has told. */
-	YOUNG_MS = 200,
+	/*
+	 * A poll from before a peer told of a record may have been lost, or
+	 * its answer is on the way: 500 KB take 0.4 s on a link of 10 Mbit/s.
+	 */
+	ON_THE_WAY_MS = 700,
 	/*
 	 * Pause after a version, so that a series of them costs a few calls;
 	 * a version must be in force 2 s after its confirmation.
@@ -238,6 +241,17 @@
 	return 0;
 }
 
+/* A peer knows of records that this instance hasn't read: since when? */
+static void note_behind(struct config_watch *w, uint64_t offset, int64_t now_ms)
+{
+	if (w->told_offset <= w->offset || w->behind_at != w->offset) {
+		w->behind_ms = now_ms;
+		w->behind_at = w->offset;
+	}
+	if (offset > w->told_offset)
+		w->told_offset = offset;
+}
+
 /*
  * config_watch_heard() takes in what a peer knows: all records before
  * `offset`, as of age_ms ago. Returns whether there are some that are new here
@@ -250,10 +264,12 @@
 		w->told_ms = now_ms - age_ms;
 	if (offset <= w->offset)
 		return false;
-	w->told_offset = offset;
+	note_behind(w, offset, now_ms);
 	if (!w->listed)
 		return false;
-	if (w->store.call != STORE_NO_CALL && now_ms - w->asked_ms > YOUNG_MS)
+	/* A call from after that time brings it, however long it takes. */
+	if (w->store.call != STORE_NO_CALL && w->asked_ms < w->behind_ms &&
+	    now_ms - w->behind_ms > ON_THE_WAY_MS)
 		config_watch_restart(w);
 	/* Somebody could read it: the pause after a failure is over. */
 	if (w->failures && ev_is_active(&w->retry))
--- a/control/config_watch.h
+++ b/control/config_watch.h
@@ -34,6 +34,8 @@
 	int64_t fresh_ms;     /* the store told of the newest record then */
 	int64_t told_ms;      /* a peer knew that there is nothing newer */
 	uint64_t told_offset; /* records before it are known to a peer */
+	int64_t behind_ms;    /* since then it is known that some are missing */
+	uint64_t behind_at;   /* from this offset on */
 	void (*changed)(void *priv, struct config *c);
 	void *priv;
 };
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -103,6 +103,37 @@
 	buf_free(&w.record);
 }
 
+/*
+ * A peer tells of a record again and again while its bytes arrive slowly: the
+ * call that brings it is not broken off. One that was lost is.
+ */
+static void test_slow_answer(void **state)
+{
+	struct config_watch w;
+
+	init(&w, "5", 10);
+	w.loop = ev_default_loop(0);
+	ev_init(&w.retry, NULL);
+	/* The poll was sent before; its answer may be on the way. */
+	w.store.call = STORE_READ;
+	w.asked_ms = 9000;
+	for (int64_t now = 10000; now <= 10700; now += 100)
+		assert_false(config_watch_heard(&w, 12, 0, now));
+	assert_int_equal(w.store.call, STORE_READ);
+	/* It doesn't come: asked anew on another connection. */
+	assert_false(config_watch_heard(&w, 12, 0, 10800));
+	assert_int_equal(w.store.call, STORE_NO_CALL);
+	assert_true(ev_is_active(&w.retry));
+	ev_timer_stop(w.loop, &w.retry);
+	/* This one is from after the news, and takes two seconds. */
+	w.store.call = STORE_READ;
+	w.asked_ms = 10800;
+	for (int64_t now = 10900; now <= 12900; now += 100)
+		assert_false(config_watch_heard(&w, 12, 0, now));
+	assert_int_equal(w.store.call, STORE_READ);
+	buf_free(&w.record);
+}
+
 /* While a poll waits, the store's other answers vouch for it, for a time. */
 static void test_age_of_poll(void **state)
 {
@@ -126,6 +157,7 @@
 		cmocka_unit_test(test_heard),
 		cmocka_unit_test(test_update),
 		cmocka_unit_test(test_heard_after_failure),
+		cmocka_unit_test(test_slow_answer),
 		cmocka_unit_test(test_age_of_poll),
 	};
 
