--- a/core/ask_budget.h
+++ b/core/ask_budget.h
@@ -1,6 +1,7 @@
 /*
- * How many questions for load one instance may ask the backend servers. All instances together keep to a rate a server, also on the
- * busiest moments: a token bucket on each instance holds its part.
+ * How many questions for load one instance may ask the backend servers. All
+ * instances together keep to a rate a server, also on the busiest moments: a
+ * token bucket on each instance holds its part.
  */
 #ifndef MP_CORE_ASK_BUDGET_H
 #define MP_CORE_ASK_BUDGET_H
--- a/core/place.c
+++ b/core/place.c
@@ -75,10 +75,10 @@
  * what goes before what. Another data centre costs a round trip and paid
  * bytes, so the first round asks in the own one only. Later rounds, when
  * neither of two was idle and quick, also ask elsewhere, where a step of 2
- * waited until all of the own one were known to be full: a busy data centre had 43% on time next to one with 79% (109
- * instances, twice the usual load); with 0.4 these are 52% and 76%, and bytes
- * between data centres grow by a third. A server that keeps failing comes
- * last.
+ * waited until all of the own one were known to be full: a busy data centre
+ * had 43% on time next to one with 79% (109 instances, twice the usual load);
+ * with 0.4 these are 52% and 76%, and bytes between data centres grow by a
+ * third. A server that keeps failing comes last.
  */
 static const double RANK_SHUNNED = 8;
 static const double RANK_FULL = 3;
--- a/member/hubs.h
+++ b/member/hubs.h
@@ -1,9 +1,10 @@
 /*
- * Who tells whom that it lives. A few instances all tell each other. Many
- * tell only the first ones by name, the hubs; the first of these sends all of
- * them the roll: the ids of those it hears, or, while that stays the same, its
- * digest only. So n instances send some 4n datagrams a heartbeat and not n x n. Without a roll each tells every other,
- * until one comes again. Decisions on values only.
+ * Who tells whom that it lives. A few instances all tell each other. Many tell
+ * only the first ones by name, the hubs; the first of these sends all of them
+ * the roll: the ids of those it hears, or, while that stays the same, its
+ * digest only. So n instances send some 4n datagrams a heartbeat and not n^2.
+ * Without a roll each tells every other, until one comes again. Decisions
+ * on values only.
  */
 #ifndef MP_MEMBER_HUBS_H
 #define MP_MEMBER_HUBS_H
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -1,6 +1,7 @@
 /*
- * Tests of core/admit: who takes which server, and a played load (too few servers for a minute) in which what callers get is
- * counted, with the admission and without it.
+ * Tests of core/admit: who takes which server, and a played load (too few
+ * servers for a minute) in which what callers get is counted, with the
+ * admission and without it.
  */
 #include "tests/unit.h"
 
