A late request takes a slow server after its wait, where room is ample

Change: the share of full servers among those seen tells whether room is short; where it is not, a late request takes a slow server with room to spare once it has waited. Tests: test_admit, test_learn.

--- a/core/admit.c
+++ b/core/admit.c
@@ -37,13 +37,26 @@
 	return s->work_ms > DEAR_FACTOR * r->usual_ms;
 }
 
+/*
+ * A slow server is better than none where nobody else wants its slot: it has
+ * room to spare, as others have, and the request has waited for a quick one as
+ * long as it may. Where room is short such starts cost 2 answers on time in
+ * 100.
+ */
+static bool takes_dear(const struct admit_request *r,
+		       const struct admit_server *s)
+{
+	return s->has_spare && !r->short_room &&
+	       r->waited_ms >= admit_wait_ms(r);
+}
+
 /*
  * admit_takes() decides whether a request goes to a server. `pressed`: other
  * requests of the service, which could be on time, find no room lately.
  *
  * - A request that can be on time waits for a server on which it will be.
- * - A late one takes any server but a dear one; while others press, one with
- *   room to spare.
+ * - A late one takes any server but a dear one, and that too where there is
+ *   room enough; while others press, one with room to spare.
  *
  * A server that is slow now stays so for the whole of a request that starts
  * there, and is quick again a moment later: starts at slow moments were late
@@ -59,7 +72,7 @@
 	if (admit_can_be_on_time(r))
 		return r->spent_ms + s->way_ms + s->work_ms <= r->target_ms;
 	if (is_dear(r, s))
-		return false;
+		return takes_dear(r, s);
 	return !pressed || s->has_spare;
 }
 
--- a/core/admit.h
+++ b/core/admit.h
@@ -20,6 +20,7 @@
 	double usual_ms;  /* work time at a server as most are now */
 	double long_ms;	  /* a quarter of the class take longer */
 	double waited_ms; /* of spent_ms, while looking for a server here */
+	bool short_room;  /* the service's servers are full, many of them */
 };
 
 /* How a server stands for a request. */
--- a/core/learn.c
+++ b/core/learn.c
@@ -50,6 +50,13 @@
 static const double OFFER_BELOW = 0.25;
 static const double OFFER_STEP = 0.15;
 
+/*
+ * Room counts as short when a tenth of some two dozen servers seen had none:
+ * on a calm day it is one in fifty, in a burst half of them and more.
+ */
+static const double FULL_STEP = 0.05;
+static const double FULL_SHORT = 0.1;
+
 /*
  * With all slots at work a server may do a little less than with fewer. Up to
  * this share the slot is still of use: a request that starts now waits less.
@@ -200,15 +207,25 @@
 
 /*
  * learn_offer() takes in what a server offers whose load was just seen, as
- * learn_factor() gives it.
+ * learn_factor() gives it, and whether it has room.
  */
-void learn_offer(struct service_model *m, double factor)
+void learn_offer(struct service_model *m, double factor, bool has_room)
 {
+	m->full += FULL_STEP * ((has_room ? 0 : 1) - m->full);
 	if (m->offer <= 0)
 		m->offer = 1;
 	follow(&m->offer, factor, 1 - OFFER_BELOW, OFFER_STEP);
 }
 
+/*
+ * learn_is_short() tells whether room is short: of the servers seen lately
+ * more had none than chance would have it on a calm day.
+ */
+bool learn_is_short(const struct service_model *m)
+{
+	return m->full > FULL_SHORT;
+}
+
 /*
  * learn_usual_factor() tells at how many times the usual time a request can
  * start when it looks around: what the better servers offer lately. Above 1 all
--- a/core/learn.h
+++ b/core/learn.h
@@ -32,6 +32,7 @@
 	struct learn_mean told[LEARN_TOLD];   /* actual by reported slow-down */
 	struct learn_mean warm; /* beyond what a new one reports */
 	double offer; /* a quarter of the servers seen offer less; 0: unseen */
+	double full;  /* share of the servers seen that had no room, of late */
 };
 
 /* One class of requests. */
@@ -55,7 +56,8 @@
 		  const struct server_view *v, double ms, int64_t now_ms);
 double learn_factor(const struct service_model *m, const struct server_view *v,
 		    int64_t now_ms);
-void learn_offer(struct service_model *m, double factor);
+void learn_offer(struct service_model *m, double factor, bool has_room);
+bool learn_is_short(const struct service_model *m);
 double learn_usual_factor(const struct service_model *m);
 unsigned learn_best(const struct service_model *m, unsigned slots,
 		    int64_t now_ms);
--- a/core/place.c
+++ b/core/place.c
@@ -200,7 +200,8 @@
 	struct server_view v = place_server_view(b, now_ms);
 
 	learn_offer(&b->service->model,
-		    learn_factor(&b->service->model, &v, now_ms));
+		    learn_factor(&b->service->model, &v, now_ms),
+		    place_has_room(b, now_ms));
 }
 
 /*
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -43,7 +43,15 @@
 	assert_false(admit_takes(&r, &slow, true));
 	assert_false(admit_takes(&r, &slow, false));
 	assert_true(admit_takes(&r, &idle, true));
-	/* Unless all are slow. */
+	/* Unless it has waited in vain, and there is room enough. */
+	r.waited_ms = admit_wait_ms(&r);
+	assert_true(admit_takes(&r, &(struct admit_server){240, 0, true, true},
+				false));
+	assert_false(admit_takes(&r, &slow, false));
+	r.short_room = true;
+	assert_false(admit_takes(&r, &(struct admit_server){240, 0, true, true},
+				 false));
+	/* Or all are slow. */
 	r.usual_ms = 240;
 	assert_false(admit_can_be_on_time(&r));
 	assert_true(admit_takes(&r, &slow, false));
--- a/tests/test_learn.c
+++ b/tests/test_learn.c
@@ -186,16 +186,33 @@
 
 	assert_true(learn_usual_factor(&m) < 1.01);
 	for (int k = 0; k < 200; k++)
-		learn_offer(&m, k % 4 ? 1 : 5);
+		learn_offer(&m, k % 4 ? 1 : 5, true);
 	assert_true(learn_usual_factor(&m) < 1.3);
 	for (int k = 0; k < 100; k++)
-		learn_offer(&m, 12);
+		learn_offer(&m, 12, true);
 	assert_true(learn_usual_factor(&m) > 8);
 	for (int k = 0; k < 60; k++)
-		learn_offer(&m, k % 4 ? 1 : 5);
+		learn_offer(&m, k % 4 ? 1 : 5, true);
 	assert_true(learn_usual_factor(&m) < 1.5);
 }
 
+/* Room is short when many have none; a full server now and then is no sign. */
+static void test_short(void **state)
+{
+	struct service_model m = {0};
+
+	assert_false(learn_is_short(&m));
+	for (int k = 0; k < 200; k++)
+		learn_offer(&m, 1, k % 50 != 0);
+	assert_false(learn_is_short(&m));
+	for (int k = 0; k < 20; k++)
+		learn_offer(&m, 1, k % 2 != 0);
+	assert_true(learn_is_short(&m));
+	for (int k = 0; k < 60; k++)
+		learn_offer(&m, 1, true);
+	assert_false(learn_is_short(&m));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -207,6 +224,7 @@
 		cmocka_unit_test(test_warm),
 		cmocka_unit_test(test_poison),
 		cmocka_unit_test(test_offer),
+		cmocka_unit_test(test_short),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -80,6 +80,7 @@
 		.usual_ms = work->usual_ms * now,
 		.long_ms = work->long_ms * now,
 		.waited_ms = (double)placing,
+		.short_room = learn_is_short(&r->service->model),
 	};
 }
 
