Servers that start again under their id, earlier words, and entries that can't be read

An id was taken for one start; an entry without slots, or with an unknown state, was used or held as it was. Change: an entry tells the time of its start and numbers its words (both go to the peers, too). A later start takes the earlier one off: counts, load, failures, warm-up, connections, and requests out to it are lost at once (retried where they may be, 502 where not). Earlier words change nothing, also for 10 s after a removal. An entry that lacks a field, or has one of another type or an unknown state, names no server: its key counts as taken off. Servers of services that no version names count neither for readiness nor for the budget of questions.

Tests: test_backend (new), test_earlier_words, test_spoilt_entries (each field with each fault), test_mangled_entries (20,000 by seed), test_started_again. test_records' unknown state 'resting' counted as draining; it names no server now, which is as strict.

--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -32,6 +32,17 @@
 	 * feed must know within 3 s what the store says.
 	 */
 	RETRY_PATIENT_MS = 2800,
+	/*
+	 * An earlier word of a server that is off the list may still be on its
+	 * way: writes without an answer are done seconds later.
+	 */
+	ENDED_MS = 10 * 1000,
+};
+
+/* A server that was on the list. */
+struct ended {
+	struct backend_entry entry; /* its last word */
+	int64_t at_ms;
 };
 
 struct listed {
@@ -50,6 +61,7 @@
 	memset(l, 0, sizeof(*l));
 	l->entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	l->ended = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	l->recent = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
 	l->recent_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	l->changed = changed;
@@ -80,7 +92,8 @@
 {
 	return strcmp(a->service, b->service) || strcmp(a->dc, b->dc) ||
 	       memcmp(&a->addr, &b->addr, sizeof(a->addr)) ||
-	       a->slots != b->slots || a->draining != b->draining;
+	       a->slots != b->slots || a->draining != b->draining ||
+	       a->born_ms != b->born_ms;
 }
 
 /*
@@ -101,6 +114,17 @@
 	note_silence(l, now_ms);
 }
 
+/* Remembers the last word of a server that is off the list. */
+static void note_ended(struct backend_list *l, const struct backend_entry *e,
+		       int64_t now_ms)
+{
+	struct ended *x = g_new0(struct ended, 1);
+
+	x->entry = *e;
+	x->at_ms = now_ms;
+	g_hash_table_replace(l->ended, x->entry.id, x);
+}
+
 static void remove_entry(struct backend_list *l, const struct backend_change *c,
 			 int64_t now_ms)
 {
@@ -117,9 +141,22 @@
 	struct backend_change gone = *c;
 
 	publish(l, &gone, now_ms);
+	note_ended(l, &e->entry, now_ms);
 	g_hash_table_remove(l->entries, gone.entry.id);
 }
 
+/* Tells whether a record says less of its server than is known. */
+static bool is_outdated(struct backend_list *l, const struct listed *e,
+			const struct backend_entry *said, int64_t now_ms)
+{
+	const struct ended *x = g_hash_table_lookup(l->ended, said->id);
+
+	if (e)
+		return backend_entry_is_older(said, &e->entry);
+	return x && now_ms - x->at_ms < ENDED_MS &&
+	       backend_entry_is_older(said, &x->entry);
+}
+
 /*
  * backend_list_record() takes in one record. Records older than what is
  * known of their entry are passed over.
@@ -138,6 +175,8 @@
 		e->seen = true;
 	if (e && c->offset < e->offset)
 		return;
+	if (is_outdated(l, e, &c->entry, now_ms))
+		return;
 	bool changed = !e || e->missing || differs(&e->entry, &c->entry);
 
 	if (!e) {
@@ -266,6 +305,13 @@
 	l->recent_from = l->offset;
 }
 
+static gboolean is_forgotten(gpointer key, gpointer value, gpointer now_ms)
+{
+	const struct ended *x = value;
+
+	return *(const int64_t *)now_ms - x->at_ms >= ENDED_MS;
+}
+
 /* backend_list_settle() removes what is still missing in due time. */
 void backend_list_settle(struct backend_list *l, int64_t now_ms)
 {
@@ -285,8 +331,10 @@
 		if (!e->missing)
 			continue;
 		l->changed(l->priv, &c);
+		note_ended(l, &e->entry, now_ms);
 		g_hash_table_iter_remove(&it);
 	}
+	g_hash_table_foreach_remove(l->ended, is_forgotten, &now_ms);
 }
 
 /* backend_list_outline() describes the recent changes for the peers. */
--- a/control/backend_list.h
+++ b/control/backend_list.h
@@ -10,6 +10,7 @@
 
 struct backend_list {
 	GHashTable *entries;  /* id -> struct listed * */
+	GHashTable *ended;    /* id -> struct ended *, those off it of late */
 	uint64_t offset;      /* records before it are taken in */
 	bool loaded;	      /* a whole listing was read once */
 	int64_t fresh_ms;     /* the list is complete as of then */
--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -6,24 +6,34 @@
 #include "misc/clock.h"
 #include "platform/records.h"
 
-/* Decodes a record of the list; false when it is unfit. */
+/* The record takes the server of its key off; false when that is unfit. */
+static bool decode_key(const struct store_record *rec, struct backend_change *c)
+{
+	memset(c, 0, sizeof(*c));
+	c->offset = rec->offset;
+	if (rec->key.len == 0 || rec->key.len >= BACKEND_NAME_MAX)
+		return false;
+	memcpy(c->entry.id, rec->key.ptr, rec->key.len);
+	c->removed = true;
+	return true;
+}
+
+/*
+ * Decodes a record of the list. An entry that can't be read names no server:
+ * it counts as taken off. False when not even its key can be read.
+ */
 static bool decode(const struct store_record *rec, struct backend_change *c)
 {
 	memset(c, 0, sizeof(*c));
 	c->offset = rec->offset;
-	if (rec->value.len == 0) {
-		if (rec->key.len == 0 || rec->key.len >= BACKEND_NAME_MAX)
-			return false;
-		memcpy(c->entry.id, rec->key.ptr, rec->key.len);
-		c->removed = true;
-		return true;
-	}
+	if (rec->value.len == 0)
+		return decode_key(rec, c);
 	if (record_backend(rec->key, rec->value, &c->entry) == 0)
 		return true;
 	mp_event(EV_MEMBER_BAD_RECORD, G_LOG_LEVEL_WARNING,
 		 "record %" G_GUINT64_FORMAT " of '%.*s' can't be read",
 		 rec->offset, (int)rec->key.len, rec->key.ptr);
-	return false;
+	return decode_key(rec, c);
 }
 
 static void take_records(struct backend_watch *w, const struct store_result *r,
--- a/core/backend.c
+++ b/core/backend.c
@@ -5,7 +5,8 @@
 
 /* backend_set_init() makes an empty set; on_gone hears of removals. */
 void backend_set_init(struct backend_set *s,
-		      void (*on_gone)(void *priv, struct backend *b),
+		      void (*on_gone)(void *priv, struct backend *b,
+				      bool ended),
 		      void *priv)
 {
 	s->services = g_hash_table_new(g_str_hash, g_str_equal);
@@ -49,21 +50,38 @@
 		g_free(b);
 }
 
+static void take_off(struct backend_set *s, struct backend *b, bool ended)
+{
+	g_hash_table_remove(s->by_id, b->entry.id);
+	g_ptr_array_remove_fast(b->service->backends, b);
+	b->gone = true;
+	s->on_gone(s->priv, b, ended);
+	backend_unref(b);
+}
+
 /*
- * backend_set_remove() takes a backend server off: its start has ended or
- * the list no longer names it. Requests that it has are not touched.
+ * backend_set_remove() takes a backend server off that the list no longer
+ * names. Requests that it has are not touched: it may serve on for a while.
  */
 void backend_set_remove(struct backend_set *s, const char *id)
 {
 	struct backend *b = g_hash_table_lookup(s->by_id, id);
 
-	if (!b)
-		return;
-	g_hash_table_remove(s->by_id, id);
-	g_ptr_array_remove_fast(b->service->backends, b);
-	b->gone = true;
-	s->on_gone(s->priv, b);
-	backend_unref(b);
+	if (b)
+		take_off(s, b, false);
+}
+
+/*
+ * backend_entry_is_older() tells whether a says less than b of the same
+ * server: it comes from an earlier start, or is an earlier word of the same.
+ * Of servers that don't tell their start the order of words isn't known.
+ */
+bool backend_entry_is_older(const struct backend_entry *a,
+			    const struct backend_entry *b)
+{
+	if (a->born_ms != b->born_ms)
+		return a->born_ms < b->born_ms;
+	return a->born_ms && a->sequence < b->sequence;
 }
 
 static struct backend *add_backend(struct backend_set *s,
@@ -80,23 +98,29 @@
 }
 
 /*
- * backend_set_put() takes in an entry of the list, new or changed. An id is
- * one start of one backend server, so its address and service never change
- * under it; should they, the old one is taken off first.
+ * backend_set_put() takes in an entry of the list, new or changed. A server
+ * that started again under its id holds and knows nothing of before: the
+ * earlier one is taken off, with its counts, load, failures and connections,
+ * and what it had is lost. The same goes for one whose service or address
+ * changed.
  */
 void backend_set_put(struct backend_set *s, const struct backend_entry *e,
 		     int64_t now_ms)
 {
 	struct backend *b = g_hash_table_lookup(s->by_id, e->id);
 
-	if (b && (strcmp(b->entry.service, e->service) ||
+	if (b && backend_entry_is_older(e, &b->entry))
+		return;
+	if (b && (e->born_ms != b->entry.born_ms ||
+		  strcmp(b->entry.service, e->service) ||
 		  memcmp(&b->entry.addr, &e->addr, sizeof(e->addr)))) {
-		backend_set_remove(s, e->id);
+		take_off(s, b, e->born_ms != b->entry.born_ms);
 		b = NULL;
 	}
 	if (!b)
 		b = add_backend(s, e);
 	b->entry.draining = e->draining;
 	b->entry.slots = e->slots;
+	b->entry.sequence = e->sequence;
 	b->warm_until_ms = e->warm_up_ms ? now_ms + e->warm_up_ms : 0;
 }
--- a/core/backend.h
+++ b/core/backend.h
@@ -20,13 +20,15 @@
 
 /* An entry of the platform's list of backend servers. */
 struct backend_entry {
-	char id[BACKEND_NAME_MAX];	/* one start of one backend server */
+	char id[BACKEND_NAME_MAX];	/* one backend server */
 	char service[BACKEND_NAME_MAX]; /* the service it belongs to */
 	char dc[BACKEND_NAME_MAX];	/* its data centre */
 	struct sockaddr_in addr;
 	unsigned slots;	     /* requests that it works on at once */
 	bool draining;	     /* takes no new work soon */
 	uint32_t warm_up_ms; /* it stays slow this much longer */
+	uint64_t born_ms;    /* its start, by its clock; 0: not told */
+	uint64_t sequence;   /* numbers what it says, from its start on */
 };
 
 /* What a backend server last said of its load. */
@@ -54,7 +56,8 @@
 	double trouble;	     /* decayed failures, see core/outlier.h */
 	int64_t trouble_at_ms;
 	bool shunned; /* what was last logged of it */
-	void *conns;  /* the traffic side's connections */
+	void *conns;  /* the traffic side's idle connections */
+	void *in_use; /* those that wait for an answer or hold one */
 };
 
 /* Whether a service's backend servers report their load. */
@@ -74,17 +77,21 @@
 struct backend_set {
 	GHashTable *services; /* name -> struct service * */
 	GHashTable *by_id;    /* id -> struct backend * */
-	void (*on_gone)(void *priv, struct backend *b);
+	/* b is off the list; `ended`: its process is known to be gone. */
+	void (*on_gone)(void *priv, struct backend *b, bool ended);
 	void *priv;
 };
 
 void backend_set_init(struct backend_set *s,
-		      void (*on_gone)(void *priv, struct backend *b),
+		      void (*on_gone)(void *priv, struct backend *b,
+				      bool ended),
 		      void *priv);
 struct service *backend_set_service(struct backend_set *s, struct lstr name);
 void backend_set_put(struct backend_set *s, const struct backend_entry *e,
 		     int64_t now_ms);
 void backend_set_remove(struct backend_set *s, const char *id);
+bool backend_entry_is_older(const struct backend_entry *a,
+			    const struct backend_entry *b);
 struct backend *backend_ref(struct backend *b);
 void backend_unref(struct backend *b);
 
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -7,11 +7,11 @@
 #include "misc/codec.h"
 
 /* Positions in the arrays on the wire. */
-enum { HEAD_FIELDS = 12, FEED_FIELDS = 5, CHANGE_FIELDS = 9, ROLL_FIELDS = 4 };
+enum { HEAD_FIELDS = 12, FEED_FIELDS = 5, CHANGE_FIELDS = 11, ROLL_FIELDS = 4 };
 
 enum {
 	/* Room that one change takes at most, with names of usual length. */
-	CHANGE_BYTES = 160,
+	CHANGE_BYTES = 180,
 	/* And what stands before the changes. */
 	FEED_HEAD_BYTES = 200,
 	/* Entries of a roll that fit one, behind its sender's names. */
@@ -77,6 +77,8 @@
 	msgpack_pack_uint32(pk, e->slots);
 	msgpack_pack_uint8(pk, e->draining);
 	msgpack_pack_uint32(pk, e->warm_up_ms);
+	msgpack_pack_uint64(pk, e->born_ms);
+	msgpack_pack_uint64(pk, e->sequence);
 }
 
 static uint64_t offset_at(const struct backend_feed *feed, guint i)
@@ -320,6 +322,8 @@
 	e->slots = (unsigned)next_uint(&c);
 	e->draining = next_uint(&c) != 0;
 	e->warm_up_ms = (uint32_t)next_uint(&c);
+	e->born_ms = next_uint(&c);
+	e->sequence = next_uint(&c);
 	return !c.bad;
 }
 
--- a/misc/codec.c
+++ b/misc/codec.c
@@ -1,7 +1,11 @@
+#include <math.h>
 #include <string.h>
 
 #include "misc/codec.h"
 
+/* Up to here a floating-point number holds every whole number. */
+static const double WHOLE_MAX = 9007199254740992.0;
+
 /* codec_text() views a string or binary value; {NULL, 0} for others. */
 struct lstr codec_text(const msgpack_object *o)
 {
@@ -50,7 +54,8 @@
 	}
 	if ((o->type == MSGPACK_OBJECT_FLOAT64 ||
 	     o->type == MSGPACK_OBJECT_FLOAT32) &&
-	    o->via.f64 >= 0) {
+	    o->via.f64 >= 0 && o->via.f64 <= WHOLE_MAX &&
+	    floor(o->via.f64) == o->via.f64) {
 		*out = (uint64_t)o->via.f64;
 		return true;
 	}
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -432,6 +432,18 @@
 	bench_put(b, i, true);
 }
 
+/* Server i has started again under its id: the list says so. */
+static inline void bench_restart(struct bench *b, int i, uint64_t born_ms)
+{
+	struct backend *known = g_hash_table_lookup(b->traffic.backends.by_id,
+						    b->servers[i].id);
+	struct backend_entry e = known->entry;
+
+	e.born_ms = born_ms;
+	e.sequence = 0;
+	backend_set_put(&b->traffic.backends, &e, clock_ms());
+}
+
 static inline void bench_kill(struct bench *b, int i)
 {
 	b->servers[i].dead = true;
--- a/tests/servers.h
+++ b/tests/servers.h
@@ -13,7 +13,7 @@
 	int n;
 };
 
-static inline void servers_on_gone(void *priv, struct backend *b)
+static inline void servers_on_gone(void *priv, struct backend *b, bool ended)
 {
 }
 
--- /dev/null
+++ b/tests/test_backend.c
@@ -0,0 +1,112 @@
+/* Tests of core/backend: servers that are put, start again and leave. */
+#include "tests/unit.h"
+
+#include "core/backend.h"
+
+struct hearing {
+	int gone, ended;
+};
+
+static void on_gone(void *priv, struct backend *b, bool ended)
+{
+	struct hearing *h = priv;
+
+	assert_true(b->gone);
+	h->gone++;
+	h->ended += ended;
+}
+
+static struct backend_entry entry(uint64_t born_ms, uint64_t sequence)
+{
+	struct backend_entry e = {
+		.slots = 2, .born_ms = born_ms, .sequence = sequence};
+
+	g_strlcpy(e.id, "i-1", sizeof(e.id));
+	g_strlcpy(e.service, "harta", sizeof(e.service));
+	g_strlcpy(e.dc, "dc-0", sizeof(e.dc));
+	e.addr.sin_port = 80;
+	return e;
+}
+
+static struct backend *find(struct backend_set *s)
+{
+	return g_hash_table_lookup(s->by_id, "i-1");
+}
+
+/* A later start under the same id begins with nothing of the earlier one. */
+static void test_starts_again(void **state)
+{
+	struct hearing h = {0};
+	struct backend_set s;
+	struct backend_entry e = entry(1000, 5);
+	struct backend *first;
+
+	backend_set_init(&s, on_gone, &h);
+	backend_set_put(&s, &e, 100);
+	first = backend_ref(find(&s));
+	first->in_flight = 2;
+	first->peers_in_flight = 1;
+	first->trouble = 3;
+	first->drained = true;
+	first->load.running = 2;
+	first->warm_until_ms = 9000;
+	first->entry.draining = true;
+	e = entry(2000, 0);
+	backend_set_put(&s, &e, 200);
+	assert_int_equal(h.ended, 1);
+	assert_true(first->gone);
+	assert_ptr_not_equal(find(&s), first);
+	assert_int_equal(find(&s)->in_flight, 0);
+	assert_int_equal(find(&s)->peers_in_flight, 0);
+	assert_int_equal(find(&s)->load.running, 0);
+	assert_int_equal(find(&s)->warm_until_ms, 0);
+	assert_true(find(&s)->trouble == 0);
+	assert_false(find(&s)->drained);
+	assert_false(find(&s)->entry.draining);
+	assert_int_equal(find(&s)->service->backends->len, 1);
+	/* What the earlier start had said comes late and says nothing. */
+	e = entry(1000, 9);
+	e.draining = true;
+	backend_set_put(&s, &e, 210);
+	assert_false(find(&s)->entry.draining);
+	assert_int_equal(h.gone, 1);
+	backend_unref(first);
+	backend_set_remove(&s, "i-1");
+	assert_int_equal(h.gone, 2);
+	assert_int_equal(h.ended, 1);
+}
+
+/* An earlier word of the same start changes nothing. */
+static void test_order_of_words(void **state)
+{
+	struct hearing h = {0};
+	struct backend_set s;
+	struct backend_entry e = entry(1000, 5);
+
+	backend_set_init(&s, on_gone, &h);
+	e.draining = true;
+	backend_set_put(&s, &e, 100);
+	e = entry(1000, 4);
+	backend_set_put(&s, &e, 110);
+	assert_true(find(&s)->entry.draining);
+	e = entry(1000, 6);
+	backend_set_put(&s, &e, 120);
+	assert_false(find(&s)->entry.draining);
+	assert_int_equal(h.gone, 0);
+	/* Another address is another server, which may serve on. */
+	e.addr.sin_port = 81;
+	backend_set_put(&s, &e, 130);
+	assert_int_equal(h.gone, 1);
+	assert_int_equal(h.ended, 0);
+	backend_set_remove(&s, "i-1");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_starts_again),
+		cmocka_unit_test(test_order_of_words),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_backend_list.c
+++ b/tests/test_backend_list.c
@@ -124,6 +124,49 @@
 	assert_string_equal(state_of(&s, "a"), "gone");
 }
 
+static void word(struct backend_list *l, uint64_t offset, uint64_t born_ms,
+		 uint64_t sequence, const char *what, int64_t now)
+{
+	struct backend_change c = change(offset, "i-1", what);
+
+	c.entry.born_ms = born_ms;
+	c.entry.sequence = sequence;
+	backend_list_record(l, &c, now);
+}
+
+/* Records that come late, of an earlier start or an earlier word, say nothing. */
+static void test_earlier_words(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	init(&l, &s);
+	list_anew(&l, 1, 1000);
+	word(&l, 1, 5000, 8, "draining", 1000);
+	word(&l, 2, 5000, 7, "ready", 1010);
+	assert_string_equal(state_of(&s, "i-1"), "draining");
+	/* It starts again: its count begins anew, and its state. */
+	word(&l, 3, 9000, 0, "ready", 1020);
+	assert_string_equal(state_of(&s, "i-1"), "ready");
+	word(&l, 4, 5000, 9, "draining", 1030);
+	assert_string_equal(state_of(&s, "i-1"), "ready");
+	/* Nor do they bring back one that has left. */
+	record(&l, 5, "i-1", "gone", 1040);
+	assert_string_equal(state_of(&s, "i-1"), "gone");
+	word(&l, 6, 5000, 9, "ready", 1050);
+	assert_string_equal(state_of(&s, "i-1"), "gone");
+	/* Its next word, or its next start, does. */
+	word(&l, 7, 9000, 1, "ready", 1060);
+	assert_string_equal(state_of(&s, "i-1"), "ready");
+	record(&l, 8, "i-1", "gone", 1070);
+	word(&l, 9, 9500, 0, "ready", 1080);
+	assert_string_equal(state_of(&s, "i-1"), "ready");
+	/* Of one that tells no start the last record counts. */
+	record(&l, 10, "i-2", "draining", 1090);
+	record(&l, 11, "i-2", "ready", 1100);
+	assert_string_equal(state_of(&s, "i-2"), "ready");
+}
+
 static void feed_to(struct backend_list *from, struct backend_list *to,
 		    bool expect, int64_t now)
 {
@@ -396,6 +439,7 @@
 		cmocka_unit_test(test_records),
 		cmocka_unit_test(test_lapsed_come_back),
 		cmocka_unit_test(test_removed_at_once),
+		cmocka_unit_test(test_earlier_words),
 		cmocka_unit_test(test_feed_and_gap),
 		cmocka_unit_test(test_settling_is_fed),
 		cmocka_unit_test(test_import),
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -226,9 +226,10 @@
 	assert_int_equal(
 		decode_server("i-1", "10.0.0.9:8080", "draining", true, &e), 0);
 	assert_true(e.draining);
-	/* A state of tomorrow is no leave to send new work. */
-	decode_server("i-1", "10.0.0.9:8080", "resting", true, &e);
-	assert_true(e.draining);
+	/* A state that nobody defined names no server to use. */
+	assert_int_equal(
+		decode_server("i-1", "10.0.0.9:8080", "resting", true, &e),
+		-EINVAL);
 	assert_int_equal(
 		decode_server("i-1", "10.0.0.9:8080", "ready", false, &e),
 		-EINVAL);
@@ -238,6 +239,174 @@
 			 -EINVAL);
 }
 
+/* The fields of an entry, each with a value that fits and some that don't. */
+struct field {
+	const char *name;
+	const char *part; /* NULL: at the top level */
+	bool may_lack;
+};
+
+static const struct field fields[] = {
+	{"address", NULL, false},	   {"born", NULL, true},
+	{"service", "info", false},	   {"configVersion", "info", false},
+	{"zone", "info", false},	   {"slots", "info", false},
+	{"state", "status", false},	   {"sequenceNumber", "status", false},
+	{"warmupLeftMs", "status", false},
+};
+
+/* What is wrong with the one field that a test spoils. */
+enum spoil {
+	SPOIL_NOTHING,
+	SPOIL_MISSING,
+	SPOIL_LIST,
+	SPOIL_NIL,
+	SPOIL_NEGATIVE,
+	SPOIL_FRACTION,
+	SPOIL_HUGE,
+	SPOIL_SWAPPED, /* a number for a text, a text for a number */
+	SPOIL_COUNT,
+};
+
+static bool is_number(const char *name)
+{
+	return !strcmp(name, "born") || !strcmp(name, "slots") ||
+	       !strcmp(name, "sequenceNumber") || !strcmp(name, "warmupLeftMs");
+}
+
+static void pack_good(msgpack_packer *pk, const char *name)
+{
+	if (is_number(name))
+		msgpack_pack_uint64(pk, 7);
+	else if (!strcmp(name, "address"))
+		codec_pack_cstr(pk, "10.0.0.9:8080");
+	else if (!strcmp(name, "state"))
+		codec_pack_cstr(pk, "ready");
+	else
+		codec_pack_cstr(pk, "harta");
+}
+
+static void pack_spoilt(msgpack_packer *pk, const char *name, enum spoil how)
+{
+	switch (how) {
+	case SPOIL_LIST:
+		msgpack_pack_array(pk, 0);
+		break;
+	case SPOIL_NIL:
+		msgpack_pack_nil(pk);
+		break;
+	case SPOIL_NEGATIVE:
+		msgpack_pack_int(pk, -1);
+		break;
+	case SPOIL_FRACTION:
+		msgpack_pack_double(pk, 2.5);
+		break;
+	case SPOIL_HUGE:
+		msgpack_pack_double(pk, 1e300);
+		break;
+	case SPOIL_SWAPPED:
+		if (is_number(name))
+			codec_pack_cstr(pk, "7");
+		else
+			msgpack_pack_uint64(pk, 7);
+		break;
+	default:
+		pack_good(pk, name);
+	}
+}
+
+static void pack_fields(msgpack_packer *pk, const char *part, size_t spoilt,
+			enum spoil how)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		if (g_strcmp0(fields[i].part, part) ||
+		    (i == spoilt && how == SPOIL_MISSING))
+			continue;
+		codec_pack_cstr(pk, fields[i].name);
+		if (i == spoilt)
+			pack_spoilt(pk, fields[i].name, how);
+		else
+			pack_good(pk, fields[i].name);
+	}
+}
+
+static void pack_entry(struct buf *out, size_t spoilt, enum spoil how)
+{
+	const char *parts[] = {"info", "status"};
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	msgpack_pack_map(&pk,
+			 4 - (how == SPOIL_MISSING && !fields[spoilt].part));
+	pack_fields(&pk, NULL, spoilt, how);
+	for (size_t k = 0; k < G_N_ELEMENTS(parts); k++) {
+		size_t n = 0;
+
+		for (size_t i = 0; i < G_N_ELEMENTS(fields); i++)
+			n += !g_strcmp0(fields[i].part, parts[k]) &&
+			     !(i == spoilt && how == SPOIL_MISSING);
+		codec_pack_cstr(&pk, parts[k]);
+		msgpack_pack_map(&pk, n);
+		pack_fields(&pk, parts[k], spoilt, how);
+	}
+}
+
+/* An entry with one field missing or of another type names no server. */
+static void test_spoilt_entries(void **state)
+{
+	struct backend_entry e;
+	struct buf b = {0};
+
+	pack_entry(&b, 0, SPOIL_NOTHING);
+	assert_int_equal(record_backend(LSTR("i-1"), buf_lstr(&b), &e), 0);
+	assert_int_equal(e.born_ms, 7);
+	assert_int_equal(e.sequence, 7);
+	assert_int_equal(e.slots, 7);
+	for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+		for (int how = SPOIL_MISSING; how < SPOIL_COUNT; how++) {
+			int want = fields[i].may_lack && how == SPOIL_MISSING
+					   ? 0
+					   : -EINVAL;
+
+			b.len = 0;
+			pack_entry(&b, i, (enum spoil)how);
+			assert_int_equal(
+				record_backend(LSTR("i-1"), buf_lstr(&b), &e),
+				want);
+		}
+	}
+	buf_free(&b);
+}
+
+/*
+ * Entries with bytes changed or cut off, by seed: each is refused or names a
+ * server whose every field is in range.
+ */
+static void test_mangled_entries(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(41);
+
+	for (int i = 0; i < 20000; i++) {
+		struct backend_entry e;
+		struct buf b = {0};
+		int changes = g_rand_int_range(rand, 1, 4);
+
+		pack_entry(&b, 0, SPOIL_NOTHING);
+		for (int k = 0; k < changes; k++)
+			b.ptr[g_rand_int_range(rand, 0, (gint32)b.len)] =
+				(char)g_rand_int_range(rand, 0, 256);
+		if (i % 3 == 0)
+			b.len = (size_t)g_rand_int_range(rand, 0,
+							 (gint32)b.len);
+		if (!record_backend(LSTR("i-1"), buf_lstr(&b), &e)) {
+			assert_in_range(e.slots, 1, 100 * 1000);
+			assert_true(e.service[0] && e.dc[0]);
+			assert_string_equal(e.id, "i-1");
+		}
+		buf_free(&b);
+	}
+	g_rand_free(rand);
+}
+
 static void test_directory(void **state)
 {
 	struct lstr addrs[] = {LSTR("10.0.0.1:80"), LSTR("10.0.0.2:80")};
@@ -281,6 +450,8 @@
 		cmocka_unit_test(test_split),
 		cmocka_unit_test(test_unfit_versions),
 		cmocka_unit_test(test_backend),
+		cmocka_unit_test(test_spoilt_entries),
+		cmocka_unit_test(test_mangled_entries),
 		cmocka_unit_test(test_directory),
 	};
 
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -192,6 +192,33 @@
 	bench_free(b);
 }
 
+/*
+ * A server that started again under its id has lost what it had: the request
+ * goes to another at once where it may, and its outcome is told where not.
+ */
+static void test_started_again(void **state)
+{
+	for (int i = 0; i < 2; i++) {
+		struct bench *b = bench_new(2);
+		int64_t begin;
+		struct caller *c;
+
+		b->servers[1].busy = 2;
+		bench_script(b, 0, SCRIPT_HANG);
+		c = bench_call(b, i ? "POST" : "GET", 1000);
+		bench_run_ms(b, 40);
+		assert_int_equal(bench_runs(b, c), 1);
+		b->servers[1].busy = 0;
+		begin = clock_ms();
+		bench_restart(b, 0, 5000);
+		bench_run_until(b, c);
+		assert_in_range(clock_ms() - begin, 0, 90);
+		assert_int_equal(c->status, i ? 502 : 200);
+		assert_int_equal(bench_runs(b, c), i ? 1 : 2);
+		bench_free(b);
+	}
+}
+
 /* A second answer to an earlier request is never passed on. */
 static void test_extra_answers(void **state)
 {
@@ -513,6 +540,7 @@
 		cmocka_unit_test(test_silent_server),
 		cmocka_unit_test(test_hedge),
 		cmocka_unit_test(test_rescue),
+		cmocka_unit_test(test_started_again),
 		cmocka_unit_test(test_extra_answers),
 		cmocka_unit_test(test_unsealed),
 		cmocka_unit_test(test_address_reused),
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -106,8 +106,8 @@
 	bool first = r->nasks == 0 && r->waits == 0;
 
 	n = ask_budget_take(&r->traffic->asks, &r->traffic->ask_rule,
-			    g_hash_table_size(r->traffic->backends.by_id), n,
-			    first ? 1 : 0, now_ms);
+			    traffic_servers(r->traffic), n, first ? 1 : 0,
+			    now_ms);
 
 	for (unsigned i = 0; i < n; i++)
 		ask_start(r, chosen[i]);
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -55,6 +55,21 @@
 	return c;
 }
 
+/*
+ * traffic_servers() counts the backend servers that requests may go to: an
+ * entry of the list whose service no version names brings none.
+ */
+unsigned traffic_servers(struct traffic *t)
+{
+	unsigned n = 0;
+
+	for (size_t i = 0; t->config && i < t->config->nservices; i++)
+		n += backend_set_service(&t->backends,
+					 t->config->services[i].name)
+			     ->backends->len;
+	return n;
+}
+
 static void reply_plain(struct http_conn *c, unsigned status,
 			struct lstr headers, struct lstr body)
 {
@@ -67,8 +82,7 @@
 static void on_ready(void *priv, struct http_conn *c, struct http_message *m)
 {
 	struct traffic *t = priv;
-	bool ready = t->config && !t->stopping &&
-		     g_hash_table_size(t->backends.by_id) > 0;
+	bool ready = t->config && !t->stopping && traffic_servers(t) > 0;
 
 	http_message_free(m);
 	reply_plain(c, ready ? 200 : 503, LSTR(""), LSTR(""));
@@ -120,9 +134,12 @@
 static const struct http_server_ops own_ops = {own_request, request_gone};
 static const struct http_server_ops metrics_ops = {on_metrics, NULL};
 
-static void on_backend_gone(void *priv, struct backend *b)
+static void on_backend_gone(void *priv, struct backend *b, bool ended)
 {
-	upstream_drop_idle(b);
+	if (ended)
+		upstream_fail_all(b);
+	else
+		upstream_drop_idle(b);
 }
 
 /* The callers' limits stand in the configuration. */
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -67,6 +67,7 @@
 		 const struct deploy *deploy, const struct control_view *view,
 		 struct mailbox *control);
 void *traffic_run(void *traffic);
+unsigned traffic_servers(struct traffic *t);
 struct class_stats *traffic_class(struct traffic *t, const char *service,
 				  uint32_t target_ms);
 
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -19,21 +19,28 @@
 	return opened;
 }
 
-static void unlink_idle(struct upstream *u)
+/* Takes u out of its server's list, of idle ones or those in use. */
+static void unlink_upstream(struct upstream *u)
 {
-	struct upstream **p = (struct upstream **)&u->backend->conns;
+	void **list = u->idle ? &u->backend->conns : &u->backend->in_use;
+	struct upstream **p = (struct upstream **)list;
 
 	while (*p && *p != u)
 		p = &(*p)->next;
 	if (*p)
 		*p = u->next;
+}
+
+static void use(struct upstream *u)
+{
 	u->idle = false;
+	u->next = u->backend->in_use;
+	u->backend->in_use = u;
 }
 
 static void release(struct upstream *u)
 {
-	if (u->idle)
-		unlink_idle(u);
+	unlink_upstream(u);
 	backend_unref(u->backend);
 	g_free(u);
 }
@@ -80,6 +87,7 @@
 	}
 	opened++;
 	u->backend = backend_ref(b);
+	use(u);
 	return u;
 }
 
@@ -95,8 +103,8 @@
 
 	if (!u || u->used_ms < idle_since_ms)
 		return open_new(loop, b);
-	b->conns = u->next;
-	u->idle = false;
+	unlink_upstream(u);
+	use(u);
 	return u;
 }
 
@@ -118,6 +126,7 @@
 		upstream_drop(u);
 		return;
 	}
+	unlink_upstream(u);
 	u->ops = NULL;
 	u->owner = NULL;
 	u->used_ms = now_ms;
@@ -144,3 +153,22 @@
 		upstream_drop(u);
 	}
 }
+
+/*
+ * upstream_fail_all() closes all connections to b, whose process has ended:
+ * what it had is lost, and its owners hear so without waiting for a timeout.
+ */
+void upstream_fail_all(struct backend *b)
+{
+	struct upstream *u;
+
+	backend_ref(b);
+	upstream_drop_idle(b);
+	while ((u = b->in_use)) {
+		bool sent = u->http.sent;
+
+		http_client_close(&u->http);
+		on_failed(u, -ECONNRESET, sent);
+	}
+	backend_unref(b);
+}
--- a/traffic/upstream.h
+++ b/traffic/upstream.h
@@ -11,7 +11,7 @@
 struct upstream {
 	struct http_client http;
 	struct backend *backend;
-	struct upstream *next; /* in the pool of idle ones */
+	struct upstream *next; /* of the server's, idle or in use */
 	bool idle;
 	int64_t used_ms;		   /* its last answer */
 	const struct http_client_ops *ops; /* the owner's */
@@ -26,6 +26,7 @@
 void upstream_put(struct upstream *u, int64_t now_ms);
 void upstream_drop(struct upstream *u);
 void upstream_drop_idle(struct backend *b);
+void upstream_fail_all(struct backend *b);
 unsigned upstream_opened(void);
 
 #endif
