--- a/core/admit.c
+++ b/core/admit.c
@@ -1,4 +1,5 @@
 #include "core/admit.h"
+#include "core/mechanisms.h"
 
 /*
  * A start that takes more than this many times what the service's servers
@@ -27,6 +28,8 @@
 {
 	double slack = r->target_ms - r->long_ms;
 
+	if (!mechanisms.wait)
+		return 0;
 	return slack > r->target_ms * WAIT_LEAST ? slack
 						 : r->target_ms * WAIT_LEAST;
 }
@@ -67,13 +70,13 @@
 bool admit_takes(const struct admit_request *r, const struct admit_server *s,
 		 bool pressed)
 {
-	if (!s->has_room)
-		return false;
+	if (!s->has_room || !mechanisms.quick_only)
+		return s->has_room;
 	if (admit_can_be_on_time(r))
 		return r->spent_ms + s->way_ms + s->work_ms <= r->target_ms;
 	if (is_dear(r, s))
 		return takes_dear(r, s);
-	return !pressed || s->has_spare;
+	return !pressed || s->has_spare || !mechanisms.late_yield;
 }
 
 /*
--- a/core/learn.c
+++ b/core/learn.c
@@ -1,6 +1,7 @@
 #include <math.h>
 
 #include "core/learn.h"
+#include "core/mechanisms.h"
 
 /*
  * Half-life of what is learned. How a service's servers stand crowds changes
@@ -109,7 +110,7 @@
 {
 	unsigned step = crowd_step(at_work, slots);
 
-	return step ? value(&m->crowd[step], now_ms) : 1;
+	return step && mechanisms.learn ? value(&m->crowd[step], now_ms) : 1;
 }
 
 static unsigned told_step(unsigned slowdown_pct)
@@ -199,6 +200,8 @@
 double learn_factor(const struct service_model *m, const struct server_view *v,
 		    int64_t now_ms)
 {
+	if (!mechanisms.learn)
+		return v->slowdown_pct ? v->slowdown_pct / 100.0 : 1;
 	double f = told(m, v->slowdown_pct, now_ms) *
 		   crowd(m, v->at_work, v->slots, now_ms);
 
--- /dev/null
+++ b/core/mechanisms.c
@@ -0,0 +1,16 @@
+#include "core/mechanisms.h"
+
+struct mechanisms mechanisms = {
+	.ask = true,
+	.learn = true,
+	.wait = true,
+	.quick_only = true,
+	.late_yield = true,
+	.second = true,
+	.rescue = true,
+	.outliers = true,
+	.idle_first = true,
+	.own_dc = true,
+	.spent = true,
+	.return_time = true,
+};
--- a/core/outlier.c
+++ b/core/outlier.c
@@ -1,6 +1,7 @@
 #include <math.h>
 
 #include "common/event.h"
+#include "core/mechanisms.h"
 #include "core/outlier.h"
 
 /*
@@ -43,6 +44,8 @@
 {
 	double t = outlier_trouble(b, now_ms) + weight;
 
+	if (!mechanisms.outliers)
+		return;
 	b->trouble = t < 0 ? 0 : t > OUTLIER_MAX ? OUTLIER_MAX : t;
 	b->trouble_at_ms = now_ms;
 	if (outlier_shuns(b, now_ms) == b->shunned)
--- a/core/patience.c
+++ b/core/patience.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/mechanisms.h"
 #include "core/patience.h"
 
 /*
@@ -91,7 +92,7 @@
 	double spent = (double)p->limit_ms - left_ms;
 	double spread = s->share * p->limit_ms;
 
-	if (spent < SPENT_LEAST_MS || spent < spread)
+	if (spent < SPENT_LEAST_MS || spent < spread || !mechanisms.spent)
 		return 0;
 	/* On average it had half of the spread less than the limit. */
 	return spread > SPENT_LEAST_MS ? spent - spread / 2 : spent;
--- a/core/place.c
+++ b/core/place.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/mechanisms.h"
 #include "core/outlier.h"
 #include "core/place.h"
 
@@ -109,7 +110,8 @@
 {
 	if (b->entry.draining || b->drained || is_avoided(q, b))
 		return false;
-	return !q->own_dc_only || !strcmp(b->entry.dc, q->dc);
+	return !q->own_dc_only || !mechanisms.own_dc ||
+	       !strcmp(b->entry.dc, q->dc);
 }
 
 /* place_candidates() lists them all; unref the array after use. */
@@ -136,11 +138,11 @@
 		rank += RANK_SHUNNED + trouble;
 	else if (trouble > 0)
 		rank += trouble;
-	if (strcmp(b->entry.dc, q->dc))
+	if (mechanisms.own_dc && strcmp(b->entry.dc, q->dc))
 		rank += RANK_OTHER_DC;
 	if (b->warm_until_ms > q->now_ms)
 		rank += RANK_COLD;
-	if (!b->conns && !explore)
+	if (!b->conns && !explore && mechanisms.idle_first)
 		rank += RANK_NO_CONNECTION;
 	rank += RANK_EACH_OF_OURS * b->in_flight;
 	return rank + report_rank(q, b);
@@ -232,7 +234,8 @@
 double place_rank_ms(const struct backend *b, const char *dc,
 		     double estimate_ms, int64_t now_ms)
 {
-	double away = strcmp(b->entry.dc, dc) ? OTHER_DC_SHARE : 0;
+	bool elsewhere = mechanisms.own_dc && strcmp(b->entry.dc, dc);
+	double away = elsewhere ? OTHER_DC_SHARE : 0;
 
 	return (estimate_ms + b->way_ms) * (1 + away) *
 	       (1 + TROUBLE_SLOWDOWN * outlier_trouble(b, now_ms));
--- a/core/retry_after.c
+++ b/core/retry_after.c
@@ -1,3 +1,4 @@
+#include "core/mechanisms.h"
 #include "core/retry_after.h"
 
 /*
@@ -28,6 +29,8 @@
 	double soon = r->target_ms * (SOON_FIRST + SOON_SPREAD * random);
 	struct admit_request then = *r;
 
+	if (!mechanisms.return_time)
+		return retry_after_plain_s(random);
 	then.spent_ms += soon;
 	return (admit_can_be_on_time(&then) && soon < late ? soon : late) /
 	       1000;
--- a/options/instance.c
+++ b/options/instance.c
@@ -50,6 +50,23 @@
 	OPT_END,
 };
 
+/* Mechanisms that may be switched off, see core/mechanisms.h. */
+static const struct opt_def policy_opts[] = {
+	{"ask", OPT_BOOL, FIELD(policy.ask), "true", 0, 0},
+	{"learn", OPT_BOOL, FIELD(policy.learn), "true", 0, 0},
+	{"wait", OPT_BOOL, FIELD(policy.wait), "true", 0, 0},
+	{"quick_only", OPT_BOOL, FIELD(policy.quick_only), "true", 0, 0},
+	{"late_yield", OPT_BOOL, FIELD(policy.late_yield), "true", 0, 0},
+	{"second", OPT_BOOL, FIELD(policy.second), "true", 0, 0},
+	{"rescue", OPT_BOOL, FIELD(policy.rescue), "true", 0, 0},
+	{"outliers", OPT_BOOL, FIELD(policy.outliers), "true", 0, 0},
+	{"idle_first", OPT_BOOL, FIELD(policy.idle_first), "true", 0, 0},
+	{"own_dc", OPT_BOOL, FIELD(policy.own_dc), "true", 0, 0},
+	{"spent", OPT_BOOL, FIELD(policy.spent), "true", 0, 0},
+	{"return_time", OPT_BOOL, FIELD(policy.return_time), "true", 0, 0},
+	OPT_END,
+};
+
 /*
  * instance_settings_load() reads and checks a settings file. Every problem is
  * logged with its place. Returns 0 or -EINVAL.
@@ -72,6 +89,7 @@
 		settings_read_group(&s, "platform", platform_opts, out, &f);
 		settings_read_group(&s, "bounds", bounds_opts, out, &f);
 		settings_read_group(&s, "log", log_opts, out, &f);
+		settings_read_group(&s, "policy", policy_opts, out, &f);
 		if (strcmp(out->log_level, "info") &&
 		    strcmp(out->log_level, "notice"))
 			findings_add(&f, path,
@@ -131,6 +149,7 @@
 	group_differences(platform_opts, a, b, out);
 	group_differences(log_opts, a, b, out);
 	group_differences(bounds_opts, a, b, out);
+	group_differences(policy_opts, a, b, out);
 }
 
 /*
@@ -184,6 +203,7 @@
 	out->peers = g_strdup_printf("%s:%d", host, port + PORT_PEERS);
 	out->store = g_strdup(d->entry.platform);
 	out->log_level = g_strdup(d->entry.log_level);
+	out->policy = mechanisms;
 	/* What the users' platform promises today, but for the questions:
 	 * stand-ins work in milliseconds and get many more requests. */
 	out->bounds = (struct bounds){
--- a/options/instance.h
+++ b/options/instance.h
@@ -5,6 +5,7 @@
 #ifndef MP_OPTIONS_INSTANCE_H
 #define MP_OPTIONS_INSTANCE_H
 
+#include "core/mechanisms.h"
 #include "misc/buf.h"
 #include "options/settings.h"
 
@@ -32,6 +33,8 @@
 	/* [log] */
 	char *log_level; /* info or notice */
 	struct bounds bounds;
+	/* [policy] */
+	struct mechanisms policy;
 };
 
 /* Where the settings of a running process are read anew. */
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -293,6 +293,7 @@
 	s->ready = bench_addr(1);
 	s->directory = bench_addr(2);
 	s->metrics = bench_addr(3);
+	s->policy = mechanisms;
 	s->bounds = (struct bounds){.grace_s = 6,
 				    .retry_ratio = 0.2,
 				    .retry_slack = 200,
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -122,6 +122,35 @@
 	g_free(path);
 }
 
+/* Loads the template's settings with some lines more. */
+static int load_with(const char *lines, struct instance_settings *s)
+{
+	char *path = render(NULL);
+	FILE *f = fopen(path, "a");
+	int rc;
+
+	assert_non_null(f);
+	fputs(lines, f);
+	fclose(f);
+	rc = instance_settings_load(path, s);
+	unlink(path);
+	g_free(path);
+	return rc;
+}
+
+/* Each mechanism is on unless the settings switch it off, by a known word. */
+static void test_policy(void **state)
+{
+	struct instance_settings s;
+
+	assert_int_equal(load_with("[policy]\nrescue = false\n", &s), 0);
+	assert_false(s.policy.rescue);
+	assert_true(s.policy.ask && s.policy.learn && s.policy.outliers);
+	assert_int_equal(load_with("[policy]\nrescue = perhaps\n", &s),
+			 -EINVAL);
+	assert_int_equal(load_with("[policy]\nmagic = true\n", &s), -EINVAL);
+}
+
 /* A reload says what differs. */
 static void test_differences(void **state)
 {
@@ -196,6 +225,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_template),
 		cmocka_unit_test(test_figure_left_empty),
+		cmocka_unit_test(test_policy),
 		cmocka_unit_test(test_differences),
 		cmocka_unit_test(test_take_over),
 		cmocka_unit_test(test_no_file),
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -3,6 +3,7 @@
 
 #include "common/event.h"
 #include "core/hedge.h"
+#include "core/mechanisms.h"
 #include "core/outlier.h"
 #include "core/policy.h"
 #include "misc/clock.h"
@@ -202,6 +203,8 @@
 		     rescue_delay_ms(first->estimate_ms, r->route->target_ms);
 
 	r->hedge_ms = r->rescue ? now_ms + RESCUE_AGAIN_MS : at;
+	if (!mechanisms.rescue)
+		r->hedge_ms = 0;
 	r->rescue = true;
 }
 
@@ -330,7 +333,7 @@
 
 	if (r->placement == PLACE_NONE || r->wait_until_ms)
 		return;
-	if (!r->service->policy->asks ||
+	if (!mechanisms.ask || !r->service->policy->asks ||
 	    r->service->load_support == LOAD_NOT_TOLD) {
 		place_by_policy(r, now_ms);
 		return;
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/hedge.h"
+#include "core/mechanisms.h"
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/request.h"
@@ -173,6 +174,22 @@
 		r->stats->retries++;
 }
 
+/* When a second server gets the request, if none has answered; 0: never. */
+static int64_t second_send_at(struct request *r, const struct send *s,
+			      int64_t now_ms)
+{
+	if (!r->route->idempotent || r->nsends != 1)
+		return 0;
+	if (mechanisms.second)
+		return now_ms + hedge_delay_ms(r->stats->work.usual_ms,
+					       r->route->target_ms,
+					       now_ms - r->start_ms);
+	if (!mechanisms.rescue)
+		return 0;
+	r->rescue = true;
+	return now_ms + rescue_delay_ms(s->estimate_ms, r->route->target_ms);
+}
+
 /* request_send() sends the request to b on a connection it now owns. */
 void request_send(struct request *r, struct backend *b, struct upstream *u)
 {
@@ -199,11 +216,7 @@
 		b->load.running++;
 	exchange_write_request(&bytes, r->message, &r->call, b,
 			       left > 1 ? (uint32_t)left : 1);
-	r->hedge_ms = r->route->idempotent && r->nsends == 1
-			      ? now_ms + hedge_delay_ms(r->stats->work.usual_ms,
-							r->route->target_ms,
-							now_ms - r->start_ms)
-			      : 0;
+	r->hedge_ms = second_send_at(r, s, now_ms);
 	/* The request's own time limit ends it; this is only a backstop. */
 	upstream_exchange(u, buf_lstr(&bytes), (double)left / 1000 + 1,
 			  lstr_eq(r->message->method, LSTR("HEAD")), &send_ops,
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -5,6 +5,7 @@
 
 #include "caller/own.h"
 #include "common/event.h"
+#include "core/mechanisms.h"
 #include "core/policy.h"
 #include "misc/clock.h"
 #include "member/advise.h"
@@ -330,6 +331,7 @@
 	memset(t, 0, sizeof(*t));
 	t->loop = ev_loop_new(EVFLAG_NOENV);
 	t->settings = s;
+	mechanisms = s->policy;
 	t->deploy = deploy;
 	t->control = control;
 	t->control_view = view;
