With questions switched off requests still find servers

Change: nobody counts as telling its load then, so the requests of all instances decide. Test: test_no_questions, which failed before.

--- a/core/backend.c
+++ b/core/backend.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/backend.h"
+#include "core/mechanisms.h"
 #include "core/policy.h"
 
 /* backend_set_init() makes an empty set; on_gone hears of removals. */
@@ -32,6 +33,9 @@
 	g_strlcpy(sv->name, key, sizeof(sv->name));
 	sv->backends = g_ptr_array_new();
 	sv->policy = place_policies;
+	/* Nobody asks: what is known are the requests of all instances. */
+	if (!mechanisms.ask)
+		sv->load_support = LOAD_NOT_TOLD;
 	g_hash_table_insert(s->services, sv->name, sv);
 	return sv;
 }
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -192,6 +192,24 @@
 	bench_free(b);
 }
 
+/* With questions switched off requests still find servers. */
+static void test_no_questions(void **state)
+{
+	struct bench *b;
+
+	mechanisms.ask = false;
+	b = bench_new(2);
+	for (int i = 0; i < 10; i++) {
+		struct caller *c = bench_call(b, i % 2 ? "POST" : "GET", 1000);
+
+		bench_run_until(b, c);
+		assert_int_equal(c->status, 200);
+	}
+	assert_int_equal(b->traffic.counters.asks, 0);
+	mechanisms.ask = true;
+	bench_free(b);
+}
+
 /*
  * A server that started again under its id has lost what it had: the request
  * goes to another at once where it may, and its outcome is told where not.
@@ -541,6 +559,7 @@
 		cmocka_unit_test(test_hedge),
 		cmocka_unit_test(test_rescue),
 		cmocka_unit_test(test_started_again),
+		cmocka_unit_test(test_no_questions),
 		cmocka_unit_test(test_extra_answers),
 		cmocka_unit_test(test_unsealed),
 		cmocka_unit_test(test_address_reused),
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -333,7 +333,7 @@
 
 	if (r->placement == PLACE_NONE || r->wait_until_ms)
 		return;
-	if (!mechanisms.ask || !r->service->policy->asks ||
+	if (!r->service->policy->asks ||
 	    r->service->load_support == LOAD_NOT_TOLD) {
 		place_by_policy(r, now_ms);
 		return;
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -113,15 +113,15 @@
 	struct answer_info info;
 
 	exchange_read_answer(m, &info);
-	if (info.has_load) {
+	if (info.has_load && mechanisms.ask) {
 		s->backend->service->load_support = LOAD_TOLD;
 		s->backend->load = info.load;
 		s->backend->load.at_ms = now_ms;
 	}
 	end_send(s);
 	upstream_put(u, now_ms);
-	if (info.has_load && !s->backend->gone && !s->backend->entry.draining &&
-	    place_has_room(s->backend, now_ms))
+	if (info.has_load && mechanisms.ask && !s->backend->gone &&
+	    !s->backend->entry.draining && place_has_room(s->backend, now_ms))
 		request_use_room(r->traffic, s->backend);
 	if (info.not_run) {
 		unsigned status = m->status;
