An answer frees room also at a server that tells no load

Cause: without load told only a report gave waiting requests a server, so they looked again after 12, 24 and 48 ms. Change: the count of what the instances have there decides when an answer comes.

--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -120,8 +120,8 @@
 	}
 	end_send(s);
 	upstream_put(u, now_ms);
-	if (info.has_load && mechanisms.ask && !s->backend->gone &&
-	    !s->backend->entry.draining && place_has_room(s->backend, now_ms))
+	if (!s->backend->gone && !s->backend->entry.draining &&
+	    place_has_room(s->backend, now_ms))
 		request_use_room(r->traffic, s->backend);
 	if (info.not_run) {
 		unsigned status = m->status;
