--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -158,6 +158,40 @@
 	fixture_free(f);
 }
 
+/*
+ * What was sent behind a request whose answer closes the connection is not
+ * read: it is neither handled nor answered, so it may be sent again.
+ */
+static void test_behind_a_close(void **state)
+{
+	struct fixture *f = fixture_new();
+	int fd = dial(), before = f->requests;
+
+	say(fd, "GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+		"POST /y HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+	run_ms(f, 10);
+	char *got = hear(fd);
+
+	assert_non_null(got);
+	assert_int_equal(count(got, "200 OK"), 1);
+	assert_int_equal(count(got, "Connection: close"), 1);
+	assert_int_equal(f->requests, before + 1);
+	run_ms(f, 10);
+	assert_null(hear(fd));
+	close(fd);
+	/* The same when the server closes, as at a stop. */
+	f->server.last_answers = true;
+	fd = dial();
+	say(fd, GET GET);
+	run_ms(f, 10);
+	got = hear(fd);
+	assert_non_null(got);
+	assert_int_equal(count(got, "200 OK"), 1);
+	assert_int_equal(f->requests, before + 2);
+	close(fd);
+	fixture_free(f);
+}
+
 static void expect_refusal(const char *request, const char *status)
 {
 	struct fixture *f = fixture_new();
@@ -310,6 +344,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_kept_and_pipelined),
+		cmocka_unit_test(test_behind_a_close),
 		cmocka_unit_test(test_refusals),
 		cmocka_unit_test(test_time_limits),
 		cmocka_unit_test(test_caller_leaves),
