Polls for the configuration differ in length: two in step both missed a version

From the log: the two instances that poll asked at 2.941 and 2.943 s, the version was confirmed at 2.952 s, and both polls were answered when they ended, at 5.441 and 5.443 s. Polls of equal length, begun by the same event, stay in step, so the second is no help to the first. Change: polls wait 1.75 to 2.5 s, pauses after a version last 0.2 to 0.3 s, drawn each time. Test: test_polls_differ plays 10,000 versions: 38 missed in step, none now; it failed before the change (no such function: the lengths were fixed).

--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -11,6 +11,14 @@
 	 * that the store lost is never answered, so each is short.
 	 */
 	WAIT_MS = 2500,
+	/*
+	 * A version that is written as a poll arrives may not wake it: it is
+	 * told when the poll ends, too late for the 2 s that it has. Two
+	 * instances poll, and waits that differ keep them from asking at the
+	 * same moment: of 10,000 versions played both missed 38 in step and
+	 * none with these.
+	 */
+	WAIT_LEAST_MS = 1750,
 	WAIT_LATE_MS = 500, /* beyond it no answer will come */
 	/*
 	 * The first instances poll and the others hear from them, some four
@@ -27,6 +35,7 @@
 	 * a version must be in force 2 s after its confirmation.
 	 */
 	PAUSE_MS = 300,
+	PAUSE_LEAST_MS = 200,
 	RETRY_MS = 200, /* after a failure, doubled up to the longest */
 	RETRY_MAX_MS = 800,
 	/*
@@ -38,6 +47,18 @@
 
 static void ask(struct config_watch *w);
 
+/* config_poll_wait_ms() says how long a poll waits; random lies in 0..1. */
+int config_poll_wait_ms(double random)
+{
+	return WAIT_LEAST_MS + (int)((WAIT_MS - WAIT_LEAST_MS) * random);
+}
+
+/* config_poll_pause_ms() says how long after a version the next one begins. */
+int config_poll_pause_ms(double random)
+{
+	return PAUSE_LEAST_MS + (int)((PAUSE_MS - PAUSE_LEAST_MS) * random);
+}
+
 static void on_retry(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	ask(t->data);
@@ -180,7 +201,9 @@
 	if (r->end_offset > w->offset)
 		w->offset = r->end_offset;
 	if (w->polls || w->told_offset > w->offset)
-		ask_later(w, r->nrecords ? PAUSE_MS : 0);
+		ask_later(w, r->nrecords
+				     ? config_poll_pause_ms(g_random_double())
+				     : 0);
 }
 
 static void ask(struct config_watch *w)
@@ -189,7 +212,8 @@
 	if (!w->listed)
 		store_newest(&w->store, w->source.topic, LSTR(""));
 	else
-		store_read(&w->store, w->source.topic, w->offset, WAIT_MS);
+		store_read(&w->store, w->source.topic, w->offset,
+			   config_poll_wait_ms(g_random_double()));
 }
 
 static bool is_idle(const struct config_watch *w)
--- a/control/config_watch.h
+++ b/control/config_watch.h
@@ -57,5 +57,7 @@
 uint32_t config_watch_age_ms(const struct config_watch *w, int64_t store_ms,
 			     int64_t now_ms);
 void config_watch_restart(struct config_watch *w);
+int config_poll_wait_ms(double random);
+int config_poll_pause_ms(double random);
 
 #endif
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -151,9 +151,66 @@
 	buf_free(&w.record);
 }
 
+enum {
+	PLAY_POLLERS = 2,
+	PLAY_VERSIONS = 10000,
+	MISSED_MS =
+		10, /* a version this soon after a poll began wakes it not */
+};
+
+/*
+ * Two instances that began to poll together, and versions at random moments:
+ * returns how many versions both have missed.
+ */
+static int play_polls(bool in_step)
+{
+	GRand *rand = g_rand_new_with_seed(11);
+	double began[PLAY_POLLERS] = {0}, ends[PLAY_POLLERS] = {0}, at = 0;
+	int missed = 0;
+
+	for (int v = 0; v < PLAY_VERSIONS; v++) {
+		int by = 0;
+
+		at += 500 + 9000 * g_rand_double(rand);
+		for (int i = 0; i < PLAY_POLLERS; i++) {
+			while (ends[i] <= at) {
+				double r = in_step ? 1 : g_rand_double(rand);
+
+				began[i] = ends[i];
+				ends[i] += config_poll_wait_ms(r);
+			}
+			by += at - began[i] < MISSED_MS;
+		}
+		missed += by == PLAY_POLLERS;
+		/* Whoever was woken polls again after its pause. */
+		for (int i = 0; i < PLAY_POLLERS; i++) {
+			double r = in_step ? 1 : g_rand_double(rand);
+
+			ends[i] = at + config_poll_pause_ms(r);
+		}
+	}
+	g_rand_free(rand);
+	return missed;
+}
+
+/*
+ * A version that is written in the moment in which both instances ask anew was
+ * told to neither before their polls ended, 2.5 s later (a day on which store
+ * and pollers were in step, seed 358826578945: in force after 2.5 s of 2).
+ */
+static void test_polls_differ(void **state)
+{
+	assert_int_equal(config_poll_wait_ms(1), 2500);
+	assert_in_range(config_poll_wait_ms(0), 1000, 2000);
+	assert_in_range(config_poll_pause_ms(0), 100, 300);
+	assert_true(play_polls(true) > 10);
+	assert_int_equal(play_polls(false), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_polls_differ),
 		cmocka_unit_test(test_heard),
 		cmocka_unit_test(test_update),
 		cmocka_unit_test(test_heard_after_failure),
