Sight: which request broke at which server, and when a server stops answering

The logs of the incident could not tell whether the attempts that broke at the ends of servers were one request, nor whether a broken connection was the server's end. No decision changes.

--- a/caller/own.c
+++ b/caller/own.c
@@ -146,6 +146,7 @@
 		*status = 403;
 		return "service of another tenant";
 	}
+	call->caller = tenant;
 	if (s->protected_action && !http_find(m, H_KEY).len)
 		return "protected action needs an Idempotency-Key";
 	if (!limit.ptr)
--- a/core/backend.h
+++ b/core/backend.h
@@ -56,6 +56,7 @@
 	double trouble;	     /* decayed failures, see core/outlier.h */
 	int64_t trouble_at_ms;
 	bool shunned; /* what was last logged of it */
+	bool down;    /* the last question failed; for the log */
 	void *conns;  /* the traffic side's idle connections */
 	void *in_use; /* those that wait for an answer or hold one */
 };
--- a/tests/test_request_log.c
+++ b/tests/test_request_log.c
@@ -134,9 +134,54 @@
 	bench_free(b);
 }
 
+/*
+ * A broken connection is told with what the request is: two attempts of the
+ * same request bear one digest, and another request bears another.
+ */
+static void test_broken(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct caller *c;
+	char *first, *second;
+
+	bench_script(b, 0, SCRIPT_RUN_RESET);
+	c = call(b, "POST");
+	assert_int_equal(count_lines("418", c), 1);
+	first = g_strndup(strstr(lines->str, "digest="), 23);
+	call(b, "POST");
+	second = g_strndup(strstr(lines->str, "digest="), 23);
+	assert_string_equal(first, second);
+	call(b, "GET");
+	assert_null(strstr(lines->str, first));
+	g_free(first);
+	g_free(second);
+	bench_free(b);
+}
+
+/* A server whose process has ended is told once, and when it answers again. */
+static void test_down(void **state)
+{
+	struct bench *b = bench_new(1);
+
+	call(b, "GET");
+	bench_kill(b, 0);
+	call(b, "GET");
+	assert_non_null(strstr(lines->str, "ev=316 backend=i-0 service=harta "
+					   "err=Connection refused"));
+	call(b, "GET");
+	assert_null(strstr(lines->str, "ev=316"));
+	b->servers[0].dead = false;
+	server_open(b, 0);
+	call(b, "GET");
+	assert_non_null(strstr(lines->str, "ev=317 backend=i-0"));
+	bench_free(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_broken),
+		cmocka_unit_test(test_down),
 		cmocka_unit_test(test_plenty),
 		cmocka_unit_test(test_storm_served),
 		cmocka_unit_test(test_storm_refused),
--- a/tools/explain.c
+++ b/tools/explain.c
@@ -37,6 +37,7 @@
 	{EV_REQUEST_REFUSED, "refused: it did not run and never will"},
 	{EV_REQUEST_UNKNOWN, "ended without an answer: it may have run"},
 	{EV_REQUEST_RETRY, "goes to another server"},
+	{EV_REQUEST_BROKEN, "the connection to a server broke under it"},
 	{EV_REQUEST_GONE, "the caller left"},
 	{EV_REQUEST_NO_ROUTE, "no route takes it"},
 	{EV_CALL_FOREIGN_ANSWER, "a server's answer named another request"},
@@ -45,6 +46,7 @@
 	{EV_PLATFORM_RECOVERED, "the store answers again"},
 	{EV_MEMBER_LEAVING, "a server drains"},
 	{EV_MEMBER_GONE, "a server is off the list"},
+	{EV_BACKEND_DOWN, "a server doesn't answer questions"},
 	{EV_STOPPING, "the instance began to stop"},
 	{EV_STARTED, "the instance started"},
 };
--- a/traffic/ask.c
+++ b/traffic/ask.c
@@ -59,6 +59,25 @@
 	return HTTP_TAKE;
 }
 
+/* Logs the first question that b doesn't answer, and the next that it does. */
+static void note_down(struct backend *b, int err, int64_t now_ms)
+{
+	if (b->down == (err != 0))
+		return;
+	b->down = err != 0;
+	if (err)
+		mp_event(EV_BACKEND_DOWN, G_LOG_LEVEL_MESSAGE,
+			 "backend=%s service=%s err=%s "
+			 "report_age_ms=%" G_GINT64_FORMAT " in_flight=%u",
+			 b->entry.id, b->service->name, g_strerror(-err),
+			 b->load.at_ms ? now_ms - b->load.at_ms : -1,
+			 b->in_flight);
+	else
+		mp_event(EV_BACKEND_UP, G_LOG_LEVEL_MESSAGE,
+			 "backend=%s service=%s", b->entry.id,
+			 b->service->name);
+}
+
 /* The address belongs to another start by now: this one has ended. */
 static void forget_backend(struct traffic *t, struct backend *b)
 {
@@ -112,6 +131,7 @@
 		drop_ask(a);
 		forget_backend(a->traffic, a->backend);
 	} else {
+		note_down(a->backend, 0, now_ms);
 		if (a->asked_ms)
 			place_note_way(a->backend,
 				       (double)(now_ms - a->asked_ms));
@@ -133,8 +153,10 @@
 	a->pending = false;
 	a->traffic->counters.ask_failures++;
 	/* A kept connection may be closed at any time: nobody's fault. */
-	if (err != -EPIPE && err != -ECONNRESET)
+	if (err != -EPIPE && err != -ECONNRESET) {
+		note_down(a->backend, err, now_ms);
 		outlier_note(a->backend, SILENT_TROUBLE, now_ms);
+	}
 	ask_over(a, now_ms);
 }
 
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -17,6 +17,7 @@
 		{"unknown", c->unknown},   {"failed", c->failed},
 		{"gone", c->gone},	   {"sends", c->sends},
 		{"retries", c->retries},   {"hedges", c->hedges},
+		{"broken", c->broken},
 	};
 	static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
 
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -3,6 +3,7 @@
 #include <ck_pr.h>
 
 #include "common/event.h"
+#include "core/request_digest.h"
 #include "core/retry_after.h"
 #include "misc/clock.h"
 #include "traffic/request.h"
@@ -294,6 +295,16 @@
 	patience_spread_note(&t->spread, &r->stats->patience, left_ms, calm);
 }
 
+/* What all attempts of one request have in common. */
+static uint64_t digest_of(const struct http_message *m,
+			  const struct call_info *call)
+{
+	const struct lstr parts[] = {m->method, call->host, call->caller,
+				     m->target, buf_lstr(&m->body)};
+
+	return request_digest(parts, G_N_ELEMENTS(parts));
+}
+
 /*
  * request_start() gives a matched request its state and begins to place it;
  * the message belongs to it from now on.
@@ -314,6 +325,7 @@
 	r->conn = c;
 	r->message = m;
 	r->call = *call;
+	r->digest = digest_of(m, call);
 	r->protocol = protocol;
 	r->config = config_ref(t->config);
 	r->route = route;
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -68,6 +68,7 @@
 	struct http_message *message;
 	const struct caller_protocol *protocol;
 	struct call_info call;
+	uint64_t digest; /* the same for all attempts, see request_digest() */
 	struct config *config;
 	const struct route *route;
 	struct service *service;
@@ -122,6 +123,7 @@
 /* The log lines of a request. */
 void request_log_sent(struct request *r, struct send *s, int64_t now_ms);
 void request_log_retry(struct request *r, const char *why);
+void request_log_broken(struct request *r, const struct send *s, int err);
 void request_log_foreign(struct request *r, const struct send *s,
 			 struct lstr answered);
 void request_log_outcome(struct request *r, enum mp_event ev, unsigned status,
--- a/traffic/request_log.c
+++ b/traffic/request_log.c
@@ -5,6 +5,8 @@
  * goes well. So a storm costs few lines, and none of those that explain a
  * failure.
  */
+#include <inttypes.h>
+
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/request.h"
@@ -15,17 +17,18 @@
 	const struct send_basis *b = &s->basis;
 
 	mp_event(EV_REQUEST_SENT, G_LOG_LEVEL_INFO,
-		 "id=%.*s backend=%s dc=%s send=%u ago_ms=%" G_GINT64_FORMAT
+		 "id=%.*s digest=%016" PRIx64
+		 " backend=%s dc=%s send=%u ago_ms=%" G_GINT64_FORMAT
 		 " load=%u/%u/%u slowdown_pct=%u load_age_ms=%" G_GINT64_FORMAT
 		 " estimate_ms=%.0f trouble=%.1f asked=%u answered=%u "
 		 "spent_ms=%.0f left_ms=%" G_GINT64_FORMAT
 		 " retries_left=%.1f pressed=%d",
-		 (int)r->call.id.len, r->call.id.ptr, s->backend->entry.id,
-		 s->backend->entry.dc, number, now_ms - s->sent_ms,
-		 b->load.running, b->load.waiting, b->load.slots,
-		 b->load.slowdown_pct, b->load_age_ms, s->estimate_ms,
-		 b->trouble, b->asked, b->answered, b->spent_ms, b->left_ms,
-		 b->retries_left, b->pressed);
+		 (int)r->call.id.len, r->call.id.ptr, r->digest,
+		 s->backend->entry.id, s->backend->entry.dc, number,
+		 now_ms - s->sent_ms, b->load.running, b->load.waiting,
+		 b->load.slots, b->load.slowdown_pct, b->load_age_ms,
+		 s->estimate_ms, b->trouble, b->asked, b->answered, b->spent_ms,
+		 b->left_ms, b->retries_left, b->pressed);
 }
 
 /* Writes what was held back; from now on each line is written at once. */
@@ -67,14 +70,34 @@
 
 	tell(r, now_ms);
 	mp_event(EV_REQUEST_RETRY, G_LOG_LEVEL_INFO,
-		 "id=%.*s why=%s last=%s sends=%u of=%u "
+		 "id=%.*s digest=%016" PRIx64 " why=%s last=%s sends=%u of=%u "
 		 "left_ms=%" G_GINT64_FORMAT " retries_left=%.1f",
-		 (int)r->call.id.len, r->call.id.ptr, why,
+		 (int)r->call.id.len, r->call.id.ptr, r->digest, why,
 		 r->sends[r->nsends - 1].backend->entry.id, r->nsends,
 		 r->route->max_attempts, r->due_ms - now_ms,
 		 request_retries_left(r, now_ms));
 }
 
+/*
+ * request_log_broken() says that the connection to a server ended while that
+ * had the request, and how many others this instance had there.
+ */
+void request_log_broken(struct request *r, const struct send *s, int err)
+{
+	int64_t now_ms = clock_ms();
+
+	tell(r, now_ms);
+	mp_event(EV_REQUEST_BROKEN, G_LOG_LEVEL_INFO,
+		 "id=%.*s digest=%016" PRIx64 " backend=%s service=%s err=%s "
+		 "at_server_ms=%" G_GINT64_FORMAT " beside=%u draining=%d "
+		 "gone=%d",
+		 (int)r->call.id.len, r->call.id.ptr, r->digest,
+		 s->backend->entry.id, s->backend->service->name,
+		 g_strerror(-err), now_ms - s->sent_ms,
+		 s->backend->in_flight - 1, s->backend->entry.draining,
+		 s->backend->gone);
+}
+
 /* request_log_foreign() names an answer that belongs to another request. */
 void request_log_foreign(struct request *r, const struct send *s,
 			 struct lstr answered)
@@ -107,13 +130,15 @@
 	}
 	tell(r, now_ms);
 	mp_event(ev, G_LOG_LEVEL_INFO,
-		 "id=%.*s route=%.*s version=%" G_GUINT64_FORMAT
+		 "id=%.*s digest=%016" PRIx64
+		 " route=%.*s version=%" G_GUINT64_FORMAT
 		 " status=%u why=%s sends=%u last=%s ms=%" G_GINT64_FORMAT
 		 " at_server_ms=%" G_GINT64_FORMAT
 		 " asked=%u answered=%u spent_before_ms=%.0f limit_ms=%u "
 		 "retry_after_ms=%.0f waiting=%u retries_left=%.1f",
-		 (int)r->call.id.len, r->call.id.ptr, (int)r->route->name.len,
-		 r->route->name.ptr, r->config->version, status, why, r->nsends,
+		 (int)r->call.id.len, r->call.id.ptr, r->digest,
+		 (int)r->route->name.len, r->route->name.ptr,
+		 r->config->version, status, why, r->nsends,
 		 last ? last->backend->entry.id : "-", now_ms - r->start_ms,
 		 last ? now_ms - last->sent_ms : 0, r->asked, r->answered,
 		 r->spent_before_ms, r->stats->patience.limit_ms,
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -149,6 +149,10 @@
 	struct send *s = owner;
 	struct request *r = s->request;
 
+	if (sent && err != -ETIMEDOUT) {
+		r->stats->broken++;
+		request_log_broken(r, s, err);
+	}
 	outlier_note(s->backend,
 		     err == -ETIMEDOUT ? TROUBLE_TIMEOUT : TROUBLE_BROKEN,
 		     clock_ms());
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -23,7 +23,7 @@
 	struct work_model work; /* how long its requests take */
 	struct patience patience;
 	uint64_t requests, served, late, refused, unknown, failed, gone;
-	uint64_t sends, hedges, retries;
+	uint64_t sends, hedges, retries, broken;
 	struct hist latency; /* of served ones, microseconds */
 };
 
