--- a/options/deploy.h
+++ b/options/deploy.h
@@ -38,7 +38,8 @@
 	int proxy_offset; /* they tell ports so much higher; 0: their own */
 	int work_ms;
 	bool protected_action;
-	bool hangs; /* when full it never answers, instead of refusing */
+	bool hangs;	  /* when full it never answers, instead of refusing */
+	char *fatal_path; /* such a request ends the server; "": none */
 	char **dcs;
 };
 
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -2,7 +2,8 @@
  * A backend server as a stand-in, over the published protocol: it registers
  * in the store, runs requests on its slots, reports its load, refuses or
  * hangs when it is full, answers for another start with 421, and drains on
- * SIGTERM. POST /stand/faults?NAME=VALUE makes it misbehave:
+ * SIGTERM. A request whose path begins with the service's fatal_path ends the
+ * process that runs it. POST /stand/faults?NAME=VALUE makes it misbehave:
  *   shed=0|1  quiet=0|1  hang_pct=N  lost_pct=N  cut_pct=N  extra_pct=N
  */
 #include <errno.h>
@@ -26,6 +27,8 @@
 	LEAVE_BOUND_MS = 3000, /* new work after this is late */
 	HEAD_MAX = 16384,
 	BODY_MAX = 1 << 20,
+	FATAL_MS = 40, /* a fatal request runs so long before the end */
+	EXIT_FATAL = 70,
 };
 
 struct faults {
@@ -158,6 +161,26 @@
 	job_end(t->data);
 }
 
+/* The process ends at once, as after a fault of its own. */
+static void on_fatal(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct job *j = t->data;
+
+	mp_event(EV_STOPPED, G_LOG_LEVEL_CRITICAL, "backend %s ends under %.*s",
+		 j->server->id, (int)j->message->target.len,
+		 j->message->target.ptr);
+	_exit(EXIT_FATAL);
+}
+
+static bool is_fatal(const struct job *j)
+{
+	struct lstr path = lstr0(j->server->service->fatal_path);
+	struct lstr target = j->message->target;
+
+	return path.len && target.len >= path.len &&
+	       !memcmp(target.ptr, path.ptr, path.len);
+}
+
 static void job_run(struct job *j)
 {
 	struct server *s = j->server;
@@ -171,7 +194,8 @@
 	work_note_run(&s->work, text);
 	g_free(text);
 	j->waiting = false;
-	ev_timer_init(&j->timer, on_worked, ms / 1000, 0);
+	ev_timer_init(&j->timer, is_fatal(j) ? on_fatal : on_worked,
+		      (is_fatal(j) ? FATAL_MS : ms) / 1000, 0);
 	j->timer.data = j;
 	ev_timer_start(s->loop, &j->timer);
 }
