Only the store's own answers vouch for a poll for the configuration

From the log: it was confirmed at 2.686 s; the two instances that poll were both cut off from the store, silently (their lines 300 at 3.9 and 4.2 s; the polls ended at 4.96 and 5.46 s). A third one read the list of servers meanwhile and fed them, and that list's age vouched for their polls, so that nobody else polled. Change: the age that instances tell counts the store's answers to themselves only; in a large system those behind the hubs wait 1.5 s before they poll as well, so that the hubs come first.

--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -103,6 +103,7 @@
 		mp_event(EV_PLATFORM_RECOVERED, G_LOG_LEVEL_MESSAGE,
 			 "what=backends failures=%u", w->failures);
 	w->failures = 0;
+	w->answered_ms = w->tried_ms;
 	w->gap = false;
 	w->read_done(w->priv, recovered);
 }
--- a/control/backend_watch.h
+++ b/control/backend_watch.h
@@ -11,11 +11,12 @@
 struct backend_watch {
 	struct backend_list list;
 	struct store_channel store;
-	int64_t tried_ms;  /* the last read was sent then */
-	unsigned failures; /* in a row */
-	bool gap;	   /* a feed began after what is known */
-	int64_t gap_ms;	   /* when */
-	bool asked_all;	   /* the call under way asks for a whole listing */
+	int64_t tried_ms;    /* the last read was sent then */
+	int64_t answered_ms; /* the last one that the store answered was */
+	unsigned failures;   /* in a row */
+	bool gap;	     /* a feed began after what is known */
+	int64_t gap_ms;	     /* when */
+	bool asked_all;	     /* the call under way asks for a whole listing */
 	bool listing;
 	uint64_t listing_end;
 	/* A read has succeeded; `recovered`: the first after failures. */
--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -25,6 +25,12 @@
 	 * times a second; one that hears nothing for this long polls too.
 	 */
 	QUIET_MS = 1000,
+	/*
+	 * In a large system those behind the hubs leave it to these first, so
+	 * that not all ask at once; a version must be in force 2 s after its
+	 * confirmation.
+	 */
+	QUIET_PATIENT_MS = 1500,
 	/*
 	 * A poll from before a peer told of a record may have been lost, or
 	 * its answer is on the way: 500 KB take 0.4 s on a link of 10 Mbit/s.
@@ -229,7 +235,9 @@
 void config_watch_tick(struct config_watch *w, bool may_ask, bool first,
 		       int64_t now_ms)
 {
-	w->polls = may_ask && (first || now_ms - w->told_ms > QUIET_MS);
+	int quiet = w->patient ? QUIET_PATIENT_MS : QUIET_MS;
+
+	w->polls = may_ask && (first || now_ms - w->told_ms > quiet);
 	if (w->polls && is_idle(w))
 		ask(w);
 }
--- a/control/control.c
+++ b/control/control.c
@@ -101,8 +101,13 @@
 	struct peer_info *self = &c->peers.peers.self;
 
 	self->config_offset = c->config.offset;
+	/*
+	 * Only the store's answers to this instance vouch for its poll: a list
+	 * that others fed kept two pollers that were both cut off from the
+	 * store from being replaced, and a version was in force 3 s late.
+	 */
 	self->config_age_ms = config_watch_age_ms(
-		&c->config, c->backends.list.fresh_ms, now_ms);
+		&c->config, c->backends.answered_ms, now_ms);
 	c->knew = c->knew || (c->config.version && c->backends.list.loaded);
 	self->ready = c->knew;
 }
