--- a/control/control.c
+++ b/control/control.c
@@ -161,13 +161,15 @@
 	struct control *c = priv;
 	int64_t now_ms = clock_ms();
 
+	if (m->kind == GOSSIP_LOAD) {
+		send_to_traffic(c, TO_TRAFFIC_LOAD,
+				g_memdup2(&m->load, sizeof(m->load)));
+		return;
+	}
 	if (m->kind == GOSSIP_FEED) {
 		backend_watch_feed(&c->backends, &m->feed, now_ms);
 		publish_age(c);
 	}
-	if (m->kind == GOSSIP_LOAD)
-		send_to_traffic(c, TO_TRAFFIC_LOAD,
-				g_memdup2(&m->load, sizeof(m->load)));
 	if (m->kind == GOSSIP_CRASH)
 		crash_watch_heard(&c->crashes, m->sender.name, m->crashes);
 	if (config_watch_heard(&c->config, m->sender.config_offset,
@@ -336,14 +338,13 @@
 }
 
 /* Tells every live peer what this instance has out. */
-static void send_load(struct control *c, const struct peer_load *load)
+static void send_load(struct control *c, struct peer_load *load)
 {
 	struct buf b = {0};
-	int64_t now_ms = clock_ms();
 
-	stamp_self(c, now_ms);
-	gossip_write_load(&b, &c->peers.peers.self, load);
-	peer_channel_send_live(&c->peers, &b, now_ms);
+	load->peer = peer_id(c->peers.peers.self.name);
+	gossip_write_load(&b, load);
+	peer_channel_send_plain(&c->peers, &b, clock_ms());
 	buf_free(&b);
 }
 
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -13,17 +13,36 @@
 	ROLL_WHOLE_MS = 1500,
 };
 
-static void send_datagram(struct peer_channel *ch, const struct buf *b,
-			  struct peer *p, int64_t now_ms)
+static void send_plain(struct peer_channel *ch, const struct buf *b,
+		       const struct peer *p)
 {
 	ch->bytes_out += b->len;
-	p->sent_ms = now_ms;
 	/* A datagram that can't be sent is as good as lost. */
 	(void)!sendto(ch->sock, b->ptr, b->len, MSG_DONTWAIT | MSG_NOSIGNAL,
 		      (const struct sockaddr *)&p->info.addr,
 		      sizeof(p->info.addr));
 }
 
+/* Sends what also is a heartbeat. */
+static void send_datagram(struct peer_channel *ch, const struct buf *b,
+			  struct peer *p, int64_t now_ms)
+{
+	p->sent_ms = now_ms;
+	send_plain(ch, b, p);
+}
+
+/* peer_channel_send_plain() sends all live peers what is no heartbeat. */
+void peer_channel_send_plain(struct peer_channel *ch, const struct buf *b,
+			     int64_t now_ms)
+{
+	for (guint i = 0; i < ch->peers.peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(ch->peers.peers, i);
+
+		if (peer_alive(p, now_ms))
+			send_plain(ch, b, p);
+	}
+}
+
 /*
  * peer_channel_send_live() sends to all live peers. Whatever a peer is sent
  * also is a heartbeat.
@@ -211,7 +230,8 @@
 {
 	int64_t now_ms = clock_ms();
 
-	if (peers_heard(&ch->peers, &m->sender, now_ms))
+	if (gossip_names_sender(m) &&
+	    peers_heard(&ch->peers, &m->sender, now_ms))
 		welcome(ch, &m->sender, now_ms);
 	if (m->kind == GOSSIP_ROLL)
 		take_roll(ch, m, now_ms);
--- a/control/peer_channel.h
+++ b/control/peer_channel.h
@@ -33,6 +33,8 @@
 void peer_channel_tick(struct peer_channel *ch, int64_t now_ms);
 void peer_channel_send_live(struct peer_channel *ch, const struct buf *b,
 			    int64_t now_ms);
+void peer_channel_send_plain(struct peer_channel *ch, const struct buf *b,
+			     int64_t now_ms);
 void peer_channel_send_hubs(struct peer_channel *ch, const struct buf *b,
 			    int64_t now_ms);
 void peer_channel_beat_live(struct peer_channel *ch, int64_t now_ms);
--- a/core/peer_load.c
+++ b/core/peer_load.c
@@ -24,7 +24,7 @@
 void peer_loads_init(struct peer_loads *p)
 {
 	p->by_peer =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+		g_hash_table_new_full(g_int_hash, g_int_equal, NULL, g_free);
 }
 
 /* peer_loads_collect() lists this instance's own requests for the peers. */
@@ -71,14 +71,14 @@
 void peer_loads_apply(struct peer_loads *p, struct backend_set *set,
 		      const struct peer_load *load, int64_t now_ms)
 {
-	struct applied *a = g_hash_table_lookup(p->by_peer, load->peer);
+	struct applied *a = g_hash_table_lookup(p->by_peer, &load->peer);
 
 	if (a) {
 		add(set, &a->load, -1);
 	} else {
 		a = g_new0(struct applied, 1);
-		g_strlcpy(a->load.peer, load->peer, sizeof(a->load.peer));
-		g_hash_table_insert(p->by_peer, a->load.peer, a);
+		a->load.peer = load->peer;
+		g_hash_table_insert(p->by_peer, &a->load.peer, a);
 	}
 	a->load.n = load->n;
 	memcpy(a->load.items, load->items, load->n * sizeof(*load->items));
--- a/core/peer_load.h
+++ b/core/peer_load.h
@@ -8,7 +8,7 @@
 
 #include "core/backend.h"
 
-enum { PEER_LOAD_MAX = 128, PEER_LOAD_NAME_MAX = 64 };
+enum { PEER_LOAD_MAX = 128 };
 
 /* Requests of one instance at one server; ids are sent as their hash. */
 struct peer_load_item {
@@ -18,13 +18,13 @@
 
 /* All that one instance has out, at servers that tell no load. */
 struct peer_load {
-	char peer[PEER_LOAD_NAME_MAX];
+	uint32_t peer; /* peer_id() of the instance */
 	unsigned n;
 	struct peer_load_item items[PEER_LOAD_MAX];
 };
 
 struct peer_loads {
-	GHashTable *by_peer; /* name -> what was applied */
+	GHashTable *by_peer; /* its id -> what was applied */
 };
 
 uint32_t peer_load_hash(const char *backend_id);
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -12,7 +12,8 @@
 	FEED_FIELDS = 5,
 	CHANGE_FIELDS = 11,
 	ROLL_FIELDS = 4,
-	CRASH_FIELDS = 3
+	CRASH_FIELDS = 3,
+	LOAD_FIELDS = 3
 };
 
 enum {
@@ -154,14 +155,20 @@
 	return end;
 }
 
-/* gossip_write_load() writes what this instance has out. */
-void gossip_write_load(struct buf *out, const struct peer_info *self,
-		       const struct peer_load *load)
+/*
+ * gossip_write_load() writes what an instance has out. It goes to all some
+ * twenty times a second from each, so all that a heartbeat says is left out:
+ * 25 bytes in place of 104. Where servers tell no load, bytes between data
+ * centres cost 0.036 of worth with these.
+ */
+void gossip_write_load(struct buf *out, const struct peer_load *load)
 {
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, codec_buf_write);
-	pack_sender(&pk, GOSSIP_LOAD, self);
+	msgpack_pack_array(&pk, LOAD_FIELDS);
+	msgpack_pack_int(&pk, GOSSIP_LOAD);
+	msgpack_pack_uint32(&pk, load->peer);
 	msgpack_pack_array(&pk, 2 * (size_t)load->n);
 	for (unsigned i = 0; i < load->n; i++) {
 		msgpack_pack_uint32(&pk, load->items[i].backend);
@@ -369,12 +376,10 @@
 	return !c.bad && !list.bad;
 }
 
-static bool read_load(const msgpack_object *o, const char *peer,
-		      struct peer_load *load)
+static bool read_counts(const msgpack_object *o, struct peer_load *load)
 {
 	struct cursor c = cursor_of(o);
 
-	g_strlcpy(load->peer, peer, sizeof(load->peer));
 	while (!c.bad && c.at < c.end && load->n < PEER_LOAD_MAX) {
 		struct peer_load_item *i = &load->items[load->n++];
 
@@ -447,6 +452,12 @@
 	return !c.bad;
 }
 
+/* gossip_names_sender() tells whether a message says who sent it in full. */
+bool gossip_names_sender(const struct gossip_message *m)
+{
+	return m->kind != GOSSIP_LOAD;
+}
+
 /* Reads what stands after the sender. */
 static bool read_rest(struct cursor *c, struct gossip_message *m)
 {
@@ -460,7 +471,8 @@
 	case GOSSIP_FEED:
 		return read_feed(next(c), &m->feed);
 	case GOSSIP_LOAD:
-		return read_load(next(c), m->sender.name, &m->load);
+		m->load.peer = (uint32_t)next_uint(c);
+		return read_counts(next(c), &m->load) && !c->bad;
 	case GOSSIP_ROLL:
 		return read_roll(next(c), &m->roll);
 	case GOSSIP_WHO:
@@ -493,7 +505,8 @@
 		struct cursor c = cursor_of(&u.data);
 
 		m->kind = (enum gossip_kind)next_uint(&c);
-		read_info(&c, &m->sender);
+		if (gossip_names_sender(m))
+			read_info(&c, &m->sender);
 		if (!c.bad && read_rest(&c, m))
 			rc = 0;
 	}
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -18,7 +18,7 @@
 enum gossip_kind {
 	GOSSIP_BEAT = 1,
 	GOSSIP_FEED = 2,
-	GOSSIP_LOAD = 3,
+	GOSSIP_LOAD = 11,  /* requests out; its sender is an id only */
 	GOSSIP_ROLL = 4,   /* who lives, as a hub hears it */
 	GOSSIP_WHO = 5,	   /* asks who an id of a roll is */
 	GOSSIP_SAME = 8,   /* the roll hasn't changed: its digest */
@@ -81,8 +81,7 @@
 			guint changes_max);
 guint gossip_write_feed(struct buf *out, const struct peer_info *self,
 			const struct backend_feed *feed, guint begin);
-void gossip_write_load(struct buf *out, const struct peer_info *self,
-		       const struct peer_load *load);
+void gossip_write_load(struct buf *out, const struct peer_load *load);
 guint gossip_write_roll(struct buf *out, const struct peer_info *self,
 			const struct roll *roll, guint begin);
 void gossip_write_who(struct buf *out, const struct peer_info *self,
@@ -94,6 +93,7 @@
 			 const struct peer_info *person);
 void gossip_write_crashes(struct buf *out, const struct peer_info *self,
 			  const struct crash_news *news, unsigned n);
+bool gossip_names_sender(const struct gossip_message *m);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
 void gossip_pack_change(msgpack_packer *pk, const struct backend_change *c);
 bool gossip_read_change(const msgpack_object *o, struct backend_change *out);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -252,18 +252,22 @@
 
 static void test_load_round_trip(void **state)
 {
-	struct peer_info self = info("e3", 77);
-	struct peer_load l = {.n = 2, .items = {{123456, 3}, {7, 1}}};
+	struct peer_load l = {
+		.peer = peer_id("e3"), .n = 2, .items = {{123456, 3}, {7, 1}}};
 	struct gossip_message m;
 	struct buf b = {0};
 
-	gossip_write_load(&b, &self, &l);
+	gossip_write_load(&b, &l);
+	/* Told some twenty times a second to each: it was 104 bytes here. */
+	assert_true(b.len <= 25);
 	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
 	assert_int_equal(m.kind, GOSSIP_LOAD);
-	assert_string_equal(m.load.peer, "e3");
+	assert_false(gossip_names_sender(&m));
+	assert_int_equal(m.load.peer, peer_id("e3"));
 	assert_int_equal(m.load.n, 2);
 	assert_memory_equal(m.load.items, l.items, 2 * sizeof(*l.items));
 	gossip_message_clear(&m);
+	refuse_prefixes(&b);
 	buf_free(&b);
 }
 
--- a/tests/test_peer_load.c
+++ b/tests/test_peer_load.c
@@ -6,13 +6,14 @@
 
 #include "core/peer_load.h"
 #include "core/place.h"
+#include "member/peers.h"
 #include "tests/servers.h"
 
 static struct peer_load says(const char *peer, const char *id, uint32_t count)
 {
 	struct peer_load l = {.n = count ? 1 : 0};
 
-	g_strlcpy(l.peer, peer, sizeof(l.peer));
+	l.peer = peer_id(peer);
 	l.items[0] = (struct peer_load_item){peer_load_hash(id), count};
 	return l;
 }
