A verdict that was lifted leaves the store also when its writes still wait

Found by reading: with the store away the first three hold a write of the verdict; if it is lifted meanwhile, one of them drops the key and another's write may come after it, so that the next start would refuse a request that was cleared. Now whoever has a write of it waiting drops the key after it. test_record_dropped fails before.

--- a/control/crash_record.c
+++ b/control/crash_record.c
@@ -58,6 +58,18 @@
 		call_later(r, 0);
 }
 
+/* crash_record_waits() tells whether a write of the request's is to come. */
+bool crash_record_waits(const struct crash_record *r, uint64_t digest)
+{
+	for (const GList *l = r->pending.head; l; l = l->next) {
+		const struct crash_news *news = l->data;
+
+		if (news->digest == digest)
+			return true;
+	}
+	return false;
+}
+
 /* crash_record_put() writes a verdict, or drops it when it was answered. */
 void crash_record_put(struct crash_record *r, const struct crash_news *news)
 {
--- a/control/crash_watch.c
+++ b/control/crash_watch.c
@@ -231,14 +231,18 @@
 	tell(w, &news, VERDICT_TELLS);
 }
 
-/* A verdict that no longer holds leaves the store, by one instance's call. */
+/*
+ * A verdict that no longer holds leaves the store by one instance's call, and
+ * by those of whoever may write it yet: the store was away.
+ */
 static void drop_record(struct crash_watch *w, const struct crash_case *c,
 			enum crash_change what)
 {
 	struct crash_news news = {CRASH_NEWS_ANSWERED, c->digest, 0};
 	bool own = what == CRASH_RELEASED ? !w->teller : w->rank == 0;
 
-	if (c->quarantined && own)
+	if (c->quarantined &&
+	    (own || crash_record_waits(&w->record, c->digest)))
 		crash_record_put(&w->record, &news);
 }
 
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -264,6 +264,24 @@
 	end(f);
 }
 
+/* A write that waited for the store doesn't outlive what it says. */
+static void test_record_dropped(void **state)
+{
+	struct fleet *f = begin(SMALL);
+
+	three_ends(f);
+	expect_agreed(f);
+	saw(f, SMALL - 1, CRASH_NEWS_ANSWERED, CULPRIT, 0);
+	wait_for(f, VERDICT_CLEAR, SMALL);
+	for (int i = 0; i < SMALL; i++) {
+		const struct crash_news *last =
+			g_queue_peek_tail(&f->all[i].watch.record.pending);
+
+		assert_int_equal(last->kind, CRASH_NEWS_ANSWERED);
+	}
+	end(f);
+}
+
 /* When all servers end at once there is more to tell than fits one datagram. */
 static void test_many(void **state)
 {
@@ -305,6 +323,7 @@
 		cmocka_unit_test(test_unaware),
 		cmocka_unit_test(test_cleared),
 		cmocka_unit_test(test_many),
+		cmocka_unit_test(test_record_dropped),
 		cmocka_unit_test(test_behind_hubs),
 	};
 
