An answer to a request beside the culprit lets the culprit be judged at once

Two requests that were at the same three servers are both let go on; when one was answered the other still needed a fourth end. Found by reading. test_beside_answered fails before (nothing was due).

--- a/core/crash_ledger.c
+++ b/core/crash_ledger.c
@@ -250,6 +250,21 @@
 	quarantine(l, c, terms ? terms : 1, now_ms);
 }
 
+/* One that stood beside is out of it: the others may be clear by now. */
+static void judge_again(struct crash_ledger *l, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, l->cases);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct crash_case *c = v;
+
+		if (!c->quarantined && c->nends >= PROOF_ENDS && !c->due_ms)
+			c->due_ms = now_ms + JUDGE_MS;
+	}
+}
+
 /*
  * crash_ledger_answered() takes in that a server has run the request and
  * answered: it doesn't end all that run it.
@@ -259,8 +274,10 @@
 {
 	struct crash_case *c = find(l, digest);
 
-	if (c)
-		drop(l, c, CRASH_RELEASED, now_ms);
+	if (!c)
+		return;
+	drop(l, c, CRASH_RELEASED, now_ms);
+	judge_again(l, now_ms);
 }
 
 /* Tells whether some other request was wherever `c` was. */
--- a/tests/test_crash_ledger.c
+++ b/tests/test_crash_ledger.c
@@ -129,6 +129,26 @@
 	crash_ledger_free(&l);
 }
 
+/* Both were at all three, and one is answered: it was the other. */
+static void test_beside_answered(void **state)
+{
+	struct crash_ledger l;
+	struct heard h;
+
+	begin(&l, &h);
+	for (uint32_t s = 1; s <= 3; s++) {
+		crash_ledger_end(&l, 7, s, 1000 * s);
+		crash_ledger_end(&l, CULPRIT, s, 1000 * s);
+		crash_ledger_judge(&l, 1000 * s + JUDGED_MS);
+	}
+	assert_false(refused(&l, CULPRIT));
+	crash_ledger_answered(&l, 7, 5000);
+	assert_true(crash_ledger_due_ms(&l) > 0);
+	crash_ledger_judge(&l, 5000 + JUDGED_MS);
+	assert_true(refused(&l, CULPRIT));
+	crash_ledger_free(&l);
+}
+
 /* The culprit's share of an end may be told after the others' one. */
 static void test_told_late(void **state)
 {
@@ -285,10 +305,15 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_proof),  cmocka_unit_test(test_answer),
-		cmocka_unit_test(test_beside), cmocka_unit_test(test_told_late),
-		cmocka_unit_test(test_two),    cmocka_unit_test(test_terms),
-		cmocka_unit_test(test_told),   cmocka_unit_test(test_bounds),
+		cmocka_unit_test(test_proof),
+		cmocka_unit_test(test_answer),
+		cmocka_unit_test(test_beside),
+		cmocka_unit_test(test_told_late),
+		cmocka_unit_test(test_beside_answered),
+		cmocka_unit_test(test_two),
+		cmocka_unit_test(test_terms),
+		cmocka_unit_test(test_told),
+		cmocka_unit_test(test_bounds),
 		cmocka_unit_test(test_spells),
 	};
 
