--- a/control/crash_watch.c
+++ b/control/crash_watch.c
@@ -36,16 +36,16 @@
 
 /* What a change means for the log and for the traffic thread. */
 static const struct {
-	enum mp_event event;
 	const char *name;
+	enum mp_event event;
 	enum verdict_kind verdict;
 } changes[] = {
-	[CRASH_SUSPECTED] = {EV_CRASH_SUSPECTED, "suspected", VERDICT_SUSPECT},
-	[CRASH_QUARANTINED] = {EV_CRASH_QUARANTINED, "quarantined",
+	[CRASH_SUSPECTED] = {"suspected", EV_CRASH_SUSPECTED, VERDICT_SUSPECT},
+	[CRASH_QUARANTINED] = {"quarantined", EV_CRASH_QUARANTINED,
 			       VERDICT_REFUSE},
-	[CRASH_TRIAL] = {EV_CRASH_TRIAL, "trial", VERDICT_TRIAL},
-	[CRASH_RELEASED] = {EV_CRASH_RELEASED, "released", VERDICT_CLEAR},
-	[CRASH_FORGOTTEN] = {EV_CRASH_RELEASED, "forgotten", VERDICT_CLEAR},
+	[CRASH_TRIAL] = {"trial", EV_CRASH_TRIAL, VERDICT_TRIAL},
+	[CRASH_RELEASED] = {"released", EV_CRASH_RELEASED, VERDICT_CLEAR},
+	[CRASH_FORGOTTEN] = {"forgotten", EV_CRASH_RELEASED, VERDICT_CLEAR},
 };
 
 static void log_change(const struct crash_watch *w, const struct crash_case *c,
