A version is told to the peers at once by the offset behind it

Cause: the heartbeat went out while the version was taken over, before the offset moved, so it bore the old one and said nothing new; each lost or refused message after that costs another half second of the 2 s. Change: the offset moves first.

--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -201,11 +201,16 @@
 	w->failures = 0;
 	w->listed = true;
 	w->fresh_ms = clock_ms();
+	/*
+	 * Before the version is taken over: it is told to the peers then, by
+	 * this offset. By the one before they heard nothing new, and had it
+	 * half a second later, with the next heartbeat.
+	 */
+	if (r->end_offset > w->offset)
+		w->offset = r->end_offset;
 	take_newest(w, r);
 	if (!w->version && w->source.usable_when_absent)
 		take_absent(w);
-	if (r->end_offset > w->offset)
-		w->offset = r->end_offset;
 	if (w->polls || w->told_offset > w->offset)
 		ask_later(w, r->nrecords
 				     ? config_poll_pause_ms(g_random_double())
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -151,6 +151,41 @@
 	buf_free(&w.record);
 }
 
+static uint64_t offset_told;
+
+static void tell_offset(void *priv, struct config *c)
+{
+	const struct config_watch *w = priv;
+
+	offset_told = w->offset;
+	config_unref(c);
+}
+
+/*
+ * Whoever is told of a version at once is told by the offset behind it. It was
+ * the one before: 16 instances had a version 0.48 s after the one that polled,
+ * and one of them once 2.05 s after its confirmation (2 s are allowed).
+ */
+static void test_told_with_version(void **state)
+{
+	struct store_record rec = {
+		.offset = 10, .key = LSTR("config"), .value = LSTR("6")};
+	struct store_result r = {
+		.end_offset = 11, .records = &rec, .nrecords = 1};
+	struct config_source source = {.key = "config", .decode = decode};
+	struct sockaddr_in nobody = {.sin_family = AF_INET};
+	struct config_watch w;
+
+	config_watch_start(&w, ev_default_loop(0), &nobody, &source,
+			   tell_offset, &w);
+	w.listed = true;
+	w.offset = 10;
+	w.store.done(w.store.priv, &r);
+	assert_int_equal(w.version, 6);
+	assert_int_equal(offset_told, 11);
+	buf_free(&w.record);
+}
+
 enum {
 	PLAY_POLLERS = 2,
 	PLAY_VERSIONS = 10000,
@@ -210,6 +245,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_told_with_version),
 		cmocka_unit_test(test_polls_differ),
 		cmocka_unit_test(test_heard),
 		cmocka_unit_test(test_update),
