--- a/tests/test_crash_ledger.c
+++ b/tests/test_crash_ledger.c
@@ -99,6 +99,16 @@
 	crash_ledger_free(&l);
 }
 
+/* Three servers end while they have the culprit and request 7. */
+static void end_under_both(struct crash_ledger *l)
+{
+	for (uint32_t s = 1; s <= 3; s++) {
+		crash_ledger_end(l, 7, s, 1000 * s);
+		crash_ledger_end(l, CULPRIT, s, 1000 * s);
+		crash_ledger_judge(l, 1000 * s + JUDGED_MS);
+	}
+}
+
 /*
  * A request whose retries went where the culprit's did, twice or three times,
  * isn't blamed: at the first difference the culprit is known and it is cleared.
@@ -109,11 +119,7 @@
 	struct heard h;
 
 	begin(&l, &h);
-	for (uint32_t s = 1; s <= 3; s++) {
-		crash_ledger_end(&l, 7, s, 1000 * s);
-		crash_ledger_end(&l, CULPRIT, s, 1000 * s);
-		crash_ledger_judge(&l, 1000 * s + JUDGED_MS);
-	}
+	end_under_both(&l);
 	/* Both were at all three: one of them, but nobody knows which. */
 	assert_false(refused(&l, CULPRIT));
 	assert_false(refused(&l, 7));
@@ -136,11 +142,7 @@
 	struct heard h;
 
 	begin(&l, &h);
-	for (uint32_t s = 1; s <= 3; s++) {
-		crash_ledger_end(&l, 7, s, 1000 * s);
-		crash_ledger_end(&l, CULPRIT, s, 1000 * s);
-		crash_ledger_judge(&l, 1000 * s + JUDGED_MS);
-	}
+	end_under_both(&l);
 	assert_false(refused(&l, CULPRIT));
 	crash_ledger_answered(&l, 7, 5000);
 	assert_true(crash_ledger_due_ms(&l) > 0);
