--- a/options/deploy.c
+++ b/options/deploy.c
@@ -42,7 +42,7 @@
 	{"work_ms", OPT_INT, S(work_ms), "4", 0, 60000},
 	{"protected", OPT_BOOL, S(protected_action), "false", 0, 0},
 	{"hangs", OPT_BOOL, S(hangs), "false", 0, 0},
-	{"fatal_path", OPT_STR, S(fatal_path), "", 0, 0},
+	{"fatal_word", OPT_STR, S(fatal_word), "", 0, 0},
 	{"dcs", OPT_LIST, S(dcs), "hala-cluj", 0, 0},
 	OPT_END,
 };
--- a/options/deploy.h
+++ b/options/deploy.h
@@ -39,7 +39,7 @@
 	int work_ms;
 	bool protected_action;
 	bool hangs;	  /* when full it never answers, instead of refusing */
-	char *fatal_path; /* such a request ends the server; "": none */
+	char *fatal_word; /* in a path or body: it ends the server; "": none */
 	char **dcs;
 };
 
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -2,8 +2,8 @@
  * A backend server as a stand-in, over the published protocol: it registers
  * in the store, runs requests on its slots, reports its load, refuses or
  * hangs when it is full, answers for another start with 421, and drains on
- * SIGTERM. A request whose path begins with the service's fatal_path ends the
- * process that runs it. POST /stand/faults?NAME=VALUE makes it misbehave:
+ * SIGTERM. A request whose path or body holds the service's fatal_word ends
+ * the process that runs it. POST /stand/faults?NAME=VALUE makes it misbehave:
  *   shed=0|1  quiet=0|1  hang_pct=N  lost_pct=N  cut_pct=N  extra_pct=N
  */
 #include <errno.h>
@@ -172,13 +172,18 @@
 	_exit(EXIT_FATAL);
 }
 
+static bool holds(struct lstr text, const char *word)
+{
+	return *word && text.len &&
+	       memmem(text.ptr, text.len, word, strlen(word)) != NULL;
+}
+
 static bool is_fatal(const struct job *j)
 {
-	struct lstr path = lstr0(j->server->service->fatal_path);
-	struct lstr target = j->message->target;
+	const char *word = j->server->service->fatal_word;
 
-	return path.len && target.len >= path.len &&
-	       !memcmp(target.ptr, path.ptr, path.len);
+	return holds(j->message->target, word) ||
+	       holds(buf_lstr(&j->message->body), word);
 }
 
 static void job_run(struct job *j)
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -50,7 +50,8 @@
 	unsigned busy; /* slots taken by others, as it reports */
 	unsigned running, received, connections;
 	bool tells_load, dead;
-	bool ill; /* its health answer is 503, without a load */
+	bool mute; /* questions for its health are reset, as by a relay */
+	bool ill;  /* its health answer is 503, without a load */
 };
 
 /* A request at a server. */
@@ -161,6 +162,10 @@
 {
 	char headers[160];
 
+	if (s->mute) {
+		http_conn_abort(c);
+		return;
+	}
 	snprintf(headers, sizeof(headers), "Instance-Id: %s\r\n", s->id);
 	if (s->tells_load && !s->ill)
 		snprintf(headers + strlen(headers), 80,
--- a/tests/soak-seeds.sh
+++ b/tests/soak-seeds.sh
@@ -3,8 +3,13 @@
 # them, one with hubs and one without.
 #   122, 153: after the store had forgotten its history instances took each
 #             other's older lists over and over, until none had a server.
+#   601, 602 with a fatal request: relays took connections for servers that had
+#             ended, so no end was ever sure, and servers ended on and on.
 set -u
 cd "$(dirname "$0")/.."
 for seed in 122 153; do
 	tests/soak.sh $seed 10 || exit 1
 done
+for seed in 601 602; do
+	tests/soak.sh $seed 10 0 fatal || exit 1
+done
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -8,19 +8,24 @@
 # and servers saw: nothing protected ran twice, no false "not run", no foreign
 # answer, versions never go back, nothing ends by itself, and afterwards a
 # version is in force everywhere and calls are served.
-#   tests/soak.sh SEED [SECONDS [SLOT]]    (a slot is a range of ports)
-# An even seed plays a system with hubs. Stops what it started, by pid.
+#   tests/soak.sh SEED [SECONDS [SLOT [fatal]]]   (a slot is a range of ports)
+# An even seed plays a system with hubs. With `fatal` a request that ends each
+# server that runs it comes to all instances all the while, and when the faults
+# are over few servers may end under it. Stops what it started, by pid.
 set -u
 cd "$(dirname "$0")/.."
 bin=${MP_BIN:-target/mimosapitch}
 seed=${1:?SEED}
 seconds=${2:-10}
 slot=${3:-0}
+fatal=${4:-}
 base=$((24000 + 100 * slot))
 logs=$(mktemp -d)
 ini=$logs/soak.ini
 RANDOM=$seed
 entries=$((seed % 2 ? 4 : 22))
+FATAL_EXIT=70  # of a server that ends under a request
+FATAL_ENDS=6   # allowed after the faults: three prove it, three more are sent
 declare -A pids # name -> pid of what should run now
 fails=0
 
@@ -45,6 +50,7 @@
 		base_port = $((base + 50))
 		proxy_offset = 10
 		work_ms = 4
+		fatal_word = ends-servers
 		dcs = hala-cluj,hala-sibiu
 		[service.becas-pagos]
 		tenant = semillero
@@ -136,6 +142,34 @@
 		s=$(an_entry); kill -HUP "${pids[$s]}" 2>/dev/null ;;
 	esac
 }
+# Copies of one fatal request at all instances, until the file `calm` is there.
+send_fatal() { # seconds between two
+	local n=0
+	RANDOM=$((seed + 1000))
+	while [ ! -e "$logs/calm" ]; do
+		n=$((n + 1))
+		curl -s -m 2 -o /dev/null -X POST -H 'X-Tenant: strada' \
+			-H "X-Request-Id: fatal-$1-$n" -d ends-servers \
+			"http://127.0.0.1:$((base + 10 + RANDOM % entries))/v1/call/harta"
+		sleep "$1"
+	done
+}
+revive() { # servers that have ended under the fatal request start again
+	local i name rc
+	for i in 0 1 2; do
+		name=server:harta-$i
+		kill -0 "${pids[$name]}" 2>/dev/null && continue
+		wait "${pids[$name]}"
+		rc=$?
+		[ $rc -eq $FATAL_EXIT ] || note "$name ended with $rc"
+		start $name
+	done
+}
+fatal_ends() { cat "$logs"/server:harta-*.log | grep -c 'ends under'; }
+few_ends() { # since: the count before
+	echo "$(($(fatal_ends) - $1)) servers ended after the faults"
+	(($(fatal_ends) - $1 <= FATAL_ENDS))
+}
 mend() {
 	post $base 'down=no&lost_pct=0'
 	for p in $((base + 1)) $((base + 59)) $((base + 79)); do
@@ -188,14 +222,28 @@
 sleep 3
 $bin load --deployment "$ini" --seconds "$((seconds + 1))" --rate 150 --seed "$seed" >"$logs/load.txt" 2>&1 &
 load_pid=$!
+if [ -n "$fatal" ]; then
+	send_fatal 0.4 &
+	send_fatal 0.7 &
+fi
 end=$((SECONDS + seconds))
 while ((SECONDS < end)); do
 	fault
 	nap $((RANDOM % 600))
+	[ -z "$fatal" ] || revive
 done
 wait $load_pid
 load_rc=$?
 mend
+if [ -n "$fatal" ]; then
+	sleep 3 # what is cut off or has just started may not know yet
+	ends_before=$(fatal_ends)
+	for ((i = 0; i < 8; i++)); do sleep 0.5; revive; done
+	check "after the faults: few servers end under the fatal request" few_ends "$ends_before"
+	touch "$logs/calm"
+	sleep 1
+	revive
+fi
 sleep 4
 check "under faults: nothing twice, no false 'not run', no foreign answer" test $load_rc -eq 0
 check "afterwards: a version is in force everywhere" timeout 10 $bin ctl --deployment "$ini" patch soak.end=true --wait
--- a/tests/test_end_check.c
+++ b/tests/test_end_check.c
@@ -129,6 +129,60 @@
 	bench_free(b);
 }
 
+/* The request breaks, and whoever asks then is reset by something between. */
+static struct bench *begin_unsure(void)
+{
+	struct bench *b = begin(1);
+	struct caller *c;
+
+	bench_script(b, 0, SCRIPT_RUN_RESET);
+	b->servers[0].work_ms = 50;
+	c = bench_call(b, "POST", 1000);
+	bench_run_ms(b, 30);
+	b->servers[0].mute = true;
+	bench_run_until(b, c);
+	bench_run_ms(b, CHECK_MS);
+	assert_int_equal(nnews, 0);
+	return b;
+}
+
+/* Asked again until another start answers, or the same one, or it is gone. */
+static void test_asked_again(void **state)
+{
+	struct bench *b = begin_unsure();
+	uint32_t start = start_of(b, "i-0");
+
+	strcpy(b->servers[0].id, "i-0-again");
+	b->servers[0].mute = false;
+	bench_run_ms(b, 500);
+	assert_int_equal(nnews, 1);
+	assert_int_equal(news[0].detail, start);
+	bench_free(b);
+	b = begin_unsure();
+	b->servers[0].mute = false;
+	bench_run_ms(b, 500);
+	assert_int_equal(nnews, 0);
+	bench_free(b);
+	b = begin_unsure();
+	start = start_of(b, "i-0");
+	backend_set_remove(&b->traffic.backends, "i-0");
+	bench_run_ms(b, 500);
+	assert_int_equal(nnews, 1);
+	assert_int_equal(news[0].detail, start);
+	bench_free(b);
+}
+
+/* Nothing is held against anybody if it never becomes clear. */
+static void test_never_sure(void **state)
+{
+	struct bench *b = begin_unsure();
+
+	bench_run_ms(b, 3500);
+	assert_int_equal(nnews, 0);
+	assert_int_equal(b->traffic.counters.end_checks, 6);
+	bench_free(b);
+}
+
 /* The list tells of a new start under the same id: nothing is to be asked. */
 static void test_born_again(void **state)
 {
@@ -327,6 +381,8 @@
 		cmocka_unit_test(test_ended),
 		cmocka_unit_test(test_lives),
 		cmocka_unit_test(test_another_start),
+		cmocka_unit_test(test_asked_again),
+		cmocka_unit_test(test_never_sure),
 		cmocka_unit_test(test_born_again),
 		cmocka_unit_test(test_draining),
 		cmocka_unit_test(test_forgiven),
--- a/traffic/end_check.c
+++ b/traffic/end_check.c
@@ -13,13 +13,25 @@
 static const double CONNECT_TIMEOUT_S = 0.1;
 static const double ANSWER_TIMEOUT_S = 0.1;
 
-enum { HEAD_MAX = 16 * 1024, BODY_MAX = 64 * 1024 }; /* bytes of an answer */
+enum {
+	HEAD_MAX = 16 * 1024, /* bytes of an answer */
+	BODY_MAX = 64 * 1024,
+	/*
+	 * Where something between accepts connections for a server that has
+	 * ended, or its machine is silent, it is asked again after 0.1 s, 0.2 s
+	 * and so on, for 3 s in all: until it is back, or off the list.
+	 */
+	AGAIN_MS = 100,
+	QUESTIONS_MAX = 6,
+};
 
 /* The question to one server, for all requests that broke there meanwhile. */
 struct end_check {
 	struct traffic *traffic;
 	struct backend *backend;
 	struct http_client http;
+	ev_timer again;
+	unsigned questions;
 	GArray *digests; /* uint64_t */
 	int64_t since_ms;
 };
@@ -53,13 +65,15 @@
 		 b->entry.id, b->service->name, outcome, why, requests, ms);
 }
 
-/* Ends the check; its connection is already closed. */
+/* Ends the check. */
 static void finish(struct end_check *c, bool ended, const char *outcome,
 		   const char *why)
 {
 	struct traffic *t = c->traffic;
 	struct backend *b = c->backend;
 
+	ev_timer_stop(t->loop, &c->again);
+	http_client_close(&c->http);
 	b->ended = b->ended || ended;
 	log_end(b, c->digests->len, outcome, why, clock_ms() - c->since_ms);
 	t->counters.ends_seen += ended;
@@ -71,6 +85,25 @@
 	g_free(c);
 }
 
+/*
+ * Nothing is known yet. A server that left the list meanwhile, with a broken
+ * connection and no answer since, has ended.
+ */
+static void unsure(struct end_check *c, const char *why)
+{
+	http_client_close(&c->http);
+	if (c->backend->gone) {
+		finish(c, true, "ended", "off the list");
+		return;
+	}
+	if (c->questions >= QUESTIONS_MAX) {
+		finish(c, false, "unknown", why);
+		return;
+	}
+	ev_timer_set(&c->again, (AGAIN_MS << (c->questions - 1)) / 1000.0, 0);
+	ev_timer_start(c->traffic->loop, &c->again);
+}
+
 static enum http_verdict judge(void *priv, const struct http_message *m)
 {
 	return HTTP_TAKE;
@@ -86,46 +119,84 @@
 	named = info.backend.ptr != NULL;
 	same = named && lstr_eq(info.backend, lstr0(c->backend->entry.id));
 	http_message_free(m);
-	http_client_close(&c->http);
-	if (named && !same)
+	if (same)
+		finish(c, false, "lives", "answered");
+	else if (named)
 		finish(c, true, "ended", "another start answers");
 	else
-		finish(c, false, same ? "lives" : "unknown", "answered");
+		unsure(c, "an answer without a name");
 }
 
 static void on_failed(void *priv, int err, bool sent)
 {
-	bool refused = err == -ECONNREFUSED;
-
-	finish(priv, refused, refused ? "ended" : "unknown", g_strerror(-err));
+	if (err == -ECONNREFUSED)
+		finish(priv, true, "ended", g_strerror(-err));
+	else
+		unsure(priv, g_strerror(-err));
 }
 
 static const struct http_client_ops ops = {judge, on_response, on_failed};
 
-static struct end_check *begin(struct traffic *t, struct backend *b)
+/* Asks on a new connection. Returns 0 or a negative errno. */
+static int ask(struct end_check *c)
 {
 	struct http_limits limits = {.head_max = HEAD_MAX,
 				     .body_max = BODY_MAX};
+	struct traffic *t = c->traffic;
 	const struct service_config *sc =
-		t->config ? config_service(t->config, lstr0(b->service->name))
+		t->config ? config_service(t->config,
+					   lstr0(c->backend->service->name))
 			  : NULL;
-	struct end_check *c = g_new0(struct end_check, 1);
 	struct buf question = {0};
+	int rc = http_client_open(&c->http, t->loop, &c->backend->entry.addr,
+				  CONNECT_TIMEOUT_S, limits, &ops, c);
+
+	c->questions++;
+	if (rc)
+		return rc;
+	exchange_write_probe(&question, sc ? sc->health_path : LSTR("/"),
+			     c->backend);
+	http_client_send(&c->http, buf_lstr(&question), ANSWER_TIMEOUT_S,
+			 false);
+	buf_free(&question);
+	t->counters.end_checks++;
+	return 0;
+}
+
+static bool may_ask(struct traffic *t)
+{
+	return ask_budget_take(&t->asks, &t->ask_rule, traffic_servers(t), 1, 1,
+			       clock_ms()) == 1;
+}
+
+static void on_again(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	struct end_check *c = timer->data;
+	int rc = c->backend->gone || !may_ask(c->traffic) ? -EBUSY : ask(c);
+
+	if (rc)
+		unsure(c, g_strerror(-rc));
+}
+
+/* Begins a check; NULL: nothing may be asked, or no socket is to be had. */
+static struct end_check *begin(struct traffic *t, struct backend *b)
+{
+	struct end_check *c;
 
-	if (http_client_open(&c->http, t->loop, &b->entry.addr,
-			     CONNECT_TIMEOUT_S, limits, &ops, c)) {
+	if (!may_ask(t))
+		return NULL;
+	c = g_new0(struct end_check, 1);
+	c->traffic = t;
+	c->backend = b;
+	c->since_ms = clock_ms();
+	ev_init(&c->again, on_again);
+	c->again.data = c;
+	if (ask(c)) {
 		g_free(c);
 		return NULL;
 	}
-	c->traffic = t;
-	c->backend = backend_ref(b);
+	backend_ref(b);
 	c->digests = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	c->since_ms = clock_ms();
-	exchange_write_probe(&question, sc ? sc->health_path : LSTR("/"), b);
-	http_client_send(&c->http, buf_lstr(&question), ANSWER_TIMEOUT_S,
-			 false);
-	buf_free(&question);
-	t->counters.end_checks++;
 	return c;
 }
 
@@ -145,11 +216,10 @@
 	}
 	if (b->gone)
 		return;
-	if (!c && ask_budget_take(&t->asks, &t->ask_rule, traffic_servers(t), 1,
-				  1, clock_ms()))
+	if (!c)
 		c = b->check = begin(t, b);
 	if (!c) {
-		log_end(b, 1, "unknown", "no question may be asked", 0);
+		log_end(b, 1, "unknown", "it can't be asked", 0);
 		return;
 	}
 	g_array_append_val(c->digests, digest);
