Sight: every send beyond a request's first is accounted for, by cause and lifetime

Logs could not tell who had spent the retry budget: lines of requests that go well are held back in a storm, none names the lifetime of the process, and the count of instances that it divides by stood nowhere. No change of logic. Test: test_request_log (storm_extra).

--- a/core/backend.h
+++ b/core/backend.h
@@ -71,6 +71,7 @@
 	GPtrArray *backends; /* struct backend *, those on the list */
 	enum load_support load_support;
 	struct retry_budget budget;
+	struct budget_account account; /* of this lifetime */
 	const struct place_policy *policy;
 	struct service_model model; /* what its servers' answers showed */
 	int64_t pressed_ms; /* room was missed by then, see core/admit.h */
--- a/core/budget.c
+++ b/core/budget.c
@@ -49,21 +49,29 @@
 	b->extra[cell_at(b, r, now_ms)]++;
 }
 
-/* budget_left() says how many more extra sends keep to the rule now. */
-double budget_left(const struct retry_budget *b, const struct budget_rule *r,
-		   int64_t now_ms)
+/* budget_window() says what the newest window holds and still allows. */
+struct budget_window budget_window(const struct retry_budget *b,
+				   const struct budget_rule *r, int64_t now_ms)
 {
 	struct retry_budget now = *b;
-	double requests = 0, extra = 0;
+	struct budget_window w = {0};
 	unsigned n = r->instances ? r->instances : 1;
 
 	cell_at(&now, r, now_ms);
 	for (unsigned i = 0; i < BUDGET_CELLS; i++) {
-		requests += now.requests[i];
-		extra += now.extra[i];
+		w.requests += now.requests[i];
+		w.spent += now.extra[i];
 	}
-	return requests * r->ratio * RATIO_SHARE + r->slack * SLACK_SHARE / n -
-	       extra;
+	w.left = w.requests * r->ratio * RATIO_SHARE +
+		 r->slack * SLACK_SHARE / n - w.spent;
+	return w;
+}
+
+/* budget_left() says how many more extra sends keep to the rule now. */
+double budget_left(const struct retry_budget *b, const struct budget_rule *r,
+		   int64_t now_ms)
+{
+	return budget_window(b, r, now_ms).left;
 }
 
 /* budget_allows() tells whether one more extra send keeps to the rule. */
@@ -72,3 +80,22 @@
 {
 	return budget_left(b, r, now_ms) >= 1;
 }
+
+/* budget_spent() adds up the extra sends of a lifetime. */
+uint64_t budget_spent(const struct budget_account *a)
+{
+	uint64_t sum = 0;
+
+	for (unsigned i = 0; i < EXTRA_CAUSES; i++)
+		sum += a->spent[i];
+	return sum;
+}
+
+/* extra_cause_name() names a cause in logs and metrics. */
+const char *extra_cause_name(enum extra_cause cause)
+{
+	static const char *const names[EXTRA_CAUSES] = {"retry", "second",
+							"rescue"};
+
+	return names[cause];
+}
--- a/core/budget.h
+++ b/core/budget.h
@@ -25,12 +25,40 @@
 	int64_t cell; /* number of the newest cell */
 };
 
+/* Why a request goes to one more server. */
+enum extra_cause {
+	EXTRA_RETRY,  /* the send before brought no answer */
+	EXTRA_SECOND, /* beside it, so that an answer can be on time */
+	EXTRA_RESCUE, /* beside it, as no answer may ever come */
+	EXTRA_CAUSES,
+};
+
+/*
+ * What one lifetime of an instance did at a service, for logs and metrics. The
+ * sums over all lifetimes are what the system's rule looks at.
+ */
+struct budget_account {
+	uint64_t requests;
+	uint64_t spent[EXTRA_CAUSES];  /* sends beyond a request's first */
+	uint64_t denied[EXTRA_CAUSES]; /* wanted, but the budget was used up */
+};
+
+/* What the newest window holds, as this instance counts it. */
+struct budget_window {
+	unsigned requests, spent;
+	double left; /* more extra sends that keep to the rule now */
+};
+
 void budget_request(struct retry_budget *b, const struct budget_rule *r,
 		    int64_t now_ms);
 bool budget_allows(const struct retry_budget *b, const struct budget_rule *r,
 		   int64_t now_ms);
 double budget_left(const struct retry_budget *b, const struct budget_rule *r,
 		   int64_t now_ms);
+struct budget_window budget_window(const struct retry_budget *b,
+				   const struct budget_rule *r, int64_t now_ms);
+uint64_t budget_spent(const struct budget_account *a);
+const char *extra_cause_name(enum extra_cause cause);
 void budget_spend(struct retry_budget *b, const struct budget_rule *r,
 		  int64_t now_ms);
 
--- a/tests/test_request_log.c
+++ b/tests/test_request_log.c
@@ -11,6 +11,7 @@
 #include "common/event.h"
 #include "misc/clock.h"
 #include "tests/bench.h"
+#include "traffic/metrics.h"
 
 static GString *lines;
 
@@ -112,6 +113,41 @@
 	bench_free(b);
 }
 
+/*
+ * In a storm: a second send is accounted for also when the request goes well,
+ * with what this lifetime has spent so far; metrics say the same.
+ */
+static void test_storm_extra(void **state)
+{
+	struct bench *b = bench_new(2);
+	struct buf metrics = {0};
+	struct caller *c;
+
+	bench_script(b, 0, SCRIPT_REFUSE);
+	b->servers[1].work_ms = 1;
+	begin_storm();
+	for (int i = 0; i < 50; i++) {
+		c = call(b, "GET");
+		assert_int_equal(c->status, 200);
+		if (count_lines("419", c))
+			break;
+	}
+	assert_int_equal(count_lines("419", c), 1);
+	assert_non_null(strstr(lines->str, " service=harta cause=retry "));
+	assert_non_null(strstr(lines->str, " spent=1 "));
+	assert_non_null(strstr(lines->str, " lifetime="));
+	metrics_write(&metrics, &b->traffic);
+	buf_add(&metrics, "", 1);
+	assert_non_null(strstr(metrics.ptr,
+			       "service_extra_sends{service=\"harta\","
+			       "cause=\"retry\"} 1\n"));
+	assert_non_null(strstr(metrics.ptr,
+			       "service_extra_denied{service=\"harta\","
+			       "cause=\"retry\"} 0\n"));
+	buf_free(&metrics);
+	bench_free(b);
+}
+
 /* In a storm: late, and an unknown outcome. */
 static void test_storm_late(void **state)
 {
@@ -185,6 +221,7 @@
 		cmocka_unit_test(test_plenty),
 		cmocka_unit_test(test_storm_served),
 		cmocka_unit_test(test_storm_refused),
+		cmocka_unit_test(test_storm_extra),
 		cmocka_unit_test(test_storm_late),
 	};
 
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -61,6 +61,28 @@
 			   gauges[i].value);
 }
 
+/* What this lifetime did beyond first sends; sums over all go by the rule. */
+static void write_account(struct buf *out, const struct service *s)
+{
+	const struct budget_account *a = &s->account;
+
+	buf_printf(out,
+		   "service_requests{service=\"%s\"} %" G_GUINT64_FORMAT "\n",
+		   s->name, a->requests);
+	for (unsigned i = 0; i < EXTRA_CAUSES; i++) {
+		const char *cause = extra_cause_name((enum extra_cause)i);
+
+		buf_printf(out,
+			   "service_extra_sends{service=\"%s\",cause=\"%s\"} "
+			   "%" G_GUINT64_FORMAT "\n",
+			   s->name, cause, a->spent[i]);
+		buf_printf(out,
+			   "service_extra_denied{service=\"%s\",cause=\"%s\"} "
+			   "%" G_GUINT64_FORMAT "\n",
+			   s->name, cause, a->denied[i]);
+	}
+}
+
 static void write_service(struct buf *out, const struct traffic *t,
 			  const struct service *s, int64_t now_ms)
 {
@@ -70,6 +92,7 @@
 		   s->waiting.length);
 	buf_printf(out, "service_retries_left{service=\"%s\"} %.1f\n", s->name,
 		   budget_left(&s->budget, &t->budget_rule, now_ms));
+	write_account(out, s);
 }
 
 /* metrics_write() writes all that an on-call engineer may want to plot. */
@@ -95,6 +118,8 @@
 		   ck_pr_load_64(&v->store_calls));
 	buf_printf(out, "log_lines_lost %" G_GUINT64_FORMAT "\n",
 		   mp_log_lost());
+	buf_printf(out, "lifetime{id=\"%08x\"} %" G_GINT64_FORMAT "\n",
+		   t->lifetime, clock_ms() - t->started_ms);
 	buf_printf(out, "instances %u\n", t->peers.instances);
 	buf_printf(out, "open_requests %u\n", t->open_requests);
 	buf_printf(out, "caller_connections %u\n", t->front.nconns);
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -206,6 +206,14 @@
 			   now_ms);
 }
 
+/* request_extra_cause() tells why one more server would get the request. */
+enum extra_cause request_extra_cause(const struct request *r)
+{
+	if (!request_is_out(r))
+		return EXTRA_RETRY;
+	return r->rescue ? EXTRA_RESCUE : EXTRA_SECOND;
+}
+
 /*
  * request_may_send_again() tells whether one more backend server may get the
  * request: the route's count, the retry budget and the time allow it, and it
@@ -227,8 +235,11 @@
 	if (request_is_out(r) &&
 	    quarantine_kind(&t->quarantine, r->digest) != VERDICT_CLEAR)
 		return false;
-	return r->nsends == 0 ||
-	       budget_allows(&r->service->budget, &t->budget_rule, now_ms);
+	if (r->nsends == 0 ||
+	    budget_allows(&r->service->budget, &t->budget_rule, now_ms))
+		return true;
+	r->service->account.denied[request_extra_cause(r)]++;
+	return false;
 }
 
 /* The time is up: the caller hears it now. */
@@ -389,6 +400,7 @@
 	t->open_requests++;
 	r->stats->requests++;
 	budget_request(&r->service->budget, &t->budget_rule, r->start_ms);
+	r->service->account.requests++;
 	http_conn_set_user(c, r);
 	request_place(r, PLACE_FIRST);
 }
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -115,6 +115,7 @@
 bool request_is_pressed(const struct request *r, int64_t now_ms);
 bool request_is_out(const struct request *r);
 bool request_may_send_again(const struct request *r);
+enum extra_cause request_extra_cause(const struct request *r);
 bool request_is_barred(const struct request *r);
 void request_bar(struct request *r);
 void request_arm(struct request *r);
@@ -126,6 +127,8 @@
 /* The log lines of a request. */
 void request_log_sent(struct request *r, struct send *s, int64_t now_ms);
 void request_log_retry(struct request *r, const char *why);
+void request_log_extra(struct request *r, enum extra_cause cause,
+		       int64_t now_ms);
 void request_log_broken(struct request *r, const struct send *s, int err);
 void request_log_foreign(struct request *r, const struct send *s,
 			 struct lstr answered);
--- a/traffic/request_log.c
+++ b/traffic/request_log.c
@@ -78,6 +78,31 @@
 		 request_retries_left(r, now_ms));
 }
 
+/*
+ * request_log_extra() accounts for a send beyond the request's first. These
+ * lines are never held back: added up over the lifetimes of all instances they
+ * are what the system's rule on retries looks at.
+ */
+void request_log_extra(struct request *r, enum extra_cause cause,
+		       int64_t now_ms)
+{
+	const struct traffic *t = r->traffic;
+	const struct service *s = r->service;
+	struct budget_window w =
+		budget_window(&s->budget, &t->budget_rule, now_ms);
+
+	mp_event(EV_REQUEST_EXTRA, G_LOG_LEVEL_INFO,
+		 "id=%.*s digest=%016" PRIx64
+		 " service=%s cause=%s lifetime=%08x age_ms=%" G_GINT64_FORMAT
+		 " requests=%" G_GUINT64_FORMAT " spent=%" G_GUINT64_FORMAT
+		 " window_requests=%u window_spent=%u retries_left=%.1f "
+		 "instances=%u",
+		 (int)r->call.id.len, r->call.id.ptr, r->digest, s->name,
+		 extra_cause_name(cause), t->lifetime, now_ms - t->started_ms,
+		 s->account.requests, budget_spent(&s->account), w.requests,
+		 w.spent, w.left, t->budget_rule.instances);
+}
+
 /*
  * request_log_broken() says that the connection to a server ended while that
  * had the request, and how many others this instance had there.
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -177,11 +177,15 @@
 
 static void count_send(struct request *r, int64_t now_ms)
 {
+	enum extra_cause cause = request_extra_cause(r);
+
 	r->stats->sends++;
 	if (r->nsends == 1)
 		return;
 	budget_spend(&r->service->budget, &r->traffic->budget_rule, now_ms);
-	if (request_is_out(r))
+	r->service->account.spent[cause]++;
+	request_log_extra(r, cause, now_ms);
+	if (cause != EXTRA_RETRY)
 		r->stats->hedges++;
 	else
 		r->stats->retries++;
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -340,6 +340,8 @@
 	t->control = control;
 	t->control_view = view;
 	t->rand = g_rand_new();
+	t->lifetime = g_rand_int(t->rand);
+	t->started_ms = clock_ms();
 	t->classes = g_hash_table_new(g_str_hash, g_str_equal);
 	/* Unknown yet: as many as a large system has. */
 	t->budget_rule.instances = t->ask_rule.instances = 64;
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -52,6 +52,8 @@
 	struct ask_rule ask_rule;
 	struct ask_budget asks;
 	GRand *rand;
+	uint32_t lifetime; /* names this start of the process in logs */
+	int64_t started_ms;
 	struct patience_spread spread;
 	int64_t trouble_ms;  /* a request was last refused or failed then */
 	GHashTable *classes; /* name -> struct class_stats * */
