--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -348,6 +348,34 @@
 	bench_free(b);
 }
 
+/*
+ * Eight requests are refused in the same few milliseconds, and each may go to
+ * one more server if the budget allows. Each asked the budget before it looked
+ * for a server and spent from it when it had found one, some milliseconds later:
+ * so all eight asked before the first had spent, and all were sent again.
+ */
+static void test_refused_together(void **state)
+{
+	enum { REQUESTS = 8 };
+
+	struct bench *b = bench_new(4);
+	const struct budget_account *a =
+		&backend_set_service(&b->traffic.backends, LSTR("harta"))
+			 ->account;
+
+	b->traffic.budget_rule.ratio = 0.5;
+	b->traffic.budget_rule.slack = 0;
+	for (int i = 0; i < 4; i++)
+		bench_script(b, i, SCRIPT_REFUSE_LATE);
+	for (int i = 0; i < REQUESTS; i++)
+		bench_call(b, "GET", 1000);
+	bench_run_ms(b, 300);
+	assert_int_equal(a->requests, REQUESTS);
+	assert_true(budget_spent(a) <= REQUESTS / 2);
+	assert_int_equal(b->traffic.open_requests, 0);
+	bench_free(b);
+}
+
 /*
  * Seeded days of misbehaving servers: whatever they do, the promises to the
  * callers hold.
@@ -420,6 +448,7 @@
 		cmocka_unit_test(test_ill_server),
 		cmocka_unit_test(test_load_not_told),
 		cmocka_unit_test(test_filled_by_peers),
+		cmocka_unit_test(test_refused_together),
 		cmocka_unit_test(test_days),
 	};
 
