Retry budget: each lifetime spends what its own requests paid, so the sum holds

What callers saw: nothing but a second of refusals; servers got 495 sends beyond the first in 10 s where the rule allows 473. Cause: what all instances together promise was kept by shares. Each instance had an equal part of the slack, by a count of instances that differs in cuts, and an account that ends with its process; and each paid from requests of a window of its own (11.4 s), so that when callers moved one had spent what was paid before the window and another what was paid in it. Mend: a lifetime's sends in every window keep to the ratio times the mean of its requests in the rule's three windows. Same weights everywhere, so the sum over all lifetimes is at most the ratio times the mean of the system's windows, whoever was killed, cut off or moved to. A send counts until it has ended. Sends come whole, so a lifetime has a credit: its rounding, evenly drawn, in its first window; then at most 1, so a wrong count can give one send to each that lives. Half of the slack stays as room. The bench of tests pays ten repeats a request, as it has no past.

--- a/core/backend.c
+++ b/core/backend.c
@@ -33,6 +33,7 @@
 	g_strlcpy(sv->name, key, sizeof(sv->name));
 	sv->backends = g_ptr_array_new();
 	sv->policy = place_policies;
+	budget_init(&sv->budget, g_random_double());
 	/* Nobody asks: what is known are the requests of all instances. */
 	if (!mechanisms.ask)
 		sv->load_support = LOAD_NOT_TOLD;
--- a/core/budget.c
+++ b/core/budget.c
@@ -1,77 +1,177 @@
 #include <string.h>
 
+#include "common/event.h"
 #include "core/budget.h"
 
-/*
- * Cells span a window and a little more, so that a sum over all of them
- * covers any sliding window of that length.
- */
-enum { CELLS_A_WINDOW = BUDGET_CELLS - 2 };
+_Static_assert(BUDGET_CELLS > 2 * BUDGET_CELLS_A_WINDOW + 1,
+	       "cells reach back two windows");
+
+/* The windows whose requests count, each for a third. */
+enum { WINDOWS = 3 };
 
 /*
- * Shares of the allowance that are spent. Requests are counted when they
- * arrive and extra sends when they leave, and instances disagree for a
- * moment on how many they are; the rest is room for both.
+ * Half of the slack is given out; the other half is room for the rounding of
+ * lifetimes that begin in the window and for what the sum can't see.
  */
-static const double RATIO_SHARE = 0.85;
-static const double SLACK_SHARE = 0.7;
+static const double SLACK_SHARE = 0.5;
+
+/* budget_init() begins a lifetime's account; rounding is drawn from [0, 1). */
+void budget_init(struct retry_budget *b, double rounding)
+{
+	memset(b, 0, sizeof(*b));
+	b->rounding = rounding;
+}
+
+static int64_t cell_ms(const struct budget_rule *r)
+{
+	int64_t ms = (r->window_ms + BUDGET_CELLS_A_WINDOW - 1) /
+		     BUDGET_CELLS_A_WINDOW;
+
+	return ms > 0 ? ms : 1;
+}
+
+static int64_t cell_number(const struct retry_budget *b,
+			   const struct budget_rule *r, int64_t now_ms)
+{
+	int64_t cell = now_ms / cell_ms(r);
+
+	return cell > b->cell ? cell : b->cell;
+}
+
+static unsigned slot(int64_t cell)
+{
+	return (unsigned)((uint64_t)cell % BUDGET_CELLS);
+}
+
+/* What cell number `cell` holds; nothing is kept of cells long past. */
+static uint32_t content(const struct retry_budget *b, const uint32_t *cells,
+			int64_t cell)
+{
+	if (cell < 0 || cell > b->cell || b->cell - cell >= BUDGET_CELLS)
+		return 0;
+	return cells[slot(cell)];
+}
+
+static int64_t sum(const struct retry_budget *b, const uint32_t *cells,
+		   int64_t from, int64_t to)
+{
+	int64_t n = 0;
+
+	for (int64_t i = from; i <= to; i++)
+		n += content(b, cells, i);
+	return n;
+}
+
+/* Another window: cells of another width say nothing, so it begins anew. */
+static void take_window(struct retry_budget *b, const struct budget_rule *r)
+{
+	uint32_t out = b->out;
+
+	if (b->window_ms == r->window_ms)
+		return;
+	budget_init(b, b->rounding);
+	b->out = out;
+	b->window_ms = r->window_ms;
+}
 
 /* Moves on to the cell of now_ms and clears those passed over. */
-static unsigned cell_at(struct retry_budget *b, const struct budget_rule *r,
+static unsigned advance(struct retry_budget *b, const struct budget_rule *r,
 			int64_t now_ms)
 {
-	int64_t width = r->window_ms / CELLS_A_WINDOW + 1;
-	int64_t cell = now_ms / width;
+	int64_t cell, first;
 
-	if (cell - b->cell >= BUDGET_CELLS || b->cell == 0) {
-		memset(b, 0, sizeof(*b));
-		b->cell = cell;
-	}
-	while (b->cell < cell) {
-		b->cell++;
-		b->requests[b->cell % BUDGET_CELLS] = 0;
-		b->extra[b->cell % BUDGET_CELLS] = 0;
+	take_window(b, r);
+	cell = cell_number(b, r, now_ms);
+	first = b->cell + 1;
+	if (b->born == 0)
+		b->born = cell;
+	if (first < cell - BUDGET_CELLS)
+		first = cell - BUDGET_CELLS;
+	for (int64_t i = first; i <= cell; i++) {
+		b->requests[slot(i)] = 0;
+		b->ended[slot(i)] = 0;
 	}
-	return (unsigned)(b->cell % BUDGET_CELLS);
+	b->cell = cell;
+	return slot(cell);
 }
 
 /* budget_request() counts a request for the service. */
 void budget_request(struct retry_budget *b, const struct budget_rule *r,
 		    int64_t now_ms)
 {
-	b->requests[cell_at(b, r, now_ms)]++;
+	b->requests[advance(b, r, now_ms)]++;
 }
 
-/* budget_spend() counts a send beyond a request's first. */
-void budget_spend(struct retry_budget *b, const struct budget_rule *r,
-		  int64_t now_ms)
+/*
+ * budget_spend() takes an extra send. It counts in every window until it has
+ * ended, as the server may get it at any moment until then.
+ */
+void budget_spend(struct retry_budget *b)
 {
-	b->extra[cell_at(b, r, now_ms)]++;
+	b->out++;
 }
 
-/* budget_window() says what the newest window holds and still allows. */
-struct budget_window budget_window(const struct retry_budget *b,
-				   const struct budget_rule *r, int64_t now_ms)
+/* budget_end() says that an extra send has ended, answered or not. */
+void budget_end(struct retry_budget *b, const struct budget_rule *r,
+		int64_t now_ms)
 {
-	struct retry_budget now = *b;
-	struct budget_window w = {0};
-	unsigned n = r->instances ? r->instances : 1;
+	mp_invariant(b->out > 0, "an extra send ended that wasn't spent");
+	b->out--;
+	b->ended[advance(b, r, now_ms)]++;
+}
 
-	cell_at(&now, r, now_ms);
-	for (unsigned i = 0; i < BUDGET_CELLS; i++) {
-		w.requests += now.requests[i];
-		w.spent += now.extra[i];
-	}
-	w.left = w.requests * r->ratio * RATIO_SHARE +
-		 r->slack * SLACK_SHARE / n - w.spent;
-	return w;
+/* budget_give_back() returns one that was taken, as it never left. */
+void budget_give_back(struct retry_budget *b)
+{
+	mp_invariant(b->out > 0, "an extra send came back that wasn't spent");
+	b->out--;
+}
+
+/* What a window that begins in cell `c` is given besides what requests pay. */
+static double credit(const struct retry_budget *b, const struct budget_rule *r,
+		     int64_t c)
+{
+	double part =
+		r->slack * SLACK_SHARE / (r->instances ? r->instances : 1);
+
+	if (r->slack < 1)
+		return 0;
+	if (c <= b->born)
+		return b->rounding;
+	return b->rounding + part < 1 ? b->rounding + part : 1;
 }
 
-/* budget_left() says how many more extra sends keep to the rule now. */
+/*
+ * budget_left() says how many more extra sends keep to this lifetime's rule now:
+ * in the tightest of all windows that begin up to a window ago. Later ones
+ * don't hold what is sent now.
+ */
 double budget_left(const struct retry_budget *b, const struct budget_rule *r,
 		   int64_t now_ms)
 {
-	return budget_window(b, r, now_ms).left;
+	int64_t now = cell_number(b, r, now_ms);
+	int64_t whole = r->window_ms / cell_ms(r);
+	int64_t half = r->window_ms / 2 / cell_ms(r);
+	/* Requests in the windows that begin in cell `c`, at first this one. */
+	int64_t own = 0;
+	int64_t halfway = sum(b, b->requests, now - half + 1, now);
+	int64_t before = sum(b, b->requests, now - whole + 1, now - 1);
+	double sends = b->out, least = 0;
+
+	for (int64_t c = now; c >= now - BUDGET_CELLS_A_WINDOW; c--) {
+		double paid =
+			r->ratio / WINDOWS * (double)(own + halfway + before);
+
+		sends += content(b, b->ended, c);
+		if (c == now || paid + credit(b, r, c) - sends < least)
+			least = paid + credit(b, r, c) - sends;
+		own += content(b, b->requests, c);
+		halfway += content(b, b->requests, c - half);
+		halfway -= content(b, b->requests, c + half - 1);
+		before += content(b, b->requests, c - whole);
+		before -= content(b, b->requests, c - 1);
+	}
+	return least;
 }
 
 /* budget_allows() tells whether one more extra send keeps to the rule. */
@@ -81,6 +181,20 @@
 	return budget_left(b, r, now_ms) >= 1;
 }
 
+/* budget_window() says what the newest window holds and still allows. */
+struct budget_window budget_window(const struct retry_budget *b,
+				   const struct budget_rule *r, int64_t now_ms)
+{
+	int64_t now = cell_number(b, r, now_ms);
+	int64_t first = now - BUDGET_CELLS_A_WINDOW;
+
+	return (struct budget_window){
+		.requests = (unsigned)sum(b, b->requests, first, now),
+		.spent = b->out + (unsigned)sum(b, b->ended, first, now),
+		.left = budget_left(b, r, now_ms),
+	};
+}
+
 /* budget_spent() adds up the extra sends of a lifetime. */
 uint64_t budget_spent(const struct budget_account *a)
 {
--- a/misc/clock.h
+++ b/misc/clock.h
@@ -20,4 +20,16 @@
 	return clock_us() / 1000;
 }
 
+/*
+ * clock_boot_ms() returns milliseconds of CLOCK_BOOTTIME, which goes on while
+ * the machine is suspended: for what the whole system counts in windows.
+ */
+static inline int64_t clock_boot_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
 #endif
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -306,7 +306,8 @@
 	s->metrics = bench_addr(3);
 	s->policy = mechanisms;
 	s->bounds = (struct bounds){.grace_s = 6,
-				    .retry_ratio = 0.2,
+				    /* Ten at once for each request. */
+				    .retry_ratio = 30,
 				    .retry_slack = 200,
 				    .retry_window_s = 10,
 				    .questions_per_s = 1000};
@@ -314,7 +315,6 @@
 	if (traffic_init(&b->traffic, s, NULL, &b->view, &b->control))
 		abort();
 	b->loop = b->traffic.loop;
-	b->traffic.budget_rule.instances = 1;
 	b->traffic.ask_rule.instances = 1;
 	b->traffic.config = bench_config();
 	b->ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -45,7 +45,8 @@
 	struct retry_budget b[INSTANCES];
 	GRand *rand = g_rand_new_with_seed(seed);
 
-	memset(b, 0, sizeof(b));
+	for (int k = 0; k < INSTANCES; k++)
+		budget_init(&b[k], g_rand_double(rand));
 	for (int i = 0; i < DAY_MS / STEP_MS; i++) {
 		int64_t now = 1000000 + (int64_t)i * STEP_MS;
 		/* Bursts and pauses of some seconds. */
@@ -59,7 +60,8 @@
 			for (int n = 0; n < 3; n++) {
 				if (!budget_allows(&b[k], rule, now))
 					break;
-				budget_spend(&b[k], rule, now);
+				budget_spend(&b[k]);
+				budget_end(&b[k], rule, now);
 				d->extra[i]++;
 			}
 		}
@@ -115,12 +117,12 @@
 };
 
 static const struct budget_rule system_rule = {
-	.ratio = 0.2, .slack = 60, .window_ms = WINDOW_MS, .instances = SYSTEM};
+	.ratio = 0.2, .slack = 60, .window_ms = WINDOW_MS};
 
 /* A process starts: it knows nothing of before. */
 static void begin_lifetime(struct world *w, int i)
 {
-	memset(&w->instances[i].budget, 0, sizeof(struct retry_budget));
+	budget_init(&w->instances[i].budget, g_rand_double(w->rand));
 }
 
 static struct world *world_new(guint32 seed, double demand)
@@ -156,7 +158,8 @@
 	for (int n = 0; n < more; n++) {
 		if (!budget_allows(&in->budget, &in->rule, clock_at(step)))
 			return;
-		budget_spend(&in->budget, &in->rule, clock_at(step));
+		budget_spend(&in->budget);
+		budget_end(&in->budget, &in->rule, clock_at(step));
 		w->extra[step]++;
 	}
 }
@@ -285,6 +288,24 @@
 	}
 }
 
+/* The same, and all start anew while it lasts: nobody ever knew of the others. */
+static void test_cut_off_anew(void **state)
+{
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		struct world *w = world_new(seed, BUSY);
+
+		for (int t = 0; t < STEPS; t++) {
+			for (int i = 0; t == STEPS / 4 && i < SYSTEM; i++) {
+				w->instances[i].rule.instances = 1;
+				begin_lifetime(w, i);
+			}
+			world_step(w, t, MORE);
+		}
+		check_rule(w, "cut off anew", seed);
+		world_free(w);
+	}
+}
+
 /* Callers move at random moments to some instances, more or less of them. */
 static void test_moving_demand(void **state)
 {
@@ -358,23 +379,119 @@
 	world_free(w);
 }
 
-static void test_quiet_service(void **state)
+/*
+ * A lifetime that has got no request owns nothing, however long it lasts. What
+ * one request pays is there for a window and a half, in parts.
+ */
+static void test_nothing_for_nothing(void **state)
 {
-	struct budget_rule rule = {.ratio = 0.2,
-				   .slack = 56,
-				   .window_ms = WINDOW_MS,
-				   .instances = 13};
-	struct retry_budget b = {0};
+	struct budget_rule rule = {.ratio = 3, .window_ms = WINDOW_MS};
+	struct retry_budget b;
+	int64_t t0 = 5000000;
+
+	budget_init(&b, 0.99);
+	assert_false(budget_allows(&b, &rule, t0));
+	assert_false(budget_allows(&b, &rule, t0 + 10 * WINDOW_MS));
+	budget_request(&b, &rule, t0);
+	assert_true(budget_allows(&b, &rule, t0));
+	budget_spend(&b);
+	assert_false(budget_allows(&b, &rule, t0));
+	budget_end(&b, &rule, t0 + 1000);
+	assert_false(budget_allows(&b, &rule, t0 + 1000));
+	/* The third that the window before pays is used up with the others. */
+	assert_false(budget_allows(&b, &rule, t0 + WINDOW_MS + 500));
+	assert_false(budget_allows(&b, &rule, t0 + 10 * WINDOW_MS));
+}
+
+/* One that is out counts until it ends: its server may get it any moment. */
+static void test_out_counts(void **state)
+{
+	struct budget_rule rule = {.ratio = 3, .window_ms = WINDOW_MS};
+	struct retry_budget b;
+	int64_t t0 = 5000000;
+
+	budget_init(&b, 0);
+	budget_request(&b, &rule, t0);
+	budget_spend(&b);
+	for (int64_t t = t0; t < t0 + 3 * WINDOW_MS; t += 1000) {
+		budget_request(&b, &rule, t);
+		assert_true(budget_left(&b, &rule, t) >= 0);
+	}
+	budget_spend(&b);
+	/* None was ended: both count now, as if just sent. */
+	assert_int_equal(budget_window(&b, &rule, t0 + 3 * WINDOW_MS).spent, 2);
+	budget_give_back(&b);
+	budget_end(&b, &rule, t0 + 3 * WINDOW_MS);
+	assert_int_equal(budget_window(&b, &rule, t0 + 3 * WINDOW_MS).spent, 1);
+}
+
+/* Another window in the settings: the account begins anew, what is out stays. */
+static void test_window_changes(void **state)
+{
+	struct budget_rule rule = {.ratio = 30, .window_ms = WINDOW_MS};
+	struct retry_budget b;
+	int64_t t = 5000000;
+
+	budget_init(&b, 0);
+	budget_request(&b, &rule, t);
+	budget_spend(&b);
+	for (uint32_t ms = 4 * WINDOW_MS; ms > 0; ms /= 8) {
+		rule.window_ms = ms;
+		budget_request(&b, &rule, t);
+		assert_int_equal(budget_window(&b, &rule, t).requests, 1);
+		assert_int_equal(budget_window(&b, &rule, t).spent, 1);
+		t += 10 * WINDOW_MS;
+	}
+	rule.window_ms = 0;
+	budget_request(&b, &rule, t);
+	assert_int_equal(budget_window(&b, &rule, t).spent, 1);
+	budget_end(&b, &rule, t);
+}
+
+/* Of the repeats wanted on calm days, the share that is allowed. */
+static double calm_share(double per_s, guint32 seed)
+{
+	struct world *w = world_new(seed, per_s * STEP_MS / 1000);
+	uint64_t wanted = 0, sent;
+	double share;
+
+	for (int t = 0; t < STEPS; t++) {
+		for (int i = 0; i < SYSTEM; i++) {
+			int more = g_rand_int_range(w->rand, 0, 20) == 0;
+
+			if (g_rand_double(w->rand) >= w->demand / SYSTEM)
+				continue;
+			request(w, i, t, more);
+			wanted += (uint64_t)more;
+		}
+	}
+	check_rule(w, "calm", seed);
+	sent = sum(w->extra, 0, STEPS);
+	share = wanted ? (double)sent / (double)wanted : 1;
+	world_free(w);
+	return share;
+}
 
-	/* Without any request the share of the slack is there, once. */
-	for (int i = 0; i < 3; i++) {
-		assert_true(budget_allows(&b, &rule, 5000000));
-		budget_spend(&b, &rule, 5000000);
+/*
+ * Calm days: one request in 20 wants a repeat, a quarter of what the ratio pays.
+ * Once there for a window an instance has one repeat a window in any case, and
+ * the ratio pays one at once for each request a second. With 0.3 requests a
+ * second there the wish for another falls into the same window in 14 of 100
+ * cases, and a tenth of the day is the first window, where half are allowed.
+ */
+static void test_calm(void **state)
+{
+	double few = 0, some = 0, many = 0;
+
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		few += calm_share(0.3 * SYSTEM, seed) / SEEDS;
+		some += calm_share(1.0 * SYSTEM, seed) / SEEDS;
+		many += calm_share(2.0 * SYSTEM, seed) / SEEDS;
 	}
-	assert_false(budget_allows(&b, &rule, 5000000));
-	assert_false(budget_allows(&b, &rule, 5000000 + WINDOW_MS - 1));
-	/* It comes back once the window has passed. */
-	assert_true(budget_allows(&b, &rule, 5000000 + 2 * WINDOW_MS));
+	print_message("allowed: %.2f %.2f %.2f\n", few, some, many);
+	assert_true(few > 0.5);
+	assert_true(some > 0.75);
+	assert_true(many > 0.9);
 }
 
 int main(void)
@@ -384,10 +501,14 @@
 		cmocka_unit_test(test_restarts),
 		cmocka_unit_test(test_kills),
 		cmocka_unit_test(test_cut_off),
+		cmocka_unit_test(test_cut_off_anew),
 		cmocka_unit_test(test_moving_demand),
 		cmocka_unit_test(test_callers_move),
 		cmocka_unit_test(test_two_crowds),
-		cmocka_unit_test(test_quiet_service),
+		cmocka_unit_test(test_nothing_for_nothing),
+		cmocka_unit_test(test_out_counts),
+		cmocka_unit_test(test_window_changes),
+		cmocka_unit_test(test_calm),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -386,7 +386,7 @@
 	struct bench *b = bench_new(4);
 	struct caller *calls[120];
 
-	b->traffic.budget_rule.slack = 1000;
+	b->traffic.budget_rule.ratio = 1000;
 	for (int i = 0; i < 120; i++) {
 		bool post = g_rand_boolean(rand);
 
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -84,14 +84,14 @@
 }
 
 static void write_service(struct buf *out, const struct traffic *t,
-			  const struct service *s, int64_t now_ms)
+			  const struct service *s)
 {
 	buf_printf(out, "service_backends{service=\"%s\"} %u\n", s->name,
 		   s->backends->len);
 	buf_printf(out, "service_waiting{service=\"%s\"} %u\n", s->name,
 		   s->waiting.length);
 	buf_printf(out, "service_retries_left{service=\"%s\"} %.1f\n", s->name,
-		   budget_left(&s->budget, &t->budget_rule, now_ms));
+		   budget_left(&s->budget, &t->budget_rule, clock_boot_ms()));
 	write_account(out, s);
 }
 
@@ -144,7 +144,7 @@
 		write_class(out, item);
 	g_hash_table_iter_init(&it, t->backends.services);
 	while (g_hash_table_iter_next(&it, NULL, &item))
-		write_service(out, t, item, clock_ms());
+		write_service(out, t, item);
 	g_hash_table_iter_init(&it, t->backends.by_id);
 	while (g_hash_table_iter_next(&it, NULL, &item))
 		write_backend(out, item, clock_ms());
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -200,10 +200,10 @@
 }
 
 /* request_retries_left() tells what the service's retry budget still allows. */
-double request_retries_left(const struct request *r, int64_t now_ms)
+double request_retries_left(const struct request *r)
 {
 	return budget_left(&r->service->budget, &r->traffic->budget_rule,
-			   now_ms);
+			   clock_boot_ms());
 }
 
 /* request_extra_cause() tells why one more server would get the request. */
@@ -235,8 +235,8 @@
 	if (request_is_out(r) &&
 	    quarantine_kind(&t->quarantine, r->digest) != VERDICT_CLEAR)
 		return false;
-	if (r->nsends == 0 ||
-	    budget_allows(&r->service->budget, &t->budget_rule, now_ms))
+	if (r->nsends == 0 || budget_allows(&r->service->budget,
+					    &t->budget_rule, clock_boot_ms()))
 		return true;
 	r->service->account.denied[request_extra_cause(r)]++;
 	return false;
@@ -399,7 +399,7 @@
 	r->timer.data = r;
 	t->open_requests++;
 	r->stats->requests++;
-	budget_request(&r->service->budget, &t->budget_rule, r->start_ms);
+	budget_request(&r->service->budget, &t->budget_rule, clock_boot_ms());
 	r->service->account.requests++;
 	http_conn_set_user(c, r);
 	request_place(r, PLACE_FIRST);
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -55,6 +55,7 @@
 	struct upstream *upstream; /* NULL once it has ended */
 	int64_t sent_ms;
 	struct server_view start; /* how the server stood then */
+	bool extra;		  /* beyond the first: from the budget */
 	double estimate_ms;	  /* expected of the server then */
 	struct send_basis basis;
 };
@@ -85,6 +86,7 @@
 	unsigned asked, answered; /* questions of all placements so far */
 	unsigned waits;		  /* so far in this placement */
 	bool queued;		  /* stands in the service's queue */
+	bool reserved;		  /* holds an extra send of the budget */
 	bool rescue;	  /* the second send is no longer to be on time */
 	int64_t hedge_ms; /* send a second time then; 0: never */
 	struct ask *asks[REQUEST_ASKS_MAX];
@@ -122,7 +124,7 @@
 void request_refuse(struct request *r, const char *why);
 void request_fail(struct request *r, unsigned status, const char *why);
 void request_answer(struct request *r, struct http_message *answer);
-double request_retries_left(const struct request *r, int64_t now_ms);
+double request_retries_left(const struct request *r);
 
 /* The log lines of a request. */
 void request_log_sent(struct request *r, struct send *s, int64_t now_ms);
--- a/traffic/request_log.c
+++ b/traffic/request_log.c
@@ -54,7 +54,7 @@
 		.load_age_ms = b->load.at_ms ? now_ms - b->load.at_ms : -1,
 		.trouble = outlier_trouble(b, now_ms),
 		.spent_ms = r->spent_before_ms + (double)(now_ms - r->start_ms),
-		.retries_left = request_retries_left(r, now_ms),
+		.retries_left = request_retries_left(r),
 		.left_ms = r->due_ms - now_ms,
 		.asked = r->asked,
 		.answered = r->answered,
@@ -75,7 +75,7 @@
 		 (int)r->call.id.len, r->call.id.ptr, r->digest, why,
 		 r->sends[r->nsends - 1].backend->entry.id, r->nsends,
 		 r->route->max_attempts, r->due_ms - now_ms,
-		 request_retries_left(r, now_ms));
+		 request_retries_left(r));
 }
 
 /*
@@ -89,7 +89,7 @@
 	const struct traffic *t = r->traffic;
 	const struct service *s = r->service;
 	struct budget_window w =
-		budget_window(&s->budget, &t->budget_rule, now_ms);
+		budget_window(&s->budget, &t->budget_rule, clock_boot_ms());
 
 	mp_event(EV_REQUEST_EXTRA, G_LOG_LEVEL_INFO,
 		 "id=%.*s digest=%016" PRIx64
@@ -100,7 +100,7 @@
 		 (int)r->call.id.len, r->call.id.ptr, r->digest, s->name,
 		 extra_cause_name(cause), t->lifetime, now_ms - t->started_ms,
 		 s->account.requests, budget_spent(&s->account), w.requests,
-		 w.spent, w.left, t->budget_rule.instances);
+		 w.spent, w.left, t->peers.instances);
 }
 
 /*
@@ -168,5 +168,5 @@
 		 last ? now_ms - last->sent_ms : 0, r->asked, r->answered,
 		 r->spent_before_ms, r->stats->patience.limit_ms,
 		 retry_s * 1000, r->service->waiting.length,
-		 request_retries_left(r, now_ms));
+		 request_retries_left(r));
 }
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -18,9 +18,14 @@
 /* Ends one send; its connection is already given away or closed. */
 static void end_send(struct send *s)
 {
+	struct traffic *t = s->request->traffic;
+
 	s->upstream = NULL;
+	if (s->extra)
+		budget_end(&s->request->service->budget, &t->budget_rule,
+			   clock_boot_ms());
 	s->backend->in_flight--;
-	share_changed(s->request->traffic, s->backend->service);
+	share_changed(t, s->backend->service);
 }
 
 /*
@@ -182,7 +187,7 @@
 	r->stats->sends++;
 	if (r->nsends == 1)
 		return;
-	budget_spend(&r->service->budget, &r->traffic->budget_rule, now_ms);
+	budget_spend(&r->service->budget);
 	r->service->account.spent[cause]++;
 	request_log_extra(r, cause, now_ms);
 	if (cause != EXTRA_RETRY)
@@ -221,6 +226,7 @@
 	*s = (struct send){.request = r,
 			   .backend = backend_ref(b),
 			   .upstream = u,
+			   .extra = r->nsends > 1,
 			   .sent_ms = now_ms,
 			   .start = place_server_view(b, now_ms),
 			   .estimate_ms = place_estimate_ms(
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -235,7 +235,7 @@
 	ev_timer_start(t->loop, &t->stop_timer);
 }
 
-/* The allowances of all instances together; their count comes from control. */
+/* The allowances of all instances together. */
 static void take_bounds(struct traffic *t, const struct bounds *b)
 {
 	t->bounds = *b;
@@ -261,7 +261,9 @@
 		if (t->peers.named)
 			g_array_unref(t->peers.named);
 		t->peers = *v;
-		t->budget_rule.instances = v->instances;
+		/* In a cut fewer are seen than there are. */
+		if (v->instances > t->budget_rule.instances)
+			t->budget_rule.instances = v->instances;
 		t->ask_rule.instances = v->instances;
 		g_free(v);
 		break;
@@ -344,7 +346,8 @@
 	t->started_ms = clock_ms();
 	t->classes = g_hash_table_new(g_str_hash, g_str_equal);
 	/* Unknown yet: as many as a large system has. */
-	t->budget_rule.instances = t->ask_rule.instances = 64;
+	t->ask_rule.instances = 64;
+	t->budget_rule.instances = 1;
 	take_bounds(t, &s->bounds);
 	share_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
