An extra send is taken from the budget before a server is looked for

What callers saw: nothing; servers could get more repeats than allowed when many requests are refused at once. Cause: a request asked the budget, then asked servers for their load and perhaps waited for room, and spent when it was sent: all that asked meanwhile were told yes. Test refused_together: eight requests refused in the same milliseconds, 8 sent again where 4 are allowed; now at most 1, what the first third of the ratio pays. The send is taken when the search begins and given back if it ends without one; both happen on the one traffic thread, and whoever sends at the end of its search takes it again before anybody else runs.

--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -67,10 +67,35 @@
 	r->queued = false;
 }
 
-/* request_place_end() ends the placement at hand, if there is one. */
+/*
+ * An extra send is taken from the budget before a server is looked for, and
+ * given back if none is found: between lie questions and waits, in which others
+ * ask the budget. Of eight requests refused in the same milliseconds all were
+ * sent again where four were allowed, as none had spent when the last asked.
+ */
+static void reserve(struct request *r)
+{
+	if (!r->nsends)
+		return;
+	budget_spend(&r->service->budget);
+	r->reserved = true;
+}
+
+static void give_back(struct request *r)
+{
+	if (r->reserved)
+		budget_give_back(&r->service->budget);
+	r->reserved = false;
+}
+
+/*
+ * request_place_end() ends the placement at hand, if there is one. The caller
+ * may send at once: what was reserved is there until others have had their turn.
+ */
 void request_place_end(struct request *r)
 {
 	dequeue(r);
+	give_back(r);
 	ask_release(r);
 	r->placement = PLACE_NONE;
 	r->wait_until_ms = 0;
@@ -428,12 +453,16 @@
 	}
 }
 
-/* request_place() begins to look for a backend server. */
+/*
+ * request_place() begins to look for a backend server. A request that was sent
+ * before needs request_may_send_again() to have said so just now.
+ */
 void request_place(struct request *r, enum placement why)
 {
 	int64_t now_ms = clock_ms();
 
 	ask_release(r);
+	reserve(r);
 	r->placement = why;
 	r->round = 0;
 	r->wait_until_ms = 0;
