--- a/stand/backend.c
+++ b/stand/backend.c
@@ -221,6 +221,16 @@
 	}
 }
 
+/* Each call counts, also those that a fault turns away. */
+static enum work_entry enter(struct server *s, struct job *j)
+{
+	if (!s->faults.shed)
+		return work_enter(&s->work, j);
+	s->work.calls++;
+	s->work.refused++;
+	return WORK_FULL;
+}
+
 static void do_work(struct server *s, struct http_conn *c,
 		    struct http_message *m)
 {
@@ -247,7 +257,7 @@
 	http_conn_set_user(c, j);
 	if (happens(s, s->faults.hang_pct))
 		return;
-	switch (s->faults.shed ? WORK_FULL : work_enter(&s->work, j)) {
+	switch (enter(s, j)) {
 	case WORK_RUN:
 		job_run(j);
 		break;
