--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -23,22 +23,14 @@
 #include <glib.h>
 
 #include "core/budget.h"
+#include "tests/budget_system.h"
 
-enum { INSTANCES = 13, WINDOW_MS = 10000, DAY_MS = 60000, STEP_MS = 10 };
+enum { INSTANCES = 13, DAY_MS = 60000 };
 
 struct day {
 	uint32_t requests[DAY_MS / STEP_MS], extra[DAY_MS / STEP_MS];
 };
 
-static uint64_t sum(const uint32_t *cells, int from, int n)
-{
-	uint64_t s = 0;
-
-	for (int i = from; i < from + n; i++)
-		s += i >= 0 ? cells[i] : 0;
-	return s;
-}
-
 /* Plays a day on which every request wants three more sends. */
 static void play(guint32 seed, struct day *d, const struct budget_rule *rule)
 {
@@ -100,114 +92,6 @@
 	}
 }
 
-/* Any number of instances as they come and go, and what servers get of them. */
-enum { SYSTEM = 16, LONG_DAY_MS = 90000, STEPS = LONG_DAY_MS / STEP_MS };
-
-struct instance {
-	struct retry_budget budget;
-	struct budget_rule rule; /* as this one knows it */
-	double share;		 /* of the demand */
-};
-
-struct world {
-	struct instance instances[SYSTEM];
-	GRand *rand;
-	double demand; /* requests a step, of all instances */
-	uint32_t requests[STEPS], extra[STEPS];
-};
-
-static const struct budget_rule system_rule = {
-	.ratio = 0.2, .slack = 60, .window_ms = WINDOW_MS};
-
-/* A process starts: it knows nothing of before. */
-static void begin_lifetime(struct world *w, int i)
-{
-	budget_init(&w->instances[i].budget, g_rand_double(w->rand));
-}
-
-static struct world *world_new(guint32 seed, double demand)
-{
-	struct world *w = g_new0(struct world, 1);
-
-	w->rand = g_rand_new_with_seed(seed);
-	w->demand = demand;
-	for (int i = 0; i < SYSTEM; i++) {
-		w->instances[i].rule = system_rule;
-		w->instances[i].share = 1.0 / SYSTEM;
-		begin_lifetime(w, i);
-	}
-	return w;
-}
-
-static void world_free(struct world *w)
-{
-	g_rand_free(w->rand);
-	g_free(w);
-}
-
-static int64_t clock_at(int step)
-{
-	return 1000000 + (int64_t)step * STEP_MS;
-}
-
-/* Instance i wants to send up to `more` times beyond the first. */
-static void want(struct world *w, int i, int step, int more)
-{
-	struct instance *in = &w->instances[i];
-
-	for (int n = 0; n < more; n++) {
-		if (!budget_allows(&in->budget, &in->rule, clock_at(step)))
-			return;
-		budget_spend(&in->budget);
-		budget_end(&in->budget, &in->rule, clock_at(step));
-		w->extra[step]++;
-	}
-}
-
-/* A request comes to instance i and wants `more` sends beyond its first. */
-static void request(struct world *w, int i, int step, int more)
-{
-	struct instance *in = &w->instances[i];
-
-	budget_request(&in->budget, &in->rule, clock_at(step));
-	w->requests[step]++;
-	want(w, i, step, more);
-}
-
-/* One step of the system; each request wants up to `more` sends. */
-static void world_step(struct world *w, int step, int more)
-{
-	for (int i = 0; i < SYSTEM; i++) {
-		double n = w->demand * w->instances[i].share;
-
-		for (; n > 0; n--) {
-			if (n >= 1 || g_rand_double(w->rand) < n)
-				request(w, i, step, more);
-		}
-	}
-}
-
-/* The rule, in every window: what was sent, over what may be. */
-static void check_rule(const struct world *w, const char *what, guint32 seed)
-{
-	int len = WINDOW_MS / STEP_MS;
-
-	for (int i = 0; i < STEPS; i++) {
-		uint64_t n = MAX(sum(w->requests, i, MIN(len, STEPS - i)),
-				 MAX(sum(w->requests, i - len, len),
-				     sum(w->requests, i - len / 2,
-					 MIN(len, STEPS - i + len / 2))));
-		uint64_t sent = sum(w->extra, i, MIN(len, STEPS - i));
-		double allowed =
-			system_rule.ratio * (double)n + system_rule.slack;
-
-		if ((double)sent > allowed)
-			fail_msg("%s, seed %u, from %d ms: %" G_GUINT64_FORMAT
-				 " sends, %.0f allowed",
-				 what, seed, i * STEP_MS, sent, allowed);
-	}
-}
-
 /* 200 requests a second, as in the users' window; every server refuses. */
 enum { MORE = 3, SEEDS = 10 };
 static const double BUSY = 200.0 * STEP_MS / 1000;
@@ -379,6 +263,27 @@
 	world_free(w);
 }
 
+/*
+ * More instances than the slack has sends, few requests each, and some killed all
+ * the time: what each is given beside its requests' ratio adds up to half of the
+ * slack at most.
+ */
+static void test_large_system(void **state)
+{
+	for (guint32 seed = 1; seed <= 3; seed++) {
+		struct world *w = world_of(LARGE, seed, BUSY / 4);
+
+		for (int t = 0; t < STEPS; t++) {
+			if (t % 10 == 0)
+				begin_lifetime(
+					w, g_rand_int_range(w->rand, 0, LARGE));
+			world_step(w, t, MORE);
+		}
+		check_rule(w, "large system", seed);
+		world_free(w);
+	}
+}
+
 /*
  * A lifetime that has got no request owns nothing, however long it lasts. What
  * one request pays is there for a window and a half, in parts.
@@ -505,6 +410,7 @@
 		cmocka_unit_test(test_moving_demand),
 		cmocka_unit_test(test_callers_move),
 		cmocka_unit_test(test_two_crowds),
+		cmocka_unit_test(test_large_system),
 		cmocka_unit_test(test_nothing_for_nothing),
 		cmocka_unit_test(test_out_counts),
 		cmocka_unit_test(test_window_changes),
