--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -9,25 +9,15 @@
 cd "$(dirname "$0")/.."
 bin=${MP_BIN:-target/mimosapitch}
 logs=$(mktemp -d)
+. tests/checks.sh
 ini=$logs/deployment.ini # a copy, as a step changes it
 cp tests/e2e.ini "$ini"
 pids=()
-fails=0
 stop_all() {
 	for p in "${pids[@]}"; do kill -TERM "$p" 2>/dev/null; done
 	for p in "${pids[@]}"; do wait "$p" 2>/dev/null; done
 }
 trap stop_all EXIT
-check() { # name, command...
-	local name=$1
-	shift
-	if "$@" >>"$logs/steps.log" 2>&1; then
-		echo "ok   $name"
-	else
-		echo "FAIL $name (exit $?)"
-		fails=$((fails + 1))
-	fi
-}
 expect_exit() { # code, command...
 	local want=$1
 	shift
@@ -234,7 +224,7 @@
 
 if [ $fails -ne 0 ]; then
 	echo "e2e: $fails step(s) failed; logs in $logs"
-	tail -n 30 "$logs/steps.log"
+	tail -n 30 "$logs/checks.log"
 	exit 1
 fi
 rm -rf "$logs"
--- a/tests/repeated-crashes.sh
+++ b/tests/repeated-crashes.sh
@@ -22,12 +22,12 @@
 cd "$(dirname "$0")/.."
 bin=${MP_BIN:-target/mimosapitch}
 logs=$(mktemp -d)
+. tests/checks.sh
 ini=$logs/deployment.ini
 WINDOW_S=3   # the system agrees within this after a third end
 RETRIES=3    # sends to servers that are allowed after that
 SERVERS=9
 declare -A pids
-fails=0
 
 cat >"$ini" <<'INI'
 [platform]
@@ -67,16 +67,6 @@
 	wait 2>/dev/null
 }
 trap stop_all EXIT
-check() { # what, command...
-	local what=$1
-	shift
-	if "$@" >>"$logs/checks.log" 2>&1; then
-		echo "ok   $what"
-	else
-		echo "FAIL $what"
-		fails=$((fails + 1))
-	fi
-}
 
 serve() { # index: starts the server again whenever it has ended
 	while [ ! -e "$logs/stopping" ]; do
--- a/tests/retry-budget.sh
+++ b/tests/retry-budget.sh
@@ -17,11 +17,11 @@
 cd "$(dirname "$0")/.."
 bin=${MP_BIN:-target/mimosapitch}
 logs=$(mktemp -d)
+. tests/checks.sh
 ini=$logs/deployment.ini
 SECONDS_OF_LOAD=20
 RATE=150 # calls a second
 declare -A pids
-fails=0
 RANDOM=22
 
 cat >"$ini" <<'INI'
@@ -57,16 +57,6 @@
 	wait 2>/dev/null
 }
 trap stop_all EXIT
-check() { # what, command...
-	local what=$1
-	shift
-	if "$@" >>"$logs/checks.log" 2>&1; then
-		echo "ok   $what"
-	else
-		echo "FAIL $what"
-		fails=$((fails + 1))
-	fi
-}
 start_entry() { # name
 	$bin entry --deployment "$ini" --name "$1" >>"$logs/entry-$1.log" 2>&1 &
 	pids[$1]=$!
