--- a/scripts/extra-sends.sh
+++ b/scripts/extra-sends.sh
@@ -1,9 +1,9 @@
 #!/bin/bash
 # Adds up the sends beyond a request's first over the logs of all instances, and
 # prints for each service the window that holds most of them: how many, by cause,
-# of how many lifetimes, how many of these had begun in it, with how many
-# instances they believed to share, and the requests that these lifetimes had got
-# in that window (from their lines, so somewhat fewer than there were).
+# of how many lifetimes, how many of these had begun in it, how many instances they
+# believed to live, and the requests that these lifetimes had got in that window
+# (from their lines, so somewhat fewer than there were).
 #   scripts/extra-sends.sh [WINDOW_S] < LINES
 window=${1:-10}
 grep -E 'ev=419 ' | sed -E 's/^.*[^a-z]ts=/ts=/' | sort -t= -k2,2n | awk -v window="$window" '
