--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -8,7 +8,8 @@
 # and servers saw: nothing protected ran twice, no false "not run", no foreign
 # answer, versions never go back, nothing ends by itself, and afterwards a
 # version is in force everywhere and calls are served.
-#   tests/soak.sh SEED [SECONDS [SLOT [fatal]]]   (a slot is a range of ports)
+#   tests/soak.sh SEED [SECONDS [SLOT [fatal]]]   (a slot is a range of ports,
+#   24000 to 30000 in all; no other test uses these, so soaks may run beside them)
 # An even seed plays a system with hubs. With `fatal` a request that ends each
 # server that runs it comes to all instances all the while, and when the faults
 # are over few servers may end under it. Stops what it started, by pid.
