Sight: limits that servers name, and every send to such a server, are in the log

A value that is no decimal number is refused with a line. No decision reads the limit yet: before this no log could tell when anybody heard of a limit, nor what a server was sent after.

core/server_limit holds which word counts: answers on several connections overtake each other, so only one that was asked for after the last was heard ends a limit or raises it.

Tests: test_server_limit, test_exchange (limit, no_limit).

--- a/core/backend.c
+++ b/core/backend.c
@@ -57,8 +57,10 @@
 /* backend_unref() gives a reference back. */
 void backend_unref(struct backend *b)
 {
-	if (--b->refs == 0)
-		g_free(b);
+	if (--b->refs)
+		return;
+	g_free(b->limit);
+	g_free(b);
 }
 
 static void take_off(struct backend_set *s, struct backend *b, bool ended)
--- a/core/backend.h
+++ b/core/backend.h
@@ -14,6 +14,7 @@
 
 #include "core/budget.h"
 #include "core/learn.h"
+#include "core/server_limit.h"
 #include "misc/lstr.h"
 
 enum { BACKEND_NAME_MAX = 64 };
@@ -58,6 +59,8 @@
 	bool shunned; /* what was last logged of it */
 	bool down;    /* the last question failed; for the log */
 	bool ended;   /* its process is known to be gone */
+	struct server_limit *limit; /* NULL: it has never named one */
+	bool limit_bad; /* what it last said of it was no number; for the log */
 	void *check;  /* the traffic side finds out whether it has ended */
 	void *conns;  /* the traffic side's idle connections */
 	void *in_use; /* those that wait for an answer or hold one */
--- /dev/null
+++ b/core/server_limit.h
@@ -0,0 +1,43 @@
+/*
+ * The limit that a backend server in need names: how many requests a second it
+ * takes from all instances together, for as long as its answers say so. Here is
+ * what one instance believes of it, from the server's own words and from peers'.
+ *
+ * Answers on several connections overtake each other, and a peer's word is older
+ * than its datagram. Of each word it is known only that the server said it between
+ * two moments: after it was asked, and before it was heard. A word is newer than
+ * another if it was asked after the other was heard. Where that isn't sure the
+ * tighter one counts, so that no overtaking ends a limit or raises it.
+ */
+#ifndef MP_CORE_SERVER_LIMIT_H
+#define MP_CORE_SERVER_LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum limit_source { LIMIT_BY_ANSWER, LIMIT_BY_QUESTION, LIMIT_BY_PEER };
+
+/* What the server says, and when it said so; by a steady clock. */
+struct limit_word {
+	bool named;
+	double per_s; /* if named: requests a second, of all instances */
+	int64_t asked_ms, heard_ms;
+	enum limit_source source;
+};
+
+enum limit_change { LIMIT_SAME, LIMIT_BEGAN, LIMIT_CHANGED, LIMIT_ENDED };
+
+struct server_limit {
+	bool named;
+	double per_s;
+	int64_t since_ms;	    /* named, as far as known here */
+	int64_t asked_ms, heard_ms; /* of the word that counts; 0: none yet */
+	int64_t told_ms;	    /* somebody last said here that it stands */
+	bool in_questions; /* the server's answers to questions name it too */
+};
+
+enum limit_change server_limit_hear(struct server_limit *l,
+				    const struct limit_word *w, int64_t now_ms);
+const char *limit_source_name(enum limit_source source);
+
+#endif
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -138,6 +138,52 @@
 	http_message_free(m);
 }
 
+static struct answer_info answer_with_limit(const char *text)
+{
+	char *head = g_strdup_printf("HTTP/1.1 200 OK\r\nServer-Limit:%s\r\n"
+				     "Content-Length: 0\r\n\r\n",
+				     text);
+	struct http_message *m = message(HTTP_RESPONSE, head);
+	struct answer_info a;
+
+	exchange_read_answer(m, &a);
+	a.limit_text = LSTR("");
+	http_message_free(m);
+	g_free(head);
+	return a;
+}
+
+/* A limit is a plain decimal number; whatever else stands there is refused. */
+static void test_limit(void **state)
+{
+	static const char *const bad[] = {
+		"",	"-1",	 "5,1",
+		"1e3",	"nan",	 "inf",
+		"0x10", "5.1.2", "five",
+		".",	"+5",	 "5 6",
+		"5;",	" ",	 "123456789012345678901234567890",
+	};
+
+	assert_int_equal(answer_with_limit(" 5.1").limit, LIMIT_NAMED);
+	assert_true(answer_with_limit(" 5.1").limit_per_s == 5.1);
+	assert_true(answer_with_limit("0").limit_per_s == 0);
+	assert_true(answer_with_limit(" .25 ").limit_per_s == 0.25);
+	assert_true(answer_with_limit(" 200.").limit_per_s == 200);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_int_equal(answer_with_limit(bad[i]).limit, LIMIT_BAD);
+}
+
+static void test_no_limit(void **state)
+{
+	struct answer_info a;
+	struct http_message *m = message(
+		HTTP_RESPONSE, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+
+	exchange_read_answer(m, &a);
+	assert_int_equal(a.limit, LIMIT_UNNAMED);
+	http_message_free(m);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -145,6 +191,8 @@
 		cmocka_unit_test(test_request),
 		cmocka_unit_test(test_answer),
 		cmocka_unit_test(test_answers_without_id),
+		cmocka_unit_test(test_limit),
+		cmocka_unit_test(test_no_limit),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/traffic/ask.c
+++ b/traffic/ask.c
@@ -4,6 +4,7 @@
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/ask.h"
+#include "traffic/limits.h"
 
 /* A server that tells its load does so at once, in a round trip. */
 static const double ASK_TIMEOUT_S = 0.06;
@@ -132,7 +133,9 @@
 		forget_backend(a->traffic, a->backend);
 	} else {
 		note_down(a->backend, 0, now_ms);
-		if (a->asked_ms)
+		limits_answer(a->traffic, a->backend, &info, a->asked_ms,
+			      LIMIT_BY_QUESTION);
+		if (!a->opened)
 			place_note_way(a->backend,
 				       (double)(now_ms - a->asked_ms));
 		a->answered = note_report(a, &info, m->status, now_ms) &&
@@ -178,7 +181,8 @@
 	a->request = r;
 	a->traffic = r->traffic;
 	a->upstream = u;
-	a->asked_ms = u->used_ms ? clock_ms() : 0;
+	a->asked_ms = clock_ms();
+	a->opened = u->used_ms == 0;
 	r->asks[r->nasks++] = a;
 	a->backend = backend_ref(b);
 	a->pending = true;
--- a/traffic/ask.h
+++ b/traffic/ask.h
@@ -16,7 +16,8 @@
 	struct traffic *traffic;
 	struct backend *backend;
 	struct upstream *upstream; /* held; NULL once given away or failed */
-	int64_t asked_ms; /* 0: on a new connection, which takes longer */
+	int64_t asked_ms;
+	bool opened; /* its connection is new, which takes longer */
 	bool pending;
 	bool answered;
 };
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -52,6 +52,8 @@
 		{"slowdown_pct", l->slowdown_pct},
 		{"load_age_ms", l->at_ms ? (double)(now_ms - l->at_ms) : -1},
 		{"trouble", outlier_trouble(b, now_ms)},
+		{"limit_per_s",
+		 b->limit && b->limit->named ? b->limit->per_s : -1},
 	};
 
 	for (size_t i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
@@ -131,6 +133,7 @@
 		   n->foreign_answers);
 	buf_printf(out, "end_checks %" G_GUINT64_FORMAT "\n", n->end_checks);
 	buf_printf(out, "backend_ends %" G_GUINT64_FORMAT "\n", n->ends_seen);
+	buf_printf(out, "limits_bad %" G_GUINT64_FORMAT "\n", n->limits_bad);
 	buf_printf(out, "quarantined %" G_GUINT64_FORMAT "\n", n->quarantined);
 	buf_printf(out, "verdicts %u\n",
 		   g_hash_table_size(t->quarantine.verdicts));
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -56,6 +56,7 @@
 	int64_t sent_ms;
 	struct server_view start; /* how the server stood then */
 	bool extra;		  /* beyond the first: from the budget */
+	enum extra_cause cause;	  /* if it is */
 	double estimate_ms;	  /* expected of the server then */
 	struct send_basis basis;
 };
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -6,6 +6,7 @@
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/end_check.h"
+#include "traffic/limits.h"
 #include "traffic/request.h"
 #include "traffic/share.h"
 
@@ -114,6 +115,19 @@
 	request_answer(r, m);
 }
 
+/*
+ * Only what the server itself says counts: the answer bears its receipt, or
+ * says that the request wasn't run, but not for being another server.
+ */
+static void note_limit(struct send *s, const struct http_message *m,
+		       const struct answer_info *info)
+{
+	if (m->status == 421 || (!info->sealed && !info->not_run))
+		return;
+	limits_answer(s->request->traffic, s->backend, info, s->sent_ms,
+		      LIMIT_BY_ANSWER);
+}
+
 static void send_response(void *owner, struct http_message *m)
 {
 	struct send *s = owner;
@@ -128,6 +142,7 @@
 		s->backend->load = info.load;
 		s->backend->load.at_ms = now_ms;
 	}
+	note_limit(s, m, &info);
 	end_send(s);
 	upstream_put(u, now_ms);
 	if (!s->backend->gone && !s->backend->entry.draining &&
@@ -180,10 +195,9 @@
 static const struct http_client_ops send_ops = {send_judge, send_response,
 						send_failed};
 
-static void count_send(struct request *r, int64_t now_ms)
+static void count_send(struct request *r, enum extra_cause cause,
+		       int64_t now_ms)
 {
-	enum extra_cause cause = request_extra_cause(r);
-
 	r->stats->sends++;
 	if (r->nsends == 1)
 		return;
@@ -217,16 +231,18 @@
 void request_send(struct request *r, struct backend *b, struct upstream *u)
 {
 	struct send *s = &r->sends[r->nsends];
+	enum extra_cause cause = request_extra_cause(r);
 	int64_t now_ms = clock_ms();
 	int64_t left = r->due_ms - now_ms;
 	struct buf bytes = {0};
 
 	r->nsends++;
-	count_send(r, now_ms);
+	count_send(r, cause, now_ms);
 	*s = (struct send){.request = r,
 			   .backend = backend_ref(b),
 			   .upstream = u,
 			   .extra = r->nsends > 1,
+			   .cause = cause,
 			   .sent_ms = now_ms,
 			   .start = place_server_view(b, now_ms),
 			   .estimate_ms = place_estimate_ms(
@@ -235,6 +251,7 @@
 	share_changed(r->traffic, b->service);
 	r->undenied++;
 	request_log_sent(r, s, now_ms);
+	limits_log_send(r, s);
 	/* Its report is older than this request. */
 	if (b->load.at_ms)
 		b->load.running++;
