Failing test: servers get more than the limit that they name

A stand-in names a limit and judges the rule itself, by all requests it gets. Ten instances under load, killed, stopped and paused: a server that names 5.1 requests a second gets 219 in 4 s (35.6 allowed), one that names 0.3 gets 211 (6.8), three that name 10 each 211 to 225 (65).

--- a/stand/backend.c
+++ b/stand/backend.c
@@ -5,6 +5,9 @@
  * SIGTERM. A request whose path or body holds the service's fatal_word ends
  * the process that runs it. POST /stand/faults?NAME=VALUE makes it misbehave:
  *   shed=0|1  quiet=0|1  hang_pct=N  lost_pct=N  cut_pct=N  extra_pct=N
+ *   limit_milli=N  names a limit of N requests in 1,000 s; -1: none
+ *   limit_odd=0|1  names one that is no number
+ *   limit_asked=0|1  names it in answers to questions too
  */
 #include <errno.h>
 #include <inttypes.h>
@@ -17,6 +20,7 @@
 #include "http/socket.h"
 #include "misc/clock.h"
 #include "misc/codec.h"
+#include "stand/need.h"
 #include "stand/query.h"
 #include "stand/stand.h"
 #include "stand/work.h"
@@ -33,6 +37,7 @@
 
 struct faults {
 	int shed, hang_pct, lost_pct, cut_pct, extra_pct;
+	int limit_milli, limit_odd, limit_asked;
 };
 
 struct server {
@@ -41,6 +46,7 @@
 	struct http_server http;
 	struct work work;
 	struct faults faults;
+	struct need need;
 	char id[BACKEND_NAME_MAX], addr[32], dc[BACKEND_NAME_MAX];
 	struct http_client store;
 	struct sockaddr_in store_addr;
@@ -71,6 +77,14 @@
 		   work_slowdown_pct(&s->work, clock_ms()));
 }
 
+static void add_limit(struct server *s, struct buf *b)
+{
+	if (s->faults.limit_odd)
+		buf_printf(b, "Server-Limit: as many as you like\r\n");
+	else if (s->need.named)
+		buf_printf(b, "Server-Limit: %g\r\n", s->need.per_s);
+}
+
 static void reply(struct server *s, struct http_conn *c, unsigned status,
 		  const struct buf *headers, struct lstr body)
 {
@@ -87,6 +101,7 @@
 
 	buf_printf(&h, "Not-Executed: 1\r\nInstance-Id: %s\r\n", s->id);
 	add_load(s, &h);
+	add_limit(s, &h);
 	reply(s, c, status, &h, LSTR(""));
 	buf_free(&h);
 }
@@ -106,6 +121,7 @@
 	buf_printf(headers, "Attempt-Id: %.*s\r\nResponse-Seal: stand.%.*s\r\n",
 		   (int)id.len, id.ptr, (int)id.len, id.ptr);
 	add_load(s, headers);
+	add_limit(s, headers);
 	buf_printf(body,
 		   "{\"req\":\"%.*s\",\"backend\":\"%s\","
 		   "\"service\":\"%s\"}",
@@ -249,6 +265,7 @@
 	}
 	if (s->leaving_ms && clock_ms() - s->leaving_ms > LEAVE_BOUND_MS)
 		s->work.late++;
+	need_arrived(&s->need, clock_ms());
 	j = g_new0(struct job, 1);
 	j->server = s;
 	j->conn = c;
@@ -282,6 +299,8 @@
 	s->work.probes++;
 	buf_printf(&h, "Instance-Id: %s\r\n", s->id);
 	add_load(s, &h);
+	if (s->faults.limit_asked)
+		add_limit(s, &h);
 	reply(s, c, s->leaving_ms ? 503 : 200, &h, LSTR(""));
 	buf_free(&h);
 }
@@ -298,6 +317,10 @@
 		   "\nlate %" PRIu64 "\n",
 		   s->work.calls, s->work.refused, s->work.probes,
 		   s->work.late);
+	buf_printf(&b,
+		   "limited_got %" PRIu64 "\nlimited_worst %u\n"
+		   "limited_allowed %g\n",
+		   s->need.got, s->need.worst, s->need.allowed);
 	g_hash_table_iter_init(&it, s->work.ran);
 	while (g_hash_table_iter_next(&it, &k, &v))
 		buf_printf(&b, "ran %s %d\n", (char *)k, GPOINTER_TO_INT(v));
@@ -316,6 +339,11 @@
 	f->lost_pct = (int)query_int(q, "lost_pct", f->lost_pct);
 	f->cut_pct = (int)query_int(q, "cut_pct", f->cut_pct);
 	f->extra_pct = (int)query_int(q, "extra_pct", f->extra_pct);
+	f->limit_milli = (int)query_int(q, "limit_milli", f->limit_milli);
+	f->limit_odd = (int)query_int(q, "limit_odd", f->limit_odd);
+	f->limit_asked = (int)query_int(q, "limit_asked", f->limit_asked);
+	need_set(&s->need, f->limit_milli >= 0, f->limit_milli / 1000.0,
+		 clock_ms());
 	s->work.quiet = query_int(q, "quiet", s->work.quiet) != 0;
 	reply(s, c, 200, &none, LSTR(""));
 }
@@ -428,6 +456,8 @@
 		  sizeof(s->dc));
 	work_init(&s->work, (unsigned)s->service->slots, s->service->work_ms,
 		  seed ^ (unsigned)index * 2654435761U, clock_ms());
+	need_init(&s->need);
+	s->faults.limit_milli = -1;
 	s->http.limits = (struct http_limits){HEAD_MAX, BODY_MAX};
 	s->http.head_timeout_s = 5;
 	s->http.idle_timeout_s = 10;
