--- a/control/control.c
+++ b/control/control.c
@@ -23,6 +23,11 @@
 	 * for 3 s, and a version must be in force everywhere within 2 s.
 	 */
 	CONFIG_POLLERS = 2,
+	/*
+	 * Without the store an instance knows the others by then: they send
+	 * heartbeats also to those that seem lost, every 5 s.
+	 */
+	ACQUAINTED_MS = 6000,
 };
 
 /*
@@ -166,6 +171,11 @@
 				g_memdup2(&m->load, sizeof(m->load)));
 		return;
 	}
+	if (m->kind == GOSSIP_LIMIT) {
+		send_to_traffic(c, TO_TRAFFIC_LIMITS,
+				g_memdup2(&m->limits, sizeof(m->limits)));
+		return;
+	}
 	if (m->kind == GOSSIP_FEED) {
 		backend_watch_feed(&c->backends, &m->feed, now_ms);
 		publish_age(c);
@@ -177,12 +187,38 @@
 		fetch_config(c, &m->sender);
 }
 
+/* Both hold elements of so many bytes. */
+static bool same_array(const GArray *a, const GArray *b, size_t size)
+{
+	return a && b && a->len == b->len &&
+	       (a->len == 0 || !memcmp(a->data, b->data, a->len * size));
+}
+
 static bool same_view(const struct peer_view *a, const struct peer_view *b)
 {
-	return a->instances == b->instances && a->named && b->named &&
-	       a->named->len == b->named->len &&
-	       !memcmp(a->named->data, b->named->data,
-		       a->named->len * sizeof(struct peer_brief));
+	return a->instances == b->instances &&
+	       same_array(a->named, b->named, sizeof(struct peer_brief)) &&
+	       same_array(a->sharers, b->sharers, sizeof(struct limit_sharer));
+}
+
+static void clear_view(struct peer_view *v)
+{
+	if (v->named)
+		g_array_unref(v->named);
+	if (v->sharers)
+		g_array_unref(v->sharers);
+}
+
+/* Those that share what servers take; empty while they aren't known yet. */
+static GArray *sharers(const struct control *c, int64_t now_ms)
+{
+	bool known = c->record.listed || now_ms - c->started_ms > ACQUAINTED_MS;
+
+	if (!known)
+		return g_array_new(FALSE, FALSE, sizeof(struct limit_sharer));
+	return peers_sharers(&c->peers.peers,
+			     (uint32_t)(c->settings.bounds.grace_s * 1000),
+			     now_ms);
 }
 
 /* Tells the traffic thread of the peers when something changed. */
@@ -191,19 +227,21 @@
 	struct peer_view v = {
 		.instances = peers_count(&c->peers.peers, now_ms),
 		.named = peers_for_callers(&c->peers.peers, now_ms),
+		.sharers = sharers(c, now_ms),
 	};
 
 	if (same_view(&v, &c->last_view)) {
-		g_array_unref(v.named);
+		clear_view(&v);
 		return;
 	}
 	mp_event(EV_PEERS_CHANGED, G_LOG_LEVEL_MESSAGE,
-		 "instances=%u for_callers=%u", v.instances, v.named->len);
-	if (c->last_view.named)
-		g_array_unref(c->last_view.named);
+		 "instances=%u for_callers=%u sharers=%u", v.instances,
+		 v.named->len, v.sharers->len);
+	clear_view(&c->last_view);
 	c->last_view = v;
-	/* Both threads only read it, and hold it by a reference each. */
+	/* Both threads only read them, and hold them by a reference each. */
 	g_array_ref(v.named);
+	g_array_ref(v.sharers);
 	send_to_traffic(c, TO_TRAFFIC_PEERS, g_memdup2(&v, sizeof(v)));
 }
 
@@ -348,6 +386,17 @@
 	buf_free(&b);
 }
 
+/* Tells every live peer what servers say of their limits. */
+static void send_limits(struct control *c, struct limit_news *news)
+{
+	struct buf b = {0};
+
+	news->peer = peer_id(c->peers.peers.self.name);
+	gossip_write_limits(&b, news);
+	peer_channel_send_plain(&c->peers, &b, clock_ms());
+	buf_free(&b);
+}
+
 static void from_traffic(void *priv, struct mail *m)
 {
 	struct control *c = priv;
@@ -364,6 +413,10 @@
 		send_load(c, m->data);
 		g_free(m->data);
 		break;
+	case FROM_TRAFFIC_LIMITS:
+		send_limits(c, m->data);
+		g_free(m->data);
+		break;
 	}
 }
 
--- a/core/backend.c
+++ b/core/backend.c
@@ -106,6 +106,22 @@
 	return g_str_hash(e->id) ^ g_int64_hash(&born);
 }
 
+/* backend_is_limited() tells whether b names a limit, as far as is known. */
+bool backend_is_limited(const struct backend *b)
+{
+	return b->limit && b->limit->said.named;
+}
+
+/*
+ * backend_is_open() tells whether b's limit, if it names one, lets this instance
+ * send it one more request now.
+ */
+bool backend_is_open(const struct backend *b, int64_t now_ms)
+{
+	return !backend_is_limited(b) ||
+	       limit_share_allows(&b->limit->share, now_ms);
+}
+
 static struct backend *add_backend(struct backend_set *s,
 				   const struct backend_entry *e)
 {
@@ -113,6 +129,7 @@
 
 	b->refs = 1;
 	b->entry = *e;
+	b->start = backend_start_hash(e);
 	b->service = backend_set_service(s, lstr0(e->service));
 	g_ptr_array_add(b->service->backends, b);
 	g_hash_table_insert(s->by_id, b->entry.id, b);
--- a/core/backend.h
+++ b/core/backend.h
@@ -14,6 +14,7 @@
 
 #include "core/budget.h"
 #include "core/learn.h"
+#include "core/limit_share.h"
 #include "core/server_limit.h"
 #include "misc/lstr.h"
 
@@ -42,9 +43,17 @@
 struct service;
 struct place_policy;
 
+/* What it takes, by its own word, and this instance's part of that. */
+struct backend_limit {
+	struct server_limit said;
+	struct limit_share share;
+	int64_t tell_ms; /* the peers are told again then that it stands */
+};
+
 struct backend {
 	struct backend_entry entry;
 	struct service *service;
+	uint32_t start; /* backend_start_hash() of its entry */
 	unsigned refs;
 	bool gone; /* off the list: no new work */
 	int64_t warm_until_ms;
@@ -56,14 +65,15 @@
 	bool drained;	     /* the configuration gives it no new work */
 	double trouble;	     /* decayed failures, see core/outlier.h */
 	int64_t trouble_at_ms;
-	bool shunned; /* what was last logged of it */
-	bool down;    /* the last question failed; for the log */
-	bool ended;   /* its process is known to be gone */
-	struct server_limit *limit; /* NULL: it has never named one */
+	bool shunned;		     /* what was last logged of it */
+	bool down;		     /* the last question failed; for the log */
+	bool ended;		     /* its process is known to be gone */
+	struct backend_limit *limit; /* NULL: it has never named one */
+	bool was_free;	/* it has answered here without naming a limit */
 	bool limit_bad; /* what it last said of it was no number; for the log */
-	void *check;  /* the traffic side finds out whether it has ended */
-	void *conns;  /* the traffic side's idle connections */
-	void *in_use; /* those that wait for an answer or hold one */
+	void *check;	/* the traffic side finds out whether it has ended */
+	void *conns;	/* the traffic side's idle connections */
+	void *in_use;	/* those that wait for an answer or hold one */
 };
 
 /* Whether a service's backend servers report their load. */
@@ -77,8 +87,9 @@
 	struct budget_account account; /* of this lifetime */
 	const struct place_policy *policy;
 	struct service_model model; /* what its servers' answers showed */
-	int64_t pressed_ms; /* room was missed by then, see core/admit.h */
-	GQueue waiting;	    /* requests that found no room, best first */
+	int64_t pressed_ms;  /* room was missed by then, see core/admit.h */
+	GQueue waiting;	     /* requests that found no room, best first */
+	int64_t promised_ms; /* turns up to then are promised, see retry_after */
 };
 
 struct backend_set {
@@ -101,6 +112,8 @@
 uint32_t backend_start_hash(const struct backend_entry *e);
 bool backend_entry_is_older(const struct backend_entry *a,
 			    const struct backend_entry *b);
+bool backend_is_limited(const struct backend *b);
+bool backend_is_open(const struct backend *b, int64_t now_ms);
 struct backend *backend_ref(struct backend *b);
 void backend_unref(struct backend *b);
 
--- /dev/null
+++ b/core/limit_share.h
@@ -0,0 +1,85 @@
+/*
+ * What one instance may send to a backend server that names a limit. All instances
+ * together keep to the users' rule: in any 4 s the server gets at most 1.5 times what
+ * its limit of L requests a second allows, and 5 more,
+ *     6 L + 5.
+ * No instance counts what the others send, and none asks another.
+ *
+ * Few hold a limit: K of the instances, the first in an order that each server has
+ * of its own (rendezvous hashing), so that all agree on them who know the same
+ * instances, and different servers are held by different ones. Each has a bucket
+ * that earns L / K a second, and saves a part of the rule's slack:
+ *     S = floor(1.5 L + 4),  K = min(instances, S, 4 L),  depth = S / K
+ * A depth of one request is the least with which anything is ever sent. In 4 s all
+ * send what was saved and what they earned, S + 4 L <= 5.5 L + 4. With a bucket at
+ * every instance they would be over by any number beyond the slack. What is left of
+ * the rule, 0.5 L + 1, is for sends that are held up on the way, and for instances
+ * that disagree for a moment about who holds: one that comes to hold a limit, or
+ * begins to live, owns nothing yet.
+ *
+ * K is no more than 4 L so that each holder earns one request in 4 s: at a low
+ * limit that is how soon anybody hears that it has ended.
+ *
+ * Which instances there are is peers_sharers()'s matter: one that counts some too
+ * many holds less, so mistakes that way are safe. One that has merely fallen silent
+ * keeps its part, as it may be cut off and serve on; what it doesn't use is lost.
+ * Where no holder of a limit is heard of, the first in order that is acts for them,
+ * with the least that lets it hear of the end, if it hears most instances: so at
+ * most one does.
+ *
+ * A send may reach the server at any moment until it has ended, when a link was
+ * held up. So each holder besides keeps to its whole part of the rule, (6 L + 5) / K,
+ * in the window that ends now, in which a send counts until it has ended and for a
+ * window after.
+ */
+#ifndef MP_CORE_LIMIT_SHARE_H
+#define MP_CORE_LIMIT_SHARE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+	LIMIT_WINDOW_MS = 4000, /* the rule's */
+	LIMIT_CELLS = 128,	/* in which ended sends are counted */
+};
+
+/* What an instance holds of a limit. */
+struct limit_part {
+	bool held;
+	double rate_s; /* requests a second that it earns */
+	double depth;  /* requests that it may save */
+	unsigned most; /* in a window, those on their way included */
+};
+
+struct limit_share {
+	struct limit_part part;
+	double tokens;
+	int64_t at_ms; /* tokens are right as of then */
+	unsigned out;  /* sends that have not ended */
+	uint16_t ended[LIMIT_CELLS];
+	int64_t cell; /* number of the newest */
+};
+
+/* An instance that may be sending to servers. */
+struct limit_sharer {
+	uint32_t id;	/* peer_id() */
+	uint32_t heard; /* 1: it is heard of; 0: it has fallen silent */
+};
+
+/* All of them, as one knows them; itself first. */
+struct limit_sharers {
+	const struct limit_sharer *all;
+	unsigned n; /* 0: not known yet; nothing is held */
+};
+
+struct limit_part limit_part(double per_s, uint32_t server,
+			     const struct limit_sharers *s);
+void limit_share_begin(struct limit_share *s, bool saved, int64_t now_ms);
+void limit_share_set(struct limit_share *s, const struct limit_part *part,
+		     int64_t now_ms);
+bool limit_share_allows(struct limit_share *s, int64_t now_ms);
+int64_t limit_share_next_ms(struct limit_share *s, int64_t now_ms);
+void limit_share_take(struct limit_share *s, int64_t now_ms);
+void limit_share_end(struct limit_share *s, int64_t now_ms);
+
+#endif
--- a/core/place.c
+++ b/core/place.c
@@ -112,7 +112,10 @@
 /* Tells whether b may get new work for this query. */
 static bool is_candidate(const struct place_query *q, const struct backend *b)
 {
-	if (b->entry.draining || b->drained || is_avoided(q, b))
+	if (b->entry.draining || b->drained || is_avoided(q, b) ||
+	    !backend_is_open(b, q->now_ms))
+		return false;
+	if (q->second && backend_is_limited(b))
 		return false;
 	return !q->own_dc_only || !mechanisms.own_dc ||
 	       !strcmp(b->entry.dc, q->dc);
--- a/core/retry_after.c
+++ b/core/retry_after.c
@@ -36,6 +36,28 @@
 	       1000;
 }
 
+/*
+ * retry_after_turn_s() returns in how many seconds a caller gets its turn when all
+ * servers are in need and so many wait here: those that were refused before it are
+ * told to come before it, each its own time, as far apart as servers take requests.
+ * *promised_ms is the last of these; one that comes back no more gets no turn. 0:
+ * nothing is known, as this instance may not send to these servers.
+ */
+double retry_after_turn_s(int64_t *promised_ms, const struct limit_room *room,
+			  unsigned waiting, int64_t left_ms, int64_t now_ms)
+{
+	int64_t at;
+
+	if (!room->all || room->rate_s <= 0)
+		return 0;
+	at = now_ms + (int64_t)limit_room_wait_ms(room, waiting);
+	if (at < *promised_ms + (int64_t)(1000 / room->rate_s))
+		at = *promised_ms + (int64_t)(1000 / room->rate_s);
+	if (at - now_ms < left_ms)
+		*promised_ms = at;
+	return (double)(at - now_ms) / 1000;
+}
+
 /* retry_after_plain_s() is for requests of which nothing is known. */
 double retry_after_plain_s(double random)
 {
--- a/core/server_limit.c
+++ b/core/server_limit.c
@@ -1,5 +1,11 @@
 #include "core/server_limit.h"
 
+/*
+ * An instance that may not send to a server believes that its limit stands for so
+ * long after it last heard so: three times over those who may tell it again.
+ */
+enum { BELIEVED_MS = 7000 };
+
 /* limit_source_name() names in logs who told of a limit. */
 const char *limit_source_name(enum limit_source source)
 {
@@ -85,9 +91,26 @@
 	change = hear_named(l, w, newer);
 	if (change == LIMIT_BEGAN)
 		l->since_ms = now_ms;
-	if (l->named && w->per_s == l->per_s)
+	if (w->source == LIMIT_BY_PEER)
 		l->told_ms = now_ms;
+	else
+		l->own_ms = now_ms;
 	if (w->source == LIMIT_BY_QUESTION)
 		l->in_questions = true;
 	return change;
 }
+
+/*
+ * server_limit_expire() ends a limit that nobody has spoken of for long; only an
+ * instance that can't ask the server itself forgets so. Returns whether it did.
+ */
+bool server_limit_expire(struct server_limit *l, int64_t now_ms)
+{
+	int64_t heard = l->own_ms > l->told_ms ? l->own_ms : l->told_ms;
+
+	if (!l->named || now_ms - heard < BELIEVED_MS)
+		return false;
+	l->named = false;
+	l->per_s = 0;
+	return true;
+}
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -10,6 +10,7 @@
 #include <msgpack.h>
 
 #include "core/backend.h"
+#include "core/limit_news.h"
 #include "core/peer_load.h"
 #include "member/hubs.h"
 #include "member/peers.h"
@@ -25,6 +26,7 @@
 	GOSSIP_AGAIN = 9,  /* asks for the whole roll */
 	GOSSIP_PERSON = 6, /* what another instance said of itself */
 	GOSSIP_CRASH = 10, /* requests under which servers ended */
+	GOSSIP_LIMIT = 12, /* limits of servers; its sender is an id only */
 };
 
 /* One record of the list of backend servers. */
@@ -70,6 +72,7 @@
 	uint32_t who;		  /* of GOSSIP_WHO: the id asked for */
 	uint32_t digest;	  /* of GOSSIP_SAME */
 	struct peer_info person;  /* of GOSSIP_PERSON */
+	struct limit_news limits; /* of GOSSIP_LIMIT */
 	GArray *crashes;	  /* of GOSSIP_CRASH: struct crash_news */
 };
 
@@ -93,6 +96,7 @@
 			 const struct peer_info *person);
 void gossip_write_crashes(struct buf *out, const struct peer_info *self,
 			  const struct crash_news *news, unsigned n);
+void gossip_write_limits(struct buf *out, const struct limit_news *news);
 bool gossip_names_sender(const struct gossip_message *m);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
 void gossip_pack_change(msgpack_packer *pk, const struct backend_change *c);
--- /dev/null
+++ b/member/gossip_read.c
@@ -0,0 +1,290 @@
+#include <errno.h>
+#include <math.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "member/gossip.h"
+
+/* A reader of array elements that remembers whether one was unfit. */
+struct cursor {
+	const msgpack_object *at, *end;
+	bool bad;
+};
+
+static struct cursor cursor_of(const msgpack_object *o)
+{
+	if (o->type != MSGPACK_OBJECT_ARRAY)
+		return (struct cursor){.bad = true};
+	return (struct cursor){o->via.array.ptr,
+			       o->via.array.ptr + o->via.array.size, false};
+}
+
+static const msgpack_object *next(struct cursor *c)
+{
+	static const msgpack_object nil = {.type = MSGPACK_OBJECT_NIL};
+
+	if (c->bad || c->at == c->end) {
+		c->bad = true;
+		return &nil;
+	}
+	return c->at++;
+}
+
+static uint64_t next_uint(struct cursor *c)
+{
+	const msgpack_object *o = next(c);
+
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+		c->bad = true;
+		return 0;
+	}
+	return o->via.u64;
+}
+
+/* A number of zero or more; whole ones may be written as such. */
+static double next_number(struct cursor *c)
+{
+	const msgpack_object *o = next(c);
+	bool whole = o->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+	bool real = o->type == MSGPACK_OBJECT_FLOAT32 ||
+		    o->type == MSGPACK_OBJECT_FLOAT64;
+	double v = whole ? (double)o->via.u64 : real ? o->via.f64 : -1;
+
+	if (isfinite(v) && v >= 0)
+		return v;
+	c->bad = true;
+	return 0;
+}
+
+static void next_text(struct cursor *c, char *dst, size_t max)
+{
+	const msgpack_object *o = next(c);
+
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= max) {
+		c->bad = true;
+		return;
+	}
+	memcpy(dst, o->via.str.ptr, o->via.str.size);
+	dst[o->via.str.size] = '\0';
+}
+
+static void next_addr(struct cursor *c, struct sockaddr_in *sa)
+{
+	memset(sa, 0, sizeof(*sa));
+	sa->sin_family = AF_INET;
+	sa->sin_addr.s_addr = htonl((uint32_t)next_uint(c));
+	sa->sin_port = htons((uint16_t)next_uint(c));
+}
+
+/* gossip_read_change() reads one; false when it is none. */
+bool gossip_read_change(const msgpack_object *o, struct backend_change *out)
+{
+	struct cursor c = cursor_of(o);
+	struct backend_entry *e = &out->entry;
+
+	memset(out, 0, sizeof(*out));
+	out->offset = next_uint(&c);
+	next_text(&c, e->id, sizeof(e->id));
+	out->removed = c.at == c.end;
+	if (out->removed)
+		return !c.bad;
+	next_text(&c, e->service, sizeof(e->service));
+	next_text(&c, e->dc, sizeof(e->dc));
+	next_addr(&c, &e->addr);
+	e->slots = (unsigned)next_uint(&c);
+	e->draining = next_uint(&c) != 0;
+	e->warm_up_ms = (uint32_t)next_uint(&c);
+	e->born_ms = next_uint(&c);
+	e->sequence = next_uint(&c);
+	return !c.bad;
+}
+
+static bool read_feed(const msgpack_object *o, struct backend_feed *f)
+{
+	struct cursor c = cursor_of(o), list;
+
+	f->from = next_uint(&c);
+	f->to = next_uint(&c);
+	f->age_ms = (uint32_t)next_uint(&c);
+	f->settle_ms = (uint32_t)next_uint(&c);
+	list = cursor_of(next(&c));
+	f->changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	while (!list.bad && list.at < list.end) {
+		struct backend_change change;
+
+		if (!gossip_read_change(next(&list), &change))
+			return false;
+		g_array_append_val(f->changes, change);
+	}
+	return !c.bad && !list.bad;
+}
+
+static bool read_counts(const msgpack_object *o, struct peer_load *load)
+{
+	struct cursor c = cursor_of(o);
+
+	while (!c.bad && c.at < c.end && load->n < PEER_LOAD_MAX) {
+		struct peer_load_item *i = &load->items[load->n++];
+
+		i->backend = (uint32_t)next_uint(&c);
+		i->count = (uint32_t)next_uint(&c);
+	}
+	return !c.bad;
+}
+
+static void read_info(struct cursor *c, struct peer_info *p)
+{
+	next_text(c, p->name, sizeof(p->name));
+	next_text(c, p->dc, sizeof(p->dc));
+	next_text(c, p->callers, sizeof(p->callers));
+	next_text(c, p->own, sizeof(p->own));
+	next_addr(c, &p->addr);
+	p->boot = next_uint(c);
+	p->leaving = next_uint(c) != 0;
+	p->ready = next_uint(c) != 0;
+	p->config_offset = next_uint(c);
+	p->config_age_ms = (uint32_t)next_uint(c);
+}
+
+static bool read_person(const msgpack_object *o, struct peer_info *p)
+{
+	struct cursor c = cursor_of(o);
+
+	read_info(&c, p);
+	return !c.bad;
+}
+
+static bool read_roll_ids(const msgpack_object *o, bool ready, GArray *out)
+{
+	struct cursor c = cursor_of(o);
+
+	while (!c.bad && c.at < c.end) {
+		struct roll_entry e = {(uint32_t)next_uint(&c), ready};
+
+		g_array_append_val(out, e);
+	}
+	return !c.bad;
+}
+
+static bool read_roll(const msgpack_object *o, struct roll *r)
+{
+	struct cursor c = cursor_of(o);
+
+	roll_init(r);
+	r->lo = (uint32_t)next_uint(&c);
+	r->hi = (uint32_t)next_uint(&c);
+	return read_roll_ids(next(&c), true, r->entries) &&
+	       read_roll_ids(next(&c), false, r->entries) && !c.bad;
+}
+
+static bool read_crashes(const msgpack_object *o, GArray *out)
+{
+	struct cursor c = cursor_of(o);
+
+	while (!c.bad && c.at < c.end && out->len < CRASH_NEWS_MAX) {
+		struct crash_news n = {
+			.kind = (enum crash_news_kind)next_uint(&c),
+			.digest = next_uint(&c),
+			.detail = (uint32_t)next_uint(&c),
+		};
+
+		if (n.kind < CRASH_NEWS_END || n.kind > CRASH_NEWS_QUARANTINE)
+			return false;
+		g_array_append_val(out, n);
+	}
+	return !c.bad;
+}
+
+static bool read_limits(const msgpack_object *o, struct limit_news *news)
+{
+	struct cursor c = cursor_of(o);
+
+	while (!c.bad && c.at < c.end && news->n < LIMIT_NEWS_MAX) {
+		struct limit_item *it = &news->items[news->n++];
+
+		it->backend = (uint32_t)next_uint(&c);
+		it->named = next_uint(&c) != 0;
+		it->per_s = next_number(&c);
+		it->asked_ago_ms = (uint32_t)next_uint(&c);
+		it->heard_ago_ms = (uint32_t)next_uint(&c);
+	}
+	return !c.bad;
+}
+
+/* gossip_names_sender() tells whether a message says who sent it in full. */
+bool gossip_names_sender(const struct gossip_message *m)
+{
+	return m->kind != GOSSIP_LOAD && m->kind != GOSSIP_LIMIT;
+}
+
+/* Reads what stands after the sender. */
+static bool read_rest(struct cursor *c, struct gossip_message *m)
+{
+	switch (m->kind) {
+	case GOSSIP_BEAT:
+	case GOSSIP_AGAIN:
+		return true;
+	case GOSSIP_SAME:
+		m->digest = (uint32_t)next_uint(c);
+		return !c->bad;
+	case GOSSIP_FEED:
+		return read_feed(next(c), &m->feed);
+	case GOSSIP_LOAD:
+		m->load.peer = (uint32_t)next_uint(c);
+		return read_counts(next(c), &m->load) && !c->bad;
+	case GOSSIP_LIMIT:
+		m->limits.peer = (uint32_t)next_uint(c);
+		return read_limits(next(c), &m->limits) && !c->bad;
+	case GOSSIP_ROLL:
+		return read_roll(next(c), &m->roll);
+	case GOSSIP_WHO:
+		m->who = (uint32_t)next_uint(c);
+		return !c->bad;
+	case GOSSIP_PERSON:
+		return read_person(next(c), &m->person);
+	case GOSSIP_CRASH:
+		m->crashes =
+			g_array_new(FALSE, FALSE, sizeof(struct crash_news));
+		return read_crashes(next(c), m->crashes);
+	}
+	return false;
+}
+
+/*
+ * gossip_read() decodes a datagram. Returns 0, or -EPROTO when it is none of
+ * ours; m is to be cleared in both cases.
+ */
+int gossip_read(struct lstr bytes, struct gossip_message *m)
+{
+	msgpack_unpacked u;
+	size_t off = 0;
+	int rc = -EPROTO;
+
+	memset(m, 0, sizeof(*m));
+	msgpack_unpacked_init(&u);
+	if (msgpack_unpack_next(&u, bytes.ptr, bytes.len, &off) ==
+	    MSGPACK_UNPACK_SUCCESS) {
+		struct cursor c = cursor_of(&u.data);
+
+		m->kind = (enum gossip_kind)next_uint(&c);
+		if (gossip_names_sender(m))
+			read_info(&c, &m->sender);
+		if (!c.bad && read_rest(&c, m))
+			rc = 0;
+	}
+	msgpack_unpacked_destroy(&u);
+	return rc;
+}
+
+/* gossip_message_clear() frees what gossip_read() made. */
+void gossip_message_clear(struct gossip_message *m)
+{
+	if (m->feed.changes)
+		g_array_unref(m->feed.changes);
+	m->feed.changes = NULL;
+	if (m->crashes)
+		g_array_unref(m->crashes);
+	m->crashes = NULL;
+	roll_clear(&m->roll);
+}
--- a/member/peers.c
+++ b/member/peers.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/limit_share.h"
 #include "member/peers.h"
 
 enum {
@@ -11,6 +12,13 @@
 	ALIVE_MS = 1700,
 	/* A peer that lives has answered the first heartbeat by then. */
 	ANSWER_MS = 1000,
+	/*
+	 * One that fell silent may be cut off and serve on: regions are for an
+	 * hour now and then.
+	 */
+	CUT_MAX_MS = 2 * 3600 * 1000,
+	/* After its grace time a stopping instance has ended. */
+	STOP_MARGIN_MS = 1000,
 };
 
 /* peer_id() shortens a name for the roll. */
@@ -174,6 +182,41 @@
 	return n;
 }
 
+/* Whether a peer may still send to servers, as far as is known here. */
+static bool may_send(const struct peer *p, uint32_t stop_ms, int64_t now_ms)
+{
+	int64_t silent = now_ms - peer_seen_ms(p);
+
+	if (p->info.leaving && silent >= (int64_t)stop_ms + STOP_MARGIN_MS)
+		return false;
+	return silent < CUT_MAX_MS;
+}
+
+/*
+ * peers_sharers() lists all instances that may be sending to servers, this one
+ * first. One that merely fell silent counts on, unlike in peers_count(): what it
+ * holds must not be given to another while it may be using it. `stop_ms`: so long
+ * after it said that it leaves one has surely ended. Unref the array of struct
+ * limit_sharer after use.
+ */
+GArray *peers_sharers(const struct peer_table *t, uint32_t stop_ms,
+		      int64_t now_ms)
+{
+	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct limit_sharer));
+	struct limit_sharer s = {peer_id(t->self.name), 1};
+
+	g_array_append_val(out, s);
+	for (guint i = 0; i < t->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(t->peers, i);
+
+		if (!may_send(p, stop_ms, now_ms))
+			continue;
+		s = (struct limit_sharer){p->id, peer_alive(p, now_ms)};
+		g_array_append_val(out, s);
+	}
+	return out;
+}
+
 /* Whom to name: those that can serve, all that live, or all known. */
 enum choice { CHOOSE_READY, CHOOSE_ALIVE, CHOOSE_KNOWN };
 
--- a/member/peers.h
+++ b/member/peers.h
@@ -78,6 +78,8 @@
 unsigned peers_start_rank(const struct peer_table *t, int64_t now_ms);
 unsigned peers_ready(const struct peer_table *t, int64_t now_ms);
 unsigned peers_count(const struct peer_table *t, int64_t now_ms);
+GArray *peers_sharers(const struct peer_table *t, uint32_t stop_ms,
+		      int64_t now_ms);
 GArray *peers_for_callers(const struct peer_table *t, int64_t now_ms);
 
 const struct peer *peers_informant(const struct peer_table *t, unsigned turn,
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -4,6 +4,8 @@
  */
 #include "tests/unit.h"
 
+#include <math.h>
+
 #include <errno.h>
 
 #include "member/gossip.h"
@@ -271,6 +273,54 @@
 	buf_free(&b);
 }
 
+static void test_limits_round_trip(void **state)
+{
+	struct limit_news l = {.peer = peer_id("e3"), .n = LIMIT_NEWS_MAX};
+	struct gossip_message m;
+	struct buf b = {0};
+
+	for (unsigned i = 0; i < LIMIT_NEWS_MAX; i++)
+		l.items[i] = (struct limit_item){0xf0000000 + i, i % 2 == 0,
+						 0.1 * i, 1U << 31, 1U << 30};
+	gossip_write_limits(&b, &l);
+	assert_true(b.len <= GOSSIP_MAX);
+	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+	assert_int_equal(m.kind, GOSSIP_LIMIT);
+	assert_false(gossip_names_sender(&m));
+	assert_int_equal(m.limits.peer, peer_id("e3"));
+	assert_int_equal(m.limits.n, LIMIT_NEWS_MAX);
+	for (unsigned i = 0; i < LIMIT_NEWS_MAX; i++) {
+		const struct limit_item *it = &m.limits.items[i];
+
+		assert_int_equal(it->backend, l.items[i].backend);
+		assert_int_equal(it->named, l.items[i].named);
+		assert_true(it->per_s == l.items[i].per_s);
+		assert_int_equal(it->asked_ago_ms, l.items[i].asked_ago_ms);
+		assert_int_equal(it->heard_ago_ms, l.items[i].heard_ago_ms);
+	}
+	gossip_message_clear(&m);
+	refuse_prefixes(&b);
+	buf_free(&b);
+}
+
+/* What is no limit is refused, whoever sends it. */
+static void test_limits_that_are_none(void **state)
+{
+	static const double bad[] = {-1, NAN, INFINITY};
+	struct limit_news l = {.peer = 1, .n = 1};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		struct gossip_message m;
+		struct buf b = {0};
+
+		l.items[0] = (struct limit_item){7, true, bad[i], 1, 1};
+		gossip_write_limits(&b, &l);
+		assert_int_not_equal(gossip_read(buf_lstr(&b), &m), 0);
+		gossip_message_clear(&m);
+		buf_free(&b);
+	}
+}
+
 /* Many changes known to all: the newest fit, and it says what it covers. */
 static void test_feed_fits(void **state)
 {
@@ -351,6 +401,8 @@
 		cmocka_unit_test(test_mangled_datagrams),
 		cmocka_unit_test(test_crash_news),
 		cmocka_unit_test(test_load_round_trip),
+		cmocka_unit_test(test_limits_round_trip),
+		cmocka_unit_test(test_limits_that_are_none),
 		cmocka_unit_test(test_roll_round_trip),
 		cmocka_unit_test(test_feed_fits),
 		cmocka_unit_test(test_feed_in_parts),
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -1,6 +1,7 @@
 /* Tests of member/peers: who is known, who lives, and what callers are told. */
 #include "tests/unit.h"
 
+#include "core/limit_share.h"
 #include "tests/peer_info.h"
 
 static void hear(struct peer_table *t, const char *name, int64_t now)
@@ -131,6 +132,46 @@
 	assert_int_equal(peers_count(&t, 90000), 1);
 }
 
+static unsigned count_sharers(const struct peer_table *t, int64_t now)
+{
+	GArray *all = peers_sharers(t, 6000, now);
+	unsigned n = all->len;
+
+	assert_int_equal(g_array_index(all, struct limit_sharer, 0).id,
+			 peer_id(t->self.name));
+	g_array_unref(all);
+	return n;
+}
+
+/*
+ * One that fell silent may be cut off and serve on, so it keeps what it holds; one
+ * that left as planned does so until its grace time is over.
+ */
+static void test_sharers(void **state)
+{
+	struct peer_info self = info("e3", 1), stopping = info("e2", 1);
+	struct peer_table t;
+	GArray *all;
+
+	peers_init(&t, &self);
+	hear(&t, "e1", 1000);
+	hear(&t, "e2", 1000);
+	assert_int_equal(count_sharers(&t, 1000), 3);
+	assert_int_equal(count_sharers(&t, 1000 + 3600 * 1000), 3);
+	all = peers_sharers(&t, 6000, 60000);
+	assert_int_equal(g_array_index(all, struct limit_sharer, 1).heard, 0);
+	g_array_unref(all);
+	stopping.leaving = true;
+	peers_heard(&t, &stopping, 2000);
+	assert_int_equal(count_sharers(&t, 8900), 3);
+	assert_int_equal(count_sharers(&t, 9000), 2);
+	/* It starts anew. */
+	hear(&t, "e2", 9500);
+	assert_int_equal(count_sharers(&t, 9500), 3);
+	/* Longer than cuts last: it is taken as gone. */
+	assert_int_equal(count_sharers(&t, 9500 + 2 * 3600 * 1000), 1);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -139,6 +180,7 @@
 		cmocka_unit_test(test_for_callers),
 		cmocka_unit_test(test_ready_first),
 		cmocka_unit_test(test_fresh_is_told),
+		cmocka_unit_test(test_sharers),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_server_limit.c
+++ b/tests/test_server_limit.c
@@ -107,6 +107,23 @@
 	assert_int_equal(server_limit_hear(&l, &q, 401), LIMIT_ENDED);
 }
 
+/* Nobody has spoken of it for long; a peer's word counts like the server's. */
+static void test_expires(void **state)
+{
+	struct server_limit l = {0};
+	struct limit_word told = {true, 5, 4000, 5000, LIMIT_BY_PEER};
+
+	named(&l, 5, 100, 150);
+	assert_false(server_limit_expire(&l, 7149));
+	server_limit_hear(&l, &told, 5500);
+	assert_false(server_limit_expire(&l, 12499));
+	assert_true(server_limit_expire(&l, 12500));
+	assert_false(l.named);
+	assert_false(server_limit_expire(&l, 99999));
+	/* It may come back. */
+	assert_int_equal(named(&l, 5, 13000, 13050), LIMIT_BEGAN);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -116,6 +133,7 @@
 		cmocka_unit_test(test_overtaken_values),
 		cmocka_unit_test(test_late_word_after_the_end),
 		cmocka_unit_test(test_questions),
+		cmocka_unit_test(test_expires),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/traffic/limits.c
+++ b/traffic/limits.c
@@ -2,19 +2,38 @@
 #include "misc/clock.h"
 #include "traffic/limits.h"
 
+enum {
+	/* Granularity of all that is due while servers are in need. */
+	TICK_MS = 500,
+	/*
+	 * Nobody has told for so long that a limit stands: those who hold it tell
+	 * the others, some a little sooner than the rest, who then need not.
+	 */
+	TELL_AGAIN_MS = 2000,
+	TELL_SPREAD_MS = 1000,
+	/* An instance that is new is told at once, by some of the others. */
+	TELL_NEW_MS = 200,
+	/*
+	 * A datagram may have been on its way, or unread, for so long: what it says
+	 * is taken to be older by that.
+	 */
+	ON_ITS_WAY_MS = 1000,
+};
+
 static void log_change(const struct backend *b, enum limit_change change,
 		       const struct limit_word *w, double before)
 {
-	const struct server_limit *l = b->limit;
+	const struct limit_part *p = &b->limit->share.part;
 
 	mp_event(change == LIMIT_ENDED ? EV_LIMIT_ENDED : EV_LIMIT_NAMED,
 		 G_LOG_LEVEL_MESSAGE,
 		 "backend=%s service=%s limit_per_s=%g before=%g by=%s "
 		 "asked_ago_ms=%" G_GINT64_FORMAT
-		 " heard_ago_ms=%" G_GINT64_FORMAT,
-		 b->entry.id, b->service->name, l->per_s, before,
+		 " heard_ago_ms=%" G_GINT64_FORMAT
+		 " own_per_s=%.3f own_depth=%.2f",
+		 b->entry.id, b->service->name, b->limit->said.per_s, before,
 		 limit_source_name(w->source), clock_ms() - w->asked_ms,
-		 clock_ms() - w->heard_ms);
+		 clock_ms() - w->heard_ms, p->rate_s, p->depth);
 }
 
 /* A number that is none says neither that there is a limit nor that it ended. */
@@ -31,29 +50,103 @@
 		 text.ptr);
 }
 
+/* Works out anew what this instance holds of b's limit. */
+static void set_part(struct traffic *t, struct backend *b)
+{
+	const GArray *known = t->peers.sharers;
+	struct limit_sharers sharers = {.n = 0};
+	struct limit_part part;
+
+	if (known)
+		sharers = (struct limit_sharers){
+			(const struct limit_sharer *)(void *)known->data,
+			known->len};
+	part = limit_part(b->limit->said.per_s, b->start, &sharers);
+	limit_share_set(&b->limit->share, &part, clock_ms());
+}
+
+static void arm(struct traffic *t, int ms)
+{
+	if (ev_is_active(&t->limits_timer) &&
+	    ev_timer_remaining(t->loop, &t->limits_timer) * 1000 <= ms)
+		return;
+	ev_timer_stop(t->loop, &t->limits_timer);
+	ev_timer_set(&t->limits_timer, ms / 1000.0, 0);
+	ev_timer_start(t->loop, &t->limits_timer);
+}
+
 /* Takes in what a server said, by itself or through a peer. */
-static void hear(struct backend *b, const struct limit_word *w)
+static enum limit_change hear(struct traffic *t, struct backend *b,
+			      const struct limit_word *w)
 {
-	double before = b->limit ? b->limit->per_s : 0;
+	int64_t now_ms = clock_ms();
+	double before = b->limit ? b->limit->said.per_s : 0;
 	enum limit_change change;
 
 	if (!b->limit && !w->named)
-		return;
-	if (!b->limit)
-		b->limit = g_new0(struct server_limit, 1);
-	change = server_limit_hear(b->limit, w, clock_ms());
-	if (change != LIMIT_SAME)
-		log_change(b, change, w, before);
+		return LIMIT_SAME;
+	if (!b->limit) {
+		b->limit = g_new0(struct backend_limit, 1);
+		limit_share_begin(&b->limit->share, b->was_free, now_ms);
+	}
+	change = server_limit_hear(&b->limit->said, w, now_ms);
+	if (change == LIMIT_SAME)
+		return change;
+	set_part(t, b);
+	log_change(b, change, w, before);
+	arm(t, TICK_MS);
+	return change;
+}
+
+static void send_news(struct traffic *t, const struct limit_news *news)
+{
+	struct limit_news *copy = g_memdup2(news, sizeof(*news));
+
+	/* With a full queue it is lost like a datagram. */
+	if (mailbox_send(t->control, FROM_TRAFFIC_LIMITS, copy))
+		g_free(copy);
+}
+
+static uint32_t age_ms(int64_t at_ms, int64_t now_ms)
+{
+	int64_t age = now_ms - at_ms;
+
+	return age < 0 ? 0 : age > UINT32_MAX ? UINT32_MAX : (uint32_t)age;
+}
+
+/* It was told: if nobody tells it again, this instance does after a while. */
+static void was_told(struct traffic *t, struct backend *b, int64_t now_ms)
+{
+	int spread = g_rand_int_range(t->rand, 0, TELL_SPREAD_MS);
+
+	b->limit->said.told_ms = now_ms;
+	b->limit->tell_ms = now_ms + TELL_AGAIN_MS + spread;
+}
+
+/* Adds what is known of b's limit. */
+static void add_item(struct limit_news *news, const struct backend *b,
+		     int64_t now_ms)
+{
+	const struct server_limit *l = &b->limit->said;
+
+	news->items[news->n++] = (struct limit_item){
+		.backend = b->start,
+		.named = l->named,
+		.per_s = l->per_s,
+		.asked_ago_ms = age_ms(l->asked_ms, now_ms),
+		.heard_ago_ms = age_ms(l->heard_ms, now_ms),
+	};
 }
 
 /*
  * limits_answer() takes in what an answer of b says of its limit; it was asked
- * for at asked_ms.
+ * for at asked_ms. What is new is told to the peers at once.
  */
 void limits_answer(struct traffic *t, struct backend *b,
 		   const struct answer_info *info, int64_t asked_ms,
 		   enum limit_source source)
 {
+	struct limit_news news = {.n = 0};
 	struct limit_word w = {
 		.named = info->limit == LIMIT_NAMED,
 		.per_s = info->limit_per_s,
@@ -67,35 +160,194 @@
 		return;
 	}
 	b->limit_bad = false;
-	hear(b, &w);
+	b->was_free = b->was_free || (!w.named && source == LIMIT_BY_ANSWER);
+	if (hear(t, b, &w) == LIMIT_SAME)
+		return;
+	was_told(t, b, w.heard_ms);
+	add_item(&news, b, w.heard_ms);
+	send_news(t, &news);
+}
+
+static struct backend *find(struct traffic *t, uint32_t start)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, t->backends.by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct backend *b = v;
+
+		if (b->start == start)
+			return b;
+	}
+	return NULL;
+}
+
+/* limits_told() takes in what a peer says that servers have said. */
+void limits_told(struct traffic *t, const struct limit_news *news)
+{
+	int64_t now_ms = clock_ms();
+
+	for (unsigned i = 0; i < news->n; i++) {
+		const struct limit_item *it = &news->items[i];
+		struct backend *b = find(t, it->backend);
+		struct limit_word w = {
+			.named = it->named,
+			.per_s = it->per_s,
+			.asked_ms = now_ms - it->asked_ago_ms - ON_ITS_WAY_MS,
+			.heard_ms = now_ms - it->heard_ago_ms,
+			.source = LIMIT_BY_PEER,
+		};
+
+		if (!b)
+			continue;
+		hear(t, b, &w);
+		if (b->limit)
+			was_told(t, b, now_ms);
+	}
+}
+
+/*
+ * While most instances are silent to this one they can't tell it that a limit
+ * stands, so that their silence says nothing.
+ */
+static bool hears_most(const struct traffic *t)
+{
+	const GArray *known = t->peers.sharers;
+	guint heard = 0;
+
+	for (guint i = 0; known && i < known->len; i++)
+		heard += g_array_index(known, struct limit_sharer, i).heard;
+	return known && 2 * heard > known->len;
+}
+
+/* Ends what nobody speaks of any more, where it can't be heard from the server. */
+static void expire(struct traffic *t, struct backend *b, int64_t now_ms)
+{
+	double before = b->limit->said.per_s;
+
+	if (b->limit->share.part.held || !hears_most(t) ||
+	    !server_limit_expire(&b->limit->said, now_ms))
+		return;
+	set_part(t, b);
+	mp_event(EV_LIMIT_ENDED, G_LOG_LEVEL_MESSAGE,
+		 "backend=%s service=%s limit_per_s=0 before=%g by=silence",
+		 b->entry.id, b->service->name, before);
+}
+
+/* Whether this instance is to tell the others once more that the limit stands. */
+static bool is_due(const struct backend *b, int64_t now_ms)
+{
+	return b->limit->share.part.held && now_ms >= b->limit->tell_ms;
+}
+
+static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	struct traffic *t = timer->data;
+	int64_t now_ms = clock_ms();
+	struct limit_news news = {.n = 0};
+	bool any = false;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, t->backends.by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct backend *b = v;
+
+		if (!backend_is_limited(b))
+			continue;
+		any = true;
+		expire(t, b, now_ms);
+		if (!backend_is_limited(b) || news.n == LIMIT_NEWS_MAX ||
+		    !is_due(b, now_ms))
+			continue;
+		was_told(t, b, now_ms);
+		add_item(&news, b, now_ms);
+	}
+	if (news.n)
+		send_news(t, &news);
+	if (any)
+		arm(t, TICK_MS);
+}
+
+/*
+ * limits_peers_changed() works out anew what this instance holds. Those who are
+ * new don't know of the limits: they are due to be told.
+ */
+void limits_peers_changed(struct traffic *t)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, t->backends.by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct backend *b = v;
+
+		if (!backend_is_limited(b))
+			continue;
+		set_part(t, b);
+		b->limit->tell_ms = 0;
+		arm(t, g_rand_int_range(t->rand, 0, TELL_NEW_MS));
+	}
+}
+
+/* limits_init() prepares the timer. */
+void limits_init(struct traffic *t)
+{
+	ev_init(&t->limits_timer, on_tick);
+	t->limits_timer.data = t;
 }
 
 /* Why a server gets the request, as the rules on limits see it. */
-static const char *cause_name(const struct request *r, const struct send *s)
+static const char *cause_name(const struct send *s)
 {
-	if (!s->extra)
-		return "first";
-	return extra_cause_name(s->cause);
+	return s->extra ? extra_cause_name(s->cause) : "first";
 }
 
 /*
- * limits_log_send() accounts for a send to a server that names a limit. These
- * lines are never held back: added up over all instances they are what the
+ * These lines are never held back: added up over all instances they are what the
  * server gets.
  */
-void limits_log_send(const struct request *r, const struct send *s)
+static void log_send(const struct send *s)
 {
-	const struct backend *b = s->backend;
+	const struct request *r = s->request;
+	const struct backend_limit *l = s->backend->limit;
 	const struct traffic *t = r->traffic;
 
-	if (!b->limit || !b->limit->named)
-		return;
 	mp_event(EV_LIMIT_SEND, G_LOG_LEVEL_INFO,
 		 "id=%.*s backend=%s service=%s limit_per_s=%g cause=%s "
 		 "known_ms=%" G_GINT64_FORMAT " lifetime=%08x "
-		 "age_ms=%" G_GINT64_FORMAT " instances=%u",
-		 (int)r->call.id.len, r->call.id.ptr, b->entry.id,
-		 b->service->name, b->limit->per_s, cause_name(r, s),
-		 s->sent_ms - b->limit->since_ms, t->lifetime,
-		 s->sent_ms - t->started_ms, t->peers.instances);
+		 "age_ms=%" G_GINT64_FORMAT " sharers=%u own_per_s=%.3f "
+		 "left=%.2f out=%u",
+		 (int)r->call.id.len, r->call.id.ptr, s->backend->entry.id,
+		 s->backend->service->name, l->said.per_s, cause_name(s),
+		 s->sent_ms - l->said.since_ms, t->lifetime,
+		 s->sent_ms - t->started_ms,
+		 t->peers.sharers ? t->peers.sharers->len : 0,
+		 l->share.part.rate_s, l->share.tokens, l->share.out);
+}
+
+/*
+ * limits_send() takes a send from what this instance holds of its server's limit,
+ * before it leaves. Whatever its cause it costs the server the same.
+ */
+void limits_send(struct send *s)
+{
+	struct backend *b = s->backend;
+
+	if (!backend_is_limited(b))
+		return;
+	mp_invariant(limit_share_allows(&b->limit->share, s->sent_ms),
+		     "%s was to get more than its limit allows", b->entry.id);
+	limit_share_take(&b->limit->share, s->sent_ms);
+	s->limited = true;
+	log_send(s);
+}
+
+/* limits_send_ended() says that a send can't reach its server any more. */
+void limits_send_ended(struct send *s, int64_t now_ms)
+{
+	if (s->limited)
+		limit_share_end(&s->backend->limit->share, now_ms);
+	s->limited = false;
 }
--- a/traffic/limits.h
+++ b/traffic/limits.h
@@ -1,6 +1,7 @@
 /*
- * What backend servers say of how many requests a second they take: taken in
- * from their answers, and told in the log.
+ * The limits that backend servers name, on the traffic thread: taken in from
+ * their answers and from peers, kept by every send, passed on, and told in the
+ * log.
  */
 #ifndef MP_TRAFFIC_LIMITS_H
 #define MP_TRAFFIC_LIMITS_H
@@ -8,9 +9,13 @@
 #include "platform/exchange.h"
 #include "traffic/request.h"
 
+void limits_init(struct traffic *t);
 void limits_answer(struct traffic *t, struct backend *b,
 		   const struct answer_info *info, int64_t asked_ms,
 		   enum limit_source source);
-void limits_log_send(const struct request *r, const struct send *s);
+void limits_told(struct traffic *t, const struct limit_news *news);
+void limits_peers_changed(struct traffic *t);
+void limits_send(struct send *s);
+void limits_send_ended(struct send *s, int64_t now_ms);
 
 #endif
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -40,6 +40,7 @@
 			  int64_t now_ms)
 {
 	const struct load_report *l = &b->load;
+	bool limited = backend_is_limited(b);
 	const struct {
 		const char *name;
 		double value;
@@ -52,8 +53,8 @@
 		{"slowdown_pct", l->slowdown_pct},
 		{"load_age_ms", l->at_ms ? (double)(now_ms - l->at_ms) : -1},
 		{"trouble", outlier_trouble(b, now_ms)},
-		{"limit_per_s",
-		 b->limit && b->limit->named ? b->limit->per_s : -1},
+		{"limit_per_s", limited ? b->limit->said.per_s : -1},
+		{"limit_own_per_s", limited ? b->limit->share.part.rate_s : -1},
 	};
 
 	for (size_t i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -110,12 +110,17 @@
 void request_refuse(struct request *r, const char *why)
 {
 	int64_t now_ms = clock_ms();
+	int64_t left_ms = request_left_ms(r, now_ms);
 	struct admit_request view = request_view(r, now_ms);
+	struct limit_room room = limit_room(r->service, now_ms);
+	double soon =
+		retry_after_s(&view, left_ms, g_rand_double(r->traffic->rand));
+	double turn =
+		retry_after_turn_s(&r->service->promised_ms, &room,
+				   r->service->waiting.length, left_ms, now_ms);
 
 	r->traffic->trouble_ms = now_ms;
-	refuse(r, why,
-	       retry_after_s(&view, request_left_ms(r, now_ms),
-			     g_rand_double(r->traffic->rand)));
+	refuse(r, room.all ? "servers in need" : why, MAX(soon, turn));
 }
 
 /*
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -8,6 +8,7 @@
 #include "core/policy.h"
 #include "misc/clock.h"
 #include "traffic/ask.h"
+#include "traffic/request_wait.h"
 
 enum {
 	ASK_FIRST = 2,	 /* servers of the own data centre asked first */
@@ -23,14 +24,6 @@
 	 * repeated after 200 ms, so longer waits bring nothing.
 	 */
 	ROUND_MS = 30,
-	/*
-	 * Without room anywhere it is asked again after this, then after
-	 * twice as long and so on: the answers to this instance's other
-	 * requests tell of room sooner, and at no cost.
-	 */
-	WAIT_MS = 12,
-	/* A late second send is tried again after this. */
-	RESCUE_AGAIN_MS = 150,
 };
 
 /*
@@ -40,33 +33,6 @@
  */
 enum { PRESSED_MS = 400 };
 
-/* The more important first, then the older. */
-static gint compare_waiting(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct request *x = a, *y = b;
-
-	if (x->route->priority != y->route->priority)
-		return x->route->priority < y->route->priority ? -1 : 1;
-	if (x->spent_before_ms != y->spent_before_ms)
-		return x->spent_before_ms < y->spent_before_ms ? -1 : 1;
-	return x->start_ms < y->start_ms ? -1 : x->start_ms > y->start_ms;
-}
-
-static void enqueue(struct request *r)
-{
-	if (!r->queued)
-		g_queue_insert_sorted(&r->service->waiting, r, compare_waiting,
-				      NULL);
-	r->queued = true;
-}
-
-static void dequeue(struct request *r)
-{
-	if (r->queued)
-		g_queue_remove(&r->service->waiting, r);
-	r->queued = false;
-}
-
 /*
  * An extra send is taken from the budget before a server is looked for, and
  * given back if none is found: between lie questions and waits, in which others
@@ -94,7 +60,7 @@
  */
 void request_place_end(struct request *r)
 {
-	dequeue(r);
+	request_wait_end(r);
 	give_back(r);
 	ask_release(r);
 	r->placement = PLACE_NONE;
@@ -124,6 +90,7 @@
 		.avoid = avoid,
 		.navoid = avoided(r, avoid),
 		.own_dc_only = r->round == 0,
+		.second = r->placement == PLACE_HEDGE,
 		.now_ms = now_ms,
 		.rand = r->traffic->rand,
 	};
@@ -152,6 +119,18 @@
 	       now_ms - r->service->pressed_ms < PRESSED_MS;
 }
 
+/*
+ * A server in need gets no more than its limit. What it takes goes to first sends
+ * and to those whose send before brought nothing.
+ */
+static bool limit_lets(const struct request *r, const struct backend *b,
+		       int64_t now_ms)
+{
+	if (r->placement == PLACE_HEDGE && backend_is_limited(b))
+		return false;
+	return backend_is_open(b, now_ms);
+}
+
 /* Tells whether the request goes to a server that told its load. */
 static bool takes(const struct request *r, const struct backend *b,
 		  double estimate_ms, int64_t now_ms)
@@ -165,6 +144,8 @@
 		.has_spare = place_has_spare(b, now_ms),
 	};
 
+	if (!limit_lets(r, b, now_ms))
+		return false;
 	if (r->placement == PLACE_HEDGE && r->rescue)
 		return admit_takes_rescue(&s, request_is_pressed(r, now_ms));
 	if (r->placement == PLACE_HEDGE && !told) {
@@ -229,66 +210,15 @@
 	backend_unref(b);
 }
 
-/* No server for a second send now: again when it may be late. */
-static void plan_rescue(struct request *r, int64_t now_ms)
-{
-	const struct send *first = &r->sends[r->nsends - 1];
-	int64_t at = first->sent_ms +
-		     rescue_delay_ms(first->estimate_ms, r->route->target_ms);
-
-	r->hedge_ms = r->rescue ? now_ms + RESCUE_AGAIN_MS : at;
-	if (!mechanisms.rescue)
-		r->hedge_ms = 0;
-	r->rescue = true;
-}
-
-/* Nobody has room: waits a moment, or gives up. */
-static void no_room(struct request *r, int64_t now_ms)
-{
-	enum placement why = r->placement;
-	struct admit_request view = request_view(r, now_ms);
-	int64_t patience = (int64_t)admit_wait_ms(&view);
-	bool alone = !request_is_out(r);
-
-	if (admit_can_be_on_time(&view) && why != PLACE_HEDGE)
-		r->service->pressed_ms = now_ms;
-	ask_release(r);
-	if (why == PLACE_HEDGE) {
-		request_place_end(r);
-		plan_rescue(r, now_ms);
-		request_arm(r);
-		return;
-	}
-	if (now_ms - r->placing_since_ms < patience &&
-	    r->service->backends->len > 0) {
-		int64_t end = r->placing_since_ms + patience;
-
-		r->round = 0;
-		r->wait_until_ms = now_ms + (WAIT_MS << r->waits);
-		if (r->wait_until_ms > end)
-			r->wait_until_ms = end;
-		r->waits++;
-		enqueue(r);
-		request_arm(r);
-		return;
-	}
-	r->traffic->counters.no_room++;
-	request_place_end(r);
-	if (!alone)
-		request_arm(r);
-	else if (r->undenied)
-		request_fail(r, 502, "no server left");
-	else
-		request_refuse(r, "no room");
-}
-
 /* Lists the servers that may get the request; unref the array after use. */
 static GPtrArray *candidates(const struct request *r)
 {
 	struct backend *avoid[REQUEST_ASKS_MAX + REQUEST_SENDS_MAX];
 	struct place_query q = {.service = r->service,
 				.avoid = avoid,
-				.navoid = avoided(r, avoid)};
+				.navoid = avoided(r, avoid),
+				.second = r->placement == PLACE_HEDGE,
+				.now_ms = clock_ms()};
 
 	return place_candidates(&q);
 }
@@ -350,7 +280,7 @@
 				     : pick_by_policy(r);
 	u = b ? upstream_get(r->traffic->loop, b, since) : NULL;
 	if (!u) {
-		no_room(r, now_ms);
+		request_wait(r, now_ms);
 		return;
 	}
 	request_place_end(r);
@@ -405,13 +335,14 @@
 	if (best)
 		take(r, best);
 	else
-		no_room(r, now_ms);
+		request_wait(r, now_ms);
 }
 
 /* request_place_tick() goes on when the time of a round or wait is over. */
 void request_place_tick(struct request *r, int64_t now_ms)
 {
-	if (r->wait_until_ms && now_ms >= r->wait_until_ms) {
+	if (r->wait_until_ms && now_ms >= r->wait_until_ms &&
+	    !request_wait_yields(r, now_ms)) {
 		r->wait_until_ms = 0;
 		r->round_ends_ms = now_ms;
 	}
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -25,6 +25,7 @@
 	if (s->extra)
 		budget_end(&s->request->service->budget, &t->budget_rule,
 			   clock_boot_ms());
+	limits_send_ended(s, clock_ms());
 	s->backend->in_flight--;
 	share_changed(t, s->backend->service);
 }
@@ -251,7 +252,7 @@
 	share_changed(r->traffic, b->service);
 	r->undenied++;
 	request_log_sent(r, s, now_ms);
-	limits_log_send(r, s);
+	limits_send(s);
 	/* Its report is older than this request. */
 	if (b->load.at_ms)
 		b->load.running++;
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -10,6 +10,7 @@
 #include "misc/clock.h"
 #include "member/advise.h"
 #include "platform/directory.h"
+#include "traffic/limits.h"
 #include "traffic/metrics.h"
 #include "traffic/request.h"
 #include "traffic/share.h"
@@ -255,11 +256,14 @@
 {
 	if (t->peers.named)
 		g_array_unref(t->peers.named);
+	if (t->peers.sharers)
+		g_array_unref(t->peers.sharers);
 	t->peers = *v;
 	if (v->instances > t->most_instances)
 		t->most_instances = v->instances;
 	t->budget_rule.instances = t->most_instances;
 	t->ask_rule.instances = t->most_instances;
+	limits_peers_changed(t);
 }
 
 static void receive(void *priv, struct mail *m)
@@ -282,6 +286,10 @@
 				 clock_ms());
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_LIMITS:
+		limits_told(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_BOUNDS:
 		take_bounds(t, m->data);
 		g_free(m->data);
@@ -361,6 +369,7 @@
 	ask_budget_init(&t->asks, t->started_ms);
 	take_bounds(t, &s->bounds);
 	share_init(t);
+	limits_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
 	backend_set_init(&t->backends, on_backend_gone, t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -13,6 +13,7 @@
 #include "core/backend.h"
 #include "core/config.h"
 #include "core/dedup.h"
+#include "core/limit_news.h"
 #include "core/patience.h"
 #include "core/quarantine.h"
 #include "http/server.h"
@@ -46,6 +47,7 @@
 	struct config *config;
 	struct backend_set backends;
 	struct peer_loads peer_loads;
+	ev_timer limits_timer;
 	ev_timer share_timer;
 	bool share_pending;
 	struct peer_view peers;
