An instance that doesn't know whether a server names a limit sends it one request at a time; the end of a limit is always heard

A lifetime that has just started knows of no limit until a server or a peer says so. Until then it had as many requests there at once as the server had room for; now one.

Where those that hold a limit have no callers or are gone nobody heard of its end. What an instance believed ended by silence, for all at once, or not at all where the others are silent. Now a belief ends by the server's word only: when nobody has heard from it for longer than the limit explains, one that holds nothing sends it a request (server_limit_is_stale(), drawn so that one does). That replaces an instance that acted for silent holders. One request less of the slack is saved for it.

--- a/core/backend.c
+++ b/core/backend.c
@@ -112,13 +112,23 @@
 	return b->limit && b->limit->said.named;
 }
 
+/* Whether it is known here if b names a limit or none. */
+static bool backend_is_known(const struct backend *b)
+{
+	return b->limit || b->was_free;
+}
+
 /*
  * backend_is_open() tells whether b's limit, if it names one, lets this instance
- * send it one more request now.
+ * send it one more request now. Until it is known whether it does it gets one at a
+ * time: instances that have just started, all at once maybe, would otherwise send
+ * a server in need what none of them counts.
  */
 bool backend_is_open(const struct backend *b, int64_t now_ms)
 {
-	return !backend_is_limited(b) ||
+	if (!backend_is_known(b))
+		return b->in_flight == 0;
+	return !backend_is_limited(b) || b->limit->looks ||
 	       limit_share_allows(&b->limit->share, now_ms);
 }
 
--- a/core/backend.h
+++ b/core/backend.h
@@ -48,6 +48,8 @@
 	struct server_limit said;
 	struct limit_share share;
 	int64_t tell_ms; /* the peers are told again then that it stands */
+	int64_t look_ms; /* an instance that holds nothing may look then */
+	bool looks;	 /* it may send one request, to hear whether it ended */
 };
 
 struct backend {
--- a/core/limit_share.c
+++ b/core/limit_share.c
@@ -10,7 +10,7 @@
 
 /* Of these this much is given out as savings, see the head of the header. */
 static const double SAVED_S = 1.5;
-static const double SAVED_SLACK = 4;
+static const double SAVED_SLACK = 3;
 
 /*
  * With a lower limit nobody would ever send, and so nobody would hear that it has
@@ -39,25 +39,14 @@
 	return x ^ x >> 31;
 }
 
-/* Where this instance stands in a server's order. */
-struct rank {
-	unsigned before;       /* so many go before it */
-	unsigned before_heard; /* and of these it hears so many */
-	unsigned heard;	       /* of all, itself included */
-};
-
-static struct rank rank_of(uint32_t server, const struct limit_sharers *s)
+/* How many instances go before this one in the server's order. */
+static unsigned rank_of(uint32_t server, const struct limit_sharers *s)
 {
 	uint64_t own = weight(s->all[0].id, server);
-	struct rank rank = {.heard = 1};
-
-	for (unsigned i = 1; i < s->n; i++) {
-		bool before = weight(s->all[i].id, server) > own;
+	unsigned rank = 0;
 
-		rank.before += before;
-		rank.before_heard += before && s->all[i].heard;
-		rank.heard += s->all[i].heard;
-	}
+	for (unsigned i = 1; i < s->n; i++)
+		rank += weight(s->all[i].id, server) > own;
 	return rank;
 }
 
@@ -92,21 +81,11 @@
 			     const struct limit_sharers *s)
 {
 	double window = per_s * LIMIT_WINDOW_MS / 1000;
-	double most, k;
-	struct rank rank;
+	double k = holders(per_s, s->n);
+	double most;
 
-	if (s->n == 0)
+	if (s->n == 0 || rank_of(server, s) >= k)
 		return (struct limit_part){.held = false};
-	k = holders(per_s, s->n);
-	rank = rank_of(server, s);
-	if (rank.before >= k) {
-		bool acts = rank.before_heard == 0 && 2 * rank.heard > s->n;
-
-		return (struct limit_part){.held = acts,
-					   .rate_s = LEAST_PER_S,
-					   .depth = 1,
-					   .most = 1};
-	}
 	most = floor((RULE_FACTOR * window + RULE_SLACK) / k);
 	return (struct limit_part){
 		.held = true,
--- a/core/limit_share.h
+++ b/core/limit_share.h
@@ -9,13 +9,14 @@
  * of its own (rendezvous hashing), so that all agree on them who know the same
  * instances, and different servers are held by different ones. Each has a bucket
  * that earns L / K a second, and saves a part of the rule's slack:
- *     S = floor(1.5 L + 4),  K = min(instances, S, 4 L),  depth = S / K
+ *     S = floor(1.5 L + 3),  K = min(instances, S, 4 L),  depth = S / K
  * A depth of one request is the least with which anything is ever sent. In 4 s all
- * send what was saved and what they earned, S + 4 L <= 5.5 L + 4. With a bucket at
+ * send what was saved and what they earned, S + 4 L <= 5.5 L + 3. With a bucket at
  * every instance they would be over by any number beyond the slack. What is left of
- * the rule, 0.5 L + 1, is for sends that are held up on the way, and for instances
- * that disagree for a moment about who holds: one that comes to hold a limit, or
- * begins to live, owns nothing yet.
+ * the rule, 0.5 L + 2, is for sends that are held up on the way, for instances that
+ * disagree for a moment about who holds (one that comes to hold a limit, or begins
+ * to live, owns nothing yet), and for the rare send of one that holds nothing, by
+ * which the end of a limit is heard, see server_limit_is_stale().
  *
  * K is no more than 4 L so that each holder earns one request in 4 s: at a low
  * limit that is how soon anybody hears that it has ended.
@@ -23,9 +24,6 @@
  * Which instances there are is peers_sharers()'s matter: one that counts some too
  * many holds less, so mistakes that way are safe. One that has merely fallen silent
  * keeps its part, as it may be cut off and serve on; what it doesn't use is lost.
- * Where no holder of a limit is heard of, the first in order that is acts for them,
- * with the least that lets it hear of the end, if it hears most instances: so at
- * most one does.
  *
  * A send may reach the server at any moment until it has ended, when a link was
  * held up. So each holder besides keeps to its whole part of the rule, (6 L + 5) / K,
--- a/core/server_limit.c
+++ b/core/server_limit.c
@@ -1,10 +1,12 @@
 #include "core/server_limit.h"
 
 /*
- * An instance that may not send to a server believes that its limit stands for so
- * long after it last heard so: three times over those who may tell it again.
+ * A word is old when two requests more should have been sent by the limit, at the
+ * lowest in so long, and instances had time to tell each other of them.
  */
-enum { BELIEVED_MS = 7000 };
+static const double STALE_REQUESTS = 2;
+static const double STALE_LONGEST_S = 20;
+static const double STALE_TOLD_S = 5;
 
 /* limit_source_name() names in logs who told of a limit. */
 const char *limit_source_name(enum limit_source source)
@@ -91,26 +93,23 @@
 	change = hear_named(l, w, newer);
 	if (change == LIMIT_BEGAN)
 		l->since_ms = now_ms;
-	if (w->source == LIMIT_BY_PEER)
-		l->told_ms = now_ms;
-	else
-		l->own_ms = now_ms;
 	if (w->source == LIMIT_BY_QUESTION)
 		l->in_questions = true;
 	return change;
 }
 
 /*
- * server_limit_expire() ends a limit that nobody has spoken of for long; only an
- * instance that can't ask the server itself forgets so. Returns whether it did.
+ * server_limit_is_stale() tells whether nobody has heard from the server for longer
+ * than its limit explains: those that hold the limit have no callers, or are gone,
+ * and would not hear of its end.
  */
-bool server_limit_expire(struct server_limit *l, int64_t now_ms)
+bool server_limit_is_stale(const struct server_limit *l, int64_t now_ms)
 {
-	int64_t heard = l->own_ms > l->told_ms ? l->own_ms : l->told_ms;
+	double due_s =
+		l->per_s > 0 ? STALE_REQUESTS / l->per_s : STALE_LONGEST_S;
 
-	if (!l->named || now_ms - heard < BELIEVED_MS)
-		return false;
-	l->named = false;
-	l->per_s = 0;
-	return true;
+	if (due_s > STALE_LONGEST_S)
+		due_s = STALE_LONGEST_S;
+	return l->named &&
+	       (double)(now_ms - l->heard_ms) > (due_s + STALE_TOLD_S) * 1000;
 }
--- a/core/server_limit.h
+++ b/core/server_limit.h
@@ -32,14 +32,12 @@
 	double per_s;
 	int64_t since_ms;	    /* named, as far as known here */
 	int64_t asked_ms, heard_ms; /* of the word that counts; 0: none yet */
-	int64_t own_ms;	   /* the server last said so to this instance */
-	int64_t told_ms;   /* the instances last told each other so */
 	bool in_questions; /* the server's answers to questions name it too */
 };
 
 enum limit_change server_limit_hear(struct server_limit *l,
 				    const struct limit_word *w, int64_t now_ms);
-bool server_limit_expire(struct server_limit *l, int64_t now_ms);
+bool server_limit_is_stale(const struct server_limit *l, int64_t now_ms);
 const char *limit_source_name(enum limit_source source);
 
 #endif
--- a/tests/soak-seeds.sh
+++ b/tests/soak-seeds.sh
@@ -10,6 +10,10 @@
 for seed in 122 153; do
 	tests/soak.sh $seed 10 || exit 1
 done
+# 903 and 904 play limits that servers name.
+for seed in 903 904; do
+	tests/soak.sh $seed 10 0 limits || exit 1
+done
 for seed in 601 602; do
 	tests/soak.sh $seed 10 0 fatal || exit 1
 done
--- a/tests/test_backend.c
+++ b/tests/test_backend.c
@@ -1,6 +1,8 @@
 /* Tests of core/backend: servers that are put, start again and leave. */
 #include "tests/unit.h"
 
+#include "tests/servers.h"
+
 #include "core/backend.h"
 
 struct hearing {
@@ -101,11 +103,52 @@
 	backend_set_remove(&s, "i-1");
 }
 
+/* Until it is known whether it names a limit it gets one request at a time. */
+static void test_unknown_limit(void **state)
+{
+	struct servers *s = servers_new(1, 4);
+	struct backend *b = s->list[0];
+
+	b->was_free = false;
+	assert_true(backend_is_open(b, 0));
+	b->in_flight = 1;
+	assert_false(backend_is_open(b, 0));
+	b->was_free = true;
+	assert_true(backend_is_open(b, 0));
+	servers_free(s);
+}
+
+/* Its limit counts by what this instance holds of it; it may look once besides. */
+static void test_limited(void **state)
+{
+	struct servers *s = servers_new(1, 4);
+	struct backend *b = s->list[0];
+	struct limit_sharer all[] = {{1, 1}};
+	struct limit_sharers sharers = {all, 1};
+	struct limit_part part = limit_part(1, b->start, &sharers);
+
+	b->limit = g_new0(struct backend_limit, 1);
+	b->limit->said = (struct server_limit){.named = true, .per_s = 1};
+	assert_true(backend_is_limited(b));
+	assert_false(backend_is_open(b, 0));
+	b->limit->looks = true;
+	assert_true(backend_is_open(b, 0));
+	b->limit->looks = false;
+	limit_share_set(&b->limit->share, &part, 0);
+	assert_false(backend_is_open(b, 900));
+	assert_true(backend_is_open(b, 1000));
+	b->limit->said.named = false;
+	assert_true(backend_is_open(b, 0));
+	servers_free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_starts_again),
 		cmocka_unit_test(test_order_of_words),
+		cmocka_unit_test(test_unknown_limit),
+		cmocka_unit_test(test_limited),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/traffic/limits.c
+++ b/traffic/limits.c
@@ -18,6 +18,9 @@
 	 * is taken to be older by that.
 	 */
 	ON_ITS_WAY_MS = 1000,
+	/* For each instance: so that the first is heard of before the second. */
+	LOOK_SPREAD_MS = 2000,
+	LOOK_AGAIN_MS = 30 * 1000, /* the look brought no answer */
 };
 
 static void log_change(const struct backend *b, enum limit_change change,
@@ -119,7 +122,6 @@
 {
 	int spread = g_rand_int_range(t->rand, 0, TELL_SPREAD_MS);
 
-	b->limit->said.told_ms = now_ms;
 	b->limit->tell_ms = now_ms + TELL_AGAIN_MS + spread;
 }
 
@@ -221,18 +223,31 @@
 	return known && 2 * heard > known->len;
 }
 
-/* Ends what nobody speaks of any more, where it can't be heard from the server. */
-static void expire(struct traffic *t, struct backend *b, int64_t now_ms)
+/*
+ * Where nobody has heard from b for long one of the instances that hold nothing of
+ * its limit sends it a request, to hear whether it still stands; which one is drawn,
+ * and the others then hear of it.
+ */
+static void plan_look(struct traffic *t, struct backend *b, int64_t now_ms)
 {
-	double before = b->limit->said.per_s;
+	struct backend_limit *l = b->limit;
 
-	if (b->limit->share.part.held || !hears_most(t) ||
-	    !server_limit_expire(&b->limit->said, now_ms))
+	if (l->share.part.held || !hears_most(t) ||
+	    !server_limit_is_stale(&l->said, now_ms)) {
+		l->looks = false;
+		l->look_ms = 0;
 		return;
-	set_part(t, b);
-	mp_event(EV_LIMIT_ENDED, G_LOG_LEVEL_MESSAGE,
-		 "backend=%s service=%s limit_per_s=0 before=%g by=silence",
-		 b->entry.id, b->service->name, before);
+	}
+	if (l->look_ms == 0)
+		l->look_ms =
+			now_ms +
+			g_rand_int_range(t->rand, 0,
+					 LOOK_SPREAD_MS *
+						 (int)t->peers.sharers->len);
+	if (now_ms < l->look_ms)
+		return;
+	l->look_ms = now_ms + LOOK_AGAIN_MS;
+	l->looks = true;
 }
 
 /* Whether this instance is to tell the others once more that the limit stands. */
@@ -257,9 +272,8 @@
 		if (!backend_is_limited(b))
 			continue;
 		any = true;
-		expire(t, b, now_ms);
-		if (!backend_is_limited(b) || news.n == LIMIT_NEWS_MAX ||
-		    !is_due(b, now_ms))
+		plan_look(t, b, now_ms);
+		if (news.n == LIMIT_NEWS_MAX || !is_due(b, now_ms))
 			continue;
 		was_told(t, b, now_ms);
 		add_item(&news, b, now_ms);
@@ -337,8 +351,9 @@
 
 	if (!backend_is_limited(b))
 		return;
-	mp_invariant(limit_share_allows(&b->limit->share, s->sent_ms),
+	mp_invariant(backend_is_open(b, s->sent_ms),
 		     "%s was to get more than its limit allows", b->entry.id);
+	b->limit->looks = false;
 	limit_share_take(&b->limit->share, s->sent_ms);
 	s->limited = true;
 	log_send(s);
