Where all servers are in need, instances give up what their callers don't use for those that want more

What callers saw: with all callers at two of ten instances, and the three servers of a service in need, 60 of 240 requests that the servers took were sent: the other instances held the rest. Equal parts and fewer holders share that fault.

Now an instance that must refuse for want of its part asks one or two peers for a send (core/limit_want): the one that gave last, and one at random. A peer whose own callers miss nothing takes one from its part, ends it, and grants it. A grant that is lost or late is a send less, so the sum can't grow whatever happens to it; questions that bring nothing are asked less and less often, down to one in 2 s, and a request waits 20 ms for one, once.

--- a/app/main.c
+++ b/app/main.c
@@ -44,7 +44,7 @@
 	"store\n"
 	"                              or to the servers of a service\n"
 	"  load [--seconds N] [--rate N] [--concurrency N] [--seed N]\n"
-	"       [--service S] [--tenant T] [--direct]\n"
+	"       [--service S] [--tenant T] [--direct] [--entries N]\n"
 	"                              the load and experiment tool\n"
 	"  check-deployment            check the deployment and exit\n"
 	"  default-deployment          print the embedded default\n";
@@ -52,6 +52,7 @@
 struct cli {
 	char *settings, *deployment, *name, *service, *unset, *tenant;
 	int index, seed, base, last, wait, seconds, rate, concurrency, direct;
+	int entries;
 	int version, from_operator;
 };
 
@@ -83,6 +84,8 @@
 		{"rate", 0, POPT_ARG_INT, &o->rate, 0, "calls a second", "N"},
 		{"concurrency", 0, POPT_ARG_INT, &o->concurrency, 0,
 		 "calls in flight at most", "N"},
+		{"entries", 0, POPT_ARG_INT, &o->entries, 0,
+		 "call only the first N entries that the list names", "N"},
 		{"direct", 0, POPT_ARG_NONE, &o->direct, 0,
 		 "load: call the servers straight (a baseline)", NULL},
 		{"tenant", 0, POPT_ARG_STRING, &o->tenant, 0,
@@ -134,6 +137,7 @@
 		.only_tenant = o->tenant,
 		.only_service = o->service,
 		.direct = o->direct,
+		.entries = o->entries,
 	};
 
 	return load_main(d, &a);
--- a/control/control.c
+++ b/control/control.c
@@ -171,6 +171,11 @@
 				g_memdup2(&m->load, sizeof(m->load)));
 		return;
 	}
+	if (m->kind == GOSSIP_WANT || m->kind == GOSSIP_GRANT) {
+		send_to_traffic(c, TO_TRAFFIC_LIMIT_CALL,
+				g_memdup2(&m->call, sizeof(m->call)));
+		return;
+	}
 	if (m->kind == GOSSIP_LIMIT) {
 		send_to_traffic(c, TO_TRAFFIC_LIMITS,
 				g_memdup2(&m->limits, sizeof(m->limits)));
@@ -413,6 +418,10 @@
 		send_load(c, m->data);
 		g_free(m->data);
 		break;
+	case FROM_TRAFFIC_LIMIT_CALL:
+		peer_channel_call(&c->peers, m->data, clock_ms());
+		g_free(m->data);
+		break;
 	case FROM_TRAFFIC_LIMITS:
 		send_limits(c, m->data);
 		g_free(m->data);
--- a/control/control.h
+++ b/control/control.h
@@ -20,22 +20,24 @@
 
 /* Messages to the traffic thread; the receiver owns the data. */
 enum to_traffic {
-	TO_TRAFFIC_CONFIG = 1,	/* struct config * */
-	TO_TRAFFIC_BACKEND = 2, /* struct backend_change * */
-	TO_TRAFFIC_PEERS = 3,	/* struct peer_view * */
-	TO_TRAFFIC_LOAD = 5,	/* struct peer_load * */
-	TO_TRAFFIC_STOP = 4,	/* nothing: stop as planned */
-	TO_TRAFFIC_VERDICT = 7, /* struct verdict * */
-	TO_TRAFFIC_LIMITS = 8,	/* struct limit_news * */
-	TO_TRAFFIC_BOUNDS = 6,	/* struct bounds *, of changed settings */
+	TO_TRAFFIC_CONFIG = 1,	   /* struct config * */
+	TO_TRAFFIC_BACKEND = 2,	   /* struct backend_change * */
+	TO_TRAFFIC_PEERS = 3,	   /* struct peer_view * */
+	TO_TRAFFIC_LOAD = 5,	   /* struct peer_load * */
+	TO_TRAFFIC_STOP = 4,	   /* nothing: stop as planned */
+	TO_TRAFFIC_VERDICT = 7,	   /* struct verdict * */
+	TO_TRAFFIC_LIMITS = 8,	   /* struct limit_news * */
+	TO_TRAFFIC_LIMIT_CALL = 9, /* struct limit_call * */
+	TO_TRAFFIC_BOUNDS = 6,	   /* struct bounds *, of changed settings */
 };
 
 /* Messages from the traffic thread; the receiver owns the data. */
 enum from_traffic {
-	FROM_TRAFFIC_STOPPED = 1, /* nothing: all is served */
-	FROM_TRAFFIC_CRASH = 3,	  /* struct crash_news * */
-	FROM_TRAFFIC_LOAD = 2,	  /* struct peer_load *, without a name */
-	FROM_TRAFFIC_LIMITS = 4,  /* struct limit_news *, without a name */
+	FROM_TRAFFIC_STOPPED = 1,    /* nothing: all is served */
+	FROM_TRAFFIC_CRASH = 3,	     /* struct crash_news * */
+	FROM_TRAFFIC_LOAD = 2,	     /* struct peer_load *, without a name */
+	FROM_TRAFFIC_LIMITS = 4,     /* struct limit_news *, without a name */
+	FROM_TRAFFIC_LIMIT_CALL = 5, /* struct limit_call *, without `from` */
 };
 
 /* What the traffic thread needs of the peers. */
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -70,6 +70,43 @@
 	}
 }
 
+/* A live peer, drawn at random; NULL: there is none. */
+static const struct peer *any_live(const struct peer_channel *ch,
+				   int64_t now_ms)
+{
+	guint n = ch->peers.peers->len;
+	guint first = n ? (guint)g_random_int_range(0, (gint32)n) : 0;
+
+	for (guint i = 0; i < n; i++) {
+		const struct peer *p =
+			g_ptr_array_index(ch->peers.peers, (first + i) % n);
+
+		if (peer_alive(p, now_ms))
+			return p;
+	}
+	return NULL;
+}
+
+/*
+ * peer_channel_call() sends a grant to the one it is for; a question to the one
+ * that is named, if it lives, and to another.
+ */
+void peer_channel_call(struct peer_channel *ch, struct limit_call *call,
+		       int64_t now_ms)
+{
+	const struct peer *named = hubs_find(&ch->peers, call->to);
+	const struct peer *other = call->grant ? NULL : any_live(ch, now_ms);
+	struct buf b = {0};
+
+	call->from = peer_id(ch->peers.self.name);
+	gossip_write_call(&b, call);
+	if (named && peer_alive(named, now_ms))
+		send_plain(ch, &b, named);
+	if (other && other != named)
+		send_plain(ch, &b, other);
+	buf_free(&b);
+}
+
 /* Whom a heartbeat goes to now. */
 enum addressees { TO_DUE, TO_LIVE, TO_ALL };
 
--- a/core/backend.c
+++ b/core/backend.c
@@ -129,6 +129,7 @@
 	if (!backend_is_known(b))
 		return b->in_flight == 0;
 	return !backend_is_limited(b) || b->limit->looks ||
+	       now_ms < b->limit->granted_ms ||
 	       limit_share_allows(&b->limit->share, now_ms);
 }
 
--- a/core/backend.h
+++ b/core/backend.h
@@ -15,6 +15,7 @@
 #include "core/budget.h"
 #include "core/learn.h"
 #include "core/limit_share.h"
+#include "core/limit_want.h"
 #include "core/server_limit.h"
 #include "misc/lstr.h"
 
@@ -43,13 +44,22 @@
 struct service;
 struct place_policy;
 
+/* Whose part of a server's limit a send is taken from. */
+enum limit_payer {
+	LIMIT_PAYS_NONE, /* it names none */
+	LIMIT_PAYS_OWN,
+	LIMIT_PAYS_PEER, /* that gave it up */
+	LIMIT_PAYS_LOOK, /* nobody's: to hear whether the limit has ended */
+};
+
 /* What it takes, by its own word, and this instance's part of that. */
 struct backend_limit {
 	struct server_limit said;
 	struct limit_share share;
-	int64_t tell_ms; /* the peers are told again then that it stands */
-	int64_t look_ms; /* an instance that holds nothing may look then */
-	bool looks;	 /* it may send one request, to hear whether it ended */
+	int64_t tell_ms;    /* the peers are told again then that it stands */
+	int64_t look_ms;    /* an instance that holds nothing may look then */
+	int64_t granted_ms; /* a send that a peer gave up counts until then */
+	bool looks; /* it may send one request, to hear whether it ended */
 };
 
 struct backend {
@@ -89,8 +99,9 @@
 	struct budget_account account; /* of this lifetime */
 	const struct place_policy *policy;
 	struct service_model model; /* what its servers' answers showed */
-	int64_t pressed_ms;  /* room was missed by then, see core/admit.h */
-	GQueue waiting;	     /* requests that found no room, best first */
+	int64_t pressed_ms;	/* room was missed by then, see core/admit.h */
+	GQueue waiting;		/* requests that found no room, best first */
+	struct limit_want want; /* what is asked of peers, see there */
 	int64_t promised_ms; /* turns up to then are promised, see retry_after */
 };
 
--- a/core/limit_room.c
+++ b/core/limit_room.c
@@ -2,17 +2,21 @@
 
 #include "core/limit_room.h"
 
-static void add(struct limit_room *room, struct limit_share *share,
+static void add(struct limit_room *room, struct backend_limit *l,
 		int64_t now_ms)
 {
-	int64_t next = limit_share_next_ms(share, now_ms);
+	int64_t next = limit_share_next_ms(&l->share, now_ms);
 
+	if (now_ms < l->granted_ms) {
+		room->ready++;
+		room->saved++;
+	}
 	if (next < 0)
 		return;
-	if (limit_share_allows(share, now_ms))
-		room->ready += (unsigned)share->tokens;
-	room->saved += share->tokens;
-	room->rate_s += share->part.rate_s;
+	if (limit_share_allows(&l->share, now_ms))
+		room->ready += (unsigned)l->share.tokens;
+	room->saved += l->share.tokens;
+	room->rate_s += l->share.part.rate_s;
 	if (room->next_ms < 0 || next < room->next_ms)
 		room->next_ms = next;
 }
@@ -30,7 +34,7 @@
 		room.all = backend_is_limited(b);
 		if (!room.all)
 			return room;
-		add(&room, &b->limit->share, now_ms);
+		add(&room, b->limit, now_ms);
 	}
 	return room;
 }
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -12,6 +12,7 @@
 	CRASH_FIELDS = 3,
 	LOAD_FIELDS = 3,
 	LIMIT_FIELDS = 5,
+	CALL_FIELDS = 4,
 };
 
 enum {
@@ -298,3 +299,16 @@
 		msgpack_pack_uint32(&pk, it->heard_ago_ms);
 	}
 }
+
+/* gossip_write_call() writes a question for a send, or a grant. */
+void gossip_write_call(struct buf *out, const struct limit_call *call)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	msgpack_pack_array(&pk, CALL_FIELDS);
+	msgpack_pack_int(&pk, call->grant ? GOSSIP_GRANT : GOSSIP_WANT);
+	msgpack_pack_uint32(&pk, call->from);
+	msgpack_pack_uint32(&pk, call->what);
+	msgpack_pack_uint32(&pk, call->serial);
+}
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -11,6 +11,7 @@
 
 #include "core/backend.h"
 #include "core/limit_news.h"
+#include "core/limit_want.h"
 #include "core/peer_load.h"
 #include "member/hubs.h"
 #include "member/peers.h"
@@ -26,6 +27,8 @@
 	GOSSIP_AGAIN = 9,  /* asks for the whole roll */
 	GOSSIP_PERSON = 6, /* what another instance said of itself */
 	GOSSIP_CRASH = 10, /* requests under which servers ended */
+	GOSSIP_WANT = 13,  /* asks for a send that another may make */
+	GOSSIP_GRANT = 14, /* gives one up; their senders are ids only */
 	GOSSIP_LIMIT = 12, /* limits of servers; its sender is an id only */
 };
 
@@ -73,6 +76,7 @@
 	uint32_t digest;	  /* of GOSSIP_SAME */
 	struct peer_info person;  /* of GOSSIP_PERSON */
 	struct limit_news limits; /* of GOSSIP_LIMIT */
+	struct limit_call call;	  /* of GOSSIP_WANT and GOSSIP_GRANT */
 	GArray *crashes;	  /* of GOSSIP_CRASH: struct crash_news */
 };
 
@@ -97,6 +101,7 @@
 void gossip_write_crashes(struct buf *out, const struct peer_info *self,
 			  const struct crash_news *news, unsigned n);
 void gossip_write_limits(struct buf *out, const struct limit_news *news);
+void gossip_write_call(struct buf *out, const struct limit_call *call);
 bool gossip_names_sender(const struct gossip_message *m);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
 void gossip_pack_change(msgpack_packer *pk, const struct backend_change *c);
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -212,10 +212,27 @@
 	return !c.bad;
 }
 
+static bool read_call(struct cursor *c, struct gossip_message *m)
+{
+	m->call.grant = m->kind == GOSSIP_GRANT;
+	m->call.from = (uint32_t)next_uint(c);
+	m->call.what = (uint32_t)next_uint(c);
+	m->call.serial = (uint32_t)next_uint(c);
+	return !c->bad;
+}
+
 /* gossip_names_sender() tells whether a message says who sent it in full. */
 bool gossip_names_sender(const struct gossip_message *m)
 {
-	return m->kind != GOSSIP_LOAD && m->kind != GOSSIP_LIMIT;
+	switch (m->kind) {
+	case GOSSIP_LOAD:
+	case GOSSIP_LIMIT:
+	case GOSSIP_WANT:
+	case GOSSIP_GRANT:
+		return false;
+	default:
+		return true;
+	}
 }
 
 /* Reads what stands after the sender. */
@@ -236,6 +253,9 @@
 	case GOSSIP_LIMIT:
 		m->limits.peer = (uint32_t)next_uint(c);
 		return read_limits(next(c), &m->limits) && !c->bad;
+	case GOSSIP_WANT:
+	case GOSSIP_GRANT:
+		return read_call(c, m);
 	case GOSSIP_ROLL:
 		return read_roll(next(c), &m->roll);
 	case GOSSIP_WHO:
--- a/tests/server-limit.sh
+++ b/tests/server-limit.sh
@@ -80,9 +80,11 @@
 	curl -s -m 2 "http://127.0.0.1:$((14300 + $1))/stand/stats" |
 		awk -v name="$2" '$1 == name {print $2}'
 }
-load() { # seconds, seed; its output is in load-SEED.txt
-	$bin load --deployment "$ini" --seconds "$1" --rate $RATE --seed "$2" \
-		>"$logs/load-$2.txt" 2>&1
+load() { # seconds, seed, more options; its output is in load-SEED.txt
+	local seconds=$1 seed=$2
+	shift 2
+	$bin load --deployment "$ini" --seconds "$seconds" --rate $RATE --seed "$seed" "$@" \
+		>"$logs/load-$seed.txt" 2>&1
 }
 within_rule() { # server
 	local worst allowed got
@@ -158,6 +160,19 @@
 done
 got=$(($(stat 0 limited_got) + $(stat 1 limited_got) + $(stat 2 limited_got) - got))
 check "all in need: three quarters of what they take is used" used all $got $((8 * 30 * 3 / 4))
+
+# The same, with all callers at two of the ten instances: the others give up for them
+# what they don't use.
+limited_got() {
+	echo $(($(stat 0 limited_got) + $(stat 1 limited_got) + $(stat 2 limited_got)))
+}
+got=$(limited_got)
+load 8 8 --entries 2
+got=$(($(limited_got) - got))
+for i in 0 1 2; do
+	check "callers at two instances: server $i keeps to its limit" within_rule $i
+done
+check "callers at two instances: half of what they take is used" used all $got $((8 * 30 / 2))
 check "no invariant broken" sh -c "! grep -l 'ev=900' $logs/*.log"
 cat "$logs/checks.log"
 if ((fails)); then
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -303,6 +303,29 @@
 	buf_free(&b);
 }
 
+static void test_call_round_trip(void **state)
+{
+	struct limit_call l = {.from = peer_id("e3"), .what = 9, .serial = 11};
+
+	for (int grant = 0; grant < 2; grant++) {
+		struct gossip_message m;
+		struct buf b = {0};
+
+		l.grant = grant;
+		gossip_write_call(&b, &l);
+		assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+		assert_int_equal(m.kind, grant ? GOSSIP_GRANT : GOSSIP_WANT);
+		assert_false(gossip_names_sender(&m));
+		assert_int_equal(m.call.grant, grant);
+		assert_int_equal(m.call.from, peer_id("e3"));
+		assert_int_equal(m.call.what, 9);
+		assert_int_equal(m.call.serial, 11);
+		gossip_message_clear(&m);
+		refuse_prefixes(&b);
+		buf_free(&b);
+	}
+}
+
 /* What is no limit is refused, whoever sends it. */
 static void test_limits_that_are_none(void **state)
 {
@@ -403,6 +426,7 @@
 		cmocka_unit_test(test_load_round_trip),
 		cmocka_unit_test(test_limits_round_trip),
 		cmocka_unit_test(test_limits_that_are_none),
+		cmocka_unit_test(test_call_round_trip),
 		cmocka_unit_test(test_roll_round_trip),
 		cmocka_unit_test(test_feed_fits),
 		cmocka_unit_test(test_feed_in_parts),
--- a/tests/test_limit_share.c
+++ b/tests/test_limit_share.c
@@ -64,6 +64,7 @@
 	uint64_t sum;
 	bool changed;
 	double demand; /* chance that an instance wants to send in a step */
+	int wanting;   /* only so many have callers; the others give up sends */
 };
 
 static struct world *world_of(int n, double per_s, guint32 seed)
@@ -75,6 +76,7 @@
 	w->rand = g_rand_new_with_seed(seed);
 	w->changed = true;
 	w->demand = 1;
+	w->wanting = n;
 	for (int i = 0; i < n; i++) {
 		w->all[i].id = g_rand_int(w->rand);
 		w->all[i].runs = true;
@@ -143,19 +145,20 @@
 	w->changed = true;
 }
 
-static void send_one(struct world *w, int i, int64_t now_ms)
+/* A send leaves that was granted or taken so long before. */
+static void on_its_way(struct world *w, int i, int64_t now_ms,
+		       int64_t before_ms)
 {
-	int64_t way = g_rand_int_range(w->rand, 0, 100);
+	int64_t way = before_ms + g_rand_int_range(w->rand, 0, 100);
 	int64_t arrives = now_ms + way;
 
-	if (arrives < w->held_ms)
+	if (arrives < w->held_ms && before_ms == 0)
 		arrives = w->held_ms;
-	limit_share_take(&w->all[i].share, now_ms);
 	if (w->non_way == ON_WAY_MAX)
 		fail_msg("more on their way than the test holds");
 	w->on_way[w->non_way++] = (struct on_way){
 		.sender = i,
-		.lifetime_id = w->lifetimes[i],
+		.lifetime_id = i < 0 ? 0 : w->lifetimes[i],
 		.arrives_ms = arrives,
 		.ends_ms = arrives + g_rand_int_range(w->rand, 5, 300)};
 }
@@ -164,8 +167,11 @@
 static bool is_over(const struct world *w, const struct on_way *o,
 		    int64_t now_ms)
 {
-	const struct instance *in = &w->all[o->sender];
+	const struct instance *in;
 
+	if (o->sender < 0)
+		return o->arrived;
+	in = &w->all[o->sender];
 	return now_ms >= o->ends_ms && (!in->runs || now_ms >= in->still_ms);
 }
 
@@ -173,7 +179,7 @@
 {
 	for (int k = w->non_way - 1; k >= 0; k--) {
 		struct on_way *o = &w->on_way[k];
-		struct instance *in = &w->all[o->sender];
+		struct instance *in = o->sender < 0 ? NULL : &w->all[o->sender];
 
 		if (!o->arrived && now_ms >= o->arrives_ms) {
 			o->arrived = true;
@@ -182,12 +188,26 @@
 		}
 		if (!is_over(w, o, now_ms))
 			continue;
-		if (in->runs && o->lifetime_id == w->lifetimes[o->sender])
+		if (in && in->runs && o->lifetime_id == w->lifetimes[o->sender])
 			limit_share_end(&in->share, now_ms);
 		*o = w->on_way[--w->non_way];
 	}
 }
 
+static void send_one(struct world *w, int i, int64_t now_ms)
+{
+	limit_share_take(&w->all[i].share, now_ms);
+	on_its_way(w, i, now_ms, 0);
+}
+
+/* Gives one up for another, which may use it a while later. */
+static void give_one(struct world *w, int i, int64_t now_ms)
+{
+	limit_share_take(&w->all[i].share, now_ms);
+	limit_share_end(&w->all[i].share, now_ms);
+	on_its_way(w, -1, now_ms, g_rand_int_range(w->rand, 1, 400));
+}
+
 typedef void (*trouble_fn)(struct world *w, int64_t now_ms);
 
 static void play(struct world *w, trouble_fn trouble)
@@ -212,8 +232,12 @@
 			    (w->demand < 1 &&
 			     g_rand_double(w->rand) > w->demand))
 				continue;
-			while (limit_share_allows(&in->share, now))
-				send_one(w, i, now);
+			while (limit_share_allows(&in->share, now)) {
+				if (i < w->wanting)
+					send_one(w, i, now);
+				else
+					give_one(w, i, now);
+			}
 		}
 	}
 }
@@ -317,7 +341,7 @@
 				1.7, 2,	   5.1, 5.7, 25,  120};
 static const int sizes[] = {1, 2, 3, 16, 64, 300};
 
-static void expect_rule(trouble_fn trouble, const char *what)
+static void expect_rule(trouble_fn trouble, double wanting, const char *what)
 {
 	for (size_t l = 0; l < G_N_ELEMENTS(limits); l++) {
 		for (size_t s = 0; s < G_N_ELEMENTS(sizes); s++) {
@@ -325,6 +349,7 @@
 						   (guint32)(100 * l + s));
 			double over;
 
+			w->wanting = (int)(wanting * sizes[s]);
 			play(w, trouble);
 			over = worst_over(w);
 			if (over > 0)
@@ -336,21 +361,28 @@
 	}
 }
 
-#define RULE_TEST(name, trouble)                \
-	static void name(void **state)          \
-	{                                       \
-		expect_rule(trouble, #trouble); \
+#define RULE_TEST(name, trouble, wanting)             \
+	static void name(void **state)                \
+	{                                             \
+		expect_rule(trouble, wanting, #name); \
 	}
 
-RULE_TEST(test_steady, NULL)
-RULE_TEST(test_quiet_spells, quiet_spells)
-RULE_TEST(test_kills, kills)
-RULE_TEST(test_all_killed, all_killed)
-RULE_TEST(test_stand_still, stands_still)
-RULE_TEST(test_cuts, cuts)
-RULE_TEST(test_held_up, held_up)
-RULE_TEST(test_moves, moves)
-RULE_TEST(test_all_kinds, all_kinds)
+RULE_TEST(test_steady, NULL, 1)
+RULE_TEST(test_quiet_spells, quiet_spells, 1)
+RULE_TEST(test_kills, kills, 1)
+RULE_TEST(test_all_killed, all_killed, 1)
+RULE_TEST(test_stand_still, stands_still, 1)
+RULE_TEST(test_cuts, cuts, 1)
+RULE_TEST(test_held_up, held_up, 1)
+RULE_TEST(test_moves, moves, 1)
+RULE_TEST(test_all_kinds, all_kinds, 1)
+
+/* Most give up what they may send, for those that have callers. */
+RULE_TEST(test_given_up, NULL, 0.3)
+RULE_TEST(test_given_up_in_quiet_spells, quiet_spells, 0.3)
+RULE_TEST(test_given_up_under_kills, kills, 0.3)
+RULE_TEST(test_given_up_in_cuts, cuts, 0.3)
+RULE_TEST(test_all_given_up, moves, 0)
 
 /* What the limit allows is used where all want it. */
 static void test_it_is_used(void **state)
@@ -392,6 +424,11 @@
 		cmocka_unit_test(test_held_up),
 		cmocka_unit_test(test_moves),
 		cmocka_unit_test(test_all_kinds),
+		cmocka_unit_test(test_given_up),
+		cmocka_unit_test(test_given_up_in_quiet_spells),
+		cmocka_unit_test(test_given_up_under_kills),
+		cmocka_unit_test(test_given_up_in_cuts),
+		cmocka_unit_test(test_all_given_up),
 		cmocka_unit_test(test_it_is_used),
 		cmocka_unit_test(test_unknown),
 	};
--- a/tools/load_main.c
+++ b/tools/load_main.c
@@ -46,6 +46,8 @@
 		buf_free(&body);
 	}
 	l->nentries = found->len;
+	if (l->args->entries > 0 && (guint)l->args->entries < found->len)
+		l->nentries = (unsigned)l->args->entries;
 	g_ptr_array_add(found, NULL);
 	l->entries = (char **)g_ptr_array_free(found, FALSE);
 }
--- a/tools/tools.h
+++ b/tools/tools.h
@@ -29,6 +29,7 @@
 	const char *only_tenant;  /* NULL: both */
 	const char *only_service; /* NULL: all */
 	int direct;		  /* call workers straight, no entry */
+	int entries;		  /* call the first of the list; 0: all */
 };
 
 int load_main(const struct deploy *d, const struct load_args *a);
--- /dev/null
+++ b/traffic/limit_sends.h
@@ -0,0 +1,15 @@
+/*
+ * What requests take of the limits that backend servers name, and what instances
+ * give up for each other.
+ */
+#ifndef MP_TRAFFIC_LIMIT_SENDS_H
+#define MP_TRAFFIC_LIMIT_SENDS_H
+
+#include "traffic/request.h"
+
+void limit_sends_take(struct send *s);
+void limit_sends_ended(struct send *s, int64_t now_ms);
+int64_t limit_sends_want(struct traffic *t, struct service *s, int64_t now_ms);
+void limit_sends_called(struct traffic *t, const struct limit_call *call);
+
+#endif
--- a/traffic/limits.c
+++ b/traffic/limits.c
@@ -170,7 +170,8 @@
 	send_news(t, &news);
 }
 
-static struct backend *find(struct traffic *t, uint32_t start)
+/* limits_find() finds a backend server by its start, or NULL. */
+struct backend *limits_find(struct traffic *t, uint32_t start)
 {
 	GHashTableIter it;
 	gpointer v;
@@ -192,7 +193,7 @@
 
 	for (unsigned i = 0; i < news->n; i++) {
 		const struct limit_item *it = &news->items[i];
-		struct backend *b = find(t, it->backend);
+		struct backend *b = limits_find(t, it->backend);
 		struct limit_word w = {
 			.named = it->named,
 			.per_s = it->per_s,
@@ -311,58 +312,3 @@
 	ev_init(&t->limits_timer, on_tick);
 	t->limits_timer.data = t;
 }
-
-/* Why a server gets the request, as the rules on limits see it. */
-static const char *cause_name(const struct send *s)
-{
-	return s->extra ? extra_cause_name(s->cause) : "first";
-}
-
-/*
- * These lines are never held back: added up over all instances they are what the
- * server gets.
- */
-static void log_send(const struct send *s)
-{
-	const struct request *r = s->request;
-	const struct backend_limit *l = s->backend->limit;
-	const struct traffic *t = r->traffic;
-
-	mp_event(EV_LIMIT_SEND, G_LOG_LEVEL_INFO,
-		 "id=%.*s backend=%s service=%s limit_per_s=%g cause=%s "
-		 "known_ms=%" G_GINT64_FORMAT " lifetime=%08x "
-		 "age_ms=%" G_GINT64_FORMAT " sharers=%u own_per_s=%.3f "
-		 "left=%.2f out=%u",
-		 (int)r->call.id.len, r->call.id.ptr, s->backend->entry.id,
-		 s->backend->service->name, l->said.per_s, cause_name(s),
-		 s->sent_ms - l->said.since_ms, t->lifetime,
-		 s->sent_ms - t->started_ms,
-		 t->peers.sharers ? t->peers.sharers->len : 0,
-		 l->share.part.rate_s, l->share.tokens, l->share.out);
-}
-
-/*
- * limits_send() takes a send from what this instance holds of its server's limit,
- * before it leaves. Whatever its cause it costs the server the same.
- */
-void limits_send(struct send *s)
-{
-	struct backend *b = s->backend;
-
-	if (!backend_is_limited(b))
-		return;
-	mp_invariant(backend_is_open(b, s->sent_ms),
-		     "%s was to get more than its limit allows", b->entry.id);
-	b->limit->looks = false;
-	limit_share_take(&b->limit->share, s->sent_ms);
-	s->limited = true;
-	log_send(s);
-}
-
-/* limits_send_ended() says that a send can't reach its server any more. */
-void limits_send_ended(struct send *s, int64_t now_ms)
-{
-	if (s->limited)
-		limit_share_end(&s->backend->limit->share, now_ms);
-	s->limited = false;
-}
--- a/traffic/limits.h
+++ b/traffic/limits.h
@@ -1,7 +1,6 @@
 /*
  * The limits that backend servers name, on the traffic thread: taken in from
- * their answers and from peers, kept by every send, passed on, and told in the
- * log.
+ * their answers and from peers, passed on, and told in the log.
  */
 #ifndef MP_TRAFFIC_LIMITS_H
 #define MP_TRAFFIC_LIMITS_H
@@ -10,12 +9,11 @@
 #include "traffic/request.h"
 
 void limits_init(struct traffic *t);
+struct backend *limits_find(struct traffic *t, uint32_t start);
 void limits_answer(struct traffic *t, struct backend *b,
 		   const struct answer_info *info, int64_t asked_ms,
 		   enum limit_source source);
 void limits_told(struct traffic *t, const struct limit_news *news);
 void limits_peers_changed(struct traffic *t);
-void limits_send(struct send *s);
-void limits_send_ended(struct send *s, int64_t now_ms);
 
 #endif
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -135,6 +135,10 @@
 	buf_printf(out, "end_checks %" G_GUINT64_FORMAT "\n", n->end_checks);
 	buf_printf(out, "backend_ends %" G_GUINT64_FORMAT "\n", n->ends_seen);
 	buf_printf(out, "limits_bad %" G_GUINT64_FORMAT "\n", n->limits_bad);
+	buf_printf(out, "limits_given %" G_GUINT64_FORMAT "\n",
+		   n->limits_given);
+	buf_printf(out, "limits_granted %" G_GUINT64_FORMAT "\n",
+		   n->limits_granted);
 	buf_printf(out, "quarantined %" G_GUINT64_FORMAT "\n", n->quarantined);
 	buf_printf(out, "verdicts %u\n",
 		   g_hash_table_size(t->quarantine.verdicts));
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -57,7 +57,7 @@
 	struct server_view start; /* how the server stood then */
 	bool extra;		  /* beyond the first: from the budget */
 	enum extra_cause cause;	  /* if it is */
-	bool limited;		  /* taken from the server's limit */
+	enum limit_payer payer;	  /* of what it takes of the server's limit */
 	double estimate_ms;	  /* expected of the server then */
 	struct send_basis basis;
 };
@@ -88,6 +88,7 @@
 	unsigned asked, answered; /* questions of all placements so far */
 	unsigned waits;		  /* so far in this placement */
 	bool queued;		  /* stands in the service's queue */
+	int64_t grant_until_ms;	  /* it waits for peers' grants; 0: not yet */
 	bool yielded;		  /* it has let the first there go before */
 	bool reserved;		  /* holds an extra send of the budget */
 	bool rescue;	  /* the second send is no longer to be on time */
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -6,6 +6,7 @@
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/end_check.h"
+#include "traffic/limit_sends.h"
 #include "traffic/limits.h"
 #include "traffic/request.h"
 #include "traffic/share.h"
@@ -25,7 +26,7 @@
 	if (s->extra)
 		budget_end(&s->request->service->budget, &t->budget_rule,
 			   clock_boot_ms());
-	limits_send_ended(s, clock_ms());
+	limit_sends_ended(s, clock_ms());
 	s->backend->in_flight--;
 	share_changed(t, s->backend->service);
 }
@@ -252,7 +253,7 @@
 	share_changed(r->traffic, b->service);
 	r->undenied++;
 	request_log_sent(r, s, now_ms);
-	limits_send(s);
+	limit_sends_take(s);
 	/* Its report is older than this request. */
 	if (b->load.at_ms)
 		b->load.running++;
--- a/traffic/request_wait.c
+++ b/traffic/request_wait.c
@@ -4,6 +4,7 @@
 #include "core/mechanisms.h"
 #include "misc/clock.h"
 #include "traffic/ask.h"
+#include "traffic/limit_sends.h"
 #include "traffic/request_wait.h"
 
 enum {
@@ -91,6 +92,24 @@
 	return (double)now_ms + wait <= (double)wait_end_ms(r, now_ms);
 }
 
+/* Whether it waits for what peers may give up for it. */
+static bool awaits_grant(const struct request *r, int64_t now_ms)
+{
+	return r->grant_until_ms && now_ms < r->grant_until_ms;
+}
+
+/* A request waits once for the answers to a question. */
+static bool may_get_grant(struct request *r, int64_t now_ms)
+{
+	int64_t until = limit_sends_want(r->traffic, r->service, now_ms);
+
+	if (r->grant_until_ms || now_ms >= until ||
+	    now_ms >= wait_end_ms(r, now_ms))
+		return false;
+	r->grant_until_ms = until;
+	return true;
+}
+
 /*
  * One that goes before others takes their turns: those that don't get any in time
  * hear so now. The last go first.
@@ -106,6 +125,8 @@
 
 		prev = l->prev;
 		before--;
+		if (awaits_grant(last, now_ms))
+			continue;
 		if (gets_turn(last, room, before, now_ms))
 			return;
 		give_up(last);
@@ -114,22 +135,25 @@
 
 /*
  * All servers of the service are in need, so that it is known when a request gets
- * its turn: it waits for that, or is refused at once.
+ * its turn: it waits for that, or for what a peer may give up, or is refused at once.
  */
 static void wait_for_limit(struct request *r, const struct limit_room *room,
 			   int64_t now_ms)
 {
-	int64_t next = room->next_ms > 0 ? room->next_ms : WAIT_MS;
+	int64_t until = now_ms + (room->next_ms > 0 ? room->next_ms : WAIT_MS);
 	unsigned before;
 
 	enqueue(r);
 	before = (unsigned)g_queue_index(&r->service->waiting, r);
 	if (!gets_turn(r, room, before, now_ms)) {
-		give_up(r);
-		return;
+		if (!may_get_grant(r, now_ms)) {
+			give_up(r);
+			return;
+		}
+		until = r->grant_until_ms;
 	}
 	r->round = 0;
-	r->wait_until_ms = now_ms + next;
+	r->wait_until_ms = until;
 	if (r->waits < WAITS_MAX)
 		r->waits++;
 	request_arm(r);
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -10,6 +10,7 @@
 #include "misc/clock.h"
 #include "member/advise.h"
 #include "platform/directory.h"
+#include "traffic/limit_sends.h"
 #include "traffic/limits.h"
 #include "traffic/metrics.h"
 #include "traffic/request.h"
@@ -290,6 +291,10 @@
 		limits_told(t, m->data);
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_LIMIT_CALL:
+		limit_sends_called(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_BOUNDS:
 		take_bounds(t, m->data);
 		g_free(m->data);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -33,7 +33,8 @@
 	uint64_t asks, ask_failures, foreign_answers, no_config, no_route;
 	uint64_t no_room, directory;
 	uint64_t end_checks, ends_seen, quarantined;
-	uint64_t limits_bad; /* limits that are no number */
+	uint64_t limits_bad;		       /* limits that are no number */
+	uint64_t limits_given, limits_granted; /* sends, to and by peers */
 };
 
 struct traffic {
