--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -15,8 +15,7 @@
 	 * A version that is written as a poll arrives may not wake it: it is
 	 * told when the poll ends, too late for the 2 s that it has. Two
 	 * instances poll, and waits that differ keep them from asking at the
-	 * same moment: of 10,000 versions played both missed 38 in step and
-	 * none with these.
+	 * same moment, and so from both missing one.
 	 */
 	WAIT_LEAST_MS = 1750,
 	WAIT_LATE_MS = 500, /* beyond it no answer will come */
--- a/core/admit.c
+++ b/core/admit.c
@@ -20,8 +20,7 @@
 /*
  * admit_wait_ms() says how long a request may look for room in all: as long as
  * a caller's first attempt could and still be on time at a quick server, three
- * times in four. With callers sent away at once 14 to 32 requests in 1,000 of
- * three busy services ended refused, with the wait 11 to 23.
+ * times in four. Callers that are sent away at once are refused more often.
  */
 double admit_wait_ms(const struct admit_request *r)
 {
@@ -42,8 +41,7 @@
 /*
  * A slow server is better than none where nobody else wants its slot: it has
  * room to spare, as others have, and the request has waited for a quick one as
- * long as it may. Where room is short such starts cost 2 answers on time in
- * 100.
+ * long as it may. Where room is short such starts cost others theirs.
  */
 static bool takes_dear(const struct admit_request *r,
 		       const struct admit_server *s)
@@ -62,11 +60,8 @@
  *
  * A server that is slow now stays so for the whole of a request that starts
  * there, and is quick again a moment later: starts at slow moments were late
- * all the same and held a slot five times as long. Waiting for a quick one
- * took answers on time from 84 to 92 in 100 (16 instances, 18 servers whose
- * speed shifts by 5 every 150 ms, twice the calm load). An instance sees few of
- * the requests that miss room, but many full servers: that late ones heed these
- * too brings 3 to 8 answers in 1,000 more on time, and 0 to 5 fewer late ones.
+ * all the same and held a slot for much longer. An instance sees few of the
+ * requests that miss room, but many full servers, so late ones heed these too.
  */
 bool admit_takes(const struct admit_request *r, const struct admit_server *s,
 		 bool pressed)
--- a/core/ask_budget.c
+++ b/core/ask_budget.c
@@ -2,9 +2,7 @@
 
 /*
  * Part of the allowed rate that fills the bucket. The rest pays what first
- * questions may spend ahead of time, which lasts 20 s to earn. 0.95 for 0.85:
- * 816 of 1,000 requests of a heavy day served, not 814, where the bucket was
- * empty for much of it (20 plays).
+ * questions may spend ahead of time, which lasts 20 s to earn.
  */
 static const double USED_SHARE = 0.95;
 
@@ -15,9 +13,7 @@
 /*
  * What may be spent ahead grows with the lifetime: a process forgets the debt of
  * the one before, and so none may ask more than the rate gives it in its own
- * time. With debts of 1 s from the start servers got 64 questions a second of 60
- * when all instances were killed six times in 20 s under six times the usual
- * callers.
+ * time. Debts from the start add up where all instances are killed again and again.
  */
 static double ahead(const struct ask_budget *b, double full_rate,
 		    int64_t now_ms)
--- a/core/hedge.c
+++ b/core/hedge.c
@@ -5,17 +5,14 @@
 
 /*
  * Of answers that come at all 99 in 100 come within this much of the usual
- * time. With 1.5 a second send was most often one too many: 5 of 1,000 worth on
- * busy days of three deployments, and a tenth of all new connections.
+ * time. Sooner a second send is most often one too many.
  */
 static const double FIRST_SHARE = 2;
 
 /*
  * Where servers tell no load a start at a slow moment can't be seen, only that
  * no answer comes: one that takes this much longer than usual is most often one
- * of these. With the shares above a second send came too late for them: of 100
- * answers of a deployment whose servers are slow a quarter of the time 68 were
- * on time, with these 71 (15 days), and on a calm day 82 in place of 77.
+ * of these. With the shares above a second send comes too late for them.
  */
 static const double UNTOLD_FIRST_SHARE = 1.15;
 static const double UNTOLD_SECOND_SHARE = 1.3;
--- a/core/learn.c
+++ b/core/learn.c
@@ -6,8 +6,7 @@
 /*
  * Half-life of what is learned. How a service's servers stand crowds changes
  * with releases and neighbours; work differs by a third from request to
- * request, so that shorter memories wander: with 10 s and two answers as prior
- * a busy service had 89 answers on time in 100, with these 91.
+ * request, so that shorter memories wander.
  */
 static const double HALF_LIFE_MS = 30000;
 
--- a/core/place.c
+++ b/core/place.c
@@ -15,9 +15,8 @@
 static const double WAY_STEP = 0.1;
 
 /*
- * Up to this many times the usual time a server counts as quick. With 1.5 one
- * whose last slot works 1.7 times as long did so until that was learned: of
- * 1,000 answers of a busy service 909 were on time, with 1.2 they are 915.
+ * Up to this many times the usual time a server counts as quick. With more, one
+ * whose last slot is slow does so until that is learned.
  */
 static const double PROMPT_FACTOR = 1.2;
 
@@ -69,11 +68,9 @@
  * below 1 spreads instances over servers that are alike; the steps below say
  * what goes before what. Another data centre costs a round trip and paid
  * bytes, so the first round asks in the own one only. Later rounds, when
- * neither of two was idle and quick, also ask elsewhere, where a step of 2
- * waited until all of the own one were known to be full: a busy data centre
- * had 43% on time next to one with 79% (109 instances, twice the usual load);
- * with 0.4 these are 52% and 76%, and bytes between data centres grow by a
- * third. A server that keeps failing comes last.
+ * neither of two was idle and quick, also ask elsewhere, so that a busy data
+ * centre doesn't wait until all of its servers are known to be full beside one
+ * that has room. A server that keeps failing comes last.
  */
 static const double RANK_SHUNNED = 8;
 static const double RANK_FULL = 3;
@@ -86,8 +83,7 @@
 /*
  * A server without an idle connection is asked after those with one: opening
  * one takes a round trip and a moment of a slot. One ask in ten leaves that
- * out, so that a server that has just joined is known within a second. New
- * connections for 100 requests: calm day 26 -> 17, busy days 27 -> 23.
+ * out, so that a server that has just joined is known within a second.
  */
 static const double RANK_NO_CONNECTION = 0.8;
 static const double EXPLORE_SHARE = 0.1;
@@ -251,7 +247,7 @@
 /*
  * What others have at a server that tells no load is known late: two instances
  * may send there at the same time. So a slot is left for such, where there
- * are more than two: 61 answers on time in 100 in place of 58.
+ * are more than two.
  */
 static unsigned usable_slots(const struct backend *b, unsigned slots)
 {
@@ -271,8 +267,7 @@
 /*
  * place_has_spare() tells whether b has room that nobody misses: with two
  * requests more it still gets more done than with one. Late requests and
- * second sends that took a server's last good slot cost others a start: 5
- * requests in 1,000 more were late.
+ * second sends that take a server's last good slot cost others a start.
  */
 bool place_has_spare(const struct backend *b, int64_t now_ms)
 {
@@ -286,8 +281,7 @@
 /*
  * place_is_prompt() tells whether waiting for the answers of others can gain
  * little: b has room to spare, is expected to work at about its usual speed,
- * and has not failed lately. Where the last slot counted as prompt 24
- * requests in 1,000 were late on calm days of three deployments, now 20.
+ * and has not failed lately. A server's last slot is not prompt.
  */
 bool place_is_prompt(const struct backend *b, int64_t now_ms)
 {
--- a/core/request_digest.c
+++ b/core/request_digest.c
@@ -6,8 +6,7 @@
  * request_digest() shortens the parts of a request (method, host, caller,
  * target, body) to 64 bits, the same on all instances; no part may run into
  * the next. SHA-256, as nobody must be able to find a request that shares
- * another one's digest. It takes
- * 0.8 us for 60 bytes (200,000 in a row), 1% of what a request costs.
+ * another one's digest.
  */
 uint64_t request_digest(const struct lstr *parts, size_t n)
 {
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -156,9 +156,7 @@
 
 /*
  * gossip_write_load() writes what an instance has out. It goes to all some
- * twenty times a second from each, so all that a heartbeat says is left out:
- * 25 bytes in place of 104. Where servers tell no load, bytes between data
- * centres cost 0.036 of worth with these.
+ * twenty times a second from each, so all that a heartbeat says is left out.
  */
 void gossip_write_load(struct buf *out, const struct peer_load *load)
 {
--- a/member/hubs.c
+++ b/member/hubs.c
@@ -6,8 +6,8 @@
 	BEAT_MS = 500,
 	LOST_BEAT_MS = 5 * 1000, /* to those that are taken as gone */
 	/*
-	 * Up to here all tell all: 20 instances send 760 datagrams a second,
-	 * 0.1 MB; 133 would send 35,000 and 4 MB.
+	 * Up to here all tell all; beyond, the square of their number costs
+	 * more than hubs do.
 	 */
 	MESH_MAX = 20,
 	ROLL_MS = 450,
--- a/tools/explain.c
+++ b/tools/explain.c
@@ -38,6 +38,8 @@
 	{EV_REQUEST_UNKNOWN, "ended without an answer: it may have run"},
 	{EV_REQUEST_RETRY, "goes to another server"},
 	{EV_REQUEST_BROKEN, "the connection to a server broke under it"},
+	{EV_REQUEST_EXTRA, "a send beyond its first, from the retry budget"},
+	{EV_LIMIT_SEND, "taken from the limit that the server names"},
 	{EV_REQUEST_GONE, "the caller left"},
 	{EV_REQUEST_NO_ROUTE, "no route takes it"},
 	{EV_CALL_FOREIGN_ANSWER, "a server's answer named another request"},
@@ -47,6 +49,8 @@
 	{EV_MEMBER_LEAVING, "a server drains"},
 	{EV_MEMBER_GONE, "a server is off the list"},
 	{EV_BACKEND_DOWN, "a server doesn't answer questions"},
+	{EV_LIMIT_NAMED, "a server names a limit"},
+	{EV_LIMIT_ENDED, "a server names no limit any more"},
 	{EV_STOPPING, "the instance began to stop"},
 	{EV_STARTED, "the instance started"},
 };
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -126,8 +126,7 @@
 /*
  * request_is_barred() tells whether no server may get the request: servers
  * ended under it time and again, and each further send would cost one more
- * with all that it works on. One request took 24 servers of a service of nine
- * within 18 s, in which a third of all others were on time.
+ * with all that it works on.
  */
 bool request_is_barred(const struct request *r)
 {
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -151,7 +151,7 @@
 	if (r->placement == PLACE_HEDGE && !told) {
 		/*
 		 * The first went to a server of unknown speed, and each keeps a
-		 * slot free anyway: 71 answers of 100 on time, not 69.
+		 * slot free anyway.
 		 */
 		s.has_spare = s.has_room;
 		return admit_takes_second(&view, &s, false);
--- a/traffic/share.c
+++ b/traffic/share.c
@@ -4,9 +4,7 @@
 enum {
 	/*
 	 * Changes within this are told together. The others decide on these
-	 * counts, so each millisecond shows: of 100 answers 65, 66 and 69 come
-	 * on time on three services that tell no load with 1 ms, with 2 ms 64,
-	 * 64 and 68, with 5 ms 61, 63 and 66, with 60 ms 51 and 54.
+	 * counts, so each millisecond shows.
 	 */
 	GATHER_MS = 1,
 	/* While requests are out they are told again, against loss. */
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -249,9 +249,7 @@
 
 /*
  * The part of an instance in what all share is by the most that this lifetime
- * knew of at once: one that is cut off hears fewer, and they all live. With six
- * times the usual callers and 12 of 16 cut off from all others servers got 69
- * questions a second by what was heard, 60 were allowed; counted so they get 47.
+ * knew of at once: one that is cut off hears fewer, and they all live.
  */
 static void take_peers(struct traffic *t, const struct peer_view *v)
 {
