--- a/tests/bench.h
+++ b/tests/bench.h
@@ -52,6 +52,7 @@
 	bool tells_load, dead;
 	bool mute; /* questions for its health are reset, as by a relay */
 	bool ill;  /* its health answer is 503, without a load */
+	const char *limit; /* that its answers name; NULL: none */
 };
 
 /* A request at a server. */
@@ -91,7 +92,7 @@
 static inline void job_reply(struct job *j)
 {
 	struct server *s = j->server;
-	char text[512], body[64], load[64] = "";
+	char text[512], body[64], load[64] = "", limit[64] = "";
 	struct http_conn *c = j->conn;
 	int n, copies = s->script == SCRIPT_TWICE ? 2 : 1;
 	bool error = s->script == SCRIPT_RUN_ERROR;
@@ -100,13 +101,16 @@
 	if (s->tells_load)
 		snprintf(load, sizeof(load), "Server-Load: %u,0,2,100\r\n",
 			 s->busy + s->running);
+	if (s->limit)
+		snprintf(limit, sizeof(limit), "Server-Limit: %s\r\n",
+			 s->limit);
 	n = snprintf(text, sizeof(text),
-		     "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%s%s"
+		     "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%s%s%s"
 		     "Content-Length: %zu\r\n\r\n%s",
 		     error ? 500 : 200, j->id,
 		     s->script == SCRIPT_UNSEALED ? ""
 						  : "Response-Seal: x.1\r\n",
-		     load, strlen(body), body);
+		     load, limit, strlen(body), body);
 	http_conn_set_user(c, NULL);
 	if (s->script == SCRIPT_END) {
 		s->dead = true;
