test_limits: what is given up doesn't depend on how long calls take

The test of who gives nothing called until it was refused, which a limit that is earned while requests wait for their turns never brings about; it ran for ever. Now the miss is set.

--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -253,7 +253,7 @@
 
 	tell_sharers(b, 0);
 	acquaint(b);
-	b->servers[0].limit = "1";
+	b->servers[0].limit = "20";
 	call_times(b, 1);
 	share = &backend_of(b, 0)->limit->share;
 	before = share->tokens;
@@ -261,9 +261,9 @@
 	ask_for_one(b);
 	assert_int_equal(b->traffic.counters.limits_given, 1);
 	assert_true(share->tokens < before - 0.9);
-	while (call_times(b, 1))
-		;
-	bench_run_ms(b, 300);
+	/* There is more, but a request of its own callers has just missed some. */
+	assert_true(share->tokens >= 1);
+	backend_of(b, 0)->service->pressed_ms = clock_ms();
 	ask_for_one(b);
 	assert_int_equal(b->traffic.counters.limits_given, 1);
 	bench_free(b);
