Stand-in: what is no number names no limit that could be kept

Traced: all instances logged (ev=342) that the server's limit was 'as many as you like', none had heard a number of it, and the stand-in judged them by the 0.3 that it was told to name and did not. Now it judges what it names.

--- a/stand/backend.c
+++ b/stand/backend.c
@@ -342,8 +342,9 @@
 	f->limit_milli = (int)query_int(q, "limit_milli", f->limit_milli);
 	f->limit_odd = (int)query_int(q, "limit_odd", f->limit_odd);
 	f->limit_asked = (int)query_int(q, "limit_asked", f->limit_asked);
-	need_set(&s->need, f->limit_milli >= 0, f->limit_milli / 1000.0,
-		 clock_ms());
+	/* What is no number names no limit that could be kept. */
+	need_set(&s->need, f->limit_milli >= 0 && !f->limit_odd,
+		 f->limit_milli / 1000.0, clock_ms());
 	s->work.quiet = query_int(q, "quiet", s->work.quiet) != 0;
 	reply(s, c, 200, &none, LSTR(""));
 }
