--- a/core/backend.h
+++ b/core/backend.h
@@ -85,9 +85,11 @@
 	struct backend_limit *limit; /* NULL: it has never named one */
 	bool was_free;	/* it has answered here without naming a limit */
 	bool limit_bad; /* what it last said of it was no number; for the log */
-	void *check;	/* the traffic side finds out whether it has ended */
-	void *conns;	/* the traffic side's idle connections */
-	void *in_use;	/* those that wait for an answer or hold one */
+	int64_t rest_until_ms; /* it wants no requests before; 0: never said */
+	bool leaving;	       /* it has said that it leaves */
+	void *check;  /* the traffic side finds out whether it has ended */
+	void *conns;  /* the traffic side's idle connections */
+	void *in_use; /* those that wait for an answer or hold one */
 };
 
 /* Whether a service's backend servers report their load. */
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -184,6 +184,64 @@
 	http_message_free(m);
 }
 
+static struct answer_info answer_with(unsigned status, const char *header)
+{
+	char *head = g_strdup_printf("HTTP/1.1 %u X\r\n%s\r\n"
+				     "Content-Length: 0\r\n\r\n",
+				     status, header);
+	struct http_message *m = message(HTTP_RESPONSE, head);
+	struct answer_info a;
+
+	exchange_read_answer(m, &a);
+	a.rest_text = a.leaving_text = LSTR("");
+	http_message_free(m);
+	g_free(head);
+	return a;
+}
+
+/* Seconds with fractions; dates and whatever is no decimal number are refused. */
+static void test_rest(void **state)
+{
+	static const char *const bad[] = {
+		"Retry-After:",
+		"Retry-After: -1",
+		"Retry-After: 1e3",
+		"Retry-After: inf",
+		"Retry-After: soon",
+		"Retry-After: 3 s",
+		"Retry-After: 1, 2",
+		"Retry-After: Wed, 21 Oct 2015 07:28:00 GMT",
+		"Retry-After: 123456789012345678901234567890",
+	};
+
+	assert_int_equal(answer_with(503, "Retry-After: 3").rest, REST_ASKED);
+	assert_true(answer_with(503, "Retry-After: 3").rest_s == 3);
+	assert_true(answer_with(503, "Retry-After:  .25 ").rest_s == 0.25);
+	assert_true(answer_with(503, "Retry-After: 0").rest_s == 0);
+	assert_int_equal(answer_with(503, "X: 3").rest, REST_UNSAID);
+	assert_int_equal(answer_with(200, "Retry-After: 3").rest, REST_UNSAID);
+	assert_int_equal(answer_with(500, "Retry-After: x").rest, REST_UNSAID);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_int_equal(answer_with(503, bad[i]).rest, REST_BAD);
+}
+
+static void test_leaving(void **state)
+{
+	static const char *const bad[] = {"0", "", "yes", "11", "1, 1"};
+
+	assert_int_equal(answer_with(200, "Server-Leaving: 1").leaving,
+			 LEAVING_SAID);
+	assert_int_equal(answer_with(503, "Server-Leaving:1 ").leaving,
+			 LEAVING_SAID);
+	assert_int_equal(answer_with(200, "X: 1").leaving, LEAVING_UNSAID);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char *h = g_strdup_printf("Server-Leaving: %s", bad[i]);
+
+		assert_int_equal(answer_with(200, h).leaving, LEAVING_BAD);
+		g_free(h);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -193,6 +251,8 @@
 		cmocka_unit_test(test_answers_without_id),
 		cmocka_unit_test(test_limit),
 		cmocka_unit_test(test_no_limit),
+		cmocka_unit_test(test_rest),
+		cmocka_unit_test(test_leaving),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/traffic/ask.c
+++ b/traffic/ask.c
@@ -5,6 +5,7 @@
 #include "misc/clock.h"
 #include "traffic/ask.h"
 #include "traffic/limits.h"
+#include "traffic/server_words.h"
 
 /* A server that tells its load does so at once, in a round trip. */
 static const double ASK_TIMEOUT_S = 0.06;
@@ -135,6 +136,7 @@
 		note_down(a->backend, 0, now_ms);
 		limits_answer(a->traffic, a->backend, &info, a->asked_ms,
 			      LIMIT_BY_QUESTION);
+		server_words_hear(a->traffic, a->backend, &info);
 		if (!a->opened)
 			place_note_way(a->backend,
 				       (double)(now_ms - a->asked_ms));
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -139,6 +139,9 @@
 		   n->limits_given);
 	buf_printf(out, "limits_granted %" G_GUINT64_FORMAT "\n",
 		   n->limits_granted);
+	buf_printf(out, "rests_asked %" G_GUINT64_FORMAT "\n", n->rests);
+	buf_printf(out, "answer_values_bad %" G_GUINT64_FORMAT "\n",
+		   n->words_bad);
 	buf_printf(out, "quarantined %" G_GUINT64_FORMAT "\n", n->quarantined);
 	buf_printf(out, "verdicts %u\n",
 		   g_hash_table_size(t->quarantine.verdicts));
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -9,6 +9,7 @@
 #include "traffic/limit_sends.h"
 #include "traffic/limits.h"
 #include "traffic/request.h"
+#include "traffic/server_words.h"
 #include "traffic/share.h"
 
 /* Weights of outcomes in the failure memory of a server. */
@@ -145,6 +146,8 @@
 		s->backend->load.at_ms = now_ms;
 	}
 	note_limit(s, m, &info);
+	if (m->status != 421)
+		server_words_hear(r->traffic, s->backend, &info);
 	end_send(s);
 	upstream_put(u, now_ms);
 	if (!s->backend->gone && !s->backend->entry.draining &&
--- /dev/null
+++ b/traffic/server_words.c
@@ -0,0 +1,54 @@
+#include "common/event.h"
+#include "misc/clock.h"
+#include "traffic/server_words.h"
+
+enum { TEXT_MAX = 64 }; /* bytes of a value that are logged */
+
+static void log_bad_value(struct traffic *t, const struct backend *b,
+			  const char *what, struct lstr text)
+{
+	t->counters.words_bad++;
+	mp_event(EV_ANSWER_BAD_VALUE, G_LOG_LEVEL_WARNING,
+		 "backend=%s service=%s what=%s value=%.*s", b->entry.id,
+		 b->service->name, what, (int)MIN(text.len, TEXT_MAX),
+		 text.ptr);
+}
+
+static void hear_rest(struct traffic *t, struct backend *b, double rest_s)
+{
+	int64_t until = clock_ms() + (int64_t)(rest_s * 1000);
+
+	if (until > b->rest_until_ms)
+		b->rest_until_ms = until;
+	t->counters.rests++;
+	mp_event(EV_REST_ASKED, G_LOG_LEVEL_MESSAGE,
+		 "backend=%s service=%s rest_s=%g ends_in_ms=%" G_GINT64_FORMAT
+		 " in_flight=%u",
+		 b->entry.id, b->service->name, rest_s,
+		 b->rest_until_ms - clock_ms(), b->in_flight);
+}
+
+static void hear_leaving(struct backend *b)
+{
+	if (b->leaving)
+		return;
+	b->leaving = true;
+	mp_event(EV_BACKEND_LEAVING, G_LOG_LEVEL_MESSAGE,
+		 "backend=%s service=%s listed_as_draining=%d in_flight=%u",
+		 b->entry.id, b->service->name, b->entry.draining,
+		 b->in_flight);
+}
+
+/* server_words_hear() takes in what an answer of b says of it. */
+void server_words_hear(struct traffic *t, struct backend *b,
+		       const struct answer_info *info)
+{
+	if (info->rest == REST_BAD)
+		log_bad_value(t, b, "rest", info->rest_text);
+	else if (info->rest == REST_ASKED)
+		hear_rest(t, b, info->rest_s);
+	if (info->leaving == LEAVING_BAD)
+		log_bad_value(t, b, "leaving", info->leaving_text);
+	else if (info->leaving == LEAVING_SAID)
+		hear_leaving(b);
+}
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -35,6 +35,8 @@
 	uint64_t end_checks, ends_seen, quarantined;
 	uint64_t limits_bad;		       /* limits that are no number */
 	uint64_t limits_given, limits_granted; /* sends, to and by peers */
+	uint64_t rests;			       /* asked for by servers */
+	uint64_t words_bad; /* values of answers that were refused */
 };
 
 struct traffic {
