--- a/options/instance.c
+++ b/options/instance.c
@@ -193,6 +193,7 @@
 	if (!en || addr_split(en->listen, host, sizeof(host), &port))
 		return -ENOENT;
 	out->name = g_strdup(name);
+	out->via = true;
 	out->dc = g_strdup(en->dc);
 	out->region = g_strdup("");
 	out->ip = g_strdup(host);
--- a/options/instance.h
+++ b/options/instance.h
@@ -25,6 +25,7 @@
 	/* [instance] */
 	char *name, *dc, *region, *ip;
 	bool first_start; /* the whole system starts: no hurry yet */
+	bool via;	  /* requests to servers name it and its lifetime */
 	/* [listen] */
 	char *callers, *ready, *directory, *peers, *metrics;
 	char *own; /* the product's own interface; NULL: not served */
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -9,7 +9,8 @@
 	[ -f KNOWN-RED.txt ] && grep "^$1 " KNOWN-RED.txt
 }
 for t in "$@" tests/e2e.sh tests/repeated-crashes.sh \
-	tests/retry-budget.sh tests/server-limit.sh tests/soak-seeds.sh; do
+	tests/retry-budget.sh tests/server-limit.sh tests/server-rest.sh \
+	tests/soak-seeds.sh; do
 	if "./$t"; then
 		pass=$((pass + 1))
 		! known_red "$t" || echo "NO LONGER RED, take it off the list: $t"
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -3,11 +3,8 @@
  * in the store, runs requests on its slots, reports its load, refuses or
  * hangs when it is full, answers for another start with 421, and drains on
  * SIGTERM. A request whose path or body holds the service's fatal_word ends
- * the process that runs it. POST /stand/faults?NAME=VALUE makes it misbehave:
- *   shed=0|1  quiet=0|1  hang_pct=N  lost_pct=N  cut_pct=N  extra_pct=N
- *   limit_milli=N  names a limit of N requests in 1,000 s; -1: none
- *   limit_odd=0|1  names one that is no number
- *   limit_asked=0|1  names it in answers to questions too
+ * the process that runs it. POST /stand/faults makes it misbehave, see
+ * stand/faults.h.
  */
 #include <errno.h>
 #include <inttypes.h>
@@ -16,17 +13,12 @@
 #include <unistd.h>
 
 #include "common/event.h"
-#include "http/server.h"
 #include "http/socket.h"
 #include "misc/clock.h"
-#include "misc/codec.h"
-#include "stand/need.h"
 #include "stand/query.h"
-#include "stand/stand.h"
-#include "stand/work.h"
+#include "stand/server.h"
 
 enum {
-	BEAT_MS = 500,
 	DRAIN_MS = 5000,       /* how long a leaving server works on */
 	LEAVE_BOUND_MS = 3000, /* new work after this is late */
 	HEAD_MAX = 16384,
@@ -35,36 +27,6 @@
 	EXIT_FATAL = 70,
 };
 
-struct faults {
-	int shed, hang_pct, lost_pct, cut_pct, extra_pct;
-	int limit_milli, limit_odd, limit_asked;
-};
-
-struct server {
-	struct ev_loop *loop;
-	const struct service_opts *service;
-	struct http_server http;
-	struct work work;
-	struct faults faults;
-	struct need need;
-	char id[BACKEND_NAME_MAX], addr[32], dc[BACKEND_NAME_MAX];
-	struct http_client store;
-	struct sockaddr_in store_addr;
-	ev_timer beat, drained;
-	char told[64]; /* where others reach it */
-	unsigned beats;
-	int64_t leaving_ms; /* 0: not leaving */
-};
-
-/* A request that runs or waits. */
-struct job {
-	struct server *server;
-	struct http_conn *conn; /* NULL: the sender has left */
-	struct http_message *message;
-	ev_timer timer;
-	bool waiting;
-};
-
 static bool happens(struct server *s, int pct)
 {
 	return pct && g_rand_int_range(s->work.rand, 0, 100) < pct;
@@ -85,6 +47,42 @@
 		buf_printf(b, "Server-Limit: %g\r\n", s->need.per_s);
 }
 
+static bool is_leaving(const struct server *s)
+{
+	return s->leaving_ms || s->faults.leaving;
+}
+
+/* The lifetime of the instance that sends m, as its Via header names it. */
+static struct lstr sender(const struct http_message *m)
+{
+	struct lstr via = http_find(m, LSTR("Via"));
+
+	return via.ptr ? via : LSTR("");
+}
+
+static void add_leaving(struct server *s, struct lstr to, struct buf *b)
+{
+	if (!is_leaving(s))
+		return;
+	buf_printf(b, "Server-Leaving: 1\r\n");
+	if (s->faults.judge)
+		promises_leaving(&s->promises, to, clock_ms());
+}
+
+static void add_rest(struct server *s, struct lstr to, struct buf *b)
+{
+	if (s->faults.rest_odd) {
+		buf_printf(b, "Retry-After: in a while\r\n");
+		return;
+	}
+	if (s->faults.rest_milli < 0)
+		return;
+	buf_printf(b, "Retry-After: %g\r\n", s->faults.rest_milli / 1000.0);
+	if (s->faults.judge)
+		promises_rest(&s->promises, to, s->faults.rest_milli,
+			      clock_ms());
+}
+
 static void reply(struct server *s, struct http_conn *c, unsigned status,
 		  const struct buf *headers, struct lstr body)
 {
@@ -95,13 +93,16 @@
 }
 
 static void reply_not_run(struct server *s, struct http_conn *c,
-			  unsigned status)
+			  const struct http_message *m, unsigned status)
 {
 	struct buf h = {0};
 
 	buf_printf(&h, "Not-Executed: 1\r\nInstance-Id: %s\r\n", s->id);
 	add_load(s, &h);
 	add_limit(s, &h);
+	add_leaving(s, sender(m), &h);
+	if (status == 503)
+		add_rest(s, sender(m), &h);
 	reply(s, c, status, &h, LSTR(""));
 	buf_free(&h);
 }
@@ -122,6 +123,7 @@
 		   (int)id.len, id.ptr, (int)id.len, id.ptr);
 	add_load(s, headers);
 	add_limit(s, headers);
+	add_leaving(s, sender(j->message), headers);
 	buf_printf(body,
 		   "{\"req\":\"%.*s\",\"backend\":\"%s\","
 		   "\"service\":\"%s\"}",
@@ -229,7 +231,9 @@
 	if (!j)
 		return;
 	j->conn = NULL;
-	if (j->waiting) {
+	if (j->refused) {
+		job_free(j);
+	} else if (j->waiting) {
 		work_cancel(&j->server->work, j);
 		job_free(j);
 	} else if (ev_is_active(&j->timer)) {
@@ -237,10 +241,37 @@
 	}
 }
 
+static void turn_away(struct job *j)
+{
+	if (j->conn) {
+		http_conn_set_user(j->conn, NULL);
+		reply_not_run(j->server, j->conn, j->message, 503);
+	}
+	job_free(j);
+}
+
+static void on_turn_away(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	turn_away(t->data);
+}
+
+/* Turns a request away, at once or late. */
+static void turn_away_in(struct job *j, int ms)
+{
+	if (!ms) {
+		turn_away(j);
+		return;
+	}
+	j->refused = true;
+	ev_timer_init(&j->timer, on_turn_away, ms / 1000.0, 0);
+	j->timer.data = j;
+	ev_timer_start(j->server->loop, &j->timer);
+}
+
 /* Each call counts, also those that a fault turns away. */
 static enum work_entry enter(struct server *s, struct job *j)
 {
-	if (!s->faults.shed)
+	if (!happens(s, s->faults.shed_pct))
 		return work_enter(&s->work, j);
 	s->work.calls++;
 	s->work.refused++;
@@ -254,18 +285,20 @@
 	struct job *j;
 
 	if (!http_find(m, LSTR("Attempt-Id")).ptr) {
-		reply_not_run(s, c, 400);
+		reply_not_run(s, c, m, 400);
 		http_message_free(m);
 		return;
 	}
 	if (only.ptr && !lstr_eq(only, lstr0(s->id))) {
-		reply_not_run(s, c, 421);
+		reply_not_run(s, c, m, 421);
 		http_message_free(m);
 		return;
 	}
 	if (s->leaving_ms && clock_ms() - s->leaving_ms > LEAVE_BOUND_MS)
 		s->work.late++;
 	need_arrived(&s->need, clock_ms());
+	if (s->faults.judge)
+		promises_arrived(&s->promises, sender(m), false, clock_ms());
 	j = g_new0(struct job, 1);
 	j->server = s;
 	j->conn = c;
@@ -283,47 +316,35 @@
 		break;
 	case WORK_FULL:
 		/* Some services never answer what they can't queue. */
-		if (s->service->hangs)
-			return;
-		http_conn_set_user(c, NULL);
-		job_free(j);
-		reply_not_run(s, c, 503);
+		if (!s->service->hangs || s->faults.rest_milli >= 0)
+			turn_away_in(j, s->faults.late_ms);
 		break;
 	}
 }
 
-static void do_health(struct server *s, struct http_conn *c)
+static void do_health(struct server *s, struct http_conn *c,
+		      const struct http_message *m)
 {
 	struct buf h = {0};
 
 	s->work.probes++;
+	if (s->faults.judge)
+		promises_arrived(&s->promises, sender(m), true, clock_ms());
 	buf_printf(&h, "Instance-Id: %s\r\n", s->id);
 	add_load(s, &h);
 	if (s->faults.limit_asked)
 		add_limit(s, &h);
-	reply(s, c, s->leaving_ms ? 503 : 200, &h, LSTR(""));
+	if (is_leaving(s))
+		buf_printf(&h, "Server-Leaving: 1\r\n");
+	reply(s, c, is_leaving(s) ? 503 : 200, &h, LSTR(""));
 	buf_free(&h);
 }
 
-/* One "name value" line each, and "ran KEY COUNT" for what ran. */
 static void do_stats(struct server *s, struct http_conn *c)
 {
 	struct buf b = {0}, none = {0};
-	GHashTableIter it;
-	gpointer k, v;
-
-	buf_printf(&b,
-		   "calls %" PRIu64 "\nshed %" PRIu64 "\nprobes %" PRIu64
-		   "\nlate %" PRIu64 "\n",
-		   s->work.calls, s->work.refused, s->work.probes,
-		   s->work.late);
-	buf_printf(&b,
-		   "limited_got %" PRIu64 "\nlimited_worst %u\n"
-		   "limited_allowed %g\n",
-		   s->need.got, s->need.worst, s->need.allowed);
-	g_hash_table_iter_init(&it, s->work.ran);
-	while (g_hash_table_iter_next(&it, &k, &v))
-		buf_printf(&b, "ran %s %d\n", (char *)k, GPOINTER_TO_INT(v));
+
+	server_write_stats(&b, s);
 	reply(s, c, 200, &none, buf_lstr(&b));
 	buf_free(&b);
 }
@@ -334,18 +355,13 @@
 	struct faults *f = &s->faults;
 	struct buf none = {0};
 
-	f->shed = (int)query_int(q, "shed", f->shed);
-	f->hang_pct = (int)query_int(q, "hang_pct", f->hang_pct);
-	f->lost_pct = (int)query_int(q, "lost_pct", f->lost_pct);
-	f->cut_pct = (int)query_int(q, "cut_pct", f->cut_pct);
-	f->extra_pct = (int)query_int(q, "extra_pct", f->extra_pct);
-	f->limit_milli = (int)query_int(q, "limit_milli", f->limit_milli);
-	f->limit_odd = (int)query_int(q, "limit_odd", f->limit_odd);
-	f->limit_asked = (int)query_int(q, "limit_asked", f->limit_asked);
+	faults_set(f, q);
+	if (!f->judge)
+		promises_excuse(&s->promises);
 	/* What is no number names no limit that could be kept. */
 	need_set(&s->need, f->limit_milli >= 0 && !f->limit_odd,
 		 f->limit_milli / 1000.0, clock_ms());
-	s->work.quiet = query_int(q, "quiet", s->work.quiet) != 0;
+	s->work.quiet = f->quiet;
 	reply(s, c, 200, &none, LSTR(""));
 }
 
@@ -357,7 +373,7 @@
 	bool own = true;
 
 	if (!strcmp(path, STAND_HEALTH_PATH))
-		do_health(s, c);
+		do_health(s, c, m);
 	else if (!strcmp(path, "/stand/stats"))
 		do_stats(s, c);
 	else if (!strcmp(path, "/stand/faults"))
@@ -374,46 +390,6 @@
 
 static const struct http_server_ops ops = {on_request, on_gone};
 
-/* The record by which the system finds this server. */
-static void write_record(struct server *s, struct buf *value)
-{
-	msgpack_packer pk;
-
-	msgpack_packer_init(&pk, value, codec_buf_write);
-	msgpack_pack_map(&pk, 3);
-	codec_pack_cstr(&pk, "address");
-	codec_pack_cstr(&pk, s->told);
-	codec_pack_cstr(&pk, "info");
-	msgpack_pack_map(&pk, 4);
-	codec_pack_cstr(&pk, "service");
-	codec_pack_cstr(&pk, s->service->name);
-	codec_pack_cstr(&pk, "configVersion");
-	codec_pack_cstr(&pk, "v1");
-	codec_pack_cstr(&pk, "zone");
-	codec_pack_cstr(&pk, s->dc);
-	codec_pack_cstr(&pk, "slots");
-	msgpack_pack_uint32(&pk, s->work.slots);
-	codec_pack_cstr(&pk, "status");
-	msgpack_pack_map(&pk, 3);
-	codec_pack_cstr(&pk, "state");
-	codec_pack_cstr(&pk, s->leaving_ms ? "draining" : "ready");
-	codec_pack_cstr(&pk, "sequenceNumber");
-	msgpack_pack_uint32(&pk, s->beats++);
-	codec_pack_cstr(&pk, "warmupLeftMs");
-	msgpack_pack_uint32(&pk, 0);
-}
-
-static void on_beat(struct ev_loop *loop, ev_timer *t, int revents)
-{
-	struct server *s = t->data;
-	struct buf value = {0};
-
-	write_record(s, &value);
-	stand_put(&s->store, loop, &s->store_addr, STORE_TOPIC_BACKENDS,
-		  lstr0(s->id), buf_lstr(&value));
-	buf_free(&value);
-}
-
 static void on_drained(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct server *s = t->data;
@@ -436,7 +412,7 @@
 	s->leaving_ms = clock_ms();
 	mp_event(EV_STOPPING, G_LOG_LEVEL_MESSAGE,
 		 "backend %s leaving; drains for %d ms", s->id, DRAIN_MS);
-	on_beat(loop, &s->beat, 0);
+	server_list_write(s);
 	ev_timer_init(&s->drained, on_drained, DRAIN_MS / 1000.0, 0.1);
 	s->drained.data = s;
 	ev_timer_start(loop, &s->drained);
@@ -458,7 +434,8 @@
 	work_init(&s->work, (unsigned)s->service->slots, s->service->work_ms,
 		  seed ^ (unsigned)index * 2654435761U, clock_ms());
 	need_init(&s->need);
-	s->faults.limit_milli = -1;
+	promises_init(&s->promises);
+	faults_init(&s->faults);
 	s->http.limits = (struct http_limits){HEAD_MAX, BODY_MAX};
 	s->http.head_timeout_s = 5;
 	s->http.idle_timeout_s = 10;
@@ -487,9 +464,7 @@
 	}
 	mp_event(EV_STARTED, G_LOG_LEVEL_MESSAGE, "backend %s on %s in %s",
 		 s.id, s.addr, s.dc);
-	ev_timer_init(&s.beat, on_beat, 0, BEAT_MS / 1000.0);
-	s.beat.data = &s;
-	ev_timer_start(s.loop, &s.beat);
+	server_list_start(&s);
 	ev_signal_init(&term, on_term, SIGTERM);
 	term.data = &s;
 	ev_signal_start(s.loop, &term);
--- /dev/null
+++ b/stand/faults.c
@@ -0,0 +1,44 @@
+#include <stddef.h>
+
+#include <glib.h>
+
+#include "stand/faults.h"
+
+/* faults_init() makes those of a server that behaves. */
+void faults_init(struct faults *f)
+{
+	*f = (struct faults){.limit_milli = -1, .rest_milli = -1, .judge = 1};
+}
+
+/* faults_set() takes over what a query names and leaves the rest. */
+void faults_set(struct faults *f, const struct query *q)
+{
+	static const struct {
+		const char *name;
+		size_t at;
+	} all[] = {
+		{"shed_pct", offsetof(struct faults, shed_pct)},
+		{"rest_milli", offsetof(struct faults, rest_milli)},
+		{"rest_odd", offsetof(struct faults, rest_odd)},
+		{"late_ms", offsetof(struct faults, late_ms)},
+		{"leaving", offsetof(struct faults, leaving)},
+		{"unlisted", offsetof(struct faults, unlisted)},
+		{"hang_pct", offsetof(struct faults, hang_pct)},
+		{"lost_pct", offsetof(struct faults, lost_pct)},
+		{"cut_pct", offsetof(struct faults, cut_pct)},
+		{"extra_pct", offsetof(struct faults, extra_pct)},
+		{"limit_milli", offsetof(struct faults, limit_milli)},
+		{"limit_odd", offsetof(struct faults, limit_odd)},
+		{"limit_asked", offsetof(struct faults, limit_asked)},
+		{"quiet", offsetof(struct faults, quiet)},
+		{"judge", offsetof(struct faults, judge)},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+		int *value = (int *)(void *)((char *)f + all[i].at);
+
+		*value = (int)query_int(q, all[i].name, *value);
+	}
+	if (query_text(q, "shed"))
+		f->shed_pct = query_int(q, "shed", 0) ? 100 : 0;
+}
--- /dev/null
+++ b/stand/faults.h
@@ -0,0 +1,30 @@
+/*
+ * How a stand-in of a backend server misbehaves, as POST /stand/faults sets it:
+ *   shed=0|1  shed_pct=N  turns requests away
+ *   rest_milli=N  asks for N ms of rest in these answers; -1: doesn't
+ *   rest_odd=0|1  asks for one that is no number
+ *   late_ms=N  turns away only after so long
+ *   leaving=0|1  says in all answers that it leaves; its entry doesn't
+ *   unlisted=0|1  writes its entry no more, which lapses
+ *   quiet=0|1  hang_pct=N  lost_pct=N  cut_pct=N  extra_pct=N
+ *   limit_milli=N  names a limit of N requests in 1,000 s; -1: none
+ *   limit_odd=0|1  names one that is no number
+ *   limit_asked=0|1  names it in answers to questions too
+ *   judge=0|1  whether it judges what instances send it, see stand/promises.h
+ */
+#ifndef MP_STAND_FAULTS_H
+#define MP_STAND_FAULTS_H
+
+#include "stand/query.h"
+
+struct faults {
+	int shed_pct, rest_milli, rest_odd, late_ms, leaving, unlisted;
+	int hang_pct, lost_pct, cut_pct, extra_pct;
+	int limit_milli, limit_odd, limit_asked;
+	int quiet, judge;
+};
+
+void faults_init(struct faults *f);
+void faults_set(struct faults *f, const struct query *q);
+
+#endif
--- /dev/null
+++ b/stand/server.h
@@ -0,0 +1,43 @@
+/* A stand-in of a backend server, between the parts of its program. */
+#ifndef MP_STAND_SERVER_H
+#define MP_STAND_SERVER_H
+
+#include "http/server.h"
+#include "stand/faults.h"
+#include "stand/need.h"
+#include "stand/promises.h"
+#include "stand/stand.h"
+#include "stand/work.h"
+
+struct server {
+	struct ev_loop *loop;
+	const struct service_opts *service;
+	struct http_server http;
+	struct work work;
+	struct faults faults;
+	struct need need;
+	struct promises promises;
+	char id[BACKEND_NAME_MAX], addr[32], dc[BACKEND_NAME_MAX];
+	struct http_client store;
+	struct sockaddr_in store_addr;
+	ev_timer beat, drained;
+	char told[64]; /* where others reach it */
+	unsigned beats;
+	int64_t leaving_ms; /* 0: not leaving */
+};
+
+/* A request that runs or waits. */
+struct job {
+	struct server *server;
+	struct http_conn *conn; /* NULL: the sender has left */
+	struct http_message *message;
+	ev_timer timer;
+	bool waiting;
+	bool refused; /* it is turned away when its timer ends */
+};
+
+void server_write_stats(struct buf *out, const struct server *s);
+void server_list_start(struct server *s);
+void server_list_write(struct server *s);
+
+#endif
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -53,6 +53,9 @@
 	bool mute; /* questions for its health are reset, as by a relay */
 	bool ill;  /* its health answer is 503, without a load */
 	const char *limit; /* that its answers name; NULL: none */
+	const char *says;  /* more header lines of its answers; NULL: none */
+	const char *says_asked; /* and of those to questions */
+	unsigned asked;		/* questions so far */
 };
 
 /* A request at a server. */
@@ -89,6 +92,17 @@
 	struct caller *until;
 };
 
+/* Says that it didn't run the request. */
+static inline void server_refuse(struct server *s, struct http_conn *c)
+{
+	char headers[256];
+
+	snprintf(headers, sizeof(headers), "Not-Executed: 1\r\n%s",
+		 s->says ? s->says : "");
+	http_conn_reply(c, &(struct http_reply){.status = 503,
+						.headers = lstr0(headers)});
+}
+
 static inline void job_reply(struct job *j)
 {
 	struct server *s = j->server;
@@ -105,12 +119,12 @@
 		snprintf(limit, sizeof(limit), "Server-Limit: %s\r\n",
 			 s->limit);
 	n = snprintf(text, sizeof(text),
-		     "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%s%s%s"
+		     "HTTP/1.1 %d X\r\nAttempt-Id: %s\r\n%s%s%s%s"
 		     "Content-Length: %zu\r\n\r\n%s",
 		     error ? 500 : 200, j->id,
 		     s->script == SCRIPT_UNSEALED ? ""
 						  : "Response-Seal: x.1\r\n",
-		     load, limit, strlen(body), body);
+		     load, limit, s->says ? s->says : "", strlen(body), body);
 	http_conn_set_user(c, NULL);
 	if (s->script == SCRIPT_END) {
 		s->dead = true;
@@ -118,10 +132,7 @@
 		return;
 	}
 	if (j->refuse)
-		http_conn_reply(
-			c, &(struct http_reply){
-				   .status = 503,
-				   .headers = LSTR("Not-Executed: 1\r\n")});
+		server_refuse(s, c);
 	else if (s->script == SCRIPT_RUN_RESET)
 		http_conn_abort(c);
 	else if (s->script == SCRIPT_RUN_CUT)
@@ -164,8 +175,9 @@
 
 static inline void server_health(struct server *s, struct http_conn *c)
 {
-	char headers[160];
+	char headers[256];
 
+	s->asked++;
 	if (s->mute) {
 		http_conn_abort(c);
 		return;
@@ -174,6 +186,8 @@
 	if (s->tells_load && !s->ill)
 		snprintf(headers + strlen(headers), 80,
 			 "Server-Load: %u,0,2,100\r\n", s->busy + s->running);
+	if (s->says_asked)
+		strcat(headers, s->says_asked);
 	http_conn_reply(c, &(struct http_reply){.status = s->ill ? 503 : 200,
 						.headers = lstr0(headers)});
 }
@@ -197,10 +211,7 @@
 		s->connections = s->http.nconns;
 	if (s->script == SCRIPT_REFUSE || !lstr_eq(only, lstr0(s->id))) {
 		http_message_free(m);
-		http_conn_reply(
-			c, &(struct http_reply){
-				   .status = 503,
-				   .headers = LSTR("Not-Executed: 1\r\n")});
+		server_refuse(s, c);
 		return;
 	}
 	j = g_new0(struct job, 1);
@@ -353,85 +364,7 @@
 		bench_run_ms(b, 1);
 }
 
-static inline enum http_verdict caller_judge(void *priv,
-					     const struct http_message *m)
-{
-	return HTTP_TAKE;
-}
-
-static inline void caller_response(void *priv, struct http_message *m)
-{
-	struct caller *c = priv;
-	struct lstr after = http_find(m, LSTR("Retry-After"));
-
-	c->status = m->status;
-	if (after.ptr)
-		c->retry_after = g_ascii_strtod(after.ptr, NULL);
-	g_snprintf(c->body, sizeof(c->body), "%.*s", (int)m->body.len,
-		   m->body.ptr);
-	http_message_free(m);
-	http_client_close(&c->http);
-	c->open = false;
-}
-
-static inline void caller_failed(void *priv, int err, bool sent)
-{
-	struct caller *c = priv;
-
-	c->open = false;
-}
-
-static const struct http_client_ops caller_ops = {caller_judge, caller_response,
-						  caller_failed};
-
-static inline struct caller *bench_call_path(struct bench *b,
-					     const char *method,
-					     const char *path, int limit_ms)
-{
-	struct caller *c = g_new0(struct caller, 1);
-	struct http_limits none = {0, 0};
-	struct sockaddr_in sa;
-	struct buf q = {0};
-
-	c->bench = b;
-	c->method = method;
-	snprintf(c->id, sizeof(c->id), "call-%u", b->ids++);
-	g_ptr_array_add(b->callers, c);
-	socket_addr(b->settings.callers, &sa);
-	if (http_client_open(&c->http, b->loop, &sa, 1, none, &caller_ops, c))
-		abort();
-	buf_printf(&q,
-		   "%s %s HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: %s\r\n"
-		   "Deadline-Remaining-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-		   method, path, c->id, limit_ms);
-	c->open = true;
-	http_client_send(&c->http, buf_lstr(&q), 10, false);
-	buf_free(&q);
-	return c;
-}
-
-static inline struct caller *bench_call(struct bench *b, const char *method,
-					int limit_ms)
-{
-	return bench_call_path(b, method,
-			       strcmp(method, "GET") ? "/POST/x" : "/GET/x",
-			       limit_ms);
-}
-
-static inline void caller_leave(struct caller *c)
-{
-	c->left = true;
-	c->open = false;
-	http_client_close(&c->http);
-}
-
-static inline bool caller_has_own_body(const struct caller *c)
-{
-	char want[64];
-
-	snprintf(want, sizeof(want), "body of %s", c->id);
-	return !strcmp(c->body, want);
-}
+#include "tests/bench_callers.h"
 
 static inline unsigned bench_runs(const struct bench *b, const struct caller *c)
 {
--- /dev/null
+++ b/tests/server-rest.sh
@@ -0,0 +1,194 @@
+#!/bin/bash
+# Backend servers that ask an instance for rest get nothing from it meanwhile, and
+# those that leave nothing new; the servers judge by what arrives.
+set -u
+cd "$(dirname "$0")/.."
+bin=${MP_BIN:-target/mimosapitch}
+logs=$(mktemp -d)
+. tests/checks.sh
+ini=$logs/deployment.ini
+ENTRIES=5
+RATE=150 # calls a second
+declare -A pids
+RANDOM=28
+
+cat >"$ini" <<'INI'
+[platform]
+listen = 127.0.0.1:15000
+append_limit_per_s = 300
+member_ttl_ms = 2000
+[entry]
+platform = 127.0.0.1:15000
+[service.harta]
+tenant = strada
+workers = 3
+slots = 8
+base_port = 15300
+work_ms = 4
+dcs = hala-cluj
+INI
+for ((i = 0; i < ENTRIES; i++)); do
+	printf '[entry.e%d]\nlisten = 127.0.0.1:%d\ndc = hala-cluj\n' $i $((15100 + i))
+done >>"$ini"
+
+stop_all() {
+	for p in "${pids[@]}"; do kill -KILL "$p" 2>/dev/null; done
+	wait 2>/dev/null
+}
+trap stop_all EXIT
+start_entry() { # number
+	$bin entry --deployment "$ini" --name "e$1" >>"$logs/entry-$1.log" 2>&1 &
+	pids[e$1]=$!
+}
+start_server() { # number
+	$bin backend --deployment "$ini" --service harta --index "$1" --seed 5 2>>"$logs/server-$1.log" &
+	pids[server$1]=$!
+}
+restart() { # number of an instance
+	kill -KILL "${pids[e$1]}"
+	wait "${pids[e$1]}" 2>/dev/null
+	start_entry "$1"
+}
+all_run() {
+	local i
+	for ((i = 0; i < ENTRIES; i++)); do kill -0 "${pids[e$i]}" || return 1; done
+}
+fault() { # server, query
+	curl -s -m 2 -X POST "http://127.0.0.1:$((15300 + $1))/stand/faults?$2" >/dev/null
+}
+store_fault() { curl -s -m 2 -X POST "http://127.0.0.1:15000/stand/faults?$1" >/dev/null; }
+stat() { # server, name
+	curl -s -m 2 "http://127.0.0.1:$((15300 + $1))/stand/stats" |
+		awk -v name="$2" '$1 == name {print $2}'
+}
+load() { # seconds, seed; its output is in load-SEED.txt
+	$bin load --deployment "$ini" --seconds "$1" --rate $RATE --seed "$2" \
+		>"$logs/load-$2.txt" 2>&1
+}
+rested() { # server
+	echo "server $1: $(stat "$1" rests) rests; in them $(stat "$1" rest_got) requests, $(stat "$1" rest_questions) questions, $(stat "$1" rest_worst) of one instance in one rest"
+	(($(stat "$1" rests) > 0 && $(stat "$1" rest_got) == 0 && $(stat "$1" rest_questions) == 0))
+}
+left() { # server
+	echo "server $1: said so $(stat "$1" leaving_told) times; got $(stat "$1" leaving_got) requests afterwards"
+	(($(stat "$1" leaving_told) > 0 && $(stat "$1" leaving_got) == 0))
+}
+more() { # what, before, after, least
+	echo "$1: $3 - $2"
+	(($3 - $2 >= $4))
+}
+served() { # seed, the least in 1,000
+	awk -v least="$2" '$1 == "strada" {c += $3; d += $4}
+		END {print d " of " c " served"; exit !(c > 0 && d * 1000 >= least * c)}' \
+		"$logs/load-$1.txt"
+}
+lines() { cat "$logs"/entry-*.log | grep -c "$1"; }
+
+$bin store --deployment "$ini" 2>"$logs/store.log" &
+pids[store]=$!
+sleep 0.2
+for i in 0 1 2; do start_server $i; done
+for ((i = 0; i < ENTRIES; i++)); do start_entry $i; done
+sleep 3
+for i in 0 1 2; do fault $i quiet=1; done
+load 2 1
+
+# One turns away all that it gets, while instances are killed.
+fault 0 'shed_pct=100&rest_milli=3000'
+load 7 2 &
+load_pid=$!
+for i in 0 1 2 3; do
+	sleep 1
+	restart $i
+done
+wait $load_pid
+check "turns all away: nothing twice, no false 'not run', no foreign answer" test $? -eq 0
+check "turns all away: gets nothing in a rest" rested 0
+check "turns all away: all calls are served by the others" served 2 990
+
+# It serves again: it gets its part, though not from all at once.
+fault 0 'shed_pct=0&rest_milli=-1'
+sleep 4
+before=$(stat 0 calls)
+load 3 3
+check "serves again: it gets its part" more calls "$before" "$(stat 0 calls)" 75
+
+# One turns a part away, and its entry lapses within the rest and comes back.
+fault 1 'shed_pct=30&rest_milli=5000'
+load 2 4
+fault 1 unlisted=1
+load 3 5
+fault 1 unlisted=0
+load 3 6
+check "lapsed and back: gets nothing in a rest" rested 1
+check "lapsed and back: all calls are served by the others" served 5 990
+fault 1 'shed_pct=0&rest_milli=-1'
+
+# What is no number of seconds asks for nothing, and a line says so.
+fault 1 'shed_pct=20&rest_odd=1'
+sleep 5
+before=$(stat 1 calls)
+load 2 7
+check "a rest that is no number changes nothing" more calls "$before" "$(stat 1 calls)" 40
+check "and is told in a line" test "$(lines 'ev=347 ')" -ge 1
+fault 1 'shed_pct=0&rest_odd=0'
+
+# All rest: callers hear so at once, and when the first is back.
+refused_at_once() {
+	cat "$logs"/entry-*.log | awk '
+		function field(name) {
+			match($0, " " name "=[-0-9.]+")
+			return substr($0, RSTART + length(name) + 2, RLENGTH - length(name) - 2) + 0
+		}
+		/ ev=412 .*why=servers at rest/ {
+			n++
+			late += field("ms") > 60
+			blank += field("retry_after_ms") <= 0 || field("retry_after_ms") > 3000
+		}
+		END {
+			print n + 0 " refused, " late + 0 " after more than 60 ms, " blank + 0 " without the time"
+			exit !(n > 100 && late * 20 <= n && blank == 0)
+		}'
+}
+for i in 0 1 2; do fault $i 'shed_pct=100&rest_milli=2000'; done
+load 5 8
+for i in 0 1 2; do fault $i 'shed_pct=0&rest_milli=-1'; done
+for i in 0 1 2; do check "all rest: server $i gets nothing in a rest" rested $i; done
+check "all rest: refused at once, with the time of the first return" refused_at_once
+sleep 3
+load 3 9
+check "all back: served" served 9 990
+
+# One says that it leaves, its entry doesn't; then the store is away, then it lapses.
+fault 2 leaving=1
+load 3 10
+store_fault down=silent
+load 2 11
+store_fault down=no
+fault 2 unlisted=1
+load 3 12
+fault 2 unlisted=0
+load 3 13
+check "leaves: gets nothing more" left 2
+check "leaves: all calls are served by the others" served 13 990
+told_by_peer=$(lines 'ev=346 .*by=peer')
+check "leaves: instances heard it from each other" test "$told_by_peer" -ge 1
+
+# Its next start gets requests again.
+kill -KILL "${pids[server2]}"
+wait "${pids[server2]}" 2>/dev/null
+start_server 2
+sleep 3
+load 3 14
+check "its next start gets its part" more calls 0 "$(stat 2 calls)" 75
+check "nothing ends by itself" all_run
+check "no invariant broken" sh -c "! grep -l 'ev=900' $logs/*.log"
+cat "$logs/checks.log"
+if ((fails)); then
+	echo "server-rest: $fails check(s) failed; logs in $logs"
+	exit 1
+fi
+echo "server-rest: ok"
+stop_all
+rm -rf "$logs"
+exit 0
--- a/traffic/ask.c
+++ b/traffic/ask.c
@@ -190,7 +190,8 @@
 	a->pending = true;
 	r->traffic->counters.asks++;
 	r->asked++;
-	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"), b);
+	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"), b,
+			     r->traffic->via);
 	upstream_exchange(a->upstream, buf_lstr(&bytes), ASK_TIMEOUT_S, false,
 			  &ask_ops, a);
 	buf_free(&bytes);
--- a/traffic/end_check.c
+++ b/traffic/end_check.c
@@ -155,7 +155,7 @@
 	if (rc)
 		return rc;
 	exchange_write_probe(&question, sc ? sc->health_path : LSTR("/"),
-			     c->backend);
+			     c->backend, t->via);
 	http_client_send(&c->http, buf_lstr(&question), ANSWER_TIMEOUT_S,
 			 false);
 	buf_free(&question);
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -261,7 +261,7 @@
 	if (b->load.at_ms)
 		b->load.running++;
 	exchange_write_request(&bytes, r->message, &r->call, b,
-			       left > 1 ? (uint32_t)left : 1);
+			       left > 1 ? (uint32_t)left : 1, r->traffic->via);
 	r->hedge_ms = second_send_at(r, s, now_ms);
 	/* The request's own time limit ends it; this is only a backstop. */
 	upstream_exchange(u, buf_lstr(&bytes), (double)left / 1000 + 1,
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -364,6 +364,8 @@
 	t->control_view = view;
 	t->rand = g_rand_new();
 	t->lifetime = g_rand_int(t->rand);
+	if (s->via)
+		t->via = g_strdup_printf("%s-%08x", s->name, t->lifetime);
 	t->started_ms = clock_ms();
 	t->classes = g_hash_table_new(g_str_hash, g_str_equal);
 	/* Unknown yet: as many as a large system has. */
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -60,6 +60,7 @@
 	struct ask_budget asks;
 	GRand *rand;
 	uint32_t lifetime; /* names this start of the process in logs */
+	char *via;	   /* and to servers; NULL: it isn't named to them */
 	int64_t started_ms;
 	struct patience_spread spread;
 	int64_t trouble_ms;  /* a request was last refused or failed then */
