Servers at rest and those that leave get nothing: one check before every send, one memory a lifetime

What callers saw: servers that turn requests away and ask for rest got more requests than before, as they report no load; answers late or refused. Cause: nobody read Retry-After of a 503 nor Server-Leaving. Class: a thing that a server says and that must hold at every send; limit, draining, drained and gone stood in five places, each with its own test.

core/availability is the one check, with entry, own word, configuration, rest and limit behind it; placement, retries, second sends, the queue, turns, grants and questions ask it. core/server_memory holds what a lifetime of a server has said (limit, rest, leaving) and outlives its entry; another start begins anew; without an entry 1,024 are kept, the latest first. Load reported before a rest counts no more. Of two rests the later end counts. Numbers too large for any lifetime count as such; what is no decimal number is refused with a line.

All at rest: refused at once with the time of the first return, or held if that is in time. An instance returns up to a quarter of the rest later, drawn, and with one request at a time until one is answered.

--- a/core/backend.c
+++ b/core/backend.c
@@ -12,6 +12,7 @@
 {
 	s->services = g_hash_table_new(g_str_hash, g_str_equal);
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	server_memories_init(&s->memories);
 	s->on_gone = on_gone;
 	s->priv = priv;
 }
@@ -59,7 +60,7 @@
 {
 	if (--b->refs)
 		return;
-	g_free(b->limit);
+	server_memory_release(b->memory);
 	g_free(b);
 }
 
@@ -109,28 +110,7 @@
 /* backend_is_limited() tells whether b names a limit, as far as is known. */
 bool backend_is_limited(const struct backend *b)
 {
-	return b->limit && b->limit->said.named;
-}
-
-/* Whether it is known here if b names a limit or none. */
-static bool backend_is_known(const struct backend *b)
-{
-	return b->limit || b->was_free;
-}
-
-/*
- * backend_is_open() tells whether b's limit, if it names one, lets this instance
- * send it one more request now. Until it is known whether it does it gets one at a
- * time: instances that have just started, all at once maybe, would otherwise send
- * a server in need what none of them counts.
- */
-bool backend_is_open(const struct backend *b, int64_t now_ms)
-{
-	if (!backend_is_known(b))
-		return b->in_flight == 0;
-	return !backend_is_limited(b) || b->limit->looks ||
-	       now_ms < b->limit->granted_ms ||
-	       limit_share_allows(&b->limit->share, now_ms);
+	return b->memory->limit && b->memory->limit->said.named;
 }
 
 static struct backend *add_backend(struct backend_set *s,
@@ -141,6 +121,7 @@
 	b->refs = 1;
 	b->entry = *e;
 	b->start = backend_start_hash(e);
+	b->memory = server_memory_get(&s->memories, e->id, e->born_ms);
 	b->service = backend_set_service(s, lstr0(e->service));
 	g_ptr_array_add(b->service->backends, b);
 	g_hash_table_insert(s->by_id, b->entry.id, b);
@@ -164,7 +145,10 @@
 	if (b && (e->born_ms != b->entry.born_ms ||
 		  strcmp(b->entry.service, e->service) ||
 		  memcmp(&b->entry.addr, &e->addr, sizeof(e->addr)))) {
-		take_off(s, b, e->born_ms != b->entry.born_ms);
+		bool again = e->born_ms != b->entry.born_ms;
+
+		b->memory->over = again;
+		take_off(s, b, again);
 		b = NULL;
 	}
 	if (!b)
--- a/core/backend.h
+++ b/core/backend.h
@@ -14,13 +14,10 @@
 
 #include "core/budget.h"
 #include "core/learn.h"
-#include "core/limit_share.h"
 #include "core/limit_want.h"
-#include "core/server_limit.h"
+#include "core/server_memory.h"
 #include "misc/lstr.h"
 
-enum { BACKEND_NAME_MAX = 64 };
-
 /* An entry of the platform's list of backend servers. */
 struct backend_entry {
 	char id[BACKEND_NAME_MAX];	/* one backend server */
@@ -52,22 +49,11 @@
 	LIMIT_PAYS_LOOK, /* nobody's: to hear whether the limit has ended */
 };
 
-/* What it takes, by its own word, and this instance's part of that. */
-struct backend_limit {
-	struct server_limit said;
-	struct limit_share share;
-	double told_per_s;  /* as it was last logged, and told */
-	int64_t tell_ms;    /* the peers are told again then that it stands */
-	unsigned end_tells; /* times that its end is yet to be told */
-	int64_t look_ms;    /* an instance that holds nothing may look then */
-	int64_t granted_ms; /* a send that a peer gave up counts until then */
-	bool looks; /* it may send one request, to hear whether it ended */
-};
-
 struct backend {
 	struct backend_entry entry;
 	struct service *service;
-	uint32_t start; /* backend_start_hash() of its entry */
+	uint32_t start;		      /* backend_start_hash() of its entry */
+	struct server_memory *memory; /* what this start has said */
 	unsigned refs;
 	bool gone; /* off the list: no new work */
 	int64_t warm_until_ms;
@@ -79,14 +65,9 @@
 	bool drained;	     /* the configuration gives it no new work */
 	double trouble;	     /* decayed failures, see core/outlier.h */
 	int64_t trouble_at_ms;
-	bool shunned;		     /* what was last logged of it */
-	bool down;		     /* the last question failed; for the log */
-	bool ended;		     /* its process is known to be gone */
-	struct backend_limit *limit; /* NULL: it has never named one */
-	bool was_free;	/* it has answered here without naming a limit */
-	bool limit_bad; /* what it last said of it was no number; for the log */
-	int64_t rest_until_ms; /* it wants no requests before; 0: never said */
-	bool leaving;	       /* it has said that it leaves */
+	bool shunned; /* what was last logged of it */
+	bool down;    /* the last question failed; for the log */
+	bool ended;   /* its process is known to be gone */
 	void *check;  /* the traffic side finds out whether it has ended */
 	void *conns;  /* the traffic side's idle connections */
 	void *in_use; /* those that wait for an answer or hold one */
@@ -112,6 +93,7 @@
 struct backend_set {
 	GHashTable *services; /* name -> struct service * */
 	GHashTable *by_id;    /* id -> struct backend * */
+	struct server_memories memories;
 	/* b is off the list; `ended`: its process is known to be gone. */
 	void (*on_gone)(void *priv, struct backend *b, bool ended);
 	void *priv;
@@ -130,7 +112,6 @@
 bool backend_entry_is_older(const struct backend_entry *a,
 			    const struct backend_entry *b);
 bool backend_is_limited(const struct backend *b);
-bool backend_is_open(const struct backend *b, int64_t now_ms);
 struct backend *backend_ref(struct backend *b);
 void backend_unref(struct backend *b);
 
--- a/core/limit_room.c
+++ b/core/limit_room.c
@@ -1,5 +1,6 @@
 #include <math.h>
 
+#include "core/availability.h"
 #include "core/limit_room.h"
 
 static void add(struct limit_room *room, struct backend_limit *l,
@@ -29,12 +30,12 @@
 	for (guint i = 0; i < s->backends->len; i++) {
 		const struct backend *b = g_ptr_array_index(s->backends, i);
 
-		if (b->entry.draining || b->drained)
+		if (!backend_takes(b, SEND_CHOSEN, now_ms))
 			continue;
 		room.all = backend_is_limited(b);
 		if (!room.all)
 			return room;
-		add(&room, b->limit, now_ms);
+		add(&room, b->memory->limit, now_ms);
 	}
 	return room;
 }
--- a/core/place.c
+++ b/core/place.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/availability.h"
 #include "core/mechanisms.h"
 #include "core/outlier.h"
 #include "core/place.h"
@@ -108,10 +109,9 @@
 /* Tells whether b may get new work for this query. */
 static bool is_candidate(const struct place_query *q, const struct backend *b)
 {
-	if (b->entry.draining || b->drained || is_avoided(q, b) ||
-	    !backend_is_open(b, q->now_ms))
-		return false;
-	if (q->second && backend_is_limited(b))
+	enum send_kind kind = q->second ? SEND_BESIDE : SEND_ALONE;
+
+	if (is_avoided(q, b) || !backend_takes(b, kind, q->now_ms))
 		return false;
 	return !q->own_dc_only || !mechanisms.own_dc ||
 	       !strcmp(b->entry.dc, q->dc);
--- a/core/retry_after.c
+++ b/core/retry_after.c
@@ -36,6 +36,17 @@
 	       1000;
 }
 
+/*
+ * retry_after_return_s() returns in how many seconds callers are to come back when all
+ * servers rest and the first is back in back_in_ms: soon after that, and not together.
+ */
+double retry_after_return_s(const struct admit_request *r, int64_t back_in_ms,
+			    double random)
+{
+	return ((double)back_in_ms + r->target_ms * SOON_SPREAD * random) /
+	       1000;
+}
+
 /*
  * retry_after_turn_s() returns in how many seconds a caller gets its turn when all
  * servers are in need and so many wait here: those that were refused before it are
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -334,8 +334,7 @@
 	add_load(s, &h);
 	if (s->faults.limit_asked)
 		add_limit(s, &h);
-	if (is_leaving(s))
-		buf_printf(&h, "Server-Leaving: 1\r\n");
+	add_leaving(s, sender(m), &h);
 	reply(s, c, is_leaving(s) ? 503 : 200, &h, LSTR(""));
 	buf_free(&h);
 }
--- a/traffic/end_check.c
+++ b/traffic/end_check.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 
 #include "common/event.h"
+#include "core/availability.h"
 #include "core/mechanisms.h"
 #include "misc/clock.h"
 #include "platform/exchange.h"
@@ -85,6 +86,12 @@
 	g_free(c);
 }
 
+static bool is_at_rest(const struct backend *b)
+{
+	return backend_availability(b, SEND_CHOSEN, clock_ms()).hold ==
+	       HOLD_REST;
+}
+
 /*
  * Nothing is known yet. A server that left the list meanwhile, with a broken
  * connection and no answer since, has ended.
@@ -96,7 +103,7 @@
 		finish(c, true, "ended", "off the list");
 		return;
 	}
-	if (c->questions >= QUESTIONS_MAX) {
+	if (c->questions >= QUESTIONS_MAX || is_at_rest(c->backend)) {
 		finish(c, false, "unknown", why);
 		return;
 	}
@@ -183,7 +190,7 @@
 {
 	struct end_check *c;
 
-	if (!may_ask(t))
+	if (is_at_rest(b) || !may_ask(t))
 		return NULL;
 	c = g_new0(struct end_check, 1);
 	c->traffic = t;
@@ -208,7 +215,7 @@
 {
 	struct end_check *c = b->check;
 
-	if (!mechanisms.quarantine || b->entry.draining)
+	if (!mechanisms.quarantine || backend_is_leaving(b))
 		return;
 	if (b->ended) {
 		note_end(t, b, digest);
--- a/traffic/limits.c
+++ b/traffic/limits.c
@@ -37,7 +37,7 @@
 static void log_change(const struct backend *b, enum limit_change change,
 		       const struct limit_word *w, double before)
 {
-	const struct limit_part *p = &b->limit->share.part;
+	const struct limit_part *p = &b->memory->limit->share.part;
 
 	mp_event(change == LIMIT_ENDED ? EV_LIMIT_ENDED : EV_LIMIT_NAMED,
 		 G_LOG_LEVEL_MESSAGE,
@@ -45,8 +45,8 @@
 		 "asked_ago_ms=%" G_GINT64_FORMAT
 		 " heard_ago_ms=%" G_GINT64_FORMAT
 		 " own_per_s=%.3f own_depth=%.2f",
-		 b->entry.id, b->service->name, b->limit->said.per_s, before,
-		 limit_source_name(w->source), clock_ms() - w->asked_ms,
+		 b->entry.id, b->service->name, b->memory->limit->said.per_s,
+		 before, limit_source_name(w->source), clock_ms() - w->asked_ms,
 		 clock_ms() - w->heard_ms, p->rate_s, p->depth);
 }
 
@@ -54,9 +54,9 @@
 static void log_bad(struct traffic *t, struct backend *b, struct lstr text)
 {
 	t->counters.limits_bad++;
-	if (b->limit_bad)
+	if (b->memory->limit_bad)
 		return;
-	b->limit_bad = true;
+	b->memory->limit_bad = true;
 	mp_event(EV_LIMIT_BAD, G_LOG_LEVEL_WARNING,
 		 "backend=%s service=%s limit=%.*s; what was known stays in "
 		 "force",
@@ -75,8 +75,8 @@
 		sharers = (struct limit_sharers){
 			(const struct limit_sharer *)(void *)known->data,
 			known->len};
-	part = limit_part(b->limit->said.per_s, b->start, &sharers);
-	limit_share_set(&b->limit->share, &part, clock_ms());
+	part = limit_part(b->memory->limit->said.per_s, b->start, &sharers);
+	limit_share_set(&b->memory->limit->share, &part, clock_ms());
 }
 
 static void arm(struct traffic *t, int ms)
@@ -110,23 +110,24 @@
 		 const struct limit_word *w)
 {
 	int64_t now_ms = clock_ms();
-	double before = b->limit ? b->limit->said.per_s : 0;
+	double before = b->memory->limit ? b->memory->limit->said.per_s : 0;
 	enum limit_change change;
 
-	if (!b->limit && !w->named)
+	if (!b->memory->limit && !w->named)
 		return false;
-	if (!b->limit) {
-		b->limit = g_new0(struct backend_limit, 1);
-		limit_share_begin(&b->limit->share, b->was_free, now_ms);
+	if (!b->memory->limit) {
+		b->memory->limit = g_new0(struct backend_limit, 1);
+		limit_share_begin(&b->memory->limit->share, b->memory->was_free,
+				  now_ms);
 	}
-	change = server_limit_hear(&b->limit->said, w, now_ms);
+	change = server_limit_hear(&b->memory->limit->said, w, now_ms);
 	if (change == LIMIT_SAME)
 		return false;
 	set_part(t, b);
 	arm(t, TICK_MS);
-	if (!differs(b->limit, change))
+	if (!differs(b->memory->limit, change))
 		return false;
-	b->limit->told_per_s = b->limit->said.per_s;
+	b->memory->limit->told_per_s = b->memory->limit->said.per_s;
 	log_change(b, change, w, before);
 	return true;
 }
@@ -152,14 +153,14 @@
 {
 	int spread = g_rand_int_range(t->rand, 0, TELL_SPREAD_MS);
 
-	b->limit->tell_ms = now_ms + TELL_AGAIN_MS + spread;
+	b->memory->limit->tell_ms = now_ms + TELL_AGAIN_MS + spread;
 }
 
 /* Adds what is known of b's limit. */
 static void add_item(struct limit_news *news, const struct backend *b,
 		     int64_t now_ms)
 {
-	const struct server_limit *l = &b->limit->said;
+	const struct server_limit *l = &b->memory->limit->said;
 
 	news->items[news->n++] = (struct limit_item){
 		.backend = b->start,
@@ -191,14 +192,15 @@
 		log_bad(t, b, info->limit_text);
 		return;
 	}
-	b->limit_bad = false;
-	b->was_free = b->was_free || (!w.named && source == LIMIT_BY_ANSWER);
+	b->memory->limit_bad = false;
+	b->memory->was_free =
+		b->memory->was_free || (!w.named && source == LIMIT_BY_ANSWER);
 	if (!hear(t, b, &w))
 		return;
 	was_told(t, b, w.heard_ms);
-	if (!b->limit->said.named) {
-		b->limit->end_tells = END_TELLS;
-		b->limit->tell_ms = w.heard_ms + END_AGAIN_MS;
+	if (!b->memory->limit->said.named) {
+		b->memory->limit->end_tells = END_TELLS;
+		b->memory->limit->tell_ms = w.heard_ms + END_AGAIN_MS;
 	}
 	add_item(&news, b, w.heard_ms);
 	send_news(t, &news);
@@ -239,7 +241,7 @@
 		if (!b)
 			continue;
 		(void)hear(t, b, &w);
-		if (b->limit && backend_is_limited(b))
+		if (b->memory->limit && backend_is_limited(b))
 			was_told(t, b, now_ms);
 	}
 }
@@ -265,7 +267,7 @@
  */
 static void plan_look(struct traffic *t, struct backend *b, int64_t now_ms)
 {
-	struct backend_limit *l = b->limit;
+	struct backend_limit *l = b->memory->limit;
 
 	if (l->share.part.held || !hears_most(t) ||
 	    !server_limit_is_stale(&l->said, now_ms)) {
@@ -288,10 +290,11 @@
 /* Whether this instance is to tell the others once more how b's limit stands. */
 static bool is_due(const struct backend *b, int64_t now_ms)
 {
-	bool concerned = backend_is_limited(b) ? b->limit->share.part.held
-					       : b->limit->end_tells > 0;
+	bool concerned = backend_is_limited(b)
+				 ? b->memory->limit->share.part.held
+				 : b->memory->limit->end_tells > 0;
 
-	return concerned && now_ms >= b->limit->tell_ms;
+	return concerned && now_ms >= b->memory->limit->tell_ms;
 }
 
 /* It is told now; when it is to be told again. */
@@ -301,8 +304,8 @@
 		was_told(t, b, now_ms);
 		return;
 	}
-	b->limit->end_tells--;
-	b->limit->tell_ms = now_ms + END_AGAIN_MS;
+	b->memory->limit->end_tells--;
+	b->memory->limit->tell_ms = now_ms + END_AGAIN_MS;
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
@@ -318,8 +321,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct backend *b = v;
 
-		if (!b->limit ||
-		    (!backend_is_limited(b) && !b->limit->end_tells))
+		if (!b->memory->limit ||
+		    (!backend_is_limited(b) && !b->memory->limit->end_tells))
 			continue;
 		any = true;
 		plan_look(t, b, now_ms);
@@ -350,7 +353,7 @@
 		if (!backend_is_limited(b))
 			continue;
 		set_part(t, b);
-		b->limit->tell_ms = 0;
+		b->memory->limit->tell_ms = 0;
 		arm(t, g_rand_int_range(t->rand, 0, TELL_NEW_MS));
 	}
 }
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -1,6 +1,7 @@
 #include <ck_pr.h>
 
 #include "common/event.h"
+#include "core/availability.h"
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/metrics.h"
@@ -41,11 +42,12 @@
 {
 	const struct load_report *l = &b->load;
 	bool limited = backend_is_limited(b);
+	int64_t rest = b->memory->back_ms - now_ms;
 	const struct {
 		const char *name;
 		double value;
 	} gauges[] = {
-		{"draining", b->entry.draining || b->drained},
+		{"draining", backend_is_leaving(b) || b->drained},
 		{"in_flight", b->in_flight},
 		{"running", l->running},
 		{"waiting", l->waiting},
@@ -53,8 +55,10 @@
 		{"slowdown_pct", l->slowdown_pct},
 		{"load_age_ms", l->at_ms ? (double)(now_ms - l->at_ms) : -1},
 		{"trouble", outlier_trouble(b, now_ms)},
-		{"limit_per_s", limited ? b->limit->said.per_s : -1},
-		{"limit_own_per_s", limited ? b->limit->share.part.rate_s : -1},
+		{"rest_left_ms", rest > 0 ? (double)rest : 0},
+		{"limit_per_s", limited ? b->memory->limit->said.per_s : -1},
+		{"limit_own_per_s",
+		 limited ? b->memory->limit->share.part.rate_s : -1},
 	};
 
 	for (size_t i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/event.h"
+#include "core/availability.h"
 #include "core/hedge.h"
 #include "core/mechanisms.h"
 #include "core/outlier.h"
@@ -119,18 +120,6 @@
 	       now_ms - r->service->pressed_ms < PRESSED_MS;
 }
 
-/*
- * A server in need gets no more than its limit. What it takes goes to first sends
- * and to those whose send before brought nothing.
- */
-static bool limit_lets(const struct request *r, const struct backend *b,
-		       int64_t now_ms)
-{
-	if (r->placement == PLACE_HEDGE && backend_is_limited(b))
-		return false;
-	return backend_is_open(b, now_ms);
-}
-
 /* Tells whether the request goes to a server that told its load. */
 static bool takes(const struct request *r, const struct backend *b,
 		  double estimate_ms, int64_t now_ms)
@@ -144,7 +133,9 @@
 		.has_spare = place_has_spare(b, now_ms),
 	};
 
-	if (!limit_lets(r, b, now_ms))
+	if (!backend_takes(
+		    b, r->placement == PLACE_HEDGE ? SEND_BESIDE : SEND_ALONE,
+		    now_ms))
 		return false;
 	if (r->placement == PLACE_HEDGE && r->rescue)
 		return admit_takes_rescue(&s, request_is_pressed(r, now_ms));
@@ -172,8 +163,7 @@
 		struct ask *a = r->asks[i];
 		double ms;
 
-		if (!a->upstream || !a->answered || a->backend->gone ||
-		    a->backend->entry.draining || a->backend->drained)
+		if (!a->upstream || !a->answered)
 			continue;
 		ms = place_estimate_ms(a->backend, r->stats->work.usual_ms,
 				       now_ms);
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -150,8 +150,7 @@
 		server_words_hear(r->traffic, s->backend, &info);
 	end_send(s);
 	upstream_put(u, now_ms);
-	if (!s->backend->gone && !s->backend->entry.draining &&
-	    place_has_room(s->backend, now_ms))
+	if (place_has_room(s->backend, now_ms))
 		request_use_room(r->traffic, s->backend);
 	if (info.not_run) {
 		unsigned status = m->status;
@@ -161,6 +160,7 @@
 		return;
 	}
 	end_check_answered(r->traffic, r->digest);
+	server_memory_answered(s->backend->memory, s->sent_ms);
 	if (m->status / 100 == 2 && !info.sealed) {
 		/* Not the server's own answer, whatever it looks like. */
 		http_message_free(m);
--- a/traffic/request_wait.c
+++ b/traffic/request_wait.c
@@ -1,4 +1,5 @@
 #include "common/event.h"
+#include "core/availability.h"
 #include "core/hedge.h"
 #include "core/limit_room.h"
 #include "core/mechanisms.h"
@@ -170,6 +171,22 @@
 	refuse_hopeless(&r->service->waiting, r, room, now_ms);
 }
 
+/*
+ * All servers of the service rest: it waits for the first to be back, or is refused
+ * at once.
+ */
+static void wait_for_return(struct request *r, int64_t back_ms, int64_t now_ms)
+{
+	if (back_ms > wait_end_ms(r, now_ms)) {
+		give_up(r);
+		return;
+	}
+	r->round = 0;
+	r->wait_until_ms = back_ms;
+	enqueue(r);
+	request_arm(r);
+}
+
 /* Waits a moment for room, while it may. */
 static void wait_for_room(struct request *r, int64_t now_ms)
 {
@@ -194,6 +211,7 @@
 {
 	struct admit_request view = request_view(r, now_ms);
 	struct limit_room room = limit_room(r->service, now_ms);
+	int64_t back_ms = service_back_ms(r->service, now_ms);
 
 	if (admit_can_be_on_time(&view) && r->placement != PLACE_HEDGE)
 		r->service->pressed_ms = now_ms;
@@ -202,6 +220,8 @@
 		request_place_end(r);
 		plan_rescue(r, now_ms);
 		request_arm(r);
+	} else if (back_ms) {
+		wait_for_return(r, back_ms, now_ms);
 	} else if (room.all) {
 		wait_for_limit(r, &room, now_ms);
 	} else {
--- a/traffic/server_words.c
+++ b/traffic/server_words.c
@@ -1,4 +1,5 @@
 #include "common/event.h"
+#include "core/availability.h"
 #include "misc/clock.h"
 #include "traffic/server_words.h"
 
@@ -16,23 +17,27 @@
 
 static void hear_rest(struct traffic *t, struct backend *b, double rest_s)
 {
-	int64_t until = clock_ms() + (int64_t)(rest_s * 1000);
+	struct server_memory *m = b->memory;
+	int64_t now_ms = clock_ms();
+	bool longer =
+		server_memory_rest(m, rest_s, g_rand_double(t->rand), now_ms);
 
-	if (until > b->rest_until_ms)
-		b->rest_until_ms = until;
+	/* What it reported before says nothing of when it returns. */
+	if (longer)
+		b->load = (struct load_report){.slots = b->load.slots};
 	t->counters.rests++;
 	mp_event(EV_REST_ASKED, G_LOG_LEVEL_MESSAGE,
 		 "backend=%s service=%s rest_s=%g ends_in_ms=%" G_GINT64_FORMAT
-		 " in_flight=%u",
+		 " back_in_ms=%" G_GINT64_FORMAT " in_flight=%u",
 		 b->entry.id, b->service->name, rest_s,
-		 b->rest_until_ms - clock_ms(), b->in_flight);
+		 m->rest_until_ms - now_ms, m->back_ms - now_ms, b->in_flight);
 }
 
 static void hear_leaving(struct backend *b)
 {
-	if (b->leaving)
+	if (b->memory->leaving)
 		return;
-	b->leaving = true;
+	b->memory->leaving = true;
 	mp_event(EV_BACKEND_LEAVING, G_LOG_LEVEL_MESSAGE,
 		 "backend=%s service=%s listed_as_draining=%d in_flight=%u",
 		 b->entry.id, b->service->name, b->entry.draining,
