Instances hear from each other which servers have said that they leave

What a server says of its leaving is true for all instances, but each heard it only from an answer of its own.

--- a/control/control.c
+++ b/control/control.c
@@ -9,6 +9,7 @@
 
 #include "common/event.h"
 #include "control/control.h"
+#include "control/relay.h"
 #include "http/socket.h"
 #include "misc/clock.h"
 
@@ -31,10 +32,11 @@
 };
 
 /*
- * A listing of many servers may fill the queue before the traffic thread has
- * had its turn; it never waits for this thread, so waiting for it is safe.
+ * control_tell_traffic() sends the traffic thread a message. A listing of many servers
+ * may fill the queue before that has had its turn; it never waits for this thread, so
+ * waiting for it is safe.
  */
-static void send_to_traffic(struct control *c, int kind, void *data)
+void control_tell_traffic(struct control *c, int kind, void *data)
 {
 	for (int i = 0; i < SEND_TRIES; i++) {
 		if (mailbox_send(c->out, kind, data) == 0)
@@ -67,7 +69,7 @@
 
 	*copy = *ch;
 	log_change(ch);
-	send_to_traffic(priv, TO_TRAFFIC_BACKEND, copy);
+	control_tell_traffic(priv, TO_TRAFFIC_BACKEND, copy);
 }
 
 /* Publishes how old the list of backend servers is. */
@@ -126,7 +128,7 @@
 	struct control *c = priv;
 	int64_t now_ms = clock_ms();
 
-	send_to_traffic(c, TO_TRAFFIC_CONFIG, cfg);
+	control_tell_traffic(c, TO_TRAFFIC_CONFIG, cfg);
 	if (!c->config.polls)
 		return;
 	stamp_self(c, now_ms);
@@ -166,21 +168,8 @@
 	struct control *c = priv;
 	int64_t now_ms = clock_ms();
 
-	if (m->kind == GOSSIP_LOAD) {
-		send_to_traffic(c, TO_TRAFFIC_LOAD,
-				g_memdup2(&m->load, sizeof(m->load)));
+	if (relay_from_peer(c, m))
 		return;
-	}
-	if (m->kind == GOSSIP_WANT || m->kind == GOSSIP_GRANT) {
-		send_to_traffic(c, TO_TRAFFIC_LIMIT_CALL,
-				g_memdup2(&m->call, sizeof(m->call)));
-		return;
-	}
-	if (m->kind == GOSSIP_LIMIT) {
-		send_to_traffic(c, TO_TRAFFIC_LIMITS,
-				g_memdup2(&m->limits, sizeof(m->limits)));
-		return;
-	}
 	if (m->kind == GOSSIP_FEED) {
 		backend_watch_feed(&c->backends, &m->feed, now_ms);
 		publish_age(c);
@@ -247,7 +236,7 @@
 	/* Both threads only read them, and hold them by a reference each. */
 	g_array_ref(v.named);
 	g_array_ref(v.sharers);
-	send_to_traffic(c, TO_TRAFFIC_PEERS, g_memdup2(&v, sizeof(v)));
+	control_tell_traffic(c, TO_TRAFFIC_PEERS, g_memdup2(&v, sizeof(v)));
 }
 
 static void log_lost_peers(struct control *c, int64_t now_ms)
@@ -313,7 +302,8 @@
 
 static void on_verdict(void *priv, const struct verdict *v)
 {
-	send_to_traffic(priv, TO_TRAFFIC_VERDICT, g_memdup2(v, sizeof(*v)));
+	control_tell_traffic(priv, TO_TRAFFIC_VERDICT,
+			     g_memdup2(v, sizeof(*v)));
 }
 
 /* Verdicts that stand in the store. */
@@ -342,7 +332,7 @@
 	c->peers.peers.self.leaving = true;
 	peer_channel_beat_all(&c->peers, c->stopping_ms);
 	publish_peers(c, c->stopping_ms);
-	send_to_traffic(c, TO_TRAFFIC_STOP, NULL);
+	control_tell_traffic(c, TO_TRAFFIC_STOP, NULL);
 }
 
 /* Takes over changed settings and says which wait for the next start. */
@@ -362,7 +352,7 @@
 	buf_free(&all);
 	buf_free(&rest);
 	mp_log_set_level(c->settings.log_level);
-	send_to_traffic(
+	control_tell_traffic(
 		c, TO_TRAFFIC_BOUNDS,
 		g_memdup2(&c->settings.bounds, sizeof(c->settings.bounds)));
 }
@@ -380,28 +370,6 @@
 		take_settings(c, &fresh);
 }
 
-/* Tells every live peer what this instance has out. */
-static void send_load(struct control *c, struct peer_load *load)
-{
-	struct buf b = {0};
-
-	load->peer = peer_id(c->peers.peers.self.name);
-	gossip_write_load(&b, load);
-	peer_channel_send_plain(&c->peers, &b, clock_ms());
-	buf_free(&b);
-}
-
-/* Tells every live peer what servers say of their limits. */
-static void send_limits(struct control *c, struct limit_news *news)
-{
-	struct buf b = {0};
-
-	news->peer = peer_id(c->peers.peers.self.name);
-	gossip_write_limits(&b, news);
-	peer_channel_send_plain(&c->peers, &b, clock_ms());
-	buf_free(&b);
-}
-
 static void from_traffic(void *priv, struct mail *m)
 {
 	struct control *c = priv;
@@ -415,16 +383,10 @@
 		g_free(m->data);
 		break;
 	case FROM_TRAFFIC_LOAD:
-		send_load(c, m->data);
-		g_free(m->data);
-		break;
 	case FROM_TRAFFIC_LIMIT_CALL:
-		peer_channel_call(&c->peers, m->data, clock_ms());
-		g_free(m->data);
-		break;
 	case FROM_TRAFFIC_LIMITS:
-		send_limits(c, m->data);
-		g_free(m->data);
+	case FROM_TRAFFIC_LEAVING:
+		relay_from_traffic(c, (enum from_traffic)m->kind, m->data);
 		break;
 	}
 }
--- a/control/control.h
+++ b/control/control.h
@@ -28,6 +28,7 @@
 	TO_TRAFFIC_VERDICT = 7,	   /* struct verdict * */
 	TO_TRAFFIC_LIMITS = 8,	   /* struct limit_news * */
 	TO_TRAFFIC_LIMIT_CALL = 9, /* struct limit_call * */
+	TO_TRAFFIC_LEAVING = 10,   /* struct leaving_news * */
 	TO_TRAFFIC_BOUNDS = 6,	   /* struct bounds *, of changed settings */
 };
 
@@ -37,6 +38,7 @@
 	FROM_TRAFFIC_CRASH = 3,	     /* struct crash_news * */
 	FROM_TRAFFIC_LOAD = 2,	     /* struct peer_load *, without a name */
 	FROM_TRAFFIC_LIMITS = 4,     /* struct limit_news *, without a name */
+	FROM_TRAFFIC_LEAVING = 6,    /* struct leaving_news *, without a name */
 	FROM_TRAFFIC_LIMIT_CALL = 5, /* struct limit_call *, without `from` */
 };
 
@@ -83,5 +85,6 @@
 		 const struct settings_source *settings_source,
 		 const struct config_source *source, struct mailbox *out);
 void control_run(struct control *c);
+void control_tell_traffic(struct control *c, int kind, void *data);
 
 #endif
--- /dev/null
+++ b/control/relay.c
@@ -0,0 +1,59 @@
+#include "control/relay.h"
+#include "misc/clock.h"
+
+/*
+ * relay_from_peer() passes a message on to the traffic thread; false when it isn't
+ * meant for that.
+ */
+bool relay_from_peer(struct control *c, const struct gossip_message *m)
+{
+	switch (m->kind) {
+	case GOSSIP_LOAD:
+		control_tell_traffic(c, TO_TRAFFIC_LOAD,
+				     g_memdup2(&m->load, sizeof(m->load)));
+		return true;
+	case GOSSIP_WANT:
+	case GOSSIP_GRANT:
+		control_tell_traffic(c, TO_TRAFFIC_LIMIT_CALL,
+				     g_memdup2(&m->call, sizeof(m->call)));
+		return true;
+	case GOSSIP_LIMIT:
+		control_tell_traffic(c, TO_TRAFFIC_LIMITS,
+				     g_memdup2(&m->limits, sizeof(m->limits)));
+		return true;
+	case GOSSIP_LEAVING:
+		control_tell_traffic(
+			c, TO_TRAFFIC_LEAVING,
+			g_memdup2(&m->leaving, sizeof(m->leaving)));
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* relay_from_traffic() passes on to the peers what it takes as `data`. */
+void relay_from_traffic(struct control *c, enum from_traffic kind, void *data)
+{
+	uint32_t self = peer_id(c->peers.peers.self.name);
+	struct leaving_news *leaving = data;
+	struct limit_news *limits = data;
+	struct peer_load *load = data;
+	struct buf b = {0};
+
+	if (kind == FROM_TRAFFIC_LIMIT_CALL) {
+		peer_channel_call(&c->peers, data, clock_ms());
+	} else if (kind == FROM_TRAFFIC_LOAD) {
+		load->peer = self;
+		gossip_write_load(&b, load);
+	} else if (kind == FROM_TRAFFIC_LIMITS) {
+		limits->peer = self;
+		gossip_write_limits(&b, limits);
+	} else if (kind == FROM_TRAFFIC_LEAVING) {
+		leaving->peer = self;
+		gossip_write_leaving(&b, leaving);
+	}
+	if (b.len)
+		peer_channel_send_plain(&c->peers, &b, clock_ms());
+	buf_free(&b);
+	g_free(data);
+}
--- a/core/availability.c
+++ b/core/availability.c
@@ -29,10 +29,10 @@
 }
 
 /* Whether b's limit, which it names, lets this instance send one more. */
-static bool has_limit_left(const struct backend_limit *l, int64_t now_ms)
+static bool has_limit_left(struct backend_limit *l, int64_t now_ms)
 {
 	return l->looks || now_ms < l->granted_ms ||
-	       limit_share_allows(&((struct backend_limit *)l)->share, now_ms);
+	       limit_share_allows(&l->share, now_ms);
 }
 
 /*
@@ -47,9 +47,9 @@
 
 	if (m->returning && b->in_flight)
 		return HOLD_RETURN;
-	if (!m->limit && !m->was_free)
-		return b->in_flight ? HOLD_UNKNOWN : HOLD_NONE;
-	if (!backend_is_limited(b))
+	if (!m->limit)
+		return !m->was_free && b->in_flight ? HOLD_UNKNOWN : HOLD_NONE;
+	if (!m->limit->said.named)
 		return HOLD_NONE;
 	/* What a server in need takes goes to requests that have nothing else. */
 	return kind == SEND_BESIDE || !has_limit_left(m->limit, now_ms)
--- a/core/server_memory.h
+++ b/core/server_memory.h
@@ -47,9 +47,12 @@
 	bool was_free;	/* it has answered here without naming a limit */
 	bool limit_bad; /* what it last said of it was no number; for the log */
 	bool leaving; /* it has said that it leaves, which it never takes back */
-	int64_t rest_until_ms; /* it wants nothing before; 0: never asked */
-	int64_t back_ms;       /* this instance returns then, not before */
-	bool returning;	       /* it has not answered since */
+	unsigned
+		leaving_tells; /* times that it is yet to be told to the peers */
+	int64_t leaving_tell_ms; /* the next of these is due then */
+	int64_t rest_until_ms;	 /* it wants nothing before; 0: never asked */
+	int64_t back_ms;	 /* this instance returns then, not before */
+	bool returning;		 /* it has not answered since */
 };
 
 struct server_memories {
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -12,6 +12,7 @@
 	CRASH_FIELDS = 3,
 	LOAD_FIELDS = 3,
 	LIMIT_FIELDS = 5,
+	LEAVING_FIELDS = 2,
 	CALL_FIELDS = 4,
 };
 
@@ -298,6 +299,22 @@
 	}
 }
 
+/* gossip_write_leaving() writes which servers have said that they leave. */
+void gossip_write_leaving(struct buf *out, const struct leaving_news *news)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	msgpack_pack_array(&pk, 3);
+	msgpack_pack_int(&pk, GOSSIP_LEAVING);
+	msgpack_pack_uint32(&pk, news->peer);
+	msgpack_pack_array(&pk, LEAVING_FIELDS * (size_t)news->n);
+	for (unsigned i = 0; i < news->n; i++) {
+		codec_pack_cstr(&pk, news->items[i].id);
+		msgpack_pack_uint64(&pk, news->items[i].born_ms);
+	}
+}
+
 /* gossip_write_call() writes a question for a send, or a grant. */
 void gossip_write_call(struct buf *out, const struct limit_call *call)
 {
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -212,6 +212,19 @@
 	return !c.bad;
 }
 
+static bool read_leaving(const msgpack_object *o, struct leaving_news *news)
+{
+	struct cursor c = cursor_of(o);
+
+	while (!c.bad && c.at < c.end && news->n < LEAVING_NEWS_MAX) {
+		struct leaving_item *it = &news->items[news->n++];
+
+		next_text(&c, it->id, sizeof(it->id));
+		it->born_ms = next_uint(&c);
+	}
+	return !c.bad;
+}
+
 static bool read_call(struct cursor *c, struct gossip_message *m)
 {
 	m->call.grant = m->kind == GOSSIP_GRANT;
@@ -227,6 +240,7 @@
 	switch (m->kind) {
 	case GOSSIP_LOAD:
 	case GOSSIP_LIMIT:
+	case GOSSIP_LEAVING:
 	case GOSSIP_WANT:
 	case GOSSIP_GRANT:
 		return false;
@@ -253,6 +267,9 @@
 	case GOSSIP_LIMIT:
 		m->limits.peer = (uint32_t)next_uint(c);
 		return read_limits(next(c), &m->limits) && !c->bad;
+	case GOSSIP_LEAVING:
+		m->leaving.peer = (uint32_t)next_uint(c);
+		return read_leaving(next(c), &m->leaving) && !c->bad;
 	case GOSSIP_WANT:
 	case GOSSIP_GRANT:
 		return read_call(c, m);
--- /dev/null
+++ b/tests/test_server_memory.c
@@ -0,0 +1,123 @@
+/* Tests of core/server_memory: what a lifetime of a server has said, and how long. */
+#include "tests/unit.h"
+
+#include "core/server_memory.h"
+
+static struct server_memories all;
+
+static int begin(void **state)
+{
+	server_memories_init(&all);
+	return 0;
+}
+
+static int end(void **state)
+{
+	g_hash_table_unref(all.all);
+	g_queue_clear(&all.unlisted);
+	return 0;
+}
+
+static void test_kept_while_unlisted(void **state)
+{
+	struct server_memory *m = server_memory_get(&all, "i-1", 5);
+
+	m->leaving = true;
+	server_memory_release(m);
+	assert_ptr_equal(server_memory_find(&all, "i-1", 5), m);
+	assert_null(server_memory_find(&all, "i-1", 6));
+	assert_null(server_memory_find(&all, "i-2", 5));
+	assert_ptr_equal(server_memory_get(&all, "i-1", 5), m);
+	assert_int_equal(all.unlisted.length, 0);
+	m->over = true;
+	server_memory_release(m);
+	assert_null(server_memory_find(&all, "i-1", 5));
+}
+
+static void test_nothing_said_is_not_kept(void **state)
+{
+	server_memory_release(server_memory_get(&all, "i-1", 0));
+	assert_int_equal(g_hash_table_size(all.all), 0);
+}
+
+static void test_unlisted_are_bounded(void **state)
+{
+	char id[BACKEND_NAME_MAX];
+
+	for (int i = 0; i <= SERVER_MEMORY_UNLISTED_MAX; i++) {
+		struct server_memory *m;
+
+		g_snprintf(id, sizeof(id), "i-%d", i);
+		m = server_memory_get(&all, id, 0);
+		m->leaving = true;
+		server_memory_release(m);
+	}
+	assert_int_equal(g_hash_table_size(all.all),
+			 SERVER_MEMORY_UNLISTED_MAX);
+	assert_null(server_memory_find(&all, "i-0", 0));
+	assert_non_null(server_memory_find(&all, "i-1", 0));
+}
+
+/* The later end counts; an instance returns at it or up to a quarter later. */
+static void test_rests(void **state)
+{
+	struct server_memory *m = server_memory_get(&all, "i-1", 0);
+
+	assert_false(server_memory_rest(m, 0, 0.5, 1000));
+	assert_int_equal(m->back_ms, 0);
+	assert_true(server_memory_rest(m, 3, 0, 1000));
+	assert_int_equal(m->rest_until_ms, 4000);
+	assert_in_range(m->back_ms, 4000, 4001);
+	assert_false(server_memory_rest(m, 0.25, 1, 2000));
+	assert_in_range(m->back_ms, 4000, 4001);
+	assert_true(server_memory_rest(m, 4, 1, 1500));
+	assert_in_range(m->back_ms, 6500, 6501);
+	/* A later end with an earlier return of its own. */
+	assert_true(server_memory_rest(m, 0.75, 0, 5000));
+	assert_int_equal(m->rest_until_ms, 5750);
+	assert_in_range(m->back_ms, 6500, 6501);
+	server_memory_release(m);
+}
+
+/* Numbers beyond any clock count as longer than a lifetime. */
+static void test_enormous_rest(void **state)
+{
+	struct server_memory *m = server_memory_get(&all, "i-1", 0);
+
+	assert_true(server_memory_rest(m, 1e22, 1, 1000));
+	assert_true(m->rest_until_ms > (int64_t)1 << 60);
+	assert_true(m->back_ms >= m->rest_until_ms);
+	assert_false(server_memory_rest(m, 1, 1, 2000));
+	server_memory_release(m);
+}
+
+/* Only an answer to what was sent after the rest ends its return. */
+static void test_return(void **state)
+{
+	struct server_memory *m = server_memory_get(&all, "i-1", 0);
+
+	server_memory_rest(m, 1, 0, 1000);
+	assert_true(m->returning);
+	server_memory_answered(m, 1990);
+	assert_true(m->returning);
+	server_memory_answered(m, m->back_ms);
+	assert_false(m->returning);
+	server_memory_release(m);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_kept_while_unlisted, begin,
+						end),
+		cmocka_unit_test_setup_teardown(test_nothing_said_is_not_kept,
+						begin, end),
+		cmocka_unit_test_setup_teardown(test_unlisted_are_bounded,
+						begin, end),
+		cmocka_unit_test_setup_teardown(test_rests, begin, end),
+		cmocka_unit_test_setup_teardown(test_enormous_rest, begin, end),
+		cmocka_unit_test_setup_teardown(test_return, begin, end),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_server_rest.c
+++ b/tests/test_server_rest.c
@@ -194,6 +194,24 @@
 	bench_free(b);
 }
 
+/* Also one whose entry comes after the news. */
+static void test_leaving_told_by_a_peer(void **state)
+{
+	struct bench *b = bench_new(2);
+	struct leaving_news *news = g_new0(struct leaving_news, 1);
+
+	backend_set_remove(&b->traffic.backends, "i-0");
+	news->n = 2;
+	g_strlcpy(news->items[0].id, "i-0", BACKEND_NAME_MAX);
+	g_strlcpy(news->items[1].id, "i-1", BACKEND_NAME_MAX);
+	news->items[1].born_ms = 9; /* another lifetime than the one here */
+	mailbox_send(&b->traffic.in, TO_TRAFFIC_LEAVING, news);
+	bench_run_ms(b, 5);
+	bench_put(b, 0, false);
+	assert_gets_nothing(b, 0, 200);
+	bench_free(b);
+}
+
 static void test_leaving_said_to_a_question(void **state)
 {
 	struct bench *b = bench_new(2);
@@ -221,6 +239,7 @@
 		cmocka_unit_test(test_all_rest_refused_with_the_first_return),
 		cmocka_unit_test(test_all_rest_held_for_a_near_return),
 		cmocka_unit_test(test_requests_after_leaving),
+		cmocka_unit_test(test_leaving_told_by_a_peer),
 		cmocka_unit_test(test_leaving_said_to_a_question),
 	};
 
--- a/traffic/server_words.c
+++ b/traffic/server_words.c
@@ -1,6 +1,7 @@
 #include "common/event.h"
 #include "core/availability.h"
 #include "misc/clock.h"
+#include "traffic/leaving.h"
 #include "traffic/server_words.h"
 
 enum { TEXT_MAX = 64 }; /* bytes of a value that are logged */
@@ -33,17 +34,6 @@
 		 m->rest_until_ms - now_ms, m->back_ms - now_ms, b->in_flight);
 }
 
-static void hear_leaving(struct backend *b)
-{
-	if (b->memory->leaving)
-		return;
-	b->memory->leaving = true;
-	mp_event(EV_BACKEND_LEAVING, G_LOG_LEVEL_MESSAGE,
-		 "backend=%s service=%s listed_as_draining=%d in_flight=%u",
-		 b->entry.id, b->service->name, b->entry.draining,
-		 b->in_flight);
-}
-
 /* server_words_hear() takes in what an answer of b says of it. */
 void server_words_hear(struct traffic *t, struct backend *b,
 		       const struct answer_info *info)
@@ -55,5 +45,5 @@
 	if (info->leaving == LEAVING_BAD)
 		log_bad_value(t, b, "leaving", info->leaving_text);
 	else if (info->leaving == LEAVING_SAID)
-		hear_leaving(b);
+		leaving_heard(t, b);
 }
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -10,6 +10,7 @@
 #include "misc/clock.h"
 #include "member/advise.h"
 #include "platform/directory.h"
+#include "traffic/leaving.h"
 #include "traffic/limit_sends.h"
 #include "traffic/limits.h"
 #include "traffic/metrics.h"
@@ -263,6 +264,7 @@
 	t->budget_rule.instances = t->most_instances;
 	t->ask_rule.instances = t->most_instances;
 	limits_peers_changed(t);
+	leaving_peers_changed(t);
 }
 
 static void receive(void *priv, struct mail *m)
@@ -289,6 +291,10 @@
 		limits_told(t, m->data);
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_LEAVING:
+		leaving_told(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_LIMIT_CALL:
 		limit_sends_called(t, m->data);
 		g_free(m->data);
@@ -375,6 +381,7 @@
 	take_bounds(t, &s->bounds);
 	share_init(t);
 	limits_init(t);
+	leaving_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
 	backend_set_init(&t->backends, on_backend_gone, t);
