Answers that nobody waits for any more still tell of their server; what takes nothing any more gets no request that was chosen before

Three gaps behind the check of a choice. (1) A request that is given up closed its connection, and a 503 already on its way was lost: only the sending half is closed now, so the server sees it as given up, and for up to 1 s what comes is read for what it says of the server. (2) Responses behind another on a connection, at once or while it is idle, were thrown away unread.

Limits named in such answers count as of unknown age: they begin or tighten a limit and never end or raise one. Answers are decoded twice, not three times.

Evidence: test_upstream, six tests; without the mended places (mutants) test_answer_after_giving_up, test_answer_behind_another, test_withdrawn_while_connecting and test_withdrawn_request_goes_elsewhere fail. test_giving_up_ends_the_work: the work at the server ends as before. Found on the way: SCRIPT_TWICE_LATE of tests/bench.h sent nothing late; it does now, and what uses it passes.

--- a/control/introduce.c
+++ b/control/introduce.c
@@ -163,8 +163,8 @@
 	no_answer(priv, 0, g_strerror(-err));
 }
 
-static const struct http_client_ops client_ops = {judge, on_response,
-						  on_failed};
+static const struct http_client_ops client_ops = {
+	.judge = judge, .response = on_response, .failed = on_failed};
 
 static int ask(struct introduce *in, const struct peer_info *peer,
 	       struct lstr path)
--- a/http/client.c
+++ b/http/client.c
@@ -49,8 +49,29 @@
 	c->ops->failed(c->priv, err, sent);
 }
 
-/* Hands a finished response to the owner; false when it was not the one. */
-static bool deliver(struct http_client *c)
+/* Reads whole responses that nobody waits for out of n bytes at p. */
+static void take_strays(struct http_client *c, const char *p, size_t n)
+{
+	while (n) {
+		ssize_t used = http_reader_feed(&c->reader, p, n);
+		struct http_message *m;
+
+		if (used < 0 || !c->reader.msg->done)
+			return;
+		p += used;
+		n -= (size_t)used;
+		m = http_reader_take(&c->reader);
+		if (c->ops->stray)
+			c->ops->stray(c->priv, m);
+		http_message_free(m);
+	}
+}
+
+/*
+ * Hands a finished response to the owner; false when it was not the one. The n bytes
+ * at p came behind it.
+ */
+static bool deliver(struct http_client *c, const char *p, size_t n)
 {
 	struct http_message *m = http_reader_take(&c->reader);
 
@@ -72,6 +93,7 @@
 	c->state = CLIENT_IDLE;
 	buf_free(&c->out);
 	watch(c, EV_READ);
+	take_strays(c, p, n);
 	c->ops->response(c->priv, m);
 	return true;
 }
@@ -93,7 +115,7 @@
 		/* Bytes after an answer belong to no request. */
 		if (n)
 			c->reusable = false;
-		if (deliver(c))
+		if (deliver(c, p, n))
 			return;
 	}
 }
@@ -110,6 +132,7 @@
 		return;
 	}
 	if (c->state == CLIENT_IDLE) {
+		take_strays(c, chunk, (size_t)n);
 		fail(c, n ? -EPROTO : -EPIPE);
 		return;
 	}
@@ -118,10 +141,15 @@
 		return;
 	}
 	c->reusable = false;
-	if (http_reader_eof(&c->reader) || !deliver(c))
+	if (http_reader_eof(&c->reader) || !deliver(c, NULL, 0))
 		fail(c, -EPIPE);
 }
 
+static bool may_leave(struct http_client *c)
+{
+	return c->sent || !c->ops->may_leave || c->ops->may_leave(c->priv);
+}
+
 static void on_writable(struct http_client *c)
 {
 	if (c->state == CLIENT_CONNECTING) {
@@ -134,6 +162,10 @@
 		c->state = c->waiting ? CLIENT_BUSY : CLIENT_IDLE;
 		set_timer(c, c->waiting ? c->timeout_s : 0);
 	}
+	if (c->out.len && !may_leave(c)) {
+		fail(c, -ECANCELED);
+		return;
+	}
 	if (c->out.len) {
 		ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
 
@@ -214,12 +246,29 @@
 		return;
 	c->state = CLIENT_BUSY;
 	set_timer(c, timeout_s);
-	ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
+	if (may_leave(c)) {
+		ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
 
-	if (n > 0) {
-		c->sent = true;
-		buf_consume(&c->out, (size_t)n);
+		if (n > 0) {
+			c->sent = true;
+			buf_consume(&c->out, (size_t)n);
+		}
 	}
-	/* An error shows again on the next event, outside the caller. */
+	/* What went wrong shows again on the next event, outside the caller. */
 	watch(c, c->out.len ? EV_READ | EV_WRITE : EV_READ);
 }
+
+/*
+ * http_client_linger() closes the sending half of a connection that waits for a
+ * response, so that the peer sees the request as given up, and reads on for what the
+ * peer had sent before it saw that: until it closes too or timeout_s is over. Returns
+ * false when there is nothing to wait for.
+ */
+bool http_client_linger(struct http_client *c, double timeout_s)
+{
+	if (c->state != CLIENT_BUSY || c->out.len || shutdown(c->fd, SHUT_WR))
+		return false;
+	c->reusable = false;
+	set_timer(c, timeout_s);
+	return true;
+}
--- a/http/client.h
+++ b/http/client.h
@@ -29,6 +29,13 @@
 	 * may have left.
 	 */
 	void (*failed)(void *priv, int err, bool sent);
+	/*
+	 * Optional: no byte of the request has left yet, and it may go now. False
+	 * withdraws it: `failed` hears of -ECANCELED.
+	 */
+	bool (*may_leave)(void *priv);
+	/* Optional: a whole response has come that nobody waits for. */
+	void (*stray)(void *priv, const struct http_message *m);
 };
 
 enum client_state {
@@ -61,6 +68,7 @@
 		     const struct http_client_ops *ops, void *priv);
 void http_client_send(struct http_client *c, struct lstr bytes,
 		      double timeout_s, bool head_request);
+bool http_client_linger(struct http_client *c, double timeout_s);
 void http_client_close(struct http_client *c);
 
 #endif
--- a/stand/put.c
+++ b/stand/put.c
@@ -21,7 +21,8 @@
 	g_debug("store: %s", g_strerror(-err));
 }
 
-static const struct http_client_ops ops = {judge, on_response, on_failed};
+static const struct http_client_ops ops = {
+	.judge = judge, .response = on_response, .failed = on_failed};
 
 /*
  * stand_put() writes one record of a keyed topic on behalf of a backend
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -8,8 +8,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http/client.h"
+#include "http/conn.h"
 #include "http/server.h"
 #include "http/socket.h"
 #include "misc/clock.h"
@@ -54,6 +57,8 @@
 	bool ill;  /* its health answer is 503, without a load */
 	const char *limit; /* that its answers name; NULL: none */
 	const char *says;  /* more header lines of its answers; NULL: none */
+	const char *tail;  /* bytes behind each answer; NULL: none */
+	int tail_ms;	   /* they come so much later; 0: at once */
 	const char *says_asked; /* and of those to questions */
 	unsigned asked;		/* questions so far */
 };
@@ -103,6 +108,35 @@
 						.headers = lstr0(headers)});
 }
 
+/* Bytes that come a while after an answer, whatever becomes of its connection. */
+struct late_bytes {
+	ev_timer timer;
+	int fd;
+	struct buf bytes;
+};
+
+static inline void on_late_bytes(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct late_bytes *l = t->data;
+
+	ev_timer_stop(loop, t);
+	(void)!send(l->fd, l->bytes.ptr, l->bytes.len, MSG_NOSIGNAL);
+	close(l->fd);
+	buf_free(&l->bytes);
+	g_free(l);
+}
+
+static inline void send_late(struct bench *b, int fd, struct lstr bytes, int ms)
+{
+	struct late_bytes *l = g_new0(struct late_bytes, 1);
+
+	l->fd = dup(fd);
+	buf_add_lstr(&l->bytes, bytes);
+	ev_timer_init(&l->timer, on_late_bytes, ms / 1000.0, 0);
+	l->timer.data = l;
+	ev_timer_start(b->loop, &l->timer);
+}
+
 static inline void job_reply(struct job *j)
 {
 	struct server *s = j->server;
@@ -146,6 +180,13 @@
 
 		for (int i = 0; i < copies; i++)
 			buf_add(&b, text, (size_t)n);
+		if (s->script == SCRIPT_TWICE_LATE)
+			send_late(s->bench, c->fd,
+				  (struct lstr){text, (size_t)n}, 3);
+		if (s->tail && s->tail_ms)
+			send_late(s->bench, c->fd, lstr0(s->tail), s->tail_ms);
+		else if (s->tail)
+			buf_add_lstr(&b, lstr0(s->tail));
 		http_conn_reply_raw(c, buf_lstr(&b), false);
 		buf_free(&b);
 	}
--- a/tests/bench_callers.h
+++ b/tests/bench_callers.h
@@ -30,8 +30,9 @@
 	c->open = false;
 }
 
-static const struct http_client_ops caller_ops = {caller_judge, caller_response,
-						  caller_failed};
+static const struct http_client_ops caller_ops = {.judge = caller_judge,
+						  .response = caller_response,
+						  .failed = caller_failed};
 
 static inline struct caller *bench_call_path(struct bench *b,
 					     const char *method,
--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,206 @@
+/*
+ * Tests of traffic/upstream: what connections bring that nobody waits for any more,
+ * and requests that are withdrawn before they leave.
+ */
+#include "tests/unit.h"
+
+#include "tests/bench.h"
+
+#include "traffic/upstream.h"
+
+#define TURNED_AWAY                                          \
+	"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: " \
+	"9\r\nServer-Leaving: 1\r\n"                         \
+	"Content-Length: 0\r\n\r\n"
+
+static struct backend *backend_of(struct bench *b, int i)
+{
+	return g_hash_table_lookup(b->traffic.backends.by_id, b->servers[i].id);
+}
+
+static void assert_heard(struct bench *b, bool heard)
+{
+	const struct server_memory *m = backend_of(b, 0)->memory;
+
+	assert_int_equal(m->rest_until_ms > clock_ms() + 8000, heard);
+	assert_int_equal(m->leaving, heard);
+}
+
+static enum http_verdict take(void *owner, const struct answer_info *info)
+{
+	return HTTP_TAKE;
+}
+
+static void response(void *owner, struct http_message *m,
+		     const struct answer_info *info)
+{
+	http_message_free(m);
+}
+
+static void failed(void *owner, int err, bool sent)
+{
+	*(int *)owner = err;
+}
+
+static const struct upstream_ops ops = {take, response, failed};
+
+/* Sends server 0 a request on a new connection. */
+static struct upstream *send_one(struct bench *b, int *err)
+{
+	struct upstream *u =
+		upstream_get(&b->traffic, backend_of(b, 0), clock_ms());
+
+	upstream_exchange(
+		u,
+		LSTR("GET /x HTTP/1.1\r\nHost: x\r\n"
+		     "Attempt-Id: a1\r\nTarget-Instance: i-0\r\n\r\n"),
+		1, false, &ops, err);
+	return u;
+}
+
+static void test_answer_after_giving_up(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct upstream *u;
+	int err = 0;
+
+	b->servers[0].script = SCRIPT_REFUSE;
+	b->servers[0].says = "Retry-After: 9\r\nServer-Leaving: 1\r\n";
+	u = send_one(b, &err);
+	while (!b->servers[0].received)
+		ev_run(b->loop, EVRUN_ONCE);
+	assert_heard(b, false);
+	upstream_drop(u);
+	bench_run_ms(b, 20);
+	assert_heard(b, true);
+	assert_int_equal(err, 0);
+	bench_free(b);
+}
+
+/* The server sees a request that is given up as such, and drops it. */
+static void test_giving_up_ends_the_work(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct upstream *u;
+	int err = 0;
+
+	b->servers[0].work_ms = 300;
+	u = send_one(b, &err);
+	bench_run_ms(b, 20);
+	assert_int_equal(b->servers[0].running, 1);
+	upstream_drop(u);
+	bench_run_ms(b, 20);
+	assert_int_equal(b->servers[0].running, 0);
+	assert_null(backend_of(b, 0)->in_use);
+	bench_free(b);
+}
+
+static void test_answer_behind_another(void **state)
+{
+	for (int late = 0; late < 2; late++) {
+		struct bench *b = bench_new(1);
+		struct caller *c;
+
+		b->servers[0].tail = TURNED_AWAY;
+		b->servers[0].tail_ms = 10 * late;
+		c = bench_call(b, "POST", 1000);
+		bench_run_until(b, c);
+		assert_int_equal(c->status, 200);
+		bench_run_ms(b, 30);
+		assert_heard(b, true);
+		bench_free(b);
+	}
+}
+
+static void test_answer_of_another_start(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct caller *c;
+
+	b->servers[0].tail = "HTTP/1.1 503 X\r\nInstance-Id: i-9\r\n"
+			     "Retry-After: 9\r\nServer-Leaving: 1\r\n"
+			     "Content-Length: 0\r\n\r\n"
+			     "HTTP/1.1 421 X\r\nServer-Leaving: 1\r\n"
+			     "Content-Length: 0\r\n\r\n";
+	c = bench_call(b, "POST", 1000);
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 200);
+	assert_heard(b, false);
+	bench_free(b);
+}
+
+static void test_withdrawn_while_connecting(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct backend *s = backend_of(b, 0);
+	struct upstream *u;
+	int err = 0;
+
+	u = send_one(b, &err);
+	assert_int_equal(u->http.state, CLIENT_CONNECTING);
+	server_memory_rest(s->memory, 0.05, 0, clock_ms());
+	bench_run_ms(b, 20);
+	assert_int_equal(err, -ECANCELED);
+	assert_int_equal(b->servers[0].received, 0);
+	/* On a connection that stands it is the same. */
+	err = 0;
+	bench_run_ms(b, 60);
+	u = send_one(b, &err);
+	bench_run_ms(b, 20);
+	upstream_put(u, clock_ms());
+	s->memory->leaving = true;
+	u = upstream_get(&b->traffic, s, 0);
+	assert_int_equal(u->http.state, CLIENT_IDLE);
+	upstream_exchange(u, LSTR("GET /x HTTP/1.1\r\n\r\n"), 1, false, &ops,
+			  &err);
+	bench_run_ms(b, 20);
+	assert_int_equal(err, -ECANCELED);
+	assert_int_equal(b->servers[0].received, 1);
+	bench_free(b);
+}
+
+/* A request whose server took nothing any more goes on as if never sent. */
+static void test_withdrawn_request_goes_elsewhere(void **state)
+{
+	for (int idempotent = 0; idempotent < 2; idempotent++) {
+		struct bench *b = bench_new(2);
+		struct service *s = backend_of(b, 0)->service;
+		struct caller *c;
+		int to;
+
+		b->servers[0].tells_load = b->servers[1].tells_load = false;
+		s->load_support = LOAD_NOT_TOLD;
+		b->traffic.budget_rule.ratio = b->traffic.budget_rule.slack = 0;
+		c = bench_call(b, idempotent ? "GET" : "POST", 1000);
+		while (!backend_of(b, 0)->in_flight &&
+		       !backend_of(b, 1)->in_flight)
+			ev_run(b->loop, EVRUN_ONCE);
+		to = backend_of(b, 1)->in_flight ? 1 : 0;
+		assert_int_equal(b->servers[to].received, 0);
+		server_memory_rest(backend_of(b, to)->memory, 5, 0, clock_ms());
+		bench_run_until(b, c);
+		assert_int_equal(c->status, 200);
+		assert_int_equal(b->servers[to].received, 0);
+		assert_int_equal(b->traffic.counters.withdrawn, 1);
+		assert_int_equal(backend_of(b, to)->in_flight, 0);
+		assert_int_equal(budget_spent(&s->account), 0);
+		assert_int_equal(s->budget.out, 0);
+		bench_free(b);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_answer_after_giving_up),
+		cmocka_unit_test(test_giving_up_ends_the_work),
+		cmocka_unit_test(test_answer_behind_another),
+		cmocka_unit_test(test_answer_of_another_start),
+		cmocka_unit_test(test_withdrawn_while_connecting),
+		cmocka_unit_test(test_withdrawn_request_goes_elsewhere),
+	};
+
+	if (argc > 1)
+		cmocka_set_test_filter(argv[1]);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tools/fetch.c
+++ b/tools/fetch.c
@@ -35,7 +35,8 @@
 	ev_break(x->loop, EVBREAK_ALL);
 }
 
-static const struct http_client_ops ops = {judge, on_response, on_failed};
+static const struct http_client_ops ops = {
+	.judge = judge, .response = on_response, .failed = on_failed};
 
 /*
  * fetch() sends a request without a body to "a.b.c.d:port" and appends the
--- a/tools/load.c
+++ b/tools/load.c
@@ -89,7 +89,8 @@
 	end_call(c);
 }
 
-static const struct http_client_ops ops = {judge, on_response, on_failed};
+static const struct http_client_ops ops = {
+	.judge = judge, .response = on_response, .failed = on_failed};
 
 static struct service_load *pick_service(struct load *l)
 {
--- a/traffic/ask.c
+++ b/traffic/ask.c
@@ -4,8 +4,6 @@
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/ask.h"
-#include "traffic/limits.h"
-#include "traffic/server_words.h"
 
 /* A server that tells its load does so at once, in a round trip. */
 static const double ASK_TIMEOUT_S = 0.06;
@@ -47,14 +45,12 @@
 	r->nasks = 0;
 }
 
-static enum http_verdict ask_judge(void *owner, const struct http_message *m)
+static enum http_verdict ask_judge(void *owner, const struct answer_info *info)
 {
 	struct ask *a = owner;
-	struct answer_info info;
 
 	/* Only an answer that names its server answers the question. */
-	exchange_read_answer(m, &info);
-	if (info.id.ptr || !info.backend.ptr) {
+	if (info->id.ptr || !info->backend.ptr) {
 		a->traffic->counters.foreign_answers++;
 		return HTTP_SKIP;
 	}
@@ -121,26 +117,22 @@
 	leave_ask(a);
 }
 
-static void ask_response(void *owner, struct http_message *m)
+static void ask_response(void *owner, struct http_message *m,
+			 const struct answer_info *info)
 {
 	struct ask *a = owner;
 	int64_t now_ms = clock_ms();
-	struct answer_info info;
 
-	exchange_read_answer(m, &info);
 	a->pending = false;
-	if (!lstr_eq(info.backend, lstr0(a->backend->entry.id))) {
+	if (!lstr_eq(info->backend, lstr0(a->backend->entry.id))) {
 		drop_ask(a);
 		forget_backend(a->traffic, a->backend);
 	} else {
 		note_down(a->backend, 0, now_ms);
-		limits_answer(a->traffic, a->backend, &info, a->asked_ms,
-			      LIMIT_BY_QUESTION);
-		server_words_hear(a->traffic, a->backend, &info);
 		if (!a->opened)
 			place_note_way(a->backend,
 				       (double)(now_ms - a->asked_ms));
-		a->answered = note_report(a, &info, m->status, now_ms) &&
+		a->answered = note_report(a, info, m->status, now_ms) &&
 			      a->upstream->http.reusable;
 		if (!a->answered)
 			drop_ask(a);
@@ -156,24 +148,27 @@
 
 	a->upstream = NULL;
 	a->pending = false;
-	a->traffic->counters.ask_failures++;
-	/* A kept connection may be closed at any time: nobody's fault. */
-	if (err != -EPIPE && err != -ECONNRESET) {
+	a->traffic->counters.ask_failures += err != -ECANCELED;
+	/*
+	 * A kept connection may be closed at any time, and a question be withdrawn:
+	 * nobody's fault.
+	 */
+	if (err != -EPIPE && err != -ECONNRESET && err != -ECANCELED) {
 		note_down(a->backend, err, now_ms);
 		outlier_note(a->backend, SILENT_TROUBLE, now_ms);
 	}
 	ask_over(a, now_ms);
 }
 
-static const struct http_client_ops ask_ops = {ask_judge, ask_response,
-					       ask_failed};
+static const struct upstream_ops ask_ops = {ask_judge, ask_response,
+					    ask_failed};
 
 /* ask_start() asks b for its load on behalf of a request. */
 void ask_start(struct request *r, struct backend *b)
 {
 	const struct service_config *sc =
 		config_service(r->config, lstr0(r->service->name));
-	struct upstream *u = upstream_get(r->traffic->loop, b, 0);
+	struct upstream *u = upstream_get(r->traffic, b, 0);
 	struct buf bytes = {0};
 	struct ask *a;
 
@@ -192,7 +187,6 @@
 	r->asked++;
 	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"), b,
 			     r->traffic->via);
-	upstream_exchange(a->upstream, buf_lstr(&bytes), ASK_TIMEOUT_S, false,
-			  &ask_ops, a);
+	upstream_ask(a->upstream, buf_lstr(&bytes), ASK_TIMEOUT_S, &ask_ops, a);
 	buf_free(&bytes);
 }
--- a/traffic/end_check.c
+++ b/traffic/end_check.c
@@ -142,7 +142,8 @@
 		unsure(priv, g_strerror(-err));
 }
 
-static const struct http_client_ops ops = {judge, on_response, on_failed};
+static const struct http_client_ops ops = {
+	.judge = judge, .response = on_response, .failed = on_failed};
 
 /* Asks on a new connection. Returns 0 or a negative errno. */
 static int ask(struct end_check *c)
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -144,6 +144,8 @@
 	buf_printf(out, "limits_granted %" G_GUINT64_FORMAT "\n",
 		   n->limits_granted);
 	buf_printf(out, "rests_asked %" G_GUINT64_FORMAT "\n", n->rests);
+	buf_printf(out, "sends_withdrawn %" G_GUINT64_FORMAT "\n",
+		   n->withdrawn);
 	buf_printf(out, "answer_values_bad %" G_GUINT64_FORMAT "\n",
 		   n->words_bad);
 	buf_printf(out, "quarantined %" G_GUINT64_FORMAT "\n", n->quarantined);
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -138,6 +138,8 @@
 void request_log_extra(struct request *r, enum extra_cause cause,
 		       int64_t now_ms);
 void request_log_broken(struct request *r, const struct send *s, int err);
+void request_log_withdrawn(struct request *r, const struct send *s,
+			   int64_t now_ms);
 void request_log_foreign(struct request *r, const struct send *s,
 			 struct lstr answered);
 void request_log_outcome(struct request *r, enum mp_event ev, unsigned status,
--- a/traffic/request_log.c
+++ b/traffic/request_log.c
@@ -7,6 +7,7 @@
  */
 #include <inttypes.h>
 
+#include "core/availability.h"
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/request.h"
@@ -127,6 +128,21 @@
 		 s->backend->gone);
 }
 
+/* request_log_withdrawn() says why a send was taken back right before it left. */
+void request_log_withdrawn(struct request *r, const struct send *s,
+			   int64_t now_ms)
+{
+	struct availability a =
+		backend_availability(s->backend, SEND_CHOSEN, now_ms);
+
+	tell(r, now_ms);
+	mp_event(EV_REQUEST_WITHDRAWN, G_LOG_LEVEL_INFO,
+		 "id=%.*s digest=%016" PRIx64 " backend=%s hold=%s "
+		 "chosen_ago_ms=%" G_GINT64_FORMAT,
+		 (int)r->call.id.len, r->call.id.ptr, r->digest,
+		 s->backend->entry.id, hold_name(a.hold), now_ms - s->sent_ms);
+}
+
 /* request_log_foreign() names an answer that belongs to another request. */
 void request_log_foreign(struct request *r, const struct send *s,
 			 struct lstr answered)
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -268,7 +268,7 @@
 	ask_release(r);
 	b = r->service->policy->asks ? pick_unreported(r, now_ms)
 				     : pick_by_policy(r);
-	u = b ? upstream_get(r->traffic->loop, b, since) : NULL;
+	u = b ? upstream_get(r->traffic, b, since) : NULL;
 	if (!u) {
 		request_wait(r, now_ms);
 		return;
@@ -365,7 +365,7 @@
 
 		if (used || request_is_barred(r) || !takes(r, b, ms, now_ms))
 			continue;
-		u = upstream_get(t->loop, b, 0);
+		u = upstream_get(t, b, 0);
 		if (!u)
 			return;
 		request_place_end(r);
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -7,9 +7,7 @@
 #include "misc/clock.h"
 #include "traffic/end_check.h"
 #include "traffic/limit_sends.h"
-#include "traffic/limits.h"
 #include "traffic/request.h"
-#include "traffic/server_words.h"
 #include "traffic/share.h"
 
 /* Weights of outcomes in the failure memory of a server. */
@@ -48,16 +46,14 @@
 	}
 }
 
-static enum http_verdict send_judge(void *owner, const struct http_message *m)
+static enum http_verdict send_judge(void *owner, const struct answer_info *info)
 {
 	struct send *s = owner;
-	struct answer_info info;
 
-	exchange_read_answer(m, &info);
-	if (exchange_is_for(&info, s->request->call.id))
+	if (exchange_is_for(info, s->request->call.id))
 		return HTTP_TAKE;
 	s->request->traffic->counters.foreign_answers++;
-	request_log_foreign(s->request, s, info.id);
+	request_log_foreign(s->request, s, info->id);
 	return HTTP_SKIP;
 }
 
@@ -118,41 +114,24 @@
 	request_answer(r, m);
 }
 
-/*
- * Only what the server itself says counts: the answer bears its receipt, or
- * says that the request wasn't run, but not for being another server.
- */
-static void note_limit(struct send *s, const struct http_message *m,
-		       const struct answer_info *info)
-{
-	if (m->status == 421 || (!info->sealed && !info->not_run))
-		return;
-	limits_answer(s->request->traffic, s->backend, info, s->sent_ms,
-		      LIMIT_BY_ANSWER);
-}
-
-static void send_response(void *owner, struct http_message *m)
+static void send_response(void *owner, struct http_message *m,
+			  const struct answer_info *info)
 {
 	struct send *s = owner;
 	struct request *r = s->request;
 	int64_t now_ms = clock_ms();
 	struct upstream *u = s->upstream;
-	struct answer_info info;
 
-	exchange_read_answer(m, &info);
-	if (info.has_load && mechanisms.ask) {
+	if (info->has_load && mechanisms.ask) {
 		s->backend->service->load_support = LOAD_TOLD;
-		s->backend->load = info.load;
+		s->backend->load = info->load;
 		s->backend->load.at_ms = now_ms;
 	}
-	note_limit(s, m, &info);
-	if (m->status != 421)
-		server_words_hear(r->traffic, s->backend, &info);
 	end_send(s);
 	upstream_put(u, now_ms);
 	if (place_has_room(s->backend, now_ms))
 		request_use_room(r->traffic, s->backend);
-	if (info.not_run) {
+	if (info->not_run) {
 		unsigned status = m->status;
 
 		http_message_free(m);
@@ -161,7 +140,7 @@
 	}
 	end_check_answered(r->traffic, r->digest);
 	server_memory_answered(s->backend->memory, s->sent_ms);
-	if (m->status / 100 == 2 && !info.sealed) {
+	if (m->status / 100 == 2 && !info->sealed) {
 		/* Not the server's own answer, whatever it looks like. */
 		http_message_free(m);
 		outlier_note(s->backend, TROUBLE_BROKEN, now_ms);
@@ -175,11 +154,49 @@
 	}
 }
 
+/*
+ * Its connection stood when the server took nothing any more: nothing has left, and
+ * the request is as if the server hadn't been chosen.
+ */
+static void withdraw(struct send *s, int64_t now_ms)
+{
+	struct request *r = s->request;
+	bool last = s == &r->sends[r->nsends - 1];
+
+	r->traffic->counters.withdrawn++;
+	request_log_withdrawn(r, s, now_ms);
+	s->upstream = NULL;
+	if (s->extra)
+		budget_give_back(&r->service->budget);
+	limit_sends_ended(s, now_ms);
+	s->backend->in_flight--;
+	share_changed(r->traffic, s->backend->service);
+	r->undenied--;
+	r->stats->sends--;
+	if (s->extra)
+		r->service->account.spent[s->cause]--;
+	if (last) {
+		backend_unref(s->backend);
+		r->nsends--;
+		r->hedge_ms = 0;
+	}
+	if (r->nsends == 0 && r->conn) {
+		request_place_end(r);
+		request_place(r, PLACE_FIRST);
+		return;
+	}
+	go_on(r, 503, "server takes nothing now");
+}
+
 static void send_failed(void *owner, int err, bool sent)
 {
 	struct send *s = owner;
 	struct request *r = s->request;
 
+	if (err == -ECANCELED) {
+		withdraw(s, clock_ms());
+		return;
+	}
 	if (sent && err != -ETIMEDOUT) {
 		r->stats->broken++;
 		request_log_broken(r, s, err);
@@ -197,8 +214,8 @@
 	      err == -ETIMEDOUT ? "timeout" : "connection broke");
 }
 
-static const struct http_client_ops send_ops = {send_judge, send_response,
-						send_failed};
+static const struct upstream_ops send_ops = {send_judge, send_response,
+					     send_failed};
 
 static void count_send(struct request *r, enum extra_cause cause,
 		       int64_t now_ms)
--- a/traffic/server_words.c
+++ b/traffic/server_words.c
@@ -2,6 +2,7 @@
 #include "core/availability.h"
 #include "misc/clock.h"
 #include "traffic/leaving.h"
+#include "traffic/limits.h"
 #include "traffic/server_words.h"
 
 enum { TEXT_MAX = 64 }; /* bytes of a value that are logged */
@@ -34,10 +35,37 @@
 		 m->rest_until_ms - now_ms, m->back_ms - now_ms, b->in_flight);
 }
 
-/* server_words_hear() takes in what an answer of b says of it. */
+/* An answer of another start at the same address says nothing of b. */
+static bool is_of(const struct backend *b, const struct answer_info *info)
+{
+	if (info->misdirected)
+		return false;
+	return !info->backend.ptr || lstr_eq(info->backend, lstr0(b->entry.id));
+}
+
+/* Of an answer that nobody waits for it isn't known when it was asked for. */
+static void hear_limit(struct traffic *t, struct backend *b,
+		       const struct server_answer *a)
+{
+	bool own = a->info.sealed || a->info.not_run || a->question;
+
+	if (a->awaited && own)
+		limits_answer(t, b, &a->info, a->sent_ms,
+			      a->question ? LIMIT_BY_QUESTION
+					  : LIMIT_BY_ANSWER);
+	else if (!a->awaited && a->info.limit == LIMIT_NAMED)
+		limits_answer(t, b, &a->info, 0, LIMIT_BY_ANSWER);
+}
+
+/* server_words_hear() takes in what an answer from b's address says of b. */
 void server_words_hear(struct traffic *t, struct backend *b,
-		       const struct answer_info *info)
+		       const struct server_answer *a)
 {
+	const struct answer_info *info = &a->info;
+
+	if (!is_of(b, info))
+		return;
+	hear_limit(t, b, a);
 	if (info->rest == REST_BAD)
 		log_bad_value(t, b, "rest", info->rest_text);
 	else if (info->rest == REST_ASKED)
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -1,6 +1,9 @@
 #include <errno.h>
 #include <string.h>
 
+#include "core/availability.h"
+#include "misc/clock.h"
+#include "traffic/server_words.h"
 #include "traffic/upstream.h"
 
 /*
@@ -9,6 +12,9 @@
  */
 static const double CONNECT_TIMEOUT_S = 0.1;
 
+/* An answer to a request that was given up may have been sent so long ago. */
+static const double LINGER_S = 1.0;
+
 enum { HEAD_MAX = 64 * 1024, BODY_MAX = 64 << 20 }; /* bytes of an answer */
 
 static unsigned opened; /* connections so far, for the metrics */
@@ -45,25 +51,51 @@
 	g_free(u);
 }
 
+/* What it says of the server counts, whoever waits for it. */
 static enum http_verdict judge(void *priv, const struct http_message *m)
 {
 	struct upstream *u = priv;
-
-	return u->ops->judge(u->owner, m);
+	struct server_answer answer = {.sent_ms = u->sent_ms,
+				       .question = u->question};
+	enum http_verdict verdict;
+
+	exchange_read_answer(m, &answer.info);
+	verdict = u->ops->judge(u->owner, &answer.info);
+	answer.awaited = verdict == HTTP_TAKE;
+	server_words_hear(u->traffic, u->backend, &answer);
+	return verdict;
 }
 
 static void on_response(void *priv, struct http_message *m)
 {
 	struct upstream *u = priv;
+	struct answer_info info;
+
+	exchange_read_answer(m, &info);
+	u->ops->response(u->owner, m, &info);
+}
+
+static void on_stray(void *priv, const struct http_message *m)
+{
+	struct upstream *u = priv;
+	struct server_answer answer = {.awaited = false};
 
-	u->ops->response(u->owner, m);
+	exchange_read_answer(m, &answer.info);
+	server_words_hear(u->traffic, u->backend, &answer);
+}
+
+static bool may_leave(void *priv)
+{
+	const struct upstream *u = priv;
+
+	return backend_takes(u->backend, SEND_CHOSEN, clock_ms());
 }
 
 /* The connection ended; the owner must not use it any more. */
 static void on_failed(void *priv, int err, bool sent)
 {
 	struct upstream *u = priv;
-	const struct http_client_ops *ops = u->idle ? NULL : u->ops;
+	const struct upstream_ops *ops = u->idle ? NULL : u->ops;
 	void *owner = u->owner;
 
 	release(u);
@@ -71,21 +103,22 @@
 		ops->failed(owner, err, sent);
 }
 
-static const struct http_client_ops client_ops = {judge, on_response,
-						  on_failed};
+static const struct http_client_ops client_ops = {judge, on_response, on_failed,
+						  may_leave, on_stray};
 
-static struct upstream *open_new(struct ev_loop *loop, struct backend *b)
+static struct upstream *open_new(struct traffic *t, struct backend *b)
 {
 	struct http_limits limits = {.head_max = HEAD_MAX,
 				     .body_max = BODY_MAX};
 	struct upstream *u = g_new0(struct upstream, 1);
 
-	if (http_client_open(&u->http, loop, &b->entry.addr, CONNECT_TIMEOUT_S,
-			     limits, &client_ops, u)) {
+	if (http_client_open(&u->http, t->loop, &b->entry.addr,
+			     CONNECT_TIMEOUT_S, limits, &client_ops, u)) {
 		g_free(u);
 		return NULL;
 	}
 	opened++;
+	u->traffic = t;
 	u->backend = backend_ref(b);
 	use(u);
 	return u;
@@ -96,26 +129,44 @@
  * since idle_since_ms, the last used first, or a new one. Returns NULL when
  * no socket can be had.
  */
-struct upstream *upstream_get(struct ev_loop *loop, struct backend *b,
+struct upstream *upstream_get(struct traffic *t, struct backend *b,
 			      int64_t idle_since_ms)
 {
 	struct upstream *u = b->conns;
 
 	if (!u || u->used_ms < idle_since_ms)
-		return open_new(loop, b);
+		return open_new(t, b);
 	unlink_upstream(u);
 	use(u);
 	return u;
 }
 
+static void exchange(struct upstream *u, struct lstr bytes, double timeout_s,
+		     bool head_request)
+{
+	u->sent_ms = clock_ms();
+	http_client_send(&u->http, bytes, timeout_s, head_request);
+}
+
 /* upstream_exchange() sends a request; the owner hears through ops. */
 void upstream_exchange(struct upstream *u, struct lstr bytes, double timeout_s,
-		       bool head_request, const struct http_client_ops *ops,
+		       bool head_request, const struct upstream_ops *ops,
 		       void *owner)
 {
 	u->ops = ops;
 	u->owner = owner;
-	http_client_send(&u->http, bytes, timeout_s, head_request);
+	u->question = false;
+	exchange(u, bytes, timeout_s, head_request);
+}
+
+/* upstream_ask() sends a question for health and load. */
+void upstream_ask(struct upstream *u, struct lstr bytes, double timeout_s,
+		  const struct upstream_ops *ops, void *owner)
+{
+	u->ops = ops;
+	u->owner = owner;
+	u->question = true;
+	exchange(u, bytes, timeout_s, false);
 }
 
 /* upstream_put() gives a connection back, to be kept if it is sound. */
@@ -135,12 +186,30 @@
 	u->backend->conns = u;
 }
 
+static enum http_verdict nobody_judges(void *owner,
+				       const struct answer_info *info)
+{
+	return HTTP_SKIP;
+}
+
+static void nobody_hears(void *owner, int err, bool sent)
+{
+}
+
+static const struct upstream_ops nobody = {nobody_judges, NULL, nobody_hears};
+
 /*
- * upstream_drop() closes a connection. A backend server drops the request
- * that it works on for it.
+ * upstream_drop() gives a connection up. A backend server drops the request that it
+ * works on for it; what it has answered before it sees that is still read for what it
+ * says of the server.
  */
 void upstream_drop(struct upstream *u)
 {
+	if (http_client_linger(&u->http, LINGER_S)) {
+		u->ops = &nobody;
+		u->owner = NULL;
+		return;
+	}
 	http_client_close(&u->http);
 	release(u);
 }
