--- a/stand/backend.c
+++ b/stand/backend.c
@@ -65,8 +65,7 @@
 	if (!is_leaving(s))
 		return;
 	buf_printf(b, "Server-Leaving: 1\r\n");
-	if (s->faults.judge)
-		promises_leaving(&s->promises, to, clock_ms());
+	promises_leaving(&s->promises, to, clock_ms());
 }
 
 static void add_rest(struct server *s, struct lstr to, struct buf *b)
@@ -78,9 +77,7 @@
 	if (s->faults.rest_milli < 0)
 		return;
 	buf_printf(b, "Retry-After: %g\r\n", s->faults.rest_milli / 1000.0);
-	if (s->faults.judge)
-		promises_rest(&s->promises, to, s->faults.rest_milli,
-			      clock_ms());
+	promises_rest(&s->promises, to, s->faults.rest_milli, clock_ms());
 }
 
 static void reply(struct server *s, struct http_conn *c, unsigned status,
@@ -297,8 +294,7 @@
 	if (s->leaving_ms && clock_ms() - s->leaving_ms > LEAVE_BOUND_MS)
 		s->work.late++;
 	need_arrived(&s->need, clock_ms());
-	if (s->faults.judge)
-		promises_arrived(&s->promises, sender(m), false, clock_ms());
+	promises_arrived(&s->promises, sender(m), false, clock_ms());
 	j = g_new0(struct job, 1);
 	j->server = s;
 	j->conn = c;
@@ -328,8 +324,7 @@
 	struct buf h = {0};
 
 	s->work.probes++;
-	if (s->faults.judge)
-		promises_arrived(&s->promises, sender(m), true, clock_ms());
+	promises_arrived(&s->promises, sender(m), true, clock_ms());
 	buf_printf(&h, "Instance-Id: %s\r\n", s->id);
 	add_load(s, &h);
 	if (s->faults.limit_asked)
@@ -355,8 +350,12 @@
 	struct buf none = {0};
 
 	faults_set(f, q);
-	if (!f->judge)
-		promises_excuse(&s->promises);
+	if (query_text(q, "judge_off"))
+		promises_judge_off(&s->promises);
+	if (query_text(q, "judge_on"))
+		promises_judge_on(&s->promises);
+	if (query_text(q, "excuse"))
+		promises_excuse(&s->promises, query_text(q, "excuse"));
 	/* What is no number names no limit that could be kept. */
 	need_set(&s->need, f->limit_milli >= 0 && !f->limit_odd,
 		 f->limit_milli / 1000.0, clock_ms());
--- a/stand/faults.c
+++ b/stand/faults.c
@@ -7,7 +7,7 @@
 /* faults_init() makes those of a server that behaves. */
 void faults_init(struct faults *f)
 {
-	*f = (struct faults){.limit_milli = -1, .rest_milli = -1, .judge = 1};
+	*f = (struct faults){.limit_milli = -1, .rest_milli = -1};
 }
 
 /* faults_set() takes over what a query names and leaves the rest. */
@@ -31,7 +31,6 @@
 		{"limit_odd", offsetof(struct faults, limit_odd)},
 		{"limit_asked", offsetof(struct faults, limit_asked)},
 		{"quiet", offsetof(struct faults, quiet)},
-		{"judge", offsetof(struct faults, judge)},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
--- a/stand/faults.h
+++ b/stand/faults.h
@@ -10,7 +10,9 @@
  *   limit_milli=N  names a limit of N requests in 1,000 s; -1: none
  *   limit_odd=0|1  names one that is no number
  *   limit_asked=0|1  names it in answers to questions too
- *   judge=0|1  whether it judges what instances send it, see stand/promises.h
+ * And what it may not hold against instances, see stand/promises.h:
+ *   judge_off=1 ... judge_on=1  what is asked, and what arrives, between these
+ *   excuse=NAME  what it has asked the instance so far
  */
 #ifndef MP_STAND_FAULTS_H
 #define MP_STAND_FAULTS_H
@@ -21,7 +23,7 @@
 	int shed_pct, rest_milli, rest_odd, late_ms, leaving, unlisted;
 	int hang_pct, lost_pct, cut_pct, extra_pct;
 	int limit_milli, limit_odd, limit_asked;
-	int quiet, judge;
+	int quiet;
 };
 
 void faults_init(struct faults *f);
--- a/stand/promises.c
+++ b/stand/promises.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "stand/promises.h"
 
 /* What was on its way when an answer left may still arrive for so long. */
@@ -52,15 +54,20 @@
 	struct rest r = {now_ms + ON_ITS_WAY_MS, now_ms + rest_ms, 0};
 
 	p->rests++;
+	if (p->off)
+		return;
 	g_array_append_val(find(p, instance)->rests, r);
 }
 
 /* promises_leaving() notes that an answer says that the server leaves. */
 void promises_leaving(struct promises *p, struct lstr instance, int64_t now_ms)
 {
-	struct instance_promises *i = find(p, instance);
+	struct instance_promises *i;
 
 	p->leaving_told++;
+	if (p->off)
+		return;
+	i = find(p, instance);
 	if (!i->leaving_ms)
 		i->leaving_ms = now_ms;
 }
@@ -92,16 +99,39 @@
 void promises_arrived(struct promises *p, struct lstr instance, bool question,
 		      int64_t now_ms)
 {
-	struct instance_promises *i = find(p, instance);
+	struct instance_promises *i;
 
+	if (p->off)
+		return;
+	i = find(p, instance);
 	count_in_rests(p, i, question, now_ms);
 	if (!question && i->leaving_ms &&
 	    now_ms > i->leaving_ms + ON_ITS_WAY_MS)
 		p->leaving_got++;
 }
 
-/* promises_excuse() forgets what was asked so far; what was counted stays. */
-void promises_excuse(struct promises *p)
+/* promises_judge_off() forgets what was asked; nothing counts from now on. */
+void promises_judge_off(struct promises *p)
+{
+	p->off++;
+	g_hash_table_remove_all(p->by_instance);
+}
+
+/* promises_judge_on() ends one disturbance. */
+void promises_judge_on(struct promises *p)
 {
+	if (p->off)
+		p->off--;
 	g_hash_table_remove_all(p->by_instance);
 }
+
+static gboolean is_of(gpointer key, gpointer value, gpointer instance)
+{
+	return strstr(key, instance) != NULL;
+}
+
+/* promises_excuse() forgets what one instance was asked so far. */
+void promises_excuse(struct promises *p, const char *instance)
+{
+	g_hash_table_foreach_remove(p->by_instance, is_of, (gpointer)instance);
+}
--- a/stand/promises.h
+++ b/stand/promises.h
@@ -14,6 +14,7 @@
 #include "misc/lstr.h"
 
 struct promises {
+	unsigned off; /* so many disturbances last in which nothing is judged */
 	GHashTable *by_instance; /* its name -> struct instance_promises * */
 	uint64_t rests;		 /* asked for */
 	uint64_t rest_got;	 /* requests within some rest */
@@ -29,6 +30,8 @@
 void promises_leaving(struct promises *p, struct lstr instance, int64_t now_ms);
 void promises_arrived(struct promises *p, struct lstr instance, bool question,
 		      int64_t now_ms);
-void promises_excuse(struct promises *p);
+void promises_judge_off(struct promises *p);
+void promises_judge_on(struct promises *p);
+void promises_excuse(struct promises *p, const char *instance);
 
 #endif
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -8,10 +8,12 @@
 # and servers saw: nothing protected ran twice, no false "not run", no foreign
 # answer, versions never go back, nothing ends by itself, and afterwards a
 # version is in force everywhere and calls are served.
-#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits]]]   (a slot is a range of ports,
+#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|rests]]]   (a slot is a range of ports,
 #   24000 to 30000 in all; no other test uses these, so soaks may run beside them)
 # An even seed plays a system with hubs. With `limits` servers also name limits for a
-# while, and judge whether they are kept. With `fatal` a request that ends each
+# while, and judge whether they are kept. With `rests` they turn requests away and ask
+# for rest, say that they leave, let their entries lapse, and judge what they get all the
+# same; what an instance couldn't hear as it was paused or cut off isn't judged. With `fatal` a request that ends each
 # server that runs it comes to all instances all the while, and when the faults
 # are over few servers may end under it. Stops what it started, by pid.
 set -u
@@ -22,6 +24,7 @@
 slot=${3:-0}
 fatal=$([ "${4:-}" = fatal ] && echo yes)
 kinds=$([ "${4:-}" = limits ] && echo 20 || echo 16) # of faults
+rests=$([ "${4:-}" = rests ] && echo yes)
 base=$((24000 + 100 * slot))
 logs=$(mktemp -d)
 ini=$logs/soak.ini
@@ -116,17 +119,81 @@
 	nap "$3"
 	start "$2"
 }
+# What the servers at these ports may not hold against instances.
+ports_of() { # a server's name, or a proxy's control port; none for the store's
+	case $1 in
+	server:*) server_port "$1" ;;
+	$((base + 59))) echo $((base + 50)) $((base + 51)) $((base + 52)) ;;
+	$((base + 79))) echo $((base + 70)) $((base + 71)) $((base + 72)) ;;
+	esac
+}
+post_all() { # query, ports...
+	local query=$1 port
+	shift
+	for port in "$@"; do post "$port" "$query"; done
+}
+all_servers() { echo $((base + 50)) $((base + 51)) $((base + 52)) $((base + 70)) $((base + 71)) $((base + 72)); }
 pause() { # name, ms
 	local pid=${pids[$1]}
 	note "STOP $1 $2 ms"
+	[ -z "$rests" ] || post_all judge_off=1 $(ports_of "$1")
 	kill -STOP "$pid" 2>/dev/null
-	(nap "$2"; kill -CONT "$pid" 2>/dev/null) &
+	(
+		nap "$2"
+		case $rests$1 in yesentry:*) post_all "excuse=${1#entry:}-" $(all_servers) ;; esac
+		kill -CONT "$pid" 2>/dev/null
+		[ -n "$rests" ] || exit
+		nap 300
+		post_all judge_on=1 $(ports_of "$1")
+	) &
 }
 harm() { # port, query that harms, query that mends, ms
+	note "$1 $2 for $4 ms"
+	[ -z "$rests" ] || post_all judge_off=1 $(ports_of "$1")
+	post "$1" "$2"
+	(
+		nap "$4"
+		post "$1" "$3"
+		[ -n "$rests" ] || exit
+		nap 300
+		post_all judge_on=1 $(ports_of "$1")
+	) &
+}
+a_rest() { # ms
+	local all=(300 1000 3000 8000)
+	echo "${all[$((RANDOM % 4))]}"
+}
+# A server asks for rest, says that it leaves, is off the list for a while or answers late.
+fault_of_rest() {
+	local s port ms=$((1000 + RANDOM % 5000))
+	s=$(a_server)
+	port=$(server_port "$s")
+	case $(rnd 5) in
+	0 | 1) disturb "$port" "shed_pct=$((10 + RANDOM % 91))&rest_milli=$(a_rest)&late_ms=$((RANDOM % 2 * RANDOM % 300))" 'shed_pct=0&rest_milli=-1&late_ms=0' $ms ;;
+	2) note "$s leaves"; post "$port" leaving=1; (nap $ms; kill -KILL "${pids[$s]}" 2>/dev/null) &
+		ended+=("$s") ;;
+	3) disturb "$port" unlisted=1 unlisted=0 $((2000 + RANDOM % 3000)) ;;
+	4) disturb "$port" rest_odd=1 rest_odd=0 $ms ;;
+	esac
+}
+disturb() { # port, query that harms, query that mends, ms; the servers go on judging
 	note "$1 $2 for $4 ms"
 	post "$1" "$2"
 	(nap "$4"; post "$1" "$3") &
 }
+ended=() # servers that leave and are killed in the background
+restart_ended() {
+	local left=() s
+	for s in "${ended[@]}"; do
+		if kill -0 "${pids[$s]}" 2>/dev/null; then
+			left+=("$s")
+		else
+			wait "${pids[$s]}" 2>/dev/null
+			start "$s"
+		fi
+	done
+	ended=("${left[@]}")
+}
 fault() {
 	local ms=$((200 + RANDOM % 1800)) s
 	case $(rnd $kinds) in
@@ -142,7 +209,8 @@
 	9) note forget; post $base forget=1 ;;
 	10) harm "$(a_proxy)" "delay_ms=$((1 + RANDOM % 60))" delay_ms=0 $ms ;;
 	11) harm "$(a_proxy)" "silent=$( ((RANDOM % 2)) && echo up || echo down)" silent=no $ms ;;
-	12) note reset; post "$(a_proxy)" reset=1 ;;
+	12) s=$(a_proxy); note "reset $s"; post "$s" reset=1
+		[ -z "$rests" ] || post_all 'judge_off=1&judge_on=1' $(ports_of "$s") ;;
 	13) harm "$(a_proxy)" refuse=1 refuse=0 $ms ;;
 	14) harm "$(server_port "$(a_server)")" "$( ((RANDOM % 2)) && echo hang_pct=20 || echo cut_pct=20)" 'hang_pct=0&cut_pct=0' $ms ;;
 	16 | 17 | 18) harm "$(server_port "$(a_server)")" "limit_milli=$(a_limit)" "limit_milli=-1" $((3000 + RANDOM % 8000)) ;;
@@ -179,14 +247,15 @@
 	echo "$(($(fatal_ends) - $1)) servers ended after the faults"
 	(($(fatal_ends) - $1 <= FATAL_ENDS))
 }
+calm_servers='hang_pct=0&cut_pct=0&limit_milli=-1&limit_odd=0&shed_pct=0&rest_milli=-1&rest_odd=0&late_ms=0&unlisted=0'
 mend() {
 	post $base 'down=no&lost_pct=0'
 	for p in $((base + 1)) $((base + 59)) $((base + 79)); do
 		post $p 'delay_ms=0&silent=no&refuse=0&reset=1'
 	done
 	for s in 0 1 2; do
-		post $((base + 50 + s)) 'hang_pct=0&cut_pct=0&limit_milli=-1&limit_odd=0'
-		post $((base + 70 + s)) 'hang_pct=0&cut_pct=0&limit_milli=-1&limit_odd=0'
+		post $((base + 50 + s)) "$calm_servers"
+		post $((base + 70 + s)) "$calm_servers"
 	done
 	for p in "${pids[@]}"; do kill -CONT "$p" 2>/dev/null; done
 }
@@ -208,6 +277,16 @@
 	done
 	return $bad
 }
+rests_kept() { # as the servers judge that run now: the users' rules, the second sooner
+	local port bad=0
+	for port in $(all_servers); do
+		curl -s -m 2 "http://127.0.0.1:$port/stand/stats" | awk -v port="$port" '
+			{n[$1] = $2}
+			END {print port ": " n["rests"] + 0 " rests, at most " n["rest_worst"] + 0 " of an instance in one; told " n["leaving_told"] + 0 " times that it leaves, got " n["leaving_got"] + 0
+				exit !(n["rest_worst"] <= 2 && n["leaving_got"] == 0)}' || bad=1
+	done
+	return $bad
+}
 versions_rise() { # in each lifetime of each entry
 	awk 'FNR == 1 {v = 0} / ev=100 / {v = 0}
 		/ ev=200 / {match($0, /version=[0-9]+/); n = substr($0, RSTART + 8, RLENGTH - 8) + 0
@@ -248,12 +327,17 @@
 fi
 end=$((SECONDS + seconds))
 while ((SECONDS < end)); do
-	fault
+	if [ -n "$rests" ] && ((RANDOM % 2)); then fault_of_rest; else fault; fi
 	nap $((RANDOM % 600))
 	[ -z "$fatal" ] || revive
+	[ -z "$rests" ] || restart_ended
 done
 wait $load_pid
 load_rc=$?
+while ((${#ended[@]})); do
+	nap 100
+	restart_ended
+done
 mend
 if [ -n "$fatal" ]; then
 	sleep 3 # what is cut off or has just started may not know yet
@@ -271,6 +355,7 @@
 check "afterwards: invariants" test $? -eq 0
 check "afterwards: served" served
 check "no server got more than the limit that it named" limits_kept
+check "servers get nothing in a rest, nor after they said that they leave" rests_kept
 check "versions never go back" versions_rise
 check "nothing ends by itself" all_run
 check "no invariant broken" sh -c "! grep -l ' ev=900 ' '$logs'/*.log"
--- a/tests/test_server_memory.c
+++ b/tests/test_server_memory.c
@@ -79,6 +79,30 @@
 	server_memory_release(m);
 }
 
+/* Of 200 instances that were told in the same moment few return in any 5% of the time. */
+static void test_returns_are_spread(void **state)
+{
+	enum { INSTANCES = 200, REST_MS = 3000, WINDOW_MS = REST_MS / 4 / 20 };
+	unsigned in_window[20 + 1] = {0};
+	GRand *rand = g_rand_new_with_seed(1);
+
+	for (int i = 0; i < INSTANCES; i++) {
+		struct server_memory *m = server_memory_get(&all, "i-1", 0);
+		int64_t late;
+
+		server_memory_rest(m, REST_MS / 1000.0, g_rand_double(rand),
+				   1000);
+		late = m->back_ms - m->rest_until_ms;
+		assert_in_range(late, 0, REST_MS / 4 + 1);
+		in_window[late / WINDOW_MS]++;
+		m->over = true;
+		server_memory_release(m);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(in_window); i++)
+		assert_true(in_window[i] <= INSTANCES / 8);
+	g_rand_free(rand);
+}
+
 /* Numbers beyond any clock count as longer than a lifetime. */
 static void test_enormous_rest(void **state)
 {
@@ -115,6 +139,8 @@
 		cmocka_unit_test_setup_teardown(test_unlisted_are_bounded,
 						begin, end),
 		cmocka_unit_test_setup_teardown(test_rests, begin, end),
+		cmocka_unit_test_setup_teardown(test_returns_are_spread, begin,
+						end),
 		cmocka_unit_test_setup_teardown(test_enormous_rest, begin, end),
 		cmocka_unit_test_setup_teardown(test_return, begin, end),
 	};
