A 429 with a time asks for rest as well, if the request was not run

Ordinary HTTP says the same by it; nobody read it. Only where the server says that it has not run the request: a 429 that an answer was made for speaks of the caller.

--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -219,6 +219,12 @@
 	assert_true(answer_with(503, "Retry-After:  .25 ").rest_s == 0.25);
 	assert_true(answer_with(503, "Retry-After: 0").rest_s == 0);
 	assert_int_equal(answer_with(503, "X: 3").rest, REST_UNSAID);
+	assert_int_equal(
+		answer_with(429, "Not-Executed: 1\r\nRetry-After: 3").rest,
+		REST_ASKED);
+	assert_int_equal(
+		answer_with(429, "Response-Seal: x\r\nRetry-After: 3").rest,
+		REST_UNSAID);
 	assert_int_equal(answer_with(200, "Retry-After: 3").rest, REST_UNSAID);
 	assert_int_equal(answer_with(500, "Retry-After: x").rest, REST_UNSAID);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
