A server that lapsed and is back: this instance's part of its limit is worked out anew; a server's time of rest isn't passed on to callers

Two places found by looking for the same cause. (1) Since a limit outlives its entry, who shares it may change while the server is off the list, and nobody worked the part out: test_limits, test_limit_lost_with_the_entry, fails without the call (mutant, run). Before the memory of a lifetime the limit was freed with the entry (read, not run). Answers to questions whether a server has ended are heard for what they say, too.

--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -231,6 +231,27 @@
 		assert_int_equal(answer_with(503, bad[i]).rest, REST_BAD);
 }
 
+/* A server's time of rest is this instance's, callers are told of no such. */
+static void test_rest_is_not_passed_on(void **state)
+{
+	static const unsigned statuses[] = {503, 429, 200};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		char *head =
+			g_strdup_printf("HTTP/1.1 %u X\r\nRetry-After: 3\r\n"
+					"Content-Length: 0\r\n\r\n",
+					statuses[i]);
+		struct http_message *m = message(HTTP_RESPONSE, head);
+		struct buf out = {0};
+
+		exchange_write_answer_headers(&out, m);
+		assert_int_equal(out.len == 0, statuses[i] == 503);
+		buf_free(&out);
+		http_message_free(m);
+		g_free(head);
+	}
+}
+
 static void test_leaving(void **state)
 {
 	static const char *const bad[] = {"0", "", "yes", "11", "1, 1"};
@@ -258,6 +279,7 @@
 		cmocka_unit_test(test_limit),
 		cmocka_unit_test(test_no_limit),
 		cmocka_unit_test(test_rest),
+		cmocka_unit_test(test_rest_is_not_passed_on),
 		cmocka_unit_test(test_leaving),
 	};
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -183,6 +183,39 @@
 	bench_free(b);
 }
 
+static void list(struct bench *b, int i, bool removed)
+{
+	struct backend_change *c = g_new0(struct backend_change, 1);
+
+	c->removed = removed;
+	c->entry = backend_of(b, 1)->entry;
+	g_strlcpy(c->entry.id, b->servers[i].id, sizeof(c->entry.id));
+	c->entry.addr.sin_port = htons((uint16_t)(BENCH_PORT + i));
+	mailbox_send(&b->traffic.in, TO_TRAFFIC_BACKEND, c);
+	bench_run_ms(b, 5);
+}
+
+static void test_limit_lost_with_the_entry(void **state)
+{
+	struct bench *b = bench_new(2);
+	struct limit_part before;
+
+	tell_sharers(b, 0);
+	acquaint(b);
+	b->servers[0].limit = "1";
+	call_times(b, 40);
+	before = backend_of(b, 0)->memory->limit->share.part;
+	list(b, 0, true);
+	assert_null(backend_of(b, 0));
+	/* Others share it by the time it is back: this one holds less, or nothing. */
+	tell_sharers(b, 300);
+	list(b, 0, false);
+	assert_true(backend_is_limited(backend_of(b, 0)));
+	assert_true(backend_of(b, 0)->memory->limit->share.part.rate_s <
+		    before.rate_s);
+	bench_free(b);
+}
+
 /* A second send doesn't go to a server in need. */
 static void test_no_second_send(void **state)
 {
@@ -278,6 +311,7 @@
 		cmocka_unit_test(test_bad_value),
 		cmocka_unit_test(test_all_in_need),
 		cmocka_unit_test(test_told_by_a_peer),
+		cmocka_unit_test(test_limit_lost_with_the_entry),
 		cmocka_unit_test(test_no_second_send),
 		cmocka_unit_test(test_grant),
 		cmocka_unit_test(test_gives_up),
--- a/traffic/end_check.c
+++ b/traffic/end_check.c
@@ -6,6 +6,7 @@
 #include "misc/clock.h"
 #include "platform/exchange.h"
 #include "traffic/end_check.h"
+#include "traffic/server_words.h"
 
 /*
  * A process that has ended refuses at once, in a round trip; one that lives
@@ -125,6 +126,8 @@
 	exchange_read_answer(m, &info);
 	named = info.backend.ptr != NULL;
 	same = named && lstr_eq(info.backend, lstr0(c->backend->entry.id));
+	server_words_hear(c->traffic, c->backend,
+			  &(struct server_answer){.info = info});
 	http_message_free(m);
 	if (same)
 		finish(c, false, "lives", "answered");
--- a/traffic/limits.c
+++ b/traffic/limits.c
@@ -358,6 +358,20 @@
 	}
 }
 
+/*
+ * limits_listed() is called when a server's entry has come. One that was off the list
+ * has kept its limit, but who shares it may have changed meanwhile.
+ */
+void limits_listed(struct traffic *t, const char *id)
+{
+	struct backend *b = g_hash_table_lookup(t->backends.by_id, id);
+
+	if (!b || !backend_is_limited(b))
+		return;
+	set_part(t, b);
+	arm(t, TICK_MS);
+}
+
 /* limits_init() prepares the timer. */
 void limits_init(struct traffic *t)
 {
--- a/traffic/limits.h
+++ b/traffic/limits.h
@@ -15,5 +15,6 @@
 		   enum limit_source source);
 void limits_told(struct traffic *t, const struct limit_news *news);
 void limits_peers_changed(struct traffic *t);
+void limits_listed(struct traffic *t, const char *id);
 
 #endif
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -197,10 +197,12 @@
 
 static void take_change(struct traffic *t, struct backend_change *c)
 {
-	if (c->removed)
+	if (c->removed) {
 		backend_set_remove(&t->backends, c->entry.id);
-	else
+	} else {
 		backend_set_put(&t->backends, &c->entry, clock_ms());
+		limits_listed(t, c->entry.id);
+	}
 	if (t->config && t->config->ndrained)
 		take_drained(t);
 	g_free(c);
