--- a/core/server_memory.h
+++ b/core/server_memory.h
@@ -46,13 +46,14 @@
 	struct backend_limit *limit; /* NULL: it has never named one */
 	bool was_free;	/* it has answered here without naming a limit */
 	bool limit_bad; /* what it last said of it was no number; for the log */
-	bool leaving; /* it has said that it leaves, which it never takes back */
-	unsigned
-		leaving_tells; /* times that it is yet to be told to the peers */
-	int64_t leaving_tell_ms; /* the next of these is due then */
-	int64_t rest_until_ms;	 /* it wants nothing before; 0: never asked */
-	int64_t back_ms;	 /* this instance returns then, not before */
-	bool returning;		 /* it has not answered since */
+	bool word_bad; /* it has said something that was refused; for the log */
+	bool leaving;  /* it has said so, and never takes it back */
+	/* So often the peers are yet to be told of it, the next time then. */
+	unsigned leaving_tells;
+	int64_t leaving_tell_ms;
+	int64_t rest_until_ms; /* it wants nothing before; 0: never asked */
+	int64_t back_ms;       /* this instance returns then, not before */
+	bool returning;	       /* it has not answered since */
 };
 
 struct server_memories {
--- a/tests/test_server_rest.c
+++ b/tests/test_server_rest.c
@@ -128,6 +128,32 @@
 	bench_free(b);
 }
 
+static void test_waiting_request_sent_to_the_one_that_turns_away(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct caller *first, *second;
+	struct backend *s;
+
+	call_until_received(b, 0);
+	s = g_hash_table_lookup(b->traffic.backends.by_id, "i-0");
+	b->servers[0].script = SCRIPT_REFUSE_LATE;
+	b->servers[0].says = "Retry-After: 0.5\r\n";
+	b->servers[0].work_ms = 60;
+	b->servers[0].busy = 1;
+	first = bench_call(b, "POST", 1000);
+	bench_run_ms(b, 20);
+	second = bench_call(b, "POST", 1000);
+	bench_run_ms(b, 20);
+	assert_int_equal(s->service->waiting.length, 1);
+	bench_run_until(b, first);
+	bench_run_until(b, second);
+	assert_int_equal(first->status, 503);
+	assert_int_equal(second->status, 503);
+	assert_int_equal(b->servers[0].received, 1);
+	assert_int_equal(b->traffic.counters.withdrawn, 0);
+	bench_free(b);
+}
+
 static void test_bad_rest_changes_nothing(void **state)
 {
 	struct bench *b = bench_new(2);
@@ -235,6 +261,8 @@
 		cmocka_unit_test(test_rest_lost_with_the_entry),
 		cmocka_unit_test(test_rest_ends_with_the_lifetime),
 		cmocka_unit_test(test_rest_cut_short_by_a_shorter_one),
+		cmocka_unit_test(
+			test_waiting_request_sent_to_the_one_that_turns_away),
 		cmocka_unit_test(test_bad_rest_changes_nothing),
 		cmocka_unit_test(test_all_rest_refused_with_the_first_return),
 		cmocka_unit_test(test_all_rest_held_for_a_near_return),
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -41,8 +41,6 @@
 	struct load_report load;
 	int64_t load_age_ms;	  /* -1: the server has told none */
 	double trouble;		  /* remembered failures */
-	int64_t rest_left_ms;	  /* that the server has asked for */
-	bool leaving;		  /* as the server has said */
 	double spent_ms;	  /* by the caller, with its earlier attempts */
 	double retries_left;	  /* in the service's retry budget */
 	int64_t left_ms;	  /* until the request is due */
--- a/traffic/request_log.c
+++ b/traffic/request_log.c
@@ -21,17 +21,15 @@
 		 "id=%.*s digest=%016" PRIx64
 		 " backend=%s dc=%s send=%u ago_ms=%" G_GINT64_FORMAT
 		 " load=%u/%u/%u slowdown_pct=%u load_age_ms=%" G_GINT64_FORMAT
-		 " estimate_ms=%.0f trouble=%.1f rest_left_ms=%" G_GINT64_FORMAT
-		 " leaving=%d asked=%u answered=%u "
+		 " estimate_ms=%.0f trouble=%.1f asked=%u answered=%u "
 		 "spent_ms=%.0f left_ms=%" G_GINT64_FORMAT
 		 " retries_left=%.1f pressed=%d",
 		 (int)r->call.id.len, r->call.id.ptr, r->digest,
 		 s->backend->entry.id, s->backend->entry.dc, number,
 		 now_ms - s->sent_ms, b->load.running, b->load.waiting,
 		 b->load.slots, b->load.slowdown_pct, b->load_age_ms,
-		 s->estimate_ms, b->trouble, b->rest_left_ms, b->leaving,
-		 b->asked, b->answered, b->spent_ms, b->left_ms,
-		 b->retries_left, b->pressed);
+		 s->estimate_ms, b->trouble, b->asked, b->answered, b->spent_ms,
+		 b->left_ms, b->retries_left, b->pressed);
 }
 
 /* Writes what was held back; from now on each line is written at once. */
@@ -56,8 +54,6 @@
 		.load = b->load,
 		.load_age_ms = b->load.at_ms ? now_ms - b->load.at_ms : -1,
 		.trouble = outlier_trouble(b, now_ms),
-		.rest_left_ms = MAX(b->memory->back_ms - now_ms, 0),
-		.leaving = b->memory->leaving,
 		.spent_ms = r->spent_before_ms + (double)(now_ms - r->start_ms),
 		.retries_left = request_retries_left(r),
 		.left_ms = r->due_ms - now_ms,
--- a/traffic/server_words.c
+++ b/traffic/server_words.c
@@ -7,10 +7,14 @@
 
 enum { TEXT_MAX = 64 }; /* bytes of a value that are logged */
 
+/* A value that is refused changes nothing; told once until one is understood. */
 static void log_bad_value(struct traffic *t, const struct backend *b,
 			  const char *what, struct lstr text)
 {
 	t->counters.words_bad++;
+	if (b->memory->word_bad)
+		return;
+	b->memory->word_bad = true;
 	mp_event(EV_ANSWER_BAD_VALUE, G_LOG_LEVEL_WARNING,
 		 "backend=%s service=%s what=%s value=%.*s", b->entry.id,
 		 b->service->name, what, (int)MIN(text.len, TEXT_MAX),
@@ -21,13 +25,13 @@
 {
 	struct server_memory *m = b->memory;
 	int64_t now_ms = clock_ms();
-	bool longer =
-		server_memory_rest(m, rest_s, g_rand_double(t->rand), now_ms);
 
-	/* What it reported before says nothing of when it returns. */
-	if (longer)
-		b->load = (struct load_report){.slots = b->load.slots};
+	m->word_bad = false;
 	t->counters.rests++;
+	if (!server_memory_rest(m, rest_s, g_rand_double(t->rand), now_ms))
+		return;
+	/* What it reported before says nothing of when it returns. */
+	b->load = (struct load_report){.slots = b->load.slots};
 	mp_event(EV_REST_ASKED, G_LOG_LEVEL_MESSAGE,
 		 "backend=%s service=%s rest_s=%g ends_in_ms=%" G_GINT64_FORMAT
 		 " back_in_ms=%" G_GINT64_FORMAT " in_flight=%u",
