Tests: what server-limit.sh and server-rest.sh have in common stands in one file

tests/small_system.sh starts the store, servers and instances, restarts, faults and counts; the same lines stood in both.

--- a/tests/server-limit.sh
+++ b/tests/server-limit.sh
@@ -1,62 +1,15 @@
 #!/bin/bash
-# Regression test: a backend server gets no more than the limit that it names.
-#
-# What users saw: a server that named a limit of 5.1 requests a second got 36 in 4 s,
-# where 35 are allowed, and went on getting as many as servers that named none.
-# Order of events: servers begin to name a limit; nothing changes.
-# Cause and evidence: no instance read it. In the users' first play the two servers
-# that named 5 and 5.7 a second got 12.2 and 12.4 a second, as all others did; here
-# they got 211 to 225 in 4 s of 35, 7 and 65 allowed, and now 20, 1 and 48.
-#
-# Played here: a store, three servers and ten instances, more than the slack of the
-# rule has requests, under load, while every 0.7 s an instance is killed, stopped or
-# paused and goes on anew. The servers judge the rule themselves, by all requests
-# that they get. One names a limit, then one below a request a second, then none,
-# then what is no number; at last all three are in need.
+# A backend server gets no more than the limit that it names, from all instances together,
+# while these are killed, stopped and paused; the servers judge by all that they get.
 set -u
 cd "$(dirname "$0")/.."
 bin=${MP_BIN:-target/mimosapitch}
 logs=$(mktemp -d)
 . tests/checks.sh
-ini=$logs/deployment.ini
-ENTRIES=10
-RATE=150 # calls a second
-declare -A pids
+BASE_PORT=14000 ENTRIES=10 RATE=150 TTL_MS=3000
+. tests/small_system.sh
 RANDOM=25
 
-cat >"$ini" <<'INI'
-[platform]
-listen = 127.0.0.1:14000
-append_limit_per_s = 300
-member_ttl_ms = 3000
-[entry]
-platform = 127.0.0.1:14000
-[service.harta]
-tenant = strada
-workers = 3
-slots = 8
-base_port = 14300
-work_ms = 4
-dcs = hala-cluj
-INI
-for ((i = 0; i < ENTRIES; i++)); do
-	printf '[entry.e%d]\nlisten = 127.0.0.1:%d\ndc = hala-cluj\n' $i $((14100 + i))
-done >>"$ini"
-
-stop_all() {
-	for p in "${pids[@]}"; do kill -KILL "$p" 2>/dev/null; done
-	wait 2>/dev/null
-}
-trap stop_all EXIT
-start_entry() { # number
-	$bin entry --deployment "$ini" --name "e$1" >>"$logs/entry-$1.log" 2>&1 &
-	pids[e$1]=$!
-}
-restart() { # number
-	kill -KILL "${pids[e$1]}"
-	wait "${pids[e$1]}" 2>/dev/null
-	start_entry "$1"
-}
 # A planned stop takes seconds, in which other things happen.
 stopping=() # numbers
 stop_planned() { # number
@@ -102,23 +55,6 @@
 		start_stopped
 	done
 }
-all_run() {
-	local i
-	for ((i = 0; i < ENTRIES; i++)); do kill -0 "${pids[e$i]}" || return 1; done
-}
-fault() { # server, query
-	curl -s -m 2 -X POST "http://127.0.0.1:$((14300 + $1))/stand/faults?$2" >/dev/null
-}
-stat() { # server, name
-	curl -s -m 2 "http://127.0.0.1:$((14300 + $1))/stand/stats" |
-		awk -v name="$2" '$1 == name {print $2}'
-}
-load() { # seconds, seed, more options; its output is in load-SEED.txt
-	local seconds=$1 seed=$2
-	shift 2
-	$bin load --deployment "$ini" --seconds "$seconds" --rate $RATE --seed "$seed" "$@" \
-		>"$logs/load-$seed.txt" 2>&1
-}
 within_rule() { # server
 	local worst allowed got
 	worst=$(stat "$1" limited_worst)
@@ -131,23 +67,8 @@
 	echo "server $1 got $2"
 	(($2 >= $3))
 }
-served() { # seed, the least in 1,000
-	awk -v least="$2" '$1 == "strada" {c += $3; d += $4}
-		END {print d " of " c " served"; exit !(c > 0 && d * 1000 >= least * c)}' \
-		"$logs/load-$1.txt"
-}
-lines() { cat "$logs"/entry-*.log | grep -c "$1"; }
 
-$bin store --deployment "$ini" 2>"$logs/store.log" &
-pids[store]=$!
-sleep 0.2
-for i in 0 1 2; do
-	$bin backend --deployment "$ini" --service harta --index $i --seed 5 2>"$logs/server-$i.log" &
-	pids[server$i]=$!
-done
-for ((i = 0; i < ENTRIES; i++)); do start_entry $i; done
-sleep 3
-for i in 0 1 2; do fault $i quiet=1; done
+start_system
 
 # One in need, and trouble with the instances.
 load 13 1 &
@@ -226,12 +147,4 @@
 check "callers at two instances: half of what they take is used" used all $got $((8 * 30 / 2))
 check "nothing ends by itself" all_run
 check "no invariant broken" sh -c "! grep -l 'ev=900' $logs/*.log"
-cat "$logs/checks.log"
-if ((fails)); then
-	echo "server-limit: $fails check(s) failed; logs in $logs"
-	exit 1
-fi
-echo "server-limit: ok"
-stop_all
-rm -rf "$logs"
-exit 0
+finish server-limit
--- a/tests/server-rest.sh
+++ b/tests/server-rest.sh
@@ -6,65 +6,10 @@
 bin=${MP_BIN:-target/mimosapitch}
 logs=$(mktemp -d)
 . tests/checks.sh
-ini=$logs/deployment.ini
-ENTRIES=5
-RATE=150 # calls a second
-declare -A pids
-RANDOM=28
+BASE_PORT=14500 ENTRIES=5 RATE=150 TTL_MS=2000
+. tests/small_system.sh
 
-cat >"$ini" <<'INI'
-[platform]
-listen = 127.0.0.1:15000
-append_limit_per_s = 300
-member_ttl_ms = 2000
-[entry]
-platform = 127.0.0.1:15000
-[service.harta]
-tenant = strada
-workers = 3
-slots = 8
-base_port = 15300
-work_ms = 4
-dcs = hala-cluj
-INI
-for ((i = 0; i < ENTRIES; i++)); do
-	printf '[entry.e%d]\nlisten = 127.0.0.1:%d\ndc = hala-cluj\n' $i $((15100 + i))
-done >>"$ini"
-
-stop_all() {
-	for p in "${pids[@]}"; do kill -KILL "$p" 2>/dev/null; done
-	wait 2>/dev/null
-}
-trap stop_all EXIT
-start_entry() { # number
-	$bin entry --deployment "$ini" --name "e$1" >>"$logs/entry-$1.log" 2>&1 &
-	pids[e$1]=$!
-}
-start_server() { # number
-	$bin backend --deployment "$ini" --service harta --index "$1" --seed 5 2>>"$logs/server-$1.log" &
-	pids[server$1]=$!
-}
-restart() { # number of an instance
-	kill -KILL "${pids[e$1]}"
-	wait "${pids[e$1]}" 2>/dev/null
-	start_entry "$1"
-}
-all_run() {
-	local i
-	for ((i = 0; i < ENTRIES; i++)); do kill -0 "${pids[e$i]}" || return 1; done
-}
-fault() { # server, query
-	curl -s -m 2 -X POST "http://127.0.0.1:$((15300 + $1))/stand/faults?$2" >/dev/null
-}
-store_fault() { curl -s -m 2 -X POST "http://127.0.0.1:15000/stand/faults?$1" >/dev/null; }
-stat() { # server, name
-	curl -s -m 2 "http://127.0.0.1:$((15300 + $1))/stand/stats" |
-		awk -v name="$2" '$1 == name {print $2}'
-}
-load() { # seconds, seed; its output is in load-SEED.txt
-	$bin load --deployment "$ini" --seconds "$1" --rate $RATE --seed "$2" \
-		>"$logs/load-$2.txt" 2>&1
-}
+store_fault() { curl -s -m 2 -X POST "http://127.0.0.1:$BASE_PORT/stand/faults?$1" >/dev/null; }
 rested() { # server
 	echo "server $1: $(stat "$1" rests) rests; in them $(stat "$1" rest_got) requests, $(stat "$1" rest_questions) questions, $(stat "$1" rest_worst) of one instance in one rest"
 	(($(stat "$1" rests) > 0 && $(stat "$1" rest_got) == 0 && $(stat "$1" rest_questions) == 0))
@@ -77,20 +22,8 @@
 	echo "$1: $3 - $2"
 	(($3 - $2 >= $4))
 }
-served() { # seed, the least in 1,000
-	awk -v least="$2" '$1 == "strada" {c += $3; d += $4}
-		END {print d " of " c " served"; exit !(c > 0 && d * 1000 >= least * c)}' \
-		"$logs/load-$1.txt"
-}
-lines() { cat "$logs"/entry-*.log | grep -c "$1"; }
 
-$bin store --deployment "$ini" 2>"$logs/store.log" &
-pids[store]=$!
-sleep 0.2
-for i in 0 1 2; do start_server $i; done
-for ((i = 0; i < ENTRIES; i++)); do start_entry $i; done
-sleep 3
-for i in 0 1 2; do fault $i quiet=1; done
+start_system
 load 2 1
 
 # One turns away all that it gets, while instances are killed.
@@ -185,12 +118,4 @@
 check "its next start gets its part" more calls 0 "$(stat 2 calls)" 75
 check "nothing ends by itself" all_run
 check "no invariant broken" sh -c "! grep -l 'ev=900' $logs/*.log"
-cat "$logs/checks.log"
-if ((fails)); then
-	echo "server-rest: $fails check(s) failed; logs in $logs"
-	exit 1
-fi
-echo "server-rest: ok"
-stop_all
-rm -rf "$logs"
-exit 0
+finish server-rest
