The load report of an answer that asks for rest is no offer of room

A server that turns all away works on nothing and reports so. The report of the very answer that asked for rest was taken in after the rest had cleared what was known, and would have looked like room at its end to whoever doesn't ask anew (a grant by a peer). test_report_of_one_that_turns_away_taken_as_room failed before.

--- a/tests/test_server_rest.c
+++ b/tests/test_server_rest.c
@@ -80,6 +80,17 @@
 	}
 }
 
+static void test_report_of_one_that_turns_away_taken_as_room(void **state)
+{
+	struct bench *b = bench_new(2);
+	struct backend *s =
+		g_hash_table_lookup(b->traffic.backends.by_id, "i-0");
+
+	ask_for_rest(b, 0, "Retry-After: 0.3\r\nServer-Load: 0,0,2,100\r\n");
+	assert_int_equal(s->load.at_ms, 0);
+	bench_free(b);
+}
+
 static void test_rest_lost_with_the_entry(void **state)
 {
 	struct bench *b = bench_new(2);
@@ -258,6 +269,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_requests_in_rest),
+		cmocka_unit_test(
+			test_report_of_one_that_turns_away_taken_as_room),
 		cmocka_unit_test(test_rest_lost_with_the_entry),
 		cmocka_unit_test(test_rest_ends_with_the_lifetime),
 		cmocka_unit_test(test_rest_cut_short_by_a_shorter_one),
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -122,7 +122,8 @@
 	int64_t now_ms = clock_ms();
 	struct upstream *u = s->upstream;
 
-	if (info->has_load && mechanisms.ask) {
+	/* One that turns all away works on nothing: its report is no offer. */
+	if (info->has_load && mechanisms.ask && info->rest != REST_ASKED) {
 		s->backend->service->load_support = LOAD_TOLD;
 		s->backend->load = info->load;
 		s->backend->load.at_ms = now_ms;
