--- a/control/control.c
+++ b/control/control.c
@@ -385,7 +385,7 @@
 	case FROM_TRAFFIC_LOAD:
 	case FROM_TRAFFIC_LIMIT_CALL:
 	case FROM_TRAFFIC_LIMITS:
-	case FROM_TRAFFIC_LEAVING:
+	case FROM_TRAFFIC_DRAIN:
 		relay_from_traffic(c, (enum from_traffic)m->kind, m->data);
 		break;
 	}
--- a/control/control.h
+++ b/control/control.h
@@ -28,7 +28,7 @@
 	TO_TRAFFIC_VERDICT = 7,	   /* struct verdict * */
 	TO_TRAFFIC_LIMITS = 8,	   /* struct limit_news * */
 	TO_TRAFFIC_LIMIT_CALL = 9, /* struct limit_call * */
-	TO_TRAFFIC_LEAVING = 10,   /* struct leaving_news * */
+	TO_TRAFFIC_DRAIN = 10,	   /* struct drain_news * */
 	TO_TRAFFIC_BOUNDS = 6,	   /* struct bounds *, of changed settings */
 };
 
@@ -38,7 +38,7 @@
 	FROM_TRAFFIC_CRASH = 3,	     /* struct crash_news * */
 	FROM_TRAFFIC_LOAD = 2,	     /* struct peer_load *, without a name */
 	FROM_TRAFFIC_LIMITS = 4,     /* struct limit_news *, without a name */
-	FROM_TRAFFIC_LEAVING = 6,    /* struct leaving_news *, without a name */
+	FROM_TRAFFIC_DRAIN = 6,	     /* struct drain_news *, without a name */
 	FROM_TRAFFIC_LIMIT_CALL = 5, /* struct limit_call *, without `from` */
 };
 
--- a/control/relay.c
+++ b/control/relay.c
@@ -21,10 +21,9 @@
 		control_tell_traffic(c, TO_TRAFFIC_LIMITS,
 				     g_memdup2(&m->limits, sizeof(m->limits)));
 		return true;
-	case GOSSIP_LEAVING:
-		control_tell_traffic(
-			c, TO_TRAFFIC_LEAVING,
-			g_memdup2(&m->leaving, sizeof(m->leaving)));
+	case GOSSIP_DRAIN:
+		control_tell_traffic(c, TO_TRAFFIC_DRAIN,
+				     g_memdup2(&m->drain, sizeof(m->drain)));
 		return true;
 	default:
 		return false;
@@ -35,7 +34,7 @@
 void relay_from_traffic(struct control *c, enum from_traffic kind, void *data)
 {
 	uint32_t self = peer_id(c->peers.peers.self.name);
-	struct leaving_news *leaving = data;
+	struct drain_news *drain = data;
 	struct limit_news *limits = data;
 	struct peer_load *load = data;
 	struct buf b = {0};
@@ -48,9 +47,9 @@
 	} else if (kind == FROM_TRAFFIC_LIMITS) {
 		limits->peer = self;
 		gossip_write_limits(&b, limits);
-	} else if (kind == FROM_TRAFFIC_LEAVING) {
-		leaving->peer = self;
-		gossip_write_leaving(&b, leaving);
+	} else if (kind == FROM_TRAFFIC_DRAIN) {
+		drain->peer = self;
+		gossip_write_drain(&b, drain);
 	}
 	if (b.len)
 		peer_channel_send_plain(&c->peers, &b, clock_ms());
--- a/core/availability.h
+++ b/core/availability.h
@@ -1,7 +1,7 @@
 /*
- * What a backend server takes from this instance now. Whatever it has said or the
- * list and the configuration say of it, every way of sending asks here, right before
- * the bytes leave.
+ * Whether a backend server may be sent to now. This is the only check: every way of
+ * sending calls it when a server is chosen, and the connection once more before the
+ * first byte leaves.
  */
 #ifndef MP_CORE_AVAILABILITY_H
 #define MP_CORE_AVAILABILITY_H
@@ -10,35 +10,35 @@
 
 /* What is to be sent. */
 enum send_kind {
-	SEND_ALONE,  /* no other copy of the request is out */
-	SEND_BESIDE, /* one is */
-	/* Chosen, and taken from the server's limit, or a question for its load. */
-	SEND_CHOSEN,
+	SEND_PRIMARY, /* the only copy of its request */
+	SEND_HEDGE,   /* another copy is outstanding */
+	/* Already chosen and charged to the limit; or a load question. */
+	SEND_COMMITTED,
 };
 
-/* Why it takes nothing. */
+/* Why nothing may be sent. */
 enum hold {
 	HOLD_NONE,
-	HOLD_GONE,    /* off the list */
-	HOLD_LEAVING, /* by its own word or its entry's */
-	HOLD_DRAINED, /* by the configuration */
-	HOLD_REST,    /* it has asked for rest */
-	HOLD_RETURN,  /* one at a time after a rest, until it has answered */
-	HOLD_LIMIT,   /* nothing left of its limit */
-	HOLD_UNKNOWN, /* one at a time until it has said whether it has one */
+	HOLD_GONE,     /* off the list */
+	HOLD_DRAINING, /* announced by the server or its entry */
+	HOLD_EXCLUDED, /* by the configuration */
+	HOLD_BACKOFF,  /* requested by the server */
+	HOLD_RESUMING, /* one at a time after a backoff, until one is answered */
+	HOLD_LIMIT,    /* this instance's part of the limit is used up */
+	HOLD_UNKNOWN, /* one at a time until it is known whether it has a limit */
 };
 
 struct availability {
 	enum hold hold;
-	int64_t back_ms; /* of HOLD_REST: this instance returns then */
+	int64_t resume_ms; /* of HOLD_BACKOFF */
 };
 
 struct availability backend_availability(const struct backend *b,
 					 enum send_kind kind, int64_t now_ms);
 bool backend_takes(const struct backend *b, enum send_kind kind,
 		   int64_t now_ms);
-bool backend_is_leaving(const struct backend *b);
-int64_t service_back_ms(const struct service *s, int64_t now_ms);
+bool backend_is_draining(const struct backend *b);
+int64_t service_resume_ms(const struct service *s, int64_t now_ms);
 const char *hold_name(enum hold hold);
 
 #endif
--- a/core/backend.c
+++ b/core/backend.c
@@ -12,7 +12,7 @@
 {
 	s->services = g_hash_table_new(g_str_hash, g_str_equal);
 	s->by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	server_memories_init(&s->memories);
+	server_states_init(&s->states);
 	s->on_gone = on_gone;
 	s->priv = priv;
 }
@@ -60,7 +60,7 @@
 {
 	if (--b->refs)
 		return;
-	server_memory_release(b->memory);
+	server_state_release(b->state);
 	g_free(b);
 }
 
@@ -110,7 +110,7 @@
 /* backend_is_limited() tells whether b names a limit, as far as is known. */
 bool backend_is_limited(const struct backend *b)
 {
-	return b->memory->limit && b->memory->limit->said.named;
+	return b->state->limit && b->state->limit->said.named;
 }
 
 static struct backend *add_backend(struct backend_set *s,
@@ -121,7 +121,7 @@
 	b->refs = 1;
 	b->entry = *e;
 	b->start = backend_start_hash(e);
-	b->memory = server_memory_get(&s->memories, e->id, e->born_ms);
+	b->state = server_state_get(&s->states, e->id, e->born_ms);
 	b->service = backend_set_service(s, lstr0(e->service));
 	g_ptr_array_add(b->service->backends, b);
 	g_hash_table_insert(s->by_id, b->entry.id, b);
@@ -147,7 +147,7 @@
 		  memcmp(&b->entry.addr, &e->addr, sizeof(e->addr)))) {
 		bool again = e->born_ms != b->entry.born_ms;
 
-		b->memory->over = again;
+		b->state->over = again;
 		take_off(s, b, again);
 		b = NULL;
 	}
--- a/core/backend.h
+++ b/core/backend.h
@@ -15,7 +15,7 @@
 #include "core/budget.h"
 #include "core/learn.h"
 #include "core/limit_want.h"
-#include "core/server_memory.h"
+#include "core/server_state.h"
 #include "misc/lstr.h"
 
 /* An entry of the platform's list of backend servers. */
@@ -52,8 +52,8 @@
 struct backend {
 	struct backend_entry entry;
 	struct service *service;
-	uint32_t start;		      /* backend_start_hash() of its entry */
-	struct server_memory *memory; /* what this start has said */
+	uint32_t start;		    /* backend_start_hash() of its entry */
+	struct server_state *state; /* what this start has said */
 	unsigned refs;
 	bool gone; /* off the list: no new work */
 	int64_t warm_until_ms;
@@ -93,7 +93,7 @@
 struct backend_set {
 	GHashTable *services; /* name -> struct service * */
 	GHashTable *by_id;    /* id -> struct backend * */
-	struct server_memories memories;
+	struct server_states states;
 	/* b is off the list; `ended`: its process is known to be gone. */
 	void (*on_gone)(void *priv, struct backend *b, bool ended);
 	void *priv;
--- a/core/limit_room.c
+++ b/core/limit_room.c
@@ -30,12 +30,12 @@
 	for (guint i = 0; i < s->backends->len; i++) {
 		const struct backend *b = g_ptr_array_index(s->backends, i);
 
-		if (!backend_takes(b, SEND_CHOSEN, now_ms))
+		if (!backend_takes(b, SEND_COMMITTED, now_ms))
 			continue;
 		room.all = backend_is_limited(b);
 		if (!room.all)
 			return room;
-		add(&room, b->memory->limit, now_ms);
+		add(&room, b->state->limit, now_ms);
 	}
 	return room;
 }
--- a/core/place.c
+++ b/core/place.c
@@ -109,7 +109,7 @@
 /* Tells whether b may get new work for this query. */
 static bool is_candidate(const struct place_query *q, const struct backend *b)
 {
-	enum send_kind kind = q->second ? SEND_BESIDE : SEND_ALONE;
+	enum send_kind kind = q->second ? SEND_HEDGE : SEND_PRIMARY;
 
 	if (is_avoided(q, b) || !backend_takes(b, kind, q->now_ms))
 		return false;
--- a/core/retry_after.c
+++ b/core/retry_after.c
@@ -37,13 +37,13 @@
 }
 
 /*
- * retry_after_return_s() returns in how many seconds callers are to come back when all
- * servers rest and the first is back in back_in_ms: soon after that, and not together.
+ * retry_after_resume_s() returns in how many seconds callers are to come back when no
+ * server can be used for resume_in_ms; jitter keeps them from coming at once.
  */
-double retry_after_return_s(const struct admit_request *r, int64_t back_in_ms,
+double retry_after_resume_s(const struct admit_request *r, int64_t resume_in_ms,
 			    double random)
 {
-	return ((double)back_in_ms + r->target_ms * SOON_SPREAD * random) /
+	return ((double)resume_in_ms + r->target_ms * SOON_SPREAD * random) /
 	       1000;
 }
 
--- a/http/client.c
+++ b/http/client.c
@@ -50,7 +50,7 @@
 }
 
 /* Reads whole responses that nobody waits for out of n bytes at p. */
-static void take_strays(struct http_client *c, const char *p, size_t n)
+static void take_unsolicited(struct http_client *c, const char *p, size_t n)
 {
 	while (n) {
 		ssize_t used = http_reader_feed(&c->reader, p, n);
@@ -61,8 +61,8 @@
 		p += used;
 		n -= (size_t)used;
 		m = http_reader_take(&c->reader);
-		if (c->ops->stray)
-			c->ops->stray(c->priv, m);
+		if (c->ops->unsolicited)
+			c->ops->unsolicited(c->priv, m);
 		http_message_free(m);
 	}
 }
@@ -93,7 +93,7 @@
 	c->state = CLIENT_IDLE;
 	buf_free(&c->out);
 	watch(c, EV_READ);
-	take_strays(c, p, n);
+	take_unsolicited(c, p, n);
 	c->ops->response(c->priv, m);
 	return true;
 }
@@ -132,7 +132,7 @@
 		return;
 	}
 	if (c->state == CLIENT_IDLE) {
-		take_strays(c, chunk, (size_t)n);
+		take_unsolicited(c, chunk, (size_t)n);
 		fail(c, n ? -EPROTO : -EPIPE);
 		return;
 	}
@@ -145,9 +145,9 @@
 		fail(c, -EPIPE);
 }
 
-static bool may_leave(struct http_client *c)
+static bool may_send(struct http_client *c)
 {
-	return c->sent || !c->ops->may_leave || c->ops->may_leave(c->priv);
+	return c->sent || !c->ops->may_send || c->ops->may_send(c->priv);
 }
 
 static void on_writable(struct http_client *c)
@@ -162,7 +162,7 @@
 		c->state = c->waiting ? CLIENT_BUSY : CLIENT_IDLE;
 		set_timer(c, c->waiting ? c->timeout_s : 0);
 	}
-	if (c->out.len && !may_leave(c)) {
+	if (c->out.len && !may_send(c)) {
 		fail(c, -ECANCELED);
 		return;
 	}
@@ -246,7 +246,7 @@
 		return;
 	c->state = CLIENT_BUSY;
 	set_timer(c, timeout_s);
-	if (may_leave(c)) {
+	if (may_send(c)) {
 		ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
 
 		if (n > 0) {
--- a/http/client.h
+++ b/http/client.h
@@ -30,12 +30,12 @@
 	 */
 	void (*failed)(void *priv, int err, bool sent);
 	/*
-	 * Optional: no byte of the request has left yet, and it may go now. False
-	 * withdraws it: `failed` hears of -ECANCELED.
+	 * Optional: called before the first byte of a request is sent. False cancels
+	 * it: `failed` gets -ECANCELED.
 	 */
-	bool (*may_leave)(void *priv);
-	/* Optional: a whole response has come that nobody waits for. */
-	void (*stray)(void *priv, const struct http_message *m);
+	bool (*may_send)(void *priv);
+	/* Optional: a whole response that no request waits for. */
+	void (*unsolicited)(void *priv, const struct http_message *m);
 };
 
 enum client_state {
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -12,7 +12,7 @@
 	CRASH_FIELDS = 3,
 	LOAD_FIELDS = 3,
 	LIMIT_FIELDS = 5,
-	LEAVING_FIELDS = 2,
+	DRAIN_FIELDS = 2,
 	CALL_FIELDS = 4,
 };
 
@@ -299,16 +299,16 @@
 	}
 }
 
-/* gossip_write_leaving() writes which servers have said that they leave. */
-void gossip_write_leaving(struct buf *out, const struct leaving_news *news)
+/* gossip_write_drain() writes which servers have said that they leave. */
+void gossip_write_drain(struct buf *out, const struct drain_news *news)
 {
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, codec_buf_write);
 	msgpack_pack_array(&pk, 3);
-	msgpack_pack_int(&pk, GOSSIP_LEAVING);
+	msgpack_pack_int(&pk, GOSSIP_DRAIN);
 	msgpack_pack_uint32(&pk, news->peer);
-	msgpack_pack_array(&pk, LEAVING_FIELDS * (size_t)news->n);
+	msgpack_pack_array(&pk, DRAIN_FIELDS * (size_t)news->n);
 	for (unsigned i = 0; i < news->n; i++) {
 		codec_pack_cstr(&pk, news->items[i].id);
 		msgpack_pack_uint64(&pk, news->items[i].born_ms);
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -10,7 +10,7 @@
 #include <msgpack.h>
 
 #include "core/backend.h"
-#include "core/leaving_news.h"
+#include "core/drain_news.h"
 #include "core/limit_news.h"
 #include "core/limit_want.h"
 #include "core/peer_load.h"
@@ -21,17 +21,17 @@
 enum gossip_kind {
 	GOSSIP_BEAT = 1,
 	GOSSIP_FEED = 2,
-	GOSSIP_LOAD = 11,    /* requests out; its sender is an id only */
-	GOSSIP_ROLL = 4,     /* who lives, as a hub hears it */
-	GOSSIP_WHO = 5,	     /* asks who an id of a roll is */
-	GOSSIP_SAME = 8,     /* the roll hasn't changed: its digest */
-	GOSSIP_AGAIN = 9,    /* asks for the whole roll */
-	GOSSIP_PERSON = 6,   /* what another instance said of itself */
-	GOSSIP_CRASH = 10,   /* requests under which servers ended */
-	GOSSIP_WANT = 13,    /* asks for a send that another may make */
-	GOSSIP_GRANT = 14,   /* gives one up; their senders are ids only */
-	GOSSIP_LEAVING = 15, /* servers that leave; its sender is an id only */
-	GOSSIP_LIMIT = 12,   /* limits of servers; its sender is an id only */
+	GOSSIP_LOAD = 11,  /* requests out; its sender is an id only */
+	GOSSIP_ROLL = 4,   /* who lives, as a hub hears it */
+	GOSSIP_WHO = 5,	   /* asks who an id of a roll is */
+	GOSSIP_SAME = 8,   /* the roll hasn't changed: its digest */
+	GOSSIP_AGAIN = 9,  /* asks for the whole roll */
+	GOSSIP_PERSON = 6, /* what another instance said of itself */
+	GOSSIP_CRASH = 10, /* requests under which servers ended */
+	GOSSIP_WANT = 13,  /* asks for a send that another may make */
+	GOSSIP_GRANT = 14, /* gives one up; their senders are ids only */
+	GOSSIP_DRAIN = 15, /* servers that leave; its sender is an id only */
+	GOSSIP_LIMIT = 12, /* limits of servers; its sender is an id only */
 };
 
 /* One record of the list of backend servers. */
@@ -71,16 +71,16 @@
 struct gossip_message {
 	enum gossip_kind kind;
 	struct peer_info sender;
-	struct backend_feed feed;    /* of GOSSIP_FEED */
-	struct peer_load load;	     /* of GOSSIP_LOAD */
-	struct roll roll;	     /* of GOSSIP_ROLL */
-	uint32_t who;		     /* of GOSSIP_WHO: the id asked for */
-	uint32_t digest;	     /* of GOSSIP_SAME */
-	struct peer_info person;     /* of GOSSIP_PERSON */
-	struct limit_news limits;    /* of GOSSIP_LIMIT */
-	struct leaving_news leaving; /* of GOSSIP_LEAVING */
-	struct limit_call call;	     /* of GOSSIP_WANT and GOSSIP_GRANT */
-	GArray *crashes;	     /* of GOSSIP_CRASH: struct crash_news */
+	struct backend_feed feed; /* of GOSSIP_FEED */
+	struct peer_load load;	  /* of GOSSIP_LOAD */
+	struct roll roll;	  /* of GOSSIP_ROLL */
+	uint32_t who;		  /* of GOSSIP_WHO: the id asked for */
+	uint32_t digest;	  /* of GOSSIP_SAME */
+	struct peer_info person;  /* of GOSSIP_PERSON */
+	struct limit_news limits; /* of GOSSIP_LIMIT */
+	struct drain_news drain;  /* of GOSSIP_DRAIN */
+	struct limit_call call;	  /* of GOSSIP_WANT and GOSSIP_GRANT */
+	GArray *crashes;	  /* of GOSSIP_CRASH: struct crash_news */
 };
 
 /* Fits an Ethernet frame, so that no datagram comes in pieces. */
@@ -104,7 +104,7 @@
 void gossip_write_crashes(struct buf *out, const struct peer_info *self,
 			  const struct crash_news *news, unsigned n);
 void gossip_write_limits(struct buf *out, const struct limit_news *news);
-void gossip_write_leaving(struct buf *out, const struct leaving_news *news);
+void gossip_write_drain(struct buf *out, const struct drain_news *news);
 void gossip_write_call(struct buf *out, const struct limit_call *call);
 bool gossip_names_sender(const struct gossip_message *m);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -212,12 +212,12 @@
 	return !c.bad;
 }
 
-static bool read_leaving(const msgpack_object *o, struct leaving_news *news)
+static bool read_draining(const msgpack_object *o, struct drain_news *news)
 {
 	struct cursor c = cursor_of(o);
 
-	while (!c.bad && c.at < c.end && news->n < LEAVING_NEWS_MAX) {
-		struct leaving_item *it = &news->items[news->n++];
+	while (!c.bad && c.at < c.end && news->n < DRAIN_NEWS_MAX) {
+		struct drain_item *it = &news->items[news->n++];
 
 		next_text(&c, it->id, sizeof(it->id));
 		it->born_ms = next_uint(&c);
@@ -240,7 +240,7 @@
 	switch (m->kind) {
 	case GOSSIP_LOAD:
 	case GOSSIP_LIMIT:
-	case GOSSIP_LEAVING:
+	case GOSSIP_DRAIN:
 	case GOSSIP_WANT:
 	case GOSSIP_GRANT:
 		return false;
@@ -250,7 +250,7 @@
 }
 
 /* Reads what stands after the sender. */
-static bool read_rest(struct cursor *c, struct gossip_message *m)
+static bool read_backoff(struct cursor *c, struct gossip_message *m)
 {
 	switch (m->kind) {
 	case GOSSIP_BEAT:
@@ -267,9 +267,9 @@
 	case GOSSIP_LIMIT:
 		m->limits.peer = (uint32_t)next_uint(c);
 		return read_limits(next(c), &m->limits) && !c->bad;
-	case GOSSIP_LEAVING:
-		m->leaving.peer = (uint32_t)next_uint(c);
-		return read_leaving(next(c), &m->leaving) && !c->bad;
+	case GOSSIP_DRAIN:
+		m->drain.peer = (uint32_t)next_uint(c);
+		return read_draining(next(c), &m->drain) && !c->bad;
 	case GOSSIP_WANT:
 	case GOSSIP_GRANT:
 		return read_call(c, m);
@@ -307,7 +307,7 @@
 		m->kind = (enum gossip_kind)next_uint(&c);
 		if (gossip_names_sender(m))
 			read_info(&c, &m->sender);
-		if (!c.bad && read_rest(&c, m))
+		if (!c.bad && read_backoff(&c, m))
 			rc = 0;
 	}
 	msgpack_unpacked_destroy(&u);
--- a/scripts/rest-overload.sh
+++ b/scripts/backoff-overload.sh
@@ -1,12 +1,12 @@
 #!/bin/bash
-# Two of four servers turn requests away and ask for rest, while callers want more than
+# Two of four servers turn requests away and ask to back off, while callers want more than
 # the other two can serve; prints what callers get and what the servers turned away.
-#   scripts/rest-overload.sh [REST_MS [SHED_PCT [RATE [SECONDS [SEED]]]]]
-# REST_MS -1: they ask for none. MP_BIN names another program to compare with.
+#   scripts/backoff-overload.sh [BACKOFF_MS [SHED_PCT [RATE [SECONDS [SEED]]]]]
+# BACKOFF_MS -1: they ask for none. MP_BIN names another program to compare with.
 set -u
 cd "$(dirname "$0")/.."
 bin=${MP_BIN:-target/mimosapitch}
-rest=${1:-1000} shed=${2:-100} rate=${3:-250} seconds=${4:-10} seed=${5:-1}
+backoff=${1:-1000} shed=${2:-100} rate=${3:-250} seconds=${4:-10} seed=${5:-1}
 logs=$(mktemp -d)
 ini=$logs/deployment.ini
 base=${MP_PORT:-13000}
@@ -47,12 +47,12 @@
 done
 sleep 3
 for i in 0 1; do
-	curl -s -m 2 -X POST "http://127.0.0.1:$((base + 300 + i))/stand/faults?rest_milli=$rest&shed_pct=$shed" >/dev/null
+	curl -s -m 2 -X POST "http://127.0.0.1:$((base + 300 + i))/stand/faults?backoff_milli=$backoff&shed_pct=$shed" >/dev/null
 done
 $bin load --deployment "$ini" --seconds "$seconds" --rate "$rate" --seed "$seed" >"$logs/load.txt" 2>&1
 awk '$1 == "strada" {printf "calls=%d done=%d not_run=%d unknown=%d p50_ms=%s p99_ms=%s ", $3, $4, $5, $6, $8, $9}' "$logs/load.txt"
 for i in 0 1 2 3 4 5; do curl -s -m 2 "http://127.0.0.1:$((base + 4100 + i))/metrics"; done |
 	awk '/^class_served/ {s += $2} /^class_late{/ {l += $2} END {printf "in_time=%d ", s - l}'
 for i in 0 1 2 3; do curl -s -m 2 "http://127.0.0.1:$((base + 300 + i))/stand/stats"; done |
-	awk '$1 == "calls" {c += $2} $1 == "shed" {s += $2} $1 == "rests" {r += $2} $1 == "rest_got" {g += $2}
-		END {print "sends=" c " turned_away=" s " rests=" r " in_rests=" g}'
+	awk '$1 == "calls" {c += $2} $1 == "shed" {s += $2} $1 == "backoffs" {r += $2} $1 == "backoff_got" {g += $2}
+		END {print "sends=" c " turned_away=" s " backoffs=" r " in_backoffs=" g}'
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -47,9 +47,9 @@
 		buf_printf(b, "Server-Limit: %g\r\n", s->need.per_s);
 }
 
-static bool is_leaving(const struct server *s)
+static bool is_draining(const struct server *s)
 {
-	return s->leaving_ms || s->faults.leaving;
+	return s->leaving_ms || s->faults.draining;
 }
 
 /* The lifetime of the instance that sends m, as its Via header names it. */
@@ -60,24 +60,24 @@
 	return via.ptr ? via : LSTR("");
 }
 
-static void add_leaving(struct server *s, struct lstr to, struct buf *b)
+static void add_draining(struct server *s, struct lstr to, struct buf *b)
 {
-	if (!is_leaving(s))
+	if (!is_draining(s))
 		return;
 	buf_printf(b, "Server-Leaving: 1\r\n");
-	promises_leaving(&s->promises, to, clock_ms());
+	audit_draining(&s->audit, to, clock_ms());
 }
 
-static void add_rest(struct server *s, struct lstr to, struct buf *b)
+static void add_backoff(struct server *s, struct lstr to, struct buf *b)
 {
-	if (s->faults.rest_odd) {
+	if (s->faults.backoff_odd) {
 		buf_printf(b, "Retry-After: in a while\r\n");
 		return;
 	}
-	if (s->faults.rest_milli < 0)
+	if (s->faults.backoff_milli < 0)
 		return;
-	buf_printf(b, "Retry-After: %g\r\n", s->faults.rest_milli / 1000.0);
-	promises_rest(&s->promises, to, s->faults.rest_milli, clock_ms());
+	buf_printf(b, "Retry-After: %g\r\n", s->faults.backoff_milli / 1000.0);
+	audit_backoff(&s->audit, to, s->faults.backoff_milli, clock_ms());
 }
 
 static void reply(struct server *s, struct http_conn *c, unsigned status,
@@ -97,9 +97,9 @@
 	buf_printf(&h, "Not-Executed: 1\r\nInstance-Id: %s\r\n", s->id);
 	add_load(s, &h);
 	add_limit(s, &h);
-	add_leaving(s, sender(m), &h);
+	add_draining(s, sender(m), &h);
 	if (status == 503)
-		add_rest(s, sender(m), &h);
+		add_backoff(s, sender(m), &h);
 	reply(s, c, status, &h, LSTR(""));
 	buf_free(&h);
 }
@@ -120,7 +120,7 @@
 		   (int)id.len, id.ptr, (int)id.len, id.ptr);
 	add_load(s, headers);
 	add_limit(s, headers);
-	add_leaving(s, sender(j->message), headers);
+	add_draining(s, sender(j->message), headers);
 	buf_printf(body,
 		   "{\"req\":\"%.*s\",\"backend\":\"%s\","
 		   "\"service\":\"%s\"}",
@@ -294,7 +294,7 @@
 	if (s->leaving_ms && clock_ms() - s->leaving_ms > LEAVE_BOUND_MS)
 		s->work.late++;
 	need_arrived(&s->need, clock_ms());
-	promises_arrived(&s->promises, sender(m), false, clock_ms());
+	audit_request(&s->audit, sender(m), false, clock_ms());
 	j = g_new0(struct job, 1);
 	j->server = s;
 	j->conn = c;
@@ -312,7 +312,7 @@
 		break;
 	case WORK_FULL:
 		/* Some services never answer what they can't queue. */
-		if (!s->service->hangs || s->faults.rest_milli >= 0)
+		if (!s->service->hangs || s->faults.backoff_milli >= 0)
 			turn_away_in(j, s->faults.late_ms);
 		break;
 	}
@@ -324,13 +324,13 @@
 	struct buf h = {0};
 
 	s->work.probes++;
-	promises_arrived(&s->promises, sender(m), true, clock_ms());
+	audit_request(&s->audit, sender(m), true, clock_ms());
 	buf_printf(&h, "Instance-Id: %s\r\n", s->id);
 	add_load(s, &h);
 	if (s->faults.limit_asked)
 		add_limit(s, &h);
-	add_leaving(s, sender(m), &h);
-	reply(s, c, is_leaving(s) ? 503 : 200, &h, LSTR(""));
+	add_draining(s, sender(m), &h);
+	reply(s, c, is_draining(s) ? 503 : 200, &h, LSTR(""));
 	buf_free(&h);
 }
 
@@ -350,12 +350,12 @@
 	struct buf none = {0};
 
 	faults_set(f, q);
-	if (query_text(q, "judge_off"))
-		promises_judge_off(&s->promises);
-	if (query_text(q, "judge_on"))
-		promises_judge_on(&s->promises);
+	if (query_text(q, "audit_off"))
+		audit_suspend(&s->audit);
+	if (query_text(q, "audit_on"))
+		audit_resume(&s->audit);
 	if (query_text(q, "excuse"))
-		promises_excuse(&s->promises, query_text(q, "excuse"));
+		audit_excuse(&s->audit, query_text(q, "excuse"));
 	/* What is no number names no limit that could be kept. */
 	need_set(&s->need, f->limit_milli >= 0 && !f->limit_odd,
 		 f->limit_milli / 1000.0, clock_ms());
@@ -432,7 +432,7 @@
 	work_init(&s->work, (unsigned)s->service->slots, s->service->work_ms,
 		  seed ^ (unsigned)index * 2654435761U, clock_ms());
 	need_init(&s->need);
-	promises_init(&s->promises);
+	audit_init(&s->audit);
 	faults_init(&s->faults);
 	s->http.limits = (struct http_limits){HEAD_MAX, BODY_MAX};
 	s->http.head_timeout_s = 5;
--- a/stand/faults.c
+++ b/stand/faults.c
@@ -7,7 +7,7 @@
 /* faults_init() makes those of a server that behaves. */
 void faults_init(struct faults *f)
 {
-	*f = (struct faults){.limit_milli = -1, .rest_milli = -1};
+	*f = (struct faults){.limit_milli = -1, .backoff_milli = -1};
 }
 
 /* faults_set() takes over what a query names and leaves the rest. */
@@ -18,10 +18,10 @@
 		size_t at;
 	} all[] = {
 		{"shed_pct", offsetof(struct faults, shed_pct)},
-		{"rest_milli", offsetof(struct faults, rest_milli)},
-		{"rest_odd", offsetof(struct faults, rest_odd)},
+		{"backoff_milli", offsetof(struct faults, backoff_milli)},
+		{"backoff_odd", offsetof(struct faults, backoff_odd)},
 		{"late_ms", offsetof(struct faults, late_ms)},
-		{"leaving", offsetof(struct faults, leaving)},
+		{"draining", offsetof(struct faults, draining)},
 		{"unlisted", offsetof(struct faults, unlisted)},
 		{"hang_pct", offsetof(struct faults, hang_pct)},
 		{"lost_pct", offsetof(struct faults, lost_pct)},
--- a/stand/server.h
+++ b/stand/server.h
@@ -5,7 +5,7 @@
 #include "http/server.h"
 #include "stand/faults.h"
 #include "stand/need.h"
-#include "stand/promises.h"
+#include "stand/audit.h"
 #include "stand/stand.h"
 #include "stand/work.h"
 
@@ -16,7 +16,7 @@
 	struct work work;
 	struct faults faults;
 	struct need need;
-	struct promises promises;
+	struct audit audit;
 	char id[BACKEND_NAME_MAX], addr[32], dc[BACKEND_NAME_MAX];
 	struct http_client store;
 	struct sockaddr_in store_addr;
--- a/stand/server_stats.c
+++ b/stand/server_stats.c
@@ -21,12 +21,12 @@
 		   "limited_allowed %g\n",
 		   s->need.got, s->need.worst, s->need.allowed);
 	buf_printf(out,
-		   "rests %" PRIu64 "\nrest_got %" PRIu64
-		   "\nrest_questions %" PRIu64 "\nrest_worst %u\n"
-		   "leaving_told %" PRIu64 "\nleaving_got %" PRIu64 "\n",
-		   s->promises.rests, s->promises.rest_got,
-		   s->promises.rest_questions, s->promises.rest_worst,
-		   s->promises.leaving_told, s->promises.leaving_got);
+		   "backoffs %" PRIu64 "\nbackoff_got %" PRIu64
+		   "\nbackoff_questions %" PRIu64 "\nbackoff_worst %u\n"
+		   "draining_told %" PRIu64 "\ndraining_got %" PRIu64 "\n",
+		   s->audit.backoffs, s->audit.backoff_got,
+		   s->audit.backoff_questions, s->audit.backoff_worst,
+		   s->audit.draining_told, s->audit.draining_got);
 	g_hash_table_iter_init(&it, s->work.ran);
 	while (g_hash_table_iter_next(&it, &k, &v))
 		buf_printf(out, "ran %s %d\n", (char *)k, GPOINTER_TO_INT(v));
--- a/tests/servers.h
+++ b/tests/servers.h
@@ -39,7 +39,7 @@
 		s->list[i] = g_hash_table_lookup(s->set.by_id, e.id);
 		s->list[i]->load.slots = slots;
 		s->list[i]->load.slowdown_pct = 100;
-		s->list[i]->memory->was_free = true;
+		s->list[i]->state->was_free = true;
 	}
 	s->service = backend_set_service(&s->set, LSTR("harta"));
 	return s;
--- a/tests/soak-seeds.sh
+++ b/tests/soak-seeds.sh
@@ -15,9 +15,9 @@
 for seed in 903 904 1023 1032; do
 	tests/soak.sh $seed 10 0 limits || exit 1
 done
-# 2801 and 2802 play servers that ask for rest or leave; both failed while nobody read that.
+# 2801 and 2802 play servers that ask to back off, and draining ones; both failed while nobody read that.
 for seed in 2801 2802; do
-	tests/soak.sh $seed 10 0 rests || exit 1
+	tests/soak.sh $seed 10 0 backoff || exit 1
 done
 for seed in 601 602; do
 	tests/soak.sh $seed 10 0 fatal || exit 1
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -8,11 +8,11 @@
 # and servers saw: nothing protected ran twice, no false "not run", no foreign
 # answer, versions never go back, nothing ends by itself, and afterwards a
 # version is in force everywhere and calls are served.
-#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|rests]]]   (a slot is a range of ports,
+#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff]]]   (a slot is a range of ports,
 #   24000 to 30000 in all; no other test uses these, so soaks may run beside them)
 # An even seed plays a system with hubs. With `limits` servers also name limits for a
-# while, and judge whether they are kept. With `rests` they turn requests away and ask
-# for rest, say that they leave, let their entries lapse, and judge what they get all the
+# while, and judge whether they are kept. With `backoff` they turn requests away and ask
+# to back off, announce that they drain, let their entries lapse, and judge what they get all the
 # same; what an instance couldn't hear as it was paused or cut off isn't judged. With `fatal` a request that ends each
 # server that runs it comes to all instances all the while, and when the faults
 # are over few servers may end under it. Stops what it started, by pid.
@@ -24,7 +24,7 @@
 slot=${3:-0}
 fatal=$([ "${4:-}" = fatal ] && echo yes)
 kinds=$([ "${4:-}" = limits ] && echo 20 || echo 16) # of faults
-rests=$([ "${4:-}" = rests ] && echo yes)
+backoff=$([ "${4:-}" = backoff ] && echo yes)
 base=$((24000 + 100 * slot))
 logs=$(mktemp -d)
 ini=$logs/soak.ini
@@ -136,44 +136,44 @@
 pause() { # name, ms
 	local pid=${pids[$1]}
 	note "STOP $1 $2 ms"
-	[ -z "$rests" ] || post_all judge_off=1 $(ports_of "$1")
+	[ -z "$backoff" ] || post_all audit_off=1 $(ports_of "$1")
 	kill -STOP "$pid" 2>/dev/null
 	(
 		nap "$2"
-		case $rests$1 in yesentry:*) post_all "excuse=${1#entry:}-" $(all_servers) ;; esac
+		case $backoff$1 in yesentry:*) post_all "excuse=${1#entry:}-" $(all_servers) ;; esac
 		kill -CONT "$pid" 2>/dev/null
-		[ -n "$rests" ] || exit
+		[ -n "$backoff" ] || exit
 		nap 300
-		post_all judge_on=1 $(ports_of "$1")
+		post_all audit_on=1 $(ports_of "$1")
 	) &
 }
 harm() { # port, query that harms, query that mends, ms
 	note "$1 $2 for $4 ms"
-	[ -z "$rests" ] || post_all judge_off=1 $(ports_of "$1")
+	[ -z "$backoff" ] || post_all audit_off=1 $(ports_of "$1")
 	post "$1" "$2"
 	(
 		nap "$4"
 		post "$1" "$3"
-		[ -n "$rests" ] || exit
+		[ -n "$backoff" ] || exit
 		nap 300
-		post_all judge_on=1 $(ports_of "$1")
+		post_all audit_on=1 $(ports_of "$1")
 	) &
 }
-a_rest() { # ms
+a_backoff() { # ms
 	local all=(300 1000 3000 8000)
 	echo "${all[$((RANDOM % 4))]}"
 }
-# A server asks for rest, says that it leaves, is off the list for a while or answers late.
-fault_of_rest() {
+# A server asks to back off, announces that it drains, is off the list for a while or answers late.
+fault_of_backoff() {
 	local s port ms=$((1000 + RANDOM % 5000))
 	s=$(a_server)
 	port=$(server_port "$s")
 	case $(rnd 5) in
-	0 | 1) disturb "$port" "shed_pct=$((10 + RANDOM % 91))&rest_milli=$(a_rest)&late_ms=$((RANDOM % 2 * RANDOM % 300))" 'shed_pct=0&rest_milli=-1&late_ms=0' $ms ;;
-	2) note "$s leaves"; post "$port" leaving=1; (nap $ms; kill -KILL "${pids[$s]}" 2>/dev/null) &
+	0 | 1) disturb "$port" "shed_pct=$((10 + RANDOM % 91))&backoff_milli=$(a_backoff)&late_ms=$((RANDOM % 2 * RANDOM % 300))" 'shed_pct=0&backoff_milli=-1&late_ms=0' $ms ;;
+	2) note "$s leaves"; post "$port" draining=1; (nap $ms; kill -KILL "${pids[$s]}" 2>/dev/null) &
 		ended+=("$s") ;;
 	3) disturb "$port" unlisted=1 unlisted=0 $((2000 + RANDOM % 3000)) ;;
-	4) disturb "$port" rest_odd=1 rest_odd=0 $ms ;;
+	4) disturb "$port" backoff_odd=1 backoff_odd=0 $ms ;;
 	esac
 }
 disturb() { # port, query that harms, query that mends, ms; the servers go on judging
@@ -210,7 +210,7 @@
 	10) harm "$(a_proxy)" "delay_ms=$((1 + RANDOM % 60))" delay_ms=0 $ms ;;
 	11) harm "$(a_proxy)" "silent=$( ((RANDOM % 2)) && echo up || echo down)" silent=no $ms ;;
 	12) s=$(a_proxy); note "reset $s"; post "$s" reset=1
-		[ -z "$rests" ] || post_all 'judge_off=1&judge_on=1' $(ports_of "$s") ;;
+		[ -z "$backoff" ] || post_all 'audit_off=1&audit_on=1' $(ports_of "$s") ;;
 	13) harm "$(a_proxy)" refuse=1 refuse=0 $ms ;;
 	14) harm "$(server_port "$(a_server)")" "$( ((RANDOM % 2)) && echo hang_pct=20 || echo cut_pct=20)" 'hang_pct=0&cut_pct=0' $ms ;;
 	16 | 17 | 18) harm "$(server_port "$(a_server)")" "limit_milli=$(a_limit)" "limit_milli=-1" $((3000 + RANDOM % 8000)) ;;
@@ -247,7 +247,7 @@
 	echo "$(($(fatal_ends) - $1)) servers ended after the faults"
 	(($(fatal_ends) - $1 <= FATAL_ENDS))
 }
-calm_servers='hang_pct=0&cut_pct=0&limit_milli=-1&limit_odd=0&shed_pct=0&rest_milli=-1&rest_odd=0&late_ms=0&unlisted=0'
+calm_servers='hang_pct=0&cut_pct=0&limit_milli=-1&limit_odd=0&shed_pct=0&backoff_milli=-1&backoff_odd=0&late_ms=0&unlisted=0'
 mend() {
 	post $base 'down=no&lost_pct=0'
 	for p in $((base + 1)) $((base + 59)) $((base + 79)); do
@@ -277,13 +277,13 @@
 	done
 	return $bad
 }
-rests_kept() { # as the servers judge that run now: the users' rules, the second sooner
+backoff_kept() { # as the servers judge that run now: the users' rules, the second sooner
 	local port bad=0
 	for port in $(all_servers); do
 		curl -s -m 2 "http://127.0.0.1:$port/stand/stats" | awk -v port="$port" '
 			{n[$1] = $2}
-			END {print port ": " n["rests"] + 0 " rests, at most " n["rest_worst"] + 0 " of an instance in one; told " n["leaving_told"] + 0 " times that it leaves, got " n["leaving_got"] + 0
-				exit !(n["rest_worst"] <= 2 && n["leaving_got"] == 0)}' || bad=1
+			END {print port ": " n["backoffs"] + 0 " backoffs, at most " n["backoff_worst"] + 0 " of an instance in one; told " n["draining_told"] + 0 " times that it drains, got " n["draining_got"] + 0
+				exit !(n["backoff_worst"] <= 2 && n["draining_got"] == 0)}' || bad=1
 	done
 	return $bad
 }
@@ -327,10 +327,10 @@
 fi
 end=$((SECONDS + seconds))
 while ((SECONDS < end)); do
-	if [ -n "$rests" ] && ((RANDOM % 2)); then fault_of_rest; else fault; fi
+	if [ -n "$backoff" ] && ((RANDOM % 2)); then fault_of_backoff; else fault; fi
 	nap $((RANDOM % 600))
 	[ -z "$fatal" ] || revive
-	[ -z "$rests" ] || restart_ended
+	[ -z "$backoff" ] || restart_ended
 done
 wait $load_pid
 load_rc=$?
@@ -355,7 +355,7 @@
 check "afterwards: invariants" test $? -eq 0
 check "afterwards: served" served
 check "no server got more than the limit that it named" limits_kept
-check "servers get nothing in a rest, nor after they said that they leave" rests_kept
+check "servers get nothing in a backoff, nor after they announced that they drain" backoff_kept
 check "versions never go back" versions_rise
 check "nothing ends by itself" all_run
 check "no invariant broken" sh -c "! grep -l ' ev=900 ' '$logs'/*.log"
--- a/tests/test_availability.c
+++ b/tests/test_availability.c
@@ -14,8 +14,8 @@
 /* Holds for whatever is sent, also for what was chosen before. */
 static void test_holds_for_all(void **state)
 {
-	static const enum send_kind kinds[] = {SEND_ALONE, SEND_BESIDE,
-					       SEND_CHOSEN};
+	static const enum send_kind kinds[] = {SEND_PRIMARY, SEND_HEDGE,
+					       SEND_COMMITTED};
 	struct servers *s = servers_new(1, 4);
 	struct backend *b = s->list[0];
 
@@ -25,35 +25,35 @@
 		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_GONE);
 		b->gone = false;
 		b->entry.draining = true;
-		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_LEAVING);
+		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_DRAINING);
 		b->entry.draining = false;
-		b->memory->leaving = true;
-		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_LEAVING);
-		b->memory->leaving = false;
+		b->state->draining = true;
+		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_DRAINING);
+		b->state->draining = false;
 		b->drained = true;
-		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_DRAINED);
+		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_EXCLUDED);
 		b->drained = false;
-		b->memory->back_ms = 101;
-		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_REST);
+		b->state->resume_ms = 101;
+		assert_int_equal(hold_of(b, kinds[i], 100), HOLD_BACKOFF);
 		assert_int_equal(hold_of(b, kinds[i], 101), HOLD_NONE);
-		b->memory->back_ms = 0;
+		b->state->resume_ms = 0;
 	}
 	servers_free(s);
 }
 
-/* After a rest one at a time; what was chosen goes out all the same. */
-static void test_return_after_rest(void **state)
+/* One at a time after a backoff, but for what is committed. */
+static void test_resuming(void **state)
 {
 	struct servers *s = servers_new(1, 4);
 	struct backend *b = s->list[0];
 
-	server_memory_rest(b->memory, 1, 0, 1000);
-	assert_int_equal(hold_of(b, SEND_ALONE, 2500), HOLD_NONE);
+	server_state_back_off(b->state, 1, 0, 1000);
+	assert_int_equal(hold_of(b, SEND_PRIMARY, 2500), HOLD_NONE);
 	b->in_flight = 1;
-	assert_int_equal(hold_of(b, SEND_ALONE, 2500), HOLD_RETURN);
-	assert_int_equal(hold_of(b, SEND_CHOSEN, 2500), HOLD_NONE);
-	server_memory_answered(b->memory, 2500);
-	assert_int_equal(hold_of(b, SEND_ALONE, 2500), HOLD_NONE);
+	assert_int_equal(hold_of(b, SEND_PRIMARY, 2500), HOLD_RESUMING);
+	assert_int_equal(hold_of(b, SEND_COMMITTED, 2500), HOLD_NONE);
+	server_state_answered(b->state, 2500);
+	assert_int_equal(hold_of(b, SEND_PRIMARY, 2500), HOLD_NONE);
 	servers_free(s);
 }
 
@@ -62,30 +62,30 @@
 	struct servers *s = servers_new(1, 4);
 	struct backend *b = s->list[0];
 
-	b->memory->limit = g_new0(struct backend_limit, 1);
-	b->memory->limit->said.named = true;
-	assert_int_equal(hold_of(b, SEND_ALONE, 0), HOLD_LIMIT);
-	b->memory->limit->looks = true;
-	assert_int_equal(hold_of(b, SEND_ALONE, 0), HOLD_NONE);
-	assert_int_equal(hold_of(b, SEND_BESIDE, 0), HOLD_LIMIT);
-	assert_int_equal(hold_of(b, SEND_CHOSEN, 0), HOLD_NONE);
+	b->state->limit = g_new0(struct backend_limit, 1);
+	b->state->limit->said.named = true;
+	assert_int_equal(hold_of(b, SEND_PRIMARY, 0), HOLD_LIMIT);
+	b->state->limit->looks = true;
+	assert_int_equal(hold_of(b, SEND_PRIMARY, 0), HOLD_NONE);
+	assert_int_equal(hold_of(b, SEND_HEDGE, 0), HOLD_LIMIT);
+	assert_int_equal(hold_of(b, SEND_COMMITTED, 0), HOLD_NONE);
 	servers_free(s);
 }
 
-/* The first return counts, and only while nobody takes anything. */
-static void test_service_back(void **state)
+/* The first resumption counts, and only while no server is available. */
+static void test_service_resume(void **state)
 {
 	struct servers *s = servers_new(3, 4);
 
-	assert_int_equal(service_back_ms(s->service, 0), 0);
-	server_memory_rest(s->list[0]->memory, 3, 0, 0);
-	server_memory_rest(s->list[1]->memory, 2, 0, 0);
-	assert_int_equal(service_back_ms(s->service, 0), 0);
-	s->list[2]->memory->leaving = true;
-	assert_int_equal(service_back_ms(s->service, 0),
-			 s->list[1]->memory->back_ms);
-	s->list[0]->memory->leaving = s->list[1]->memory->leaving = true;
-	assert_int_equal(service_back_ms(s->service, 0), 0);
+	assert_int_equal(service_resume_ms(s->service, 0), 0);
+	server_state_back_off(s->list[0]->state, 3, 0, 0);
+	server_state_back_off(s->list[1]->state, 2, 0, 0);
+	assert_int_equal(service_resume_ms(s->service, 0), 0);
+	s->list[2]->state->draining = true;
+	assert_int_equal(service_resume_ms(s->service, 0),
+			 s->list[1]->state->resume_ms);
+	s->list[0]->state->draining = s->list[1]->state->draining = true;
+	assert_int_equal(service_resume_ms(s->service, 0), 0);
 	servers_free(s);
 }
 
@@ -96,19 +96,19 @@
 	struct backend_entry e = s->list[0]->entry;
 	struct backend *b;
 
-	server_memory_rest(s->list[0]->memory, 9, 0, 0);
-	s->list[0]->memory->leaving = true;
+	server_state_back_off(s->list[0]->state, 9, 0, 0);
+	s->list[0]->state->draining = true;
 	backend_set_remove(&s->set, e.id);
 	e.addr.sin_port = 99;
 	backend_set_put(&s->set, &e, 50);
 	b = g_hash_table_lookup(s->set.by_id, e.id);
-	assert_int_equal(hold_of(b, SEND_CHOSEN, 60), HOLD_LEAVING);
-	b->memory->leaving = false;
-	assert_int_equal(hold_of(b, SEND_CHOSEN, 60), HOLD_REST);
+	assert_int_equal(hold_of(b, SEND_COMMITTED, 60), HOLD_DRAINING);
+	b->state->draining = false;
+	assert_int_equal(hold_of(b, SEND_COMMITTED, 60), HOLD_BACKOFF);
 	e.born_ms = 7;
 	backend_set_put(&s->set, &e, 70);
 	b = g_hash_table_lookup(s->set.by_id, e.id);
-	assert_int_equal(hold_of(b, SEND_CHOSEN, 80), HOLD_NONE);
+	assert_int_equal(hold_of(b, SEND_COMMITTED, 80), HOLD_NONE);
 	s->list[0] = b;
 	servers_free(s);
 }
@@ -117,9 +117,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_holds_for_all),
-		cmocka_unit_test(test_return_after_rest),
+		cmocka_unit_test(test_resuming),
 		cmocka_unit_test(test_limit),
-		cmocka_unit_test(test_service_back),
+		cmocka_unit_test(test_service_resume),
 		cmocka_unit_test(test_outlives_the_entry),
 	};
 
--- a/tests/test_backend.c
+++ b/tests/test_backend.c
@@ -110,12 +110,12 @@
 	struct servers *s = servers_new(1, 4);
 	struct backend *b = s->list[0];
 
-	b->memory->was_free = false;
-	assert_true(backend_takes(b, SEND_ALONE, 0));
+	b->state->was_free = false;
+	assert_true(backend_takes(b, SEND_PRIMARY, 0));
 	b->in_flight = 1;
-	assert_false(backend_takes(b, SEND_ALONE, 0));
-	b->memory->was_free = true;
-	assert_true(backend_takes(b, SEND_ALONE, 0));
+	assert_false(backend_takes(b, SEND_PRIMARY, 0));
+	b->state->was_free = true;
+	assert_true(backend_takes(b, SEND_PRIMARY, 0));
 	servers_free(s);
 }
 
@@ -128,19 +128,19 @@
 	struct limit_sharers sharers = {all, 1};
 	struct limit_part part = limit_part(1, b->start, &sharers);
 
-	b->memory->limit = g_new0(struct backend_limit, 1);
-	b->memory->limit->said =
+	b->state->limit = g_new0(struct backend_limit, 1);
+	b->state->limit->said =
 		(struct server_limit){.named = true, .per_s = 1};
 	assert_true(backend_is_limited(b));
-	assert_false(backend_takes(b, SEND_ALONE, 0));
-	b->memory->limit->looks = true;
-	assert_true(backend_takes(b, SEND_ALONE, 0));
-	b->memory->limit->looks = false;
-	limit_share_set(&b->memory->limit->share, &part, 0);
-	assert_false(backend_takes(b, SEND_ALONE, 900));
-	assert_true(backend_takes(b, SEND_ALONE, 1000));
-	b->memory->limit->said.named = false;
-	assert_true(backend_takes(b, SEND_ALONE, 0));
+	assert_false(backend_takes(b, SEND_PRIMARY, 0));
+	b->state->limit->looks = true;
+	assert_true(backend_takes(b, SEND_PRIMARY, 0));
+	b->state->limit->looks = false;
+	limit_share_set(&b->state->limit->share, &part, 0);
+	assert_false(backend_takes(b, SEND_PRIMARY, 900));
+	assert_true(backend_takes(b, SEND_PRIMARY, 1000));
+	b->state->limit->said.named = false;
+	assert_true(backend_takes(b, SEND_PRIMARY, 0));
 	servers_free(s);
 }
 
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -193,14 +193,14 @@
 	struct answer_info a;
 
 	exchange_read_answer(m, &a);
-	a.rest_text = a.leaving_text = LSTR("");
+	a.backoff_text = a.draining_text = LSTR("");
 	http_message_free(m);
 	g_free(head);
 	return a;
 }
 
 /* Seconds with fractions; dates and whatever is no decimal number are refused. */
-static void test_rest(void **state)
+static void test_backoff(void **state)
 {
 	static const char *const bad[] = {
 		"Retry-After:",
@@ -214,25 +214,29 @@
 		"Retry-After: 123456789012345678901234567890",
 	};
 
-	assert_int_equal(answer_with(503, "Retry-After: 3").rest, REST_ASKED);
-	assert_true(answer_with(503, "Retry-After: 3").rest_s == 3);
-	assert_true(answer_with(503, "Retry-After:  .25 ").rest_s == 0.25);
-	assert_true(answer_with(503, "Retry-After: 0").rest_s == 0);
-	assert_int_equal(answer_with(503, "X: 3").rest, REST_UNSAID);
+	assert_int_equal(answer_with(503, "Retry-After: 3").backoff,
+			 BACKOFF_SET);
+	assert_true(answer_with(503, "Retry-After: 3").backoff_s == 3);
+	assert_true(answer_with(503, "Retry-After:  .25 ").backoff_s == 0.25);
+	assert_true(answer_with(503, "Retry-After: 0").backoff_s == 0);
+	assert_int_equal(answer_with(503, "X: 3").backoff, BACKOFF_NONE);
 	assert_int_equal(
-		answer_with(429, "Not-Executed: 1\r\nRetry-After: 3").rest,
-		REST_ASKED);
+		answer_with(429, "Not-Executed: 1\r\nRetry-After: 3").backoff,
+		BACKOFF_SET);
 	assert_int_equal(
-		answer_with(429, "Response-Seal: x\r\nRetry-After: 3").rest,
-		REST_UNSAID);
-	assert_int_equal(answer_with(200, "Retry-After: 3").rest, REST_UNSAID);
-	assert_int_equal(answer_with(500, "Retry-After: x").rest, REST_UNSAID);
+		answer_with(429, "Response-Seal: x\r\nRetry-After: 3").backoff,
+		BACKOFF_NONE);
+	assert_int_equal(answer_with(200, "Retry-After: 3").backoff,
+			 BACKOFF_NONE);
+	assert_int_equal(answer_with(500, "Retry-After: x").backoff,
+			 BACKOFF_NONE);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
-		assert_int_equal(answer_with(503, bad[i]).rest, REST_BAD);
+		assert_int_equal(answer_with(503, bad[i]).backoff,
+				 BACKOFF_INVALID);
 }
 
-/* A server's time of rest is this instance's, callers are told of no such. */
-static void test_rest_is_not_passed_on(void **state)
+/* A backoff is between server and instance. */
+static void test_backoff_is_not_passed_on(void **state)
 {
 	static const unsigned statuses[] = {503, 429, 200};
 
@@ -252,19 +256,20 @@
 	}
 }
 
-static void test_leaving(void **state)
+static void test_draining(void **state)
 {
 	static const char *const bad[] = {"0", "", "yes", "11", "1, 1"};
 
-	assert_int_equal(answer_with(200, "Server-Leaving: 1").leaving,
-			 LEAVING_SAID);
-	assert_int_equal(answer_with(503, "Server-Leaving:1 ").leaving,
-			 LEAVING_SAID);
-	assert_int_equal(answer_with(200, "X: 1").leaving, LEAVING_UNSAID);
+	assert_int_equal(answer_with(200, "Server-Leaving: 1").draining,
+			 DRAINING_SET);
+	assert_int_equal(answer_with(503, "Server-Leaving:1 ").draining,
+			 DRAINING_SET);
+	assert_int_equal(answer_with(200, "X: 1").draining, DRAINING_NONE);
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
 		char *h = g_strdup_printf("Server-Leaving: %s", bad[i]);
 
-		assert_int_equal(answer_with(200, h).leaving, LEAVING_BAD);
+		assert_int_equal(answer_with(200, h).draining,
+				 DRAINING_INVALID);
 		g_free(h);
 	}
 }
@@ -278,9 +283,9 @@
 		cmocka_unit_test(test_answers_without_id),
 		cmocka_unit_test(test_limit),
 		cmocka_unit_test(test_no_limit),
-		cmocka_unit_test(test_rest),
-		cmocka_unit_test(test_rest_is_not_passed_on),
-		cmocka_unit_test(test_leaving),
+		cmocka_unit_test(test_backoff),
+		cmocka_unit_test(test_backoff_is_not_passed_on),
+		cmocka_unit_test(test_draining),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -329,24 +329,24 @@
 /* What is no limit is refused, whoever sends it. */
 static void test_leaving_round_trip(void **state)
 {
-	struct leaving_news l = {.peer = peer_id("e3"), .n = LEAVING_NEWS_MAX};
+	struct drain_news l = {.peer = peer_id("e3"), .n = DRAIN_NEWS_MAX};
 	struct gossip_message m;
 	struct buf b = {0};
 
-	for (unsigned i = 0; i < LEAVING_NEWS_MAX; i++) {
+	for (unsigned i = 0; i < DRAIN_NEWS_MAX; i++) {
 		memset(l.items[i].id, 'a' + (int)i, BACKEND_NAME_MAX - 1);
 		l.items[i].born_ms = UINT64_MAX - i;
 	}
-	gossip_write_leaving(&b, &l);
+	gossip_write_drain(&b, &l);
 	assert_true(b.len <= GOSSIP_MAX);
 	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
-	assert_int_equal(m.kind, GOSSIP_LEAVING);
+	assert_int_equal(m.kind, GOSSIP_DRAIN);
 	assert_false(gossip_names_sender(&m));
-	assert_int_equal(m.leaving.peer, peer_id("e3"));
-	assert_int_equal(m.leaving.n, LEAVING_NEWS_MAX);
-	for (unsigned i = 0; i < LEAVING_NEWS_MAX; i++) {
-		assert_string_equal(m.leaving.items[i].id, l.items[i].id);
-		assert_true(m.leaving.items[i].born_ms == l.items[i].born_ms);
+	assert_int_equal(m.drain.peer, peer_id("e3"));
+	assert_int_equal(m.drain.n, DRAIN_NEWS_MAX);
+	for (unsigned i = 0; i < DRAIN_NEWS_MAX; i++) {
+		assert_string_equal(m.drain.items[i].id, l.items[i].id);
+		assert_true(m.drain.items[i].born_ms == l.items[i].born_ms);
 	}
 	gossip_message_clear(&m);
 	refuse_prefixes(&b);
--- a/tests/test_limit_room.c
+++ b/tests/test_limit_room.c
@@ -17,11 +17,11 @@
 	struct backend *b = s->list[i];
 	struct limit_part part = limit_part(per_s, b->start, &all);
 
-	b->memory->limit = g_new0(struct backend_limit, 1);
-	b->memory->limit->said =
+	b->state->limit = g_new0(struct backend_limit, 1);
+	b->state->limit->said =
 		(struct server_limit){.named = true, .per_s = per_s};
-	limit_share_begin(&b->memory->limit->share, saved, 0);
-	limit_share_set(&b->memory->limit->share, &part, 0);
+	limit_share_begin(&b->state->limit->share, saved, 0);
+	limit_share_set(&b->state->limit->share, &part, 0);
 }
 
 /* One without a limit has room of another kind: nothing is known of waits. */
@@ -80,7 +80,7 @@
 	int64_t promised = 0;
 
 	limit(s, 0, 5, true);
-	limit_share_set(&s->list[0]->memory->limit->share, &none, 0);
+	limit_share_set(&s->list[0]->state->limit->share, &none, 0);
 	room = limit_room(s->service, 0);
 	assert_true(room.all);
 	assert_true(isinf(limit_room_wait_ms(&room, 0)));
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -116,7 +116,7 @@
 	acquaint(b);
 	b->servers[0].limit = "plenty";
 	assert_int_equal(call_times(b, 10), 10);
-	assert_null(backend_of(b, 0)->memory->limit);
+	assert_null(backend_of(b, 0)->state->limit);
 	assert_int_equal(b->traffic.counters.limits_bad, 10);
 	b->servers[0].limit = "0.5";
 	call_times(b, 1);
@@ -177,7 +177,7 @@
 	assert_true(b->servers[0].received <= 3);
 	/* The first answer that names none is of after what the peer heard. */
 	b->servers[0].limit = NULL;
-	backend_of(b, 0)->memory->limit->looks = true;
+	backend_of(b, 0)->state->limit->looks = true;
 	call_times(b, 10);
 	assert_false(backend_is_limited(backend_of(b, 0)));
 	bench_free(b);
@@ -204,14 +204,14 @@
 	acquaint(b);
 	b->servers[0].limit = "1";
 	call_times(b, 40);
-	before = backend_of(b, 0)->memory->limit->share.part;
+	before = backend_of(b, 0)->state->limit->share.part;
 	list(b, 0, true);
 	assert_null(backend_of(b, 0));
 	/* Others share it by the time it is back: this one holds less, or nothing. */
 	tell_sharers(b, 300);
 	list(b, 0, false);
 	assert_true(backend_is_limited(backend_of(b, 0)));
-	assert_true(backend_of(b, 0)->memory->limit->share.part.rate_s <
+	assert_true(backend_of(b, 0)->state->limit->share.part.rate_s <
 		    before.rate_s);
 	bench_free(b);
 }
@@ -288,7 +288,7 @@
 	acquaint(b);
 	b->servers[0].limit = "20";
 	call_times(b, 1);
-	share = &backend_of(b, 0)->memory->limit->share;
+	share = &backend_of(b, 0)->state->limit->share;
 	before = share->tokens;
 	assert_true(before >= 2);
 	ask_for_one(b);
--- a/tests/test_server_rest.c
+++ b/tests/test_server_backoff.c
@@ -1,4 +1,4 @@
-/* Servers that ask for rest or say that they leave: what they get afterwards. */
+/* Servers that ask to back off or announce that they drain: what they get afterwards. */
 #include "tests/unit.h"
 
 #include "tests/bench.h"
@@ -32,8 +32,8 @@
 	return served;
 }
 
-/* Calls until server i has turned one away and asked for rest. */
-static void ask_for_rest(struct bench *b, int i, const char *header)
+/* Calls until server i has turned one away and asked to back off. */
+static void ask_to_back_off(struct bench *b, int i, const char *header)
 {
 	b->servers[i].script = SCRIPT_REFUSE;
 	b->servers[i].says = header;
@@ -67,13 +67,13 @@
 	bench_put(b, i, false);
 }
 
-static void test_requests_in_rest(void **state)
+static void test_requests_during_backoff(void **state)
 {
 	for (int told = 0; told < 2; told++) {
 		struct bench *b = bench_new(2);
 
 		b->servers[0].tells_load = b->servers[1].tells_load = told;
-		ask_for_rest(b, 0, "Retry-After: 0.5\r\n");
+		ask_to_back_off(b, 0, "Retry-After: 0.5\r\n");
 		assert_gets_nothing(b, 0, 450);
 		assert_serves(b, 0, 600);
 		bench_free(b);
@@ -86,16 +86,16 @@
 	struct backend *s =
 		g_hash_table_lookup(b->traffic.backends.by_id, "i-0");
 
-	ask_for_rest(b, 0, "Retry-After: 0.3\r\nServer-Load: 0,0,2,100\r\n");
+	ask_to_back_off(b, 0, "Retry-After: 0.3\r\nServer-Load: 0,0,2,100\r\n");
 	assert_int_equal(s->load.at_ms, 0);
 	bench_free(b);
 }
 
-static void test_rest_lost_with_the_entry(void **state)
+static void test_backoff_lost_with_the_entry(void **state)
 {
 	struct bench *b = bench_new(2);
 
-	ask_for_rest(b, 0, "Retry-After: 0.5\r\n");
+	ask_to_back_off(b, 0, "Retry-After: 0.5\r\n");
 	list_again(b, 0);
 	assert_gets_nothing(b, 0, 400);
 	assert_serves(b, 0, 600);
@@ -103,17 +103,17 @@
 }
 
 /* A later start under the same id has asked for nothing. */
-static void test_rest_ends_with_the_lifetime(void **state)
+static void test_backoff_ends_with_the_lifetime(void **state)
 {
 	struct bench *b = bench_new(2);
 
-	ask_for_rest(b, 0, "Retry-After: 30\r\n");
+	ask_to_back_off(b, 0, "Retry-After: 30\r\n");
 	bench_restart(b, 0, 5000);
 	assert_serves(b, 0, 300);
 	bench_free(b);
 }
 
-static void test_rest_cut_short_by_a_shorter_one(void **state)
+static void test_backoff_cut_short_by_a_shorter_one(void **state)
 {
 	struct bench *b = bench_new(2);
 	struct caller *first, *second;
@@ -165,22 +165,22 @@
 	bench_free(b);
 }
 
-static void test_bad_rest_changes_nothing(void **state)
+static void test_invalid_backoff_changes_nothing(void **state)
 {
 	struct bench *b = bench_new(2);
 
-	ask_for_rest(b, 0, "Retry-After: Wed, 21 Oct 2015 07:28:00 GMT\r\n");
-	assert_true(b->traffic.counters.words_bad > 0);
+	ask_to_back_off(b, 0, "Retry-After: Wed, 21 Oct 2015 07:28:00 GMT\r\n");
+	assert_true(b->traffic.counters.invalid_values > 0);
 	assert_serves(b, 0, 300);
 	bench_free(b);
 }
 
-static void test_all_rest_refused_with_the_first_return(void **state)
+static void test_all_back_off_refused_with_the_first_resumption(void **state)
 {
 	struct bench *b = bench_new(2);
 
-	ask_for_rest(b, 0, "Retry-After: 4\r\n");
-	ask_for_rest(b, 1, "Retry-After: 2\r\n");
+	ask_to_back_off(b, 0, "Retry-After: 4\r\n");
+	ask_to_back_off(b, 1, "Retry-After: 2\r\n");
 	for (int i = 0; i < 5; i++) {
 		int64_t t0 = clock_ms();
 		struct caller *c = bench_call(b, i % 2 ? "GET" : "POST", 20000);
@@ -195,12 +195,12 @@
 	bench_free(b);
 }
 
-static void test_all_rest_held_for_a_near_return(void **state)
+static void test_all_back_off_held_for_a_near_resumption(void **state)
 {
 	struct bench *b = bench_new(1);
 	struct caller *c;
 
-	ask_for_rest(b, 0, "Retry-After: 0.04\r\n");
+	ask_to_back_off(b, 0, "Retry-After: 0.04\r\n");
 	c = bench_call(b, "POST", 1000);
 	bench_run_until(b, c);
 	assert_int_equal(c->status, 200);
@@ -208,7 +208,7 @@
 	bench_free(b);
 }
 
-static void say_leaving(struct bench *b, int i)
+static void announce_draining(struct bench *b, int i)
 {
 	b->servers[i].says = "Server-Leaving: 1\r\n";
 	call_until_received(b, i);
@@ -216,11 +216,11 @@
 }
 
 /* Neither a later entry nor a lapse ends what the server has said. */
-static void test_requests_after_leaving(void **state)
+static void test_requests_after_draining(void **state)
 {
 	struct bench *b = bench_new(2);
 
-	say_leaving(b, 0);
+	announce_draining(b, 0);
 	assert_gets_nothing(b, 0, 200);
 	bench_put(b, 0, false);
 	assert_gets_nothing(b, 0, 200);
@@ -232,24 +232,24 @@
 }
 
 /* Also one whose entry comes after the news. */
-static void test_leaving_told_by_a_peer(void **state)
+static void test_drain_news_received_by_a_peer(void **state)
 {
 	struct bench *b = bench_new(2);
-	struct leaving_news *news = g_new0(struct leaving_news, 1);
+	struct drain_news *news = g_new0(struct drain_news, 1);
 
 	backend_set_remove(&b->traffic.backends, "i-0");
 	news->n = 2;
 	g_strlcpy(news->items[0].id, "i-0", BACKEND_NAME_MAX);
 	g_strlcpy(news->items[1].id, "i-1", BACKEND_NAME_MAX);
 	news->items[1].born_ms = 9; /* another lifetime than the one here */
-	mailbox_send(&b->traffic.in, TO_TRAFFIC_LEAVING, news);
+	mailbox_send(&b->traffic.in, TO_TRAFFIC_DRAIN, news);
 	bench_run_ms(b, 5);
 	bench_put(b, 0, false);
 	assert_gets_nothing(b, 0, 200);
 	bench_free(b);
 }
 
-static void test_leaving_said_to_a_question(void **state)
+static void test_draining_announced_to_a_question(void **state)
 {
 	struct bench *b = bench_new(2);
 
@@ -268,20 +268,21 @@
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_requests_in_rest),
+		cmocka_unit_test(test_requests_during_backoff),
 		cmocka_unit_test(
 			test_report_of_one_that_turns_away_taken_as_room),
-		cmocka_unit_test(test_rest_lost_with_the_entry),
-		cmocka_unit_test(test_rest_ends_with_the_lifetime),
-		cmocka_unit_test(test_rest_cut_short_by_a_shorter_one),
+		cmocka_unit_test(test_backoff_lost_with_the_entry),
+		cmocka_unit_test(test_backoff_ends_with_the_lifetime),
+		cmocka_unit_test(test_backoff_cut_short_by_a_shorter_one),
 		cmocka_unit_test(
 			test_waiting_request_sent_to_the_one_that_turns_away),
-		cmocka_unit_test(test_bad_rest_changes_nothing),
-		cmocka_unit_test(test_all_rest_refused_with_the_first_return),
-		cmocka_unit_test(test_all_rest_held_for_a_near_return),
-		cmocka_unit_test(test_requests_after_leaving),
-		cmocka_unit_test(test_leaving_told_by_a_peer),
-		cmocka_unit_test(test_leaving_said_to_a_question),
+		cmocka_unit_test(test_invalid_backoff_changes_nothing),
+		cmocka_unit_test(
+			test_all_back_off_refused_with_the_first_resumption),
+		cmocka_unit_test(test_all_back_off_held_for_a_near_resumption),
+		cmocka_unit_test(test_requests_after_draining),
+		cmocka_unit_test(test_drain_news_received_by_a_peer),
+		cmocka_unit_test(test_draining_announced_to_a_question),
 	};
 
 	if (argc > 1)
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -20,10 +20,10 @@
 
 static void assert_heard(struct bench *b, bool heard)
 {
-	const struct server_memory *m = backend_of(b, 0)->memory;
+	const struct server_state *m = backend_of(b, 0)->state;
 
-	assert_int_equal(m->rest_until_ms > clock_ms() + 8000, heard);
-	assert_int_equal(m->leaving, heard);
+	assert_int_equal(m->backoff_until_ms > clock_ms() + 8000, heard);
+	assert_int_equal(m->draining, heard);
 }
 
 static enum http_verdict take(void *owner, const struct answer_info *info)
@@ -138,7 +138,7 @@
 
 	u = send_one(b, &err);
 	assert_int_equal(u->http.state, CLIENT_CONNECTING);
-	server_memory_rest(s->memory, 0.05, 0, clock_ms());
+	server_state_back_off(s->state, 0.05, 0, clock_ms());
 	bench_run_ms(b, 20);
 	assert_int_equal(err, -ECANCELED);
 	assert_int_equal(b->servers[0].received, 0);
@@ -148,7 +148,7 @@
 	u = send_one(b, &err);
 	bench_run_ms(b, 20);
 	upstream_put(u, clock_ms());
-	s->memory->leaving = true;
+	s->state->draining = true;
 	u = upstream_get(&b->traffic, s, 0);
 	assert_int_equal(u->http.state, CLIENT_IDLE);
 	upstream_exchange(u, LSTR("GET /x HTTP/1.1\r\n\r\n"), 1, false, &ops,
@@ -177,7 +177,8 @@
 			ev_run(b->loop, EVRUN_ONCE);
 		to = backend_of(b, 1)->in_flight ? 1 : 0;
 		assert_int_equal(b->servers[to].received, 0);
-		server_memory_rest(backend_of(b, to)->memory, 5, 0, clock_ms());
+		server_state_back_off(backend_of(b, to)->state, 5, 0,
+				      clock_ms());
 		bench_run_until(b, c);
 		assert_int_equal(c->status, 200);
 		assert_int_equal(b->servers[to].received, 0);
--- a/traffic/end_check.c
+++ b/traffic/end_check.c
@@ -6,7 +6,7 @@
 #include "misc/clock.h"
 #include "platform/exchange.h"
 #include "traffic/end_check.h"
-#include "traffic/server_words.h"
+#include "traffic/feedback.h"
 
 /*
  * A process that has ended refuses at once, in a round trip; one that lives
@@ -89,8 +89,8 @@
 
 static bool is_at_rest(const struct backend *b)
 {
-	return backend_availability(b, SEND_CHOSEN, clock_ms()).hold ==
-	       HOLD_REST;
+	return backend_availability(b, SEND_COMMITTED, clock_ms()).hold ==
+	       HOLD_BACKOFF;
 }
 
 /*
@@ -126,8 +126,8 @@
 	exchange_read_answer(m, &info);
 	named = info.backend.ptr != NULL;
 	same = named && lstr_eq(info.backend, lstr0(c->backend->entry.id));
-	server_words_hear(c->traffic, c->backend,
-			  &(struct server_answer){.info = info});
+	feedback_apply(c->traffic, c->backend,
+		       &(struct feedback){.info = info});
 	http_message_free(m);
 	if (same)
 		finish(c, false, "lives", "answered");
@@ -219,7 +219,7 @@
 {
 	struct end_check *c = b->check;
 
-	if (!mechanisms.quarantine || backend_is_leaving(b))
+	if (!mechanisms.quarantine || backend_is_draining(b))
 		return;
 	if (b->ended) {
 		note_end(t, b, digest);
--- /dev/null
+++ b/traffic/feedback.c
@@ -0,0 +1,83 @@
+#include "common/event.h"
+#include "misc/clock.h"
+#include "traffic/drain_news.h"
+#include "traffic/feedback.h"
+#include "traffic/limits.h"
+
+enum { TEXT_MAX = 64 }; /* bytes of a value that are logged */
+
+/* An invalid value is ignored, and logged once until a valid one follows. */
+static void log_invalid(struct traffic *t, const struct backend *b,
+			const char *field, struct lstr text)
+{
+	t->counters.invalid_values++;
+	if (b->state->invalid_logged)
+		return;
+	b->state->invalid_logged = true;
+	mp_event(EV_RESPONSE_INVALID, G_LOG_LEVEL_WARNING,
+		 "backend=%s service=%s field=%s value=%.*s", b->entry.id,
+		 b->service->name, field, (int)MIN(text.len, TEXT_MAX),
+		 text.ptr);
+}
+
+static void back_off(struct traffic *t, struct backend *b, double backoff_s)
+{
+	struct server_state *s = b->state;
+	int64_t now_ms = clock_ms();
+
+	s->invalid_logged = false;
+	t->counters.backoffs++;
+	if (!server_state_back_off(s, backoff_s, g_rand_double(t->rand),
+				   now_ms))
+		return;
+	/* A load report from before the backoff must not look like room after it. */
+	b->load = (struct load_report){.slots = b->load.slots};
+	mp_event(EV_BACKOFF, G_LOG_LEVEL_MESSAGE,
+		 "backend=%s service=%s backoff_s=%g "
+		 "ends_in_ms=%" G_GINT64_FORMAT
+		 " resume_in_ms=%" G_GINT64_FORMAT " in_flight=%u",
+		 b->entry.id, b->service->name, backoff_s,
+		 s->backoff_until_ms - now_ms, s->resume_ms - now_ms,
+		 b->in_flight);
+}
+
+/* Another start may answer at the same address. */
+static bool is_from(const struct backend *b, const struct answer_info *info)
+{
+	if (info->misdirected)
+		return false;
+	return !info->backend.ptr || lstr_eq(info->backend, lstr0(b->entry.id));
+}
+
+/* It isn't known when an unsolicited response was asked for: it can't end a limit. */
+static void apply_limit(struct traffic *t, struct backend *b,
+			const struct feedback *f)
+{
+	bool own = f->info.sealed || f->info.not_run || f->question;
+
+	if (f->awaited && own)
+		limits_answer(t, b, &f->info, f->sent_ms,
+			      f->question ? LIMIT_BY_QUESTION
+					  : LIMIT_BY_ANSWER);
+	else if (!f->awaited && f->info.limit == LIMIT_NAMED)
+		limits_answer(t, b, &f->info, 0, LIMIT_BY_ANSWER);
+}
+
+/* feedback_apply() takes in a response from b's address. */
+void feedback_apply(struct traffic *t, struct backend *b,
+		    const struct feedback *f)
+{
+	const struct answer_info *info = &f->info;
+
+	if (!is_from(b, info))
+		return;
+	apply_limit(t, b, f);
+	if (info->backoff == BACKOFF_INVALID)
+		log_invalid(t, b, "backoff", info->backoff_text);
+	else if (info->backoff == BACKOFF_SET)
+		back_off(t, b, info->backoff_s);
+	if (info->draining == DRAINING_INVALID)
+		log_invalid(t, b, "draining", info->draining_text);
+	else if (info->draining == DRAINING_SET)
+		drain_news_announced(t, b);
+}
--- a/traffic/limit_sends.c
+++ b/traffic/limit_sends.c
@@ -41,7 +41,7 @@
 {
 	static const char *const payers[] = {"-", "own", "peer", "look"};
 	const struct request *r = s->request;
-	const struct backend_limit *l = s->backend->memory->limit;
+	const struct backend_limit *l = s->backend->state->limit;
 	const struct traffic *t = r->traffic;
 
 	mp_event(EV_LIMIT_SEND, G_LOG_LEVEL_INFO,
@@ -68,7 +68,7 @@
 	s->payer = LIMIT_PAYS_NONE;
 	if (!backend_is_limited(b))
 		return;
-	s->payer = pay(b->memory->limit, s->sent_ms);
+	s->payer = pay(b->state->limit, s->sent_ms);
 	log_send(s);
 }
 
@@ -76,7 +76,7 @@
 void limit_sends_ended(struct send *s, int64_t now_ms)
 {
 	if (s->payer == LIMIT_PAYS_OWN)
-		limit_share_end(&s->backend->memory->limit->share, now_ms);
+		limit_share_end(&s->backend->state->limit->share, now_ms);
 	s->payer = LIMIT_PAYS_NONE;
 }
 
@@ -128,11 +128,11 @@
 	for (guint i = 0; i < s->backends->len; i++) {
 		struct backend *b = g_ptr_array_index(s->backends, i);
 
-		if (!backend_is_limited(b) || backend_is_leaving(b) ||
-		    !limit_share_allows(&b->memory->limit->share, now_ms))
+		if (!backend_is_limited(b) || backend_is_draining(b) ||
+		    !limit_share_allows(&b->state->limit->share, now_ms))
 			continue;
-		if (!best || b->memory->limit->share.tokens >
-				     best->memory->limit->share.tokens)
+		if (!best || b->state->limit->share.tokens >
+				     best->state->limit->share.tokens)
 			best = b;
 	}
 	return best;
@@ -157,12 +157,12 @@
 	b = most_to_give(s, now_ms);
 	if (!b)
 		return;
-	limit_share_take(&b->memory->limit->share, now_ms);
-	limit_share_end(&b->memory->limit->share, now_ms);
+	limit_share_take(&b->state->limit->share, now_ms);
+	limit_share_end(&b->state->limit->share, now_ms);
 	t->counters.limits_given++;
 	mp_event(EV_LIMIT_GIVEN, G_LOG_LEVEL_INFO,
 		 "backend=%s service=%s peer_id=%08x left=%.2f", b->entry.id,
-		 s->name, question->from, b->memory->limit->share.tokens);
+		 s->name, question->from, b->state->limit->share.tokens);
 	grant.what = b->start;
 	call_peers(t, &grant);
 }
@@ -178,7 +178,7 @@
 			      now_ms))
 		return;
 	t->counters.limits_granted++;
-	b->memory->limit->granted_ms = limit_grant_until_ms(now_ms);
+	b->state->limit->granted_ms = limit_grant_until_ms(now_ms);
 	request_use_room(t, b);
 }
 
--- a/traffic/limits.c
+++ b/traffic/limits.c
@@ -37,7 +37,7 @@
 static void log_change(const struct backend *b, enum limit_change change,
 		       const struct limit_word *w, double before)
 {
-	const struct limit_part *p = &b->memory->limit->share.part;
+	const struct limit_part *p = &b->state->limit->share.part;
 
 	mp_event(change == LIMIT_ENDED ? EV_LIMIT_ENDED : EV_LIMIT_NAMED,
 		 G_LOG_LEVEL_MESSAGE,
@@ -45,7 +45,7 @@
 		 "asked_ago_ms=%" G_GINT64_FORMAT
 		 " heard_ago_ms=%" G_GINT64_FORMAT
 		 " own_per_s=%.3f own_depth=%.2f",
-		 b->entry.id, b->service->name, b->memory->limit->said.per_s,
+		 b->entry.id, b->service->name, b->state->limit->said.per_s,
 		 before, limit_source_name(w->source), clock_ms() - w->asked_ms,
 		 clock_ms() - w->heard_ms, p->rate_s, p->depth);
 }
@@ -54,9 +54,9 @@
 static void log_bad(struct traffic *t, struct backend *b, struct lstr text)
 {
 	t->counters.limits_bad++;
-	if (b->memory->limit_bad)
+	if (b->state->limit_bad)
 		return;
-	b->memory->limit_bad = true;
+	b->state->limit_bad = true;
 	mp_event(EV_LIMIT_BAD, G_LOG_LEVEL_WARNING,
 		 "backend=%s service=%s limit=%.*s; what was known stays in "
 		 "force",
@@ -75,8 +75,8 @@
 		sharers = (struct limit_sharers){
 			(const struct limit_sharer *)(void *)known->data,
 			known->len};
-	part = limit_part(b->memory->limit->said.per_s, b->start, &sharers);
-	limit_share_set(&b->memory->limit->share, &part, clock_ms());
+	part = limit_part(b->state->limit->said.per_s, b->start, &sharers);
+	limit_share_set(&b->state->limit->share, &part, clock_ms());
 }
 
 static void arm(struct traffic *t, int ms)
@@ -110,24 +110,24 @@
 		 const struct limit_word *w)
 {
 	int64_t now_ms = clock_ms();
-	double before = b->memory->limit ? b->memory->limit->said.per_s : 0;
+	double before = b->state->limit ? b->state->limit->said.per_s : 0;
 	enum limit_change change;
 
-	if (!b->memory->limit && !w->named)
+	if (!b->state->limit && !w->named)
 		return false;
-	if (!b->memory->limit) {
-		b->memory->limit = g_new0(struct backend_limit, 1);
-		limit_share_begin(&b->memory->limit->share, b->memory->was_free,
+	if (!b->state->limit) {
+		b->state->limit = g_new0(struct backend_limit, 1);
+		limit_share_begin(&b->state->limit->share, b->state->was_free,
 				  now_ms);
 	}
-	change = server_limit_hear(&b->memory->limit->said, w, now_ms);
+	change = server_limit_hear(&b->state->limit->said, w, now_ms);
 	if (change == LIMIT_SAME)
 		return false;
 	set_part(t, b);
 	arm(t, TICK_MS);
-	if (!differs(b->memory->limit, change))
+	if (!differs(b->state->limit, change))
 		return false;
-	b->memory->limit->told_per_s = b->memory->limit->said.per_s;
+	b->state->limit->told_per_s = b->state->limit->said.per_s;
 	log_change(b, change, w, before);
 	return true;
 }
@@ -153,14 +153,14 @@
 {
 	int spread = g_rand_int_range(t->rand, 0, TELL_SPREAD_MS);
 
-	b->memory->limit->tell_ms = now_ms + TELL_AGAIN_MS + spread;
+	b->state->limit->tell_ms = now_ms + TELL_AGAIN_MS + spread;
 }
 
 /* Adds what is known of b's limit. */
 static void add_item(struct limit_news *news, const struct backend *b,
 		     int64_t now_ms)
 {
-	const struct server_limit *l = &b->memory->limit->said;
+	const struct server_limit *l = &b->state->limit->said;
 
 	news->items[news->n++] = (struct limit_item){
 		.backend = b->start,
@@ -192,15 +192,15 @@
 		log_bad(t, b, info->limit_text);
 		return;
 	}
-	b->memory->limit_bad = false;
-	b->memory->was_free =
-		b->memory->was_free || (!w.named && source == LIMIT_BY_ANSWER);
+	b->state->limit_bad = false;
+	b->state->was_free =
+		b->state->was_free || (!w.named && source == LIMIT_BY_ANSWER);
 	if (!hear(t, b, &w))
 		return;
 	was_told(t, b, w.heard_ms);
-	if (!b->memory->limit->said.named) {
-		b->memory->limit->end_tells = END_TELLS;
-		b->memory->limit->tell_ms = w.heard_ms + END_AGAIN_MS;
+	if (!b->state->limit->said.named) {
+		b->state->limit->end_tells = END_TELLS;
+		b->state->limit->tell_ms = w.heard_ms + END_AGAIN_MS;
 	}
 	add_item(&news, b, w.heard_ms);
 	send_news(t, &news);
@@ -241,7 +241,7 @@
 		if (!b)
 			continue;
 		(void)hear(t, b, &w);
-		if (b->memory->limit && backend_is_limited(b))
+		if (b->state->limit && backend_is_limited(b))
 			was_told(t, b, now_ms);
 	}
 }
@@ -267,7 +267,7 @@
  */
 static void plan_look(struct traffic *t, struct backend *b, int64_t now_ms)
 {
-	struct backend_limit *l = b->memory->limit;
+	struct backend_limit *l = b->state->limit;
 
 	if (l->share.part.held || !hears_most(t) ||
 	    !server_limit_is_stale(&l->said, now_ms)) {
@@ -291,10 +291,10 @@
 static bool is_due(const struct backend *b, int64_t now_ms)
 {
 	bool concerned = backend_is_limited(b)
-				 ? b->memory->limit->share.part.held
-				 : b->memory->limit->end_tells > 0;
+				 ? b->state->limit->share.part.held
+				 : b->state->limit->end_tells > 0;
 
-	return concerned && now_ms >= b->memory->limit->tell_ms;
+	return concerned && now_ms >= b->state->limit->tell_ms;
 }
 
 /* It is told now; when it is to be told again. */
@@ -304,8 +304,8 @@
 		was_told(t, b, now_ms);
 		return;
 	}
-	b->memory->limit->end_tells--;
-	b->memory->limit->tell_ms = now_ms + END_AGAIN_MS;
+	b->state->limit->end_tells--;
+	b->state->limit->tell_ms = now_ms + END_AGAIN_MS;
 }
 
 static void on_tick(struct ev_loop *loop, ev_timer *timer, int revents)
@@ -321,8 +321,8 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct backend *b = v;
 
-		if (!b->memory->limit ||
-		    (!backend_is_limited(b) && !b->memory->limit->end_tells))
+		if (!b->state->limit ||
+		    (!backend_is_limited(b) && !b->state->limit->end_tells))
 			continue;
 		any = true;
 		plan_look(t, b, now_ms);
@@ -353,7 +353,7 @@
 		if (!backend_is_limited(b))
 			continue;
 		set_part(t, b);
-		b->memory->limit->tell_ms = 0;
+		b->state->limit->tell_ms = 0;
 		arm(t, g_rand_int_range(t->rand, 0, TELL_NEW_MS));
 	}
 }
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -42,12 +42,12 @@
 {
 	const struct load_report *l = &b->load;
 	bool limited = backend_is_limited(b);
-	int64_t rest = b->memory->back_ms - now_ms;
+	int64_t rest = b->state->resume_ms - now_ms;
 	const struct {
 		const char *name;
 		double value;
 	} gauges[] = {
-		{"draining", backend_is_leaving(b) || b->drained},
+		{"draining", backend_is_draining(b) || b->drained},
 		{"in_flight", b->in_flight},
 		{"running", l->running},
 		{"waiting", l->waiting},
@@ -55,10 +55,10 @@
 		{"slowdown_pct", l->slowdown_pct},
 		{"load_age_ms", l->at_ms ? (double)(now_ms - l->at_ms) : -1},
 		{"trouble", outlier_trouble(b, now_ms)},
-		{"rest_left_ms", rest > 0 ? (double)rest : 0},
-		{"limit_per_s", limited ? b->memory->limit->said.per_s : -1},
+		{"backoff_left_ms", rest > 0 ? (double)rest : 0},
+		{"limit_per_s", limited ? b->state->limit->said.per_s : -1},
 		{"limit_own_per_s",
-		 limited ? b->memory->limit->share.part.rate_s : -1},
+		 limited ? b->state->limit->share.part.rate_s : -1},
 	};
 
 	for (size_t i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
@@ -143,11 +143,11 @@
 		   n->limits_given);
 	buf_printf(out, "limits_granted %" G_GUINT64_FORMAT "\n",
 		   n->limits_granted);
-	buf_printf(out, "rests_asked %" G_GUINT64_FORMAT "\n", n->rests);
+	buf_printf(out, "backoffs %" G_GUINT64_FORMAT "\n", n->backoffs);
 	buf_printf(out, "sends_withdrawn %" G_GUINT64_FORMAT "\n",
 		   n->withdrawn);
-	buf_printf(out, "answer_values_bad %" G_GUINT64_FORMAT "\n",
-		   n->words_bad);
+	buf_printf(out, "invalid_values %" G_GUINT64_FORMAT "\n",
+		   n->invalid_values);
 	buf_printf(out, "quarantined %" G_GUINT64_FORMAT "\n", n->quarantined);
 	buf_printf(out, "verdicts %u\n",
 		   g_hash_table_size(t->quarantine.verdicts));
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -114,18 +114,18 @@
 	int64_t left_ms = request_left_ms(r, now_ms);
 	struct admit_request view = request_view(r, now_ms);
 	struct limit_room room = limit_room(r->service, now_ms);
-	int64_t back_ms = service_back_ms(r->service, now_ms);
+	int64_t resume_ms = service_resume_ms(r->service, now_ms);
 	double random = g_rand_double(r->traffic->rand);
-	double soon =
-		back_ms ? retry_after_return_s(&view, back_ms - now_ms, random)
-			: retry_after_s(&view, left_ms, random);
+	double soon = resume_ms ? retry_after_resume_s(
+					  &view, resume_ms - now_ms, random)
+				: retry_after_s(&view, left_ms, random);
 	double turn =
 		retry_after_turn_s(&r->service->promised_ms, &room,
 				   r->service->waiting.length, left_ms, now_ms);
 
 	r->traffic->trouble_ms = now_ms;
 	refuse(r,
-	       back_ms	  ? "servers at rest"
+	       resume_ms  ? "servers backing off"
 	       : room.all ? "servers in need"
 			  : why,
 	       MAX(soon, turn));
--- a/traffic/request_log.c
+++ b/traffic/request_log.c
@@ -129,7 +129,7 @@
 			   int64_t now_ms)
 {
 	struct availability a =
-		backend_availability(s->backend, SEND_CHOSEN, now_ms);
+		backend_availability(s->backend, SEND_COMMITTED, now_ms);
 
 	tell(r, now_ms);
 	mp_event(EV_REQUEST_WITHDRAWN, G_LOG_LEVEL_INFO,
--- a/traffic/request_place.c
+++ b/traffic/request_place.c
@@ -134,7 +134,7 @@
 	};
 
 	if (!backend_takes(
-		    b, r->placement == PLACE_HEDGE ? SEND_BESIDE : SEND_ALONE,
+		    b, r->placement == PLACE_HEDGE ? SEND_HEDGE : SEND_PRIMARY,
 		    now_ms))
 		return false;
 	if (r->placement == PLACE_HEDGE && r->rescue)
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -122,8 +122,8 @@
 	int64_t now_ms = clock_ms();
 	struct upstream *u = s->upstream;
 
-	/* One that turns all away works on nothing: its report is no offer. */
-	if (info->has_load && mechanisms.ask && info->rest != REST_ASKED) {
+	/* A server that sheds its load reports none: that is not room. */
+	if (info->has_load && mechanisms.ask && info->backoff != BACKOFF_SET) {
 		s->backend->service->load_support = LOAD_TOLD;
 		s->backend->load = info->load;
 		s->backend->load.at_ms = now_ms;
@@ -140,7 +140,7 @@
 		return;
 	}
 	end_check_answered(r->traffic, r->digest);
-	server_memory_answered(s->backend->memory, s->sent_ms);
+	server_state_answered(s->backend->state, s->sent_ms);
 	if (m->status / 100 == 2 && !info->sealed) {
 		/* Not the server's own answer, whatever it looks like. */
 		http_message_free(m);
@@ -156,8 +156,8 @@
 }
 
 /*
- * Its connection stood when the server took nothing any more: nothing has left, and
- * the request is as if the server hadn't been chosen.
+ * The server became unavailable while its connection was opened. Nothing has left, so
+ * the send is undone, without a charge to the retry budget.
  */
 static void withdraw(struct send *s, int64_t now_ms)
 {
--- a/traffic/request_wait.c
+++ b/traffic/request_wait.c
@@ -172,17 +172,18 @@
 }
 
 /*
- * All servers of the service rest: it waits for the first to be back, or is refused
- * at once.
+ * No server of the service can be used until resume_ms: the request waits for that if
+ * it is in time, or is refused at once.
  */
-static void wait_for_return(struct request *r, int64_t back_ms, int64_t now_ms)
+static void wait_for_resume(struct request *r, int64_t resume_ms,
+			    int64_t now_ms)
 {
-	if (back_ms > wait_end_ms(r, now_ms)) {
+	if (resume_ms > wait_end_ms(r, now_ms)) {
 		give_up(r);
 		return;
 	}
 	r->round = 0;
-	r->wait_until_ms = back_ms;
+	r->wait_until_ms = resume_ms;
 	enqueue(r);
 	request_arm(r);
 }
@@ -211,7 +212,7 @@
 {
 	struct admit_request view = request_view(r, now_ms);
 	struct limit_room room = limit_room(r->service, now_ms);
-	int64_t back_ms = service_back_ms(r->service, now_ms);
+	int64_t resume_ms = service_resume_ms(r->service, now_ms);
 
 	if (admit_can_be_on_time(&view) && r->placement != PLACE_HEDGE)
 		r->service->pressed_ms = now_ms;
@@ -220,8 +221,8 @@
 		request_place_end(r);
 		plan_rescue(r, now_ms);
 		request_arm(r);
-	} else if (back_ms) {
-		wait_for_return(r, back_ms, now_ms);
+	} else if (resume_ms) {
+		wait_for_resume(r, resume_ms, now_ms);
 	} else if (room.all) {
 		wait_for_limit(r, &room, now_ms);
 	} else {
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -10,7 +10,7 @@
 #include "misc/clock.h"
 #include "member/advise.h"
 #include "platform/directory.h"
-#include "traffic/leaving.h"
+#include "traffic/drain_news.h"
 #include "traffic/limit_sends.h"
 #include "traffic/limits.h"
 #include "traffic/metrics.h"
@@ -266,7 +266,7 @@
 	t->budget_rule.instances = t->most_instances;
 	t->ask_rule.instances = t->most_instances;
 	limits_peers_changed(t);
-	leaving_peers_changed(t);
+	drain_news_peers_changed(t);
 }
 
 static void receive(void *priv, struct mail *m)
@@ -293,8 +293,8 @@
 		limits_told(t, m->data);
 		g_free(m->data);
 		break;
-	case TO_TRAFFIC_LEAVING:
-		leaving_told(t, m->data);
+	case TO_TRAFFIC_DRAIN:
+		drain_news_received(t, m->data);
 		g_free(m->data);
 		break;
 	case TO_TRAFFIC_LIMIT_CALL:
@@ -383,7 +383,7 @@
 	take_bounds(t, &s->bounds);
 	share_init(t);
 	limits_init(t);
-	leaving_init(t);
+	drain_news_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
 	backend_set_init(&t->backends, on_backend_gone, t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -35,9 +35,9 @@
 	uint64_t end_checks, ends_seen, quarantined;
 	uint64_t limits_bad;		       /* limits that are no number */
 	uint64_t limits_given, limits_granted; /* sends, to and by peers */
-	uint64_t rests;			       /* asked for by servers */
-	uint64_t withdrawn; /* sends, right before they left */
-	uint64_t words_bad; /* values of answers that were refused */
+	uint64_t backoffs;		       /* asked for by servers */
+	uint64_t withdrawn;	 /* sends, right before they left */
+	uint64_t invalid_values; /* values of answers that were refused */
 };
 
 struct traffic {
@@ -51,7 +51,7 @@
 	struct config *config;
 	struct backend_set backends;
 	struct peer_loads peer_loads;
-	ev_timer limits_timer, leaving_timer;
+	ev_timer limits_timer, drain_timer;
 	ev_timer share_timer;
 	bool share_pending;
 	struct peer_view peers;
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -3,7 +3,7 @@
 
 #include "core/availability.h"
 #include "misc/clock.h"
-#include "traffic/server_words.h"
+#include "traffic/feedback.h"
 #include "traffic/upstream.h"
 
 /*
@@ -12,7 +12,7 @@
  */
 static const double CONNECT_TIMEOUT_S = 0.1;
 
-/* An answer to a request that was given up may have been sent so long ago. */
+/* A response may still be on its way after its request was given up. */
 static const double LINGER_S = 1.0;
 
 enum { HEAD_MAX = 64 * 1024, BODY_MAX = 64 << 20 }; /* bytes of an answer */
@@ -51,18 +51,18 @@
 	g_free(u);
 }
 
-/* What it says of the server counts, whoever waits for it. */
+/* Feedback counts also if the owner skips the response. */
 static enum http_verdict judge(void *priv, const struct http_message *m)
 {
 	struct upstream *u = priv;
-	struct server_answer answer = {.sent_ms = u->sent_ms,
-				       .question = u->question};
+	struct feedback answer = {.sent_ms = u->sent_ms,
+				  .question = u->question};
 	enum http_verdict verdict;
 
 	exchange_read_answer(m, &answer.info);
 	verdict = u->ops->judge(u->owner, &answer.info);
 	answer.awaited = verdict == HTTP_TAKE;
-	server_words_hear(u->traffic, u->backend, &answer);
+	feedback_apply(u->traffic, u->backend, &answer);
 	return verdict;
 }
 
@@ -75,20 +75,20 @@
 	u->ops->response(u->owner, m, &info);
 }
 
-static void on_stray(void *priv, const struct http_message *m)
+static void on_unsolicited(void *priv, const struct http_message *m)
 {
 	struct upstream *u = priv;
-	struct server_answer answer = {.awaited = false};
+	struct feedback answer = {.awaited = false};
 
 	exchange_read_answer(m, &answer.info);
-	server_words_hear(u->traffic, u->backend, &answer);
+	feedback_apply(u->traffic, u->backend, &answer);
 }
 
-static bool may_leave(void *priv)
+static bool may_send(void *priv)
 {
 	const struct upstream *u = priv;
 
-	return backend_takes(u->backend, SEND_CHOSEN, clock_ms());
+	return backend_takes(u->backend, SEND_COMMITTED, clock_ms());
 }
 
 /* The connection ended; the owner must not use it any more. */
@@ -104,7 +104,7 @@
 }
 
 static const struct http_client_ops client_ops = {judge, on_response, on_failed,
-						  may_leave, on_stray};
+						  may_send, on_unsolicited};
 
 static struct upstream *open_new(struct traffic *t, struct backend *b)
 {
@@ -186,17 +186,18 @@
 	u->backend->conns = u;
 }
 
-static enum http_verdict nobody_judges(void *owner,
-				       const struct answer_info *info)
+static enum http_verdict detached_judge(void *owner,
+					const struct answer_info *info)
 {
 	return HTTP_SKIP;
 }
 
-static void nobody_hears(void *owner, int err, bool sent)
+static void detached_failed(void *owner, int err, bool sent)
 {
 }
 
-static const struct upstream_ops nobody = {nobody_judges, NULL, nobody_hears};
+static const struct upstream_ops detached_ops = {detached_judge, NULL,
+						 detached_failed};
 
 /*
  * upstream_drop() gives a connection up. A backend server drops the request that it
@@ -206,7 +207,7 @@
 void upstream_drop(struct upstream *u)
 {
 	if (http_client_linger(&u->http, LINGER_S)) {
-		u->ops = &nobody;
+		u->ops = &detached_ops;
 		u->owner = NULL;
 		return;
 	}
