--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -165,13 +165,16 @@
 }
 # A server asks to back off, announces that it drains, is off the list for a while or answers late.
 fault_of_backoff() {
-	local s port ms=$((1000 + RANDOM % 5000))
+	local s port pid ms=$((1000 + RANDOM % 5000))
 	s=$(a_server)
 	port=$(server_port "$s")
 	case $(rnd 5) in
 	0 | 1) disturb "$port" "shed_pct=$((10 + RANDOM % 91))&backoff_milli=$(a_backoff)&late_ms=$((RANDOM % 2 * RANDOM % 300))" 'shed_pct=0&backoff_milli=-1&late_ms=0' $ms ;;
-	2) note "$s leaves"; post "$port" draining=1; (nap $ms; kill -KILL "${pids[$s]}" 2>/dev/null) &
-		ended+=("$s") ;;
+	2) pid=${pids[$s]}
+		note "$s leaves"
+		post "$port" draining=1
+		(nap $ms; kill -KILL "$pid" 2>/dev/null) &
+		ended+=("$s=$pid") ;;
 	3) disturb "$port" unlisted=1 unlisted=0 $((2000 + RANDOM % 3000)) ;;
 	4) disturb "$port" backoff_odd=1 backoff_odd=0 $ms ;;
 	esac
@@ -181,15 +184,16 @@
 	post "$1" "$2"
 	(nap "$4"; post "$1" "$3") &
 }
-ended=() # servers that leave and are killed in the background
+ended=() # servers that leave and are killed in the background, as NAME=PID
 restart_ended() {
-	local left=() s
-	for s in "${ended[@]}"; do
-		if kill -0 "${pids[$s]}" 2>/dev/null; then
-			left+=("$s")
+	local left=() e
+	for e in "${ended[@]}"; do
+		if kill -0 "${e#*=}" 2>/dev/null; then
+			left+=("$e")
 		else
-			wait "${pids[$s]}" 2>/dev/null
-			start "$s"
+			wait "${e#*=}" 2>/dev/null
+			# Another fault may have started it again.
+			[ "${pids[${e%%=*}]}" != "${e#*=}" ] || start "${e%%=*}"
 		fi
 	done
 	ended=("${left[@]}")
