--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -9,7 +9,8 @@
 # answer, versions never go back, nothing ends by itself, and afterwards a
 # version is in force everywhere and calls are served.
 #   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff]]]   (a slot is a range of ports,
-#   24000 to 30000 in all; no other test uses these, so soaks may run beside them)
+#   24000 to 30000 in all; no other test uses these, so soaks may run beside
+#   them, and beside each other if the last digits of their slots differ)
 # An even seed plays a system with hubs. With `limits` servers also name limits for a
 # while, and judge whether they are kept. With `backoff` they turn requests away and ask
 # to back off, announce that they drain, let their entries lapse, and judge what they get all the
