--- a/tools/explain.c
+++ b/tools/explain.c
@@ -39,6 +39,7 @@
 	{EV_REQUEST_RETRY, "goes to another server"},
 	{EV_REQUEST_BROKEN, "the connection to a server broke under it"},
 	{EV_REQUEST_EXTRA, "a send beyond its first, from the retry budget"},
+	{EV_REQUEST_WITHDRAWN, "not sent: the server became unavailable"},
 	{EV_LIMIT_SEND, "taken from the limit that the server names"},
 	{EV_REQUEST_GONE, "the caller left"},
 	{EV_REQUEST_NO_ROUTE, "no route takes it"},
