Crash checks ask no server during its backoff

A check whether a server has ended asks on connections of its own, so the check before the first byte didn't stand there. Begun before a backoff it asked again within it, up to five times: test_asked_again_during_backoff failed before and passes now. The same holds while such a connection is opened. Nothing else under traffic/ opens connections to servers but traffic/upstream.

--- a/core/availability.c
+++ b/core/availability.c
@@ -16,6 +16,12 @@
 	return b->state->draining || b->entry.draining;
 }
 
+/* backend_is_backing_off() tells whether b has asked for a backoff that lasts. */
+bool backend_is_backing_off(const struct backend *b, int64_t now_ms)
+{
+	return now_ms < b->state->resume_ms;
+}
+
 /* Reasons that hold back anything. */
 static enum hold hold_any(const struct backend *b, int64_t now_ms)
 {
@@ -25,7 +31,7 @@
 		return HOLD_DRAINING;
 	if (b->drained)
 		return HOLD_EXCLUDED;
-	return now_ms < b->state->resume_ms ? HOLD_BACKOFF : HOLD_NONE;
+	return backend_is_backing_off(b, now_ms) ? HOLD_BACKOFF : HOLD_NONE;
 }
 
 static bool has_limit_left(struct backend_limit *l, int64_t now_ms)
--- a/tests/test_end_check.c
+++ b/tests/test_end_check.c
@@ -183,6 +183,44 @@
 	bench_free(b);
 }
 
+static void back_off(struct bench *b)
+{
+	struct backend *s =
+		g_hash_table_lookup(b->traffic.backends.by_id, "i-0");
+
+	server_state_back_off(s->state, 5, 0, clock_ms());
+}
+
+static void test_asked_during_backoff(void **state)
+{
+	struct bench *b = begin(1);
+	struct caller *c;
+	unsigned asked;
+
+	bench_script(b, 0, SCRIPT_RUN_RESET);
+	b->servers[0].work_ms = 60;
+	c = bench_call(b, "POST", 1000);
+	bench_run_ms(b, 30);
+	back_off(b);
+	asked = b->servers[0].asked;
+	bench_run_until(b, c);
+	bench_run_ms(b, CHECK_MS);
+	assert_int_equal(b->servers[0].asked, asked);
+	bench_free(b);
+}
+
+static void test_asked_again_during_backoff(void **state)
+{
+	struct bench *b = begin_unsure();
+	unsigned asked;
+
+	back_off(b);
+	asked = b->servers[0].asked;
+	bench_run_ms(b, 800);
+	assert_int_equal(b->servers[0].asked, asked);
+	bench_free(b);
+}
+
 /* The list tells of a new start under the same id: nothing is to be asked. */
 static void test_born_again(void **state)
 {
@@ -383,6 +421,8 @@
 		cmocka_unit_test(test_another_start),
 		cmocka_unit_test(test_asked_again),
 		cmocka_unit_test(test_never_sure),
+		cmocka_unit_test(test_asked_during_backoff),
+		cmocka_unit_test(test_asked_again_during_backoff),
 		cmocka_unit_test(test_born_again),
 		cmocka_unit_test(test_draining),
 		cmocka_unit_test(test_forgiven),
--- a/traffic/end_check.c
+++ b/traffic/end_check.c
@@ -87,10 +87,10 @@
 	g_free(c);
 }
 
-static bool is_at_rest(const struct backend *b)
+/* Questions are requests to the server, too. */
+static bool is_backing_off(const struct backend *b)
 {
-	return backend_availability(b, SEND_COMMITTED, clock_ms()).hold ==
-	       HOLD_BACKOFF;
+	return backend_is_backing_off(b, clock_ms());
 }
 
 /*
@@ -104,7 +104,7 @@
 		finish(c, true, "ended", "off the list");
 		return;
 	}
-	if (c->questions >= QUESTIONS_MAX || is_at_rest(c->backend)) {
+	if (c->questions >= QUESTIONS_MAX || is_backing_off(c->backend)) {
 		finish(c, false, "unknown", why);
 		return;
 	}
@@ -145,8 +145,17 @@
 		unsure(priv, g_strerror(-err));
 }
 
-static const struct http_client_ops ops = {
-	.judge = judge, .response = on_response, .failed = on_failed};
+static bool may_send(void *priv)
+{
+	const struct end_check *c = priv;
+
+	return !is_backing_off(c->backend);
+}
+
+static const struct http_client_ops ops = {.judge = judge,
+					   .response = on_response,
+					   .failed = on_failed,
+					   .may_send = may_send};
 
 /* Asks on a new connection. Returns 0 or a negative errno. */
 static int ask(struct end_check *c)
@@ -183,7 +192,9 @@
 static void on_again(struct ev_loop *loop, ev_timer *timer, int revents)
 {
 	struct end_check *c = timer->data;
-	int rc = c->backend->gone || !may_ask(c->traffic) ? -EBUSY : ask(c);
+	bool skip = c->backend->gone || is_backing_off(c->backend) ||
+		    !may_ask(c->traffic);
+	int rc = skip ? -EBUSY : ask(c);
 
 	if (rc)
 		unsure(c, g_strerror(-rc));
@@ -194,7 +205,7 @@
 {
 	struct end_check *c;
 
-	if (is_at_rest(b) || !may_ask(t))
+	if (is_backing_off(b) || !may_ask(t))
 		return NULL;
 	c = g_new0(struct end_check, 1);
 	c->traffic = t;
