Sight: the store's era is read from every answer and logged; position, age and era of the configuration in the metrics

Decides nothing yet. Line 200 has the era and whose word a version came by; 300 the offset that stays in force. Metrics: store_era, config_offset, config_age_ms. So a run tells a cursor that stands beyond the store's end (offset above it, age low) from a peer's older word (by=peer) and from late answers (era unchanged).

--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -153,7 +153,7 @@
 
 /* backend_watch_start() begins with a whole listing. */
 void backend_watch_start(struct backend_watch *w, struct ev_loop *loop,
-			 const struct sockaddr_in *store,
+			 struct store_endpoint *store,
 			 void (*changed)(void *priv,
 					 const struct backend_change *c),
 			 void (*read_done)(void *priv, bool recovered),
--- a/control/backend_watch.h
+++ b/control/backend_watch.h
@@ -25,7 +25,7 @@
 };
 
 void backend_watch_start(struct backend_watch *w, struct ev_loop *loop,
-			 const struct sockaddr_in *store,
+			 struct store_endpoint *store,
 			 void (*changed)(void *priv,
 					 const struct backend_change *c),
 			 void (*read_done)(void *priv, bool recovered),
--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -109,15 +109,16 @@
 
 /* Takes over a usable version and keeps its record for peers. */
 static void take(struct config_watch *w, struct config *c,
-		 const struct store_record *rec)
+		 const struct store_record *rec, const char *by)
 {
 	w->version = c->version;
 	w->record.len = 0;
 	buf_add_lstr(&w->record, rec->value);
 	mp_event(EV_CONFIG_APPLIED, G_LOG_LEVEL_MESSAGE,
 		 "version=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT
-		 " routes=%zu services=%zu",
-		 c->version, rec->offset, c->nroutes, c->nservices);
+		 " era=%" G_GUINT64_FORMAT " by=%s routes=%zu services=%zu",
+		 c->version, rec->offset, w->store.store->era, by, c->nroutes,
+		 c->nservices);
 	w->changed(w->priv, c);
 }
 
@@ -134,7 +135,7 @@
 		c = usable(w, rec);
 		if (!c)
 			continue;
-		take(w, c, rec);
+		take(w, c, rec, "store");
 		return;
 	}
 }
@@ -146,7 +147,7 @@
 	struct config *c = usable(w, &none);
 
 	if (c)
-		take(w, c, &none);
+		take(w, c, &none, "settings");
 }
 
 /*
@@ -165,7 +166,7 @@
 	c = usable(w, &rec);
 	if (!c)
 		return;
-	take(w, c, &rec);
+	take(w, c, &rec, "peer");
 	w->offset = offset;
 	w->listed = true;
 	w->told_ms = told_ms;
@@ -179,8 +180,9 @@
 
 	if (w->failures++ == 0)
 		mp_event(EV_PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING,
-			 "what=config err=%s version=%" G_GUINT64_FORMAT,
-			 g_strerror(-err), w->version);
+			 "what=config err=%s version=%" G_GUINT64_FORMAT
+			 " offset=%" G_GUINT64_FORMAT,
+			 g_strerror(-err), w->version, w->offset);
 	if (err == -ERANGE)
 		w->listed = false;
 	ask_later(w, wait < longest ? wait : longest);
@@ -269,7 +271,7 @@
 		return 0;
 	c = usable(w, &rec);
 	if (c)
-		take(w, c, &rec);
+		take(w, c, &rec, "peer");
 	else if (!lstr_eq(record, buf_lstr(&w->record)))
 		return -ESTALE;
 	w->offset = offset;
@@ -332,7 +334,7 @@
 
 /* config_watch_start() begins to follow; `changed` owns what it gets. */
 void config_watch_start(struct config_watch *w, struct ev_loop *loop,
-			const struct sockaddr_in *store,
+			struct store_endpoint *store,
 			const struct config_source *source,
 			void (*changed)(void *priv, struct config *c),
 			void *priv)
--- a/control/config_watch.h
+++ b/control/config_watch.h
@@ -41,7 +41,7 @@
 };
 
 void config_watch_start(struct config_watch *w, struct ev_loop *loop,
-			const struct sockaddr_in *store,
+			struct store_endpoint *store,
 			const struct config_source *source,
 			void (*changed)(void *priv, struct config *c),
 			void *priv);
--- a/control/control.c
+++ b/control/control.c
@@ -72,9 +72,16 @@
 	control_tell_traffic(priv, TO_TRAFFIC_BACKEND, copy);
 }
 
-/* Publishes how old the list of backend servers is. */
+/* Publishes how old the list of backend servers and the configuration are. */
 static void publish_age(struct control *c)
 {
+	int64_t now_ms = clock_ms();
+	uint32_t config_age_ms = config_watch_age_ms(
+		&c->config, c->backends.answered_ms, now_ms);
+
+	ck_pr_store_64(&c->view.config_offset, c->config.offset);
+	ck_pr_store_64((uint64_t *)&c->view.config_ms,
+		       (uint64_t)(now_ms - config_age_ms));
 	ck_pr_store_64((uint64_t *)&c->view.fresh_ms,
 		       (uint64_t)c->backends.list.fresh_ms);
 }
@@ -100,6 +107,7 @@
 	ck_pr_store_64(&c->view.bytes_in, in);
 	ck_pr_store_64(&c->view.bytes_out, out);
 	ck_pr_store_64(&c->view.store_calls, calls);
+	ck_pr_store_64(&c->view.store_era, c->store.era);
 }
 
 /* What every datagram says of this instance. */
@@ -441,16 +449,17 @@
 /* control_run() runs the control thread until the traffic has stopped. */
 void control_run(struct control *c)
 {
-	struct sockaddr_in store;
+	struct sockaddr_in addr;
 
-	socket_addr(c->settings.store, &store);
-	crash_watch_start(&c->crashes, c->loop, &store, &c->peers, on_verdict,
-			  c);
-	member_record_start(&c->record, c->loop, &store, &c->peers.peers,
+	socket_addr(c->settings.store, &addr);
+	store_endpoint_init(&c->store, &addr, NULL, NULL);
+	crash_watch_start(&c->crashes, c->loop, &c->store, &c->peers,
+			  on_verdict, c);
+	member_record_start(&c->record, c->loop, &c->store, &c->peers.peers,
 			    on_members, on_crash_records, c);
-	config_watch_start(&c->config, c->loop, &store, &c->source, on_config,
-			   c);
-	backend_watch_start(&c->backends, c->loop, &store, on_backend,
+	config_watch_start(&c->config, c->loop, &c->store, &c->source,
+			   on_config, c);
+	backend_watch_start(&c->backends, c->loop, &c->store, on_backend,
 			    on_read_done, c);
 	c->started_ms = clock_ms();
 	ev_timer_init(&c->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
--- a/control/control.h
+++ b/control/control.h
@@ -56,6 +56,9 @@
 	uint64_t cpu_us;
 	uint64_t bytes_in, bytes_out; /* store and peers, bodies */
 	uint64_t store_calls;
+	uint64_t store_era;	/* 0: none named */
+	uint64_t config_offset; /* records before it are taken in */
+	int64_t config_ms;	/* the newest version is known as of then */
 };
 
 struct control {
@@ -69,6 +72,7 @@
 	struct feeder feeder;
 	ev_timer tick;
 	ev_signal term, interrupt, hup;
+	struct store_endpoint store;
 	struct config_source source;
 	struct config_watch config;
 	struct backend_watch backends;
--- a/control/crash_record.c
+++ b/control/crash_record.c
@@ -82,7 +82,7 @@
 
 /* crash_record_start() prepares the channel; it connects when needed. */
 void crash_record_start(struct crash_record *r, struct ev_loop *loop,
-			const struct sockaddr_in *store,
+			struct store_endpoint *store,
 			const struct peer_info *self)
 {
 	memset(r, 0, sizeof(*r));
--- a/control/crash_record.h
+++ b/control/crash_record.h
@@ -22,7 +22,7 @@
 };
 
 void crash_record_start(struct crash_record *r, struct ev_loop *loop,
-			const struct sockaddr_in *store,
+			struct store_endpoint *store,
 			const struct peer_info *self);
 bool crash_record_waits(const struct crash_record *r, uint64_t digest);
 void crash_record_put(struct crash_record *r, const struct crash_news *news);
--- a/control/crash_watch.c
+++ b/control/crash_watch.c
@@ -377,7 +377,7 @@
  * what is held against a request.
  */
 void crash_watch_start(struct crash_watch *w, struct ev_loop *loop,
-		       const struct sockaddr_in *store,
+		       struct store_endpoint *store,
 		       struct peer_channel *channel,
 		       void (*verdict)(void *priv, const struct verdict *v),
 		       void *priv)
--- a/control/crash_watch.h
+++ b/control/crash_watch.h
@@ -33,7 +33,7 @@
 };
 
 void crash_watch_start(struct crash_watch *w, struct ev_loop *loop,
-		       const struct sockaddr_in *store,
+		       struct store_endpoint *store,
 		       struct peer_channel *channel,
 		       void (*verdict)(void *priv, const struct verdict *v),
 		       void *priv);
--- a/control/member_record.c
+++ b/control/member_record.c
@@ -88,8 +88,8 @@
  * called when they are known, `crashes` for each verdict that stands there.
  */
 void member_record_start(struct member_record *m, struct ev_loop *loop,
-			 const struct sockaddr_in *store,
-			 struct peer_table *peers, void (*done)(void *priv),
+			 struct store_endpoint *store, struct peer_table *peers,
+			 void (*done)(void *priv),
 			 void (*crashes)(void *priv, const GArray *news),
 			 void *priv)
 {
--- a/control/member_record.h
+++ b/control/member_record.h
@@ -24,8 +24,8 @@
 };
 
 void member_record_start(struct member_record *m, struct ev_loop *loop,
-			 const struct sockaddr_in *store,
-			 struct peer_table *peers, void (*done)(void *priv),
+			 struct store_endpoint *store, struct peer_table *peers,
+			 void (*done)(void *priv),
 			 void (*crashes)(void *priv, const GArray *news),
 			 void *priv);
 
--- a/scripts/check-words.sh
+++ b/scripts/check-words.sh
@@ -3,7 +3,7 @@
 # stand-ins only: everything else uses the product's own words.
 cd "$(dirname "$0")/.."
 words='Attempt-Id|Deadline-Remaining|Target-Instance|Response-Seal'
-words+='|Not-Executed|Instance-Id|Server-Load|Server-Limit|pathPrefix|trafficSplit'
+words+='|Not-Executed|Store-Era|Instance-Id|Server-Load|Server-Limit|pathPrefix|trafficSplit'
 words+='|non_idempotent|maxAttempts|targetLatencyMs|configVersion|warmupLeftMs'
 words+='|endOffset|startRevision|log-(append|read|newest|join|commit|trim)'
 words+='|keyed\.(op|servers|status)|ttlS|[^_]resolution\?|probesPerS|drainMs'
--- a/tests/test_backend_watch.c
+++ b/tests/test_backend_watch.c
@@ -21,9 +21,9 @@
 
 static void begin(struct backend_watch *w)
 {
-	struct sockaddr_in nobody;
+	static struct store_endpoint nobody;
 
-	socket_addr("127.0.0.1:1", &nobody);
+	socket_addr("127.0.0.1:1", &nobody.addr);
 	backend_watch_start(w, ev_default_loop(0), &nobody, on_changed,
 			    on_read_done, NULL);
 }
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -9,6 +9,7 @@
 #include "control/config_watch.h"
 
 static unsigned taken;
+static struct store_endpoint store;
 
 static void on_changed(void *priv, struct config *c)
 {
@@ -31,6 +32,7 @@
 	memset(w, 0, sizeof(*w));
 	w->source = (struct config_source){.key = "config", .decode = decode};
 	w->changed = on_changed;
+	w->store.store = &store;
 	w->listed = true;
 	w->offset = offset;
 	w->version = (uint64_t)g_ascii_strtoull(record, NULL, 10);
@@ -173,7 +175,7 @@
 	struct store_result r = {
 		.end_offset = 11, .records = &rec, .nrecords = 1};
 	struct config_source source = {.key = "config", .decode = decode};
-	struct sockaddr_in nobody = {.sin_family = AF_INET};
+	struct store_endpoint nobody = {.addr.sin_family = AF_INET};
 	struct config_watch w;
 
 	config_watch_start(&w, ev_default_loop(0), &nobody, &source,
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -25,6 +25,7 @@
 
 struct instance {
 	struct peer_channel channel;
+	struct store_endpoint store;
 	struct crash_watch watch;
 	enum verdict_kind verdict; /* on the culprit */
 	unsigned refused;	   /* verdicts to refuse anything */
@@ -74,7 +75,6 @@
 {
 	struct instance *in = &f->all[i];
 	struct peer_info self = {.boot = (uint64_t)i + 1, .ready = true};
-	struct sockaddr_in store;
 	char addr[32];
 
 	snprintf(self.name, sizeof(self.name), "e%02d", i);
@@ -83,9 +83,9 @@
 					   on_peer, in),
 			 0);
 	snprintf(addr, sizeof(addr), "127.0.0.1:%d", STORE_PORT);
-	socket_addr(addr, &store);
-	crash_watch_start(&in->watch, f->loop, &store, &in->channel, on_verdict,
-			  in);
+	socket_addr(addr, &in->store.addr);
+	crash_watch_start(&in->watch, f->loop, &in->store, &in->channel,
+			  on_verdict, in);
 }
 
 /* All know each other's addresses, as from their records in the store. */
--- a/tools/ctl.c
+++ b/tools/ctl.c
@@ -26,6 +26,7 @@
 struct ctl {
 	const struct deploy *deploy;
 	struct ev_loop *loop;
+	struct store_endpoint endpoint;
 	struct store_channel store;
 	struct conf_values live; /* the newest version */
 	uint64_t end;		 /* where the topic ended when it was read */
@@ -307,14 +308,15 @@
 int ctl_main(const struct deploy *d, const struct ctl_args *a)
 {
 	struct ctl c = {.deploy = d};
-	struct sockaddr_in store;
-	int rc = socket_addr(d->entry.platform, &store);
+	struct sockaddr_in addr;
+	int rc = socket_addr(d->entry.platform, &addr);
 
 	if (rc)
 		return rc;
 	conf_init(&c.live);
 	c.loop = ev_loop_new(EVFLAG_NOENV);
-	store_open(&c.store, c.loop, &store, on_done, &c);
+	store_endpoint_init(&c.endpoint, &addr, NULL, NULL);
+	store_open(&c.store, c.loop, &c.endpoint, on_done, &c);
 	rc = run(&c, a);
 	store_cancel(&c.store);
 	ev_loop_destroy(c.loop);
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -115,6 +115,13 @@
 		   t->config ? t->config->version : 0);
 	buf_printf(out, "backend_list_age_ms %" G_GINT64_FORMAT "\n",
 		   clock_ms() - fresh);
+	buf_printf(out, "config_age_ms %" G_GINT64_FORMAT "\n",
+		   clock_ms() - (int64_t)ck_pr_load_64(
+					(const uint64_t *)&v->config_ms));
+	buf_printf(out, "config_offset %" G_GUINT64_FORMAT "\n",
+		   ck_pr_load_64(&v->config_offset));
+	buf_printf(out, "store_era %" G_GUINT64_FORMAT "\n",
+		   ck_pr_load_64(&v->store_era));
 	buf_printf(out, "control_cpu_us %" G_GUINT64_FORMAT "\n",
 		   ck_pr_load_64(&v->cpu_us));
 	buf_printf(out, "control_bytes_in %" G_GUINT64_FORMAT "\n",
