--- a/control/backend_watch.h
+++ b/control/backend_watch.h
@@ -14,11 +14,15 @@
 	int64_t tried_ms;    /* the last read was sent then */
 	int64_t answered_ms; /* the last one that the store answered was */
 	unsigned failures;   /* in a row */
-	bool gap;	     /* a feed began after what is known */
-	int64_t gap_ms;	     /* when */
-	bool asked_all;	     /* the call under way asks for a whole listing */
+	bool relist;	/* the store has nothing at the bookmark any more */
+	bool gap;	/* a feed began after what is known */
+	int64_t gap_ms; /* when */
+	bool asked_all; /* the call under way asks for a whole listing */
 	bool listing;
-	uint64_t listing_end;
+	bool listing_copied; /* it is of a copy of the store */
+	bool reads_tail;     /* the call under way looks for removals */
+	struct store_position listing_end;
+	int64_t era_ms; /* the store's present era was heard of then */
 	/* A read has succeeded; `recovered`: the first after failures. */
 	void (*read_done)(void *priv, bool recovered);
 	void *priv;
@@ -34,5 +38,7 @@
 			bool many, int64_t now_ms);
 void backend_watch_feed(struct backend_watch *w, const struct backend_feed *f,
 			int64_t now_ms);
+void backend_watch_new_era(struct backend_watch *w, int64_t now_ms);
+bool backend_watch_is_current(const struct backend_watch *w);
 
 #endif
--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -52,6 +52,15 @@
 
 static void ask(struct config_watch *w);
 
+static uint32_t digest_of(struct lstr record)
+{
+	GBytes *bytes = g_bytes_new_static(record.ptr, record.len);
+	uint32_t digest = g_bytes_hash(bytes);
+
+	g_bytes_unref(bytes);
+	return digest;
+}
+
 /* config_poll_wait_ms() says how long a poll waits; random lies in 0..1. */
 int config_poll_wait_ms(double random)
 {
@@ -76,35 +85,24 @@
 	ev_timer_start(w->loop, &w->retry);
 }
 
-/* Decodes one version; NULL when it is unfit or not newer. */
-static struct config *usable(struct config_watch *w,
-			     const struct store_record *rec)
+static bool is_in_force(const struct config_watch *w, struct lstr record)
 {
-	struct findings f;
-	struct config *c;
-
-	findings_init(&f);
-	c = w->source.decode(w->source.priv, rec->value, &f);
-	for (guint i = 0; i < f.list->len; i++) {
-		const struct finding *p = g_ptr_array_index(f.list, i);
+	return lstr_eq(record, buf_lstr(&w->record));
+}
 
-		mp_event(EV_CONFIG_BAD_RECORD, G_LOG_LEVEL_WARNING,
-			 "record %" G_GUINT64_FORMAT ": %s: %s", rec->offset,
-			 p->key ? p->key : "-", p->message);
-	}
-	findings_clear(&f);
-	if (!c)
-		return NULL;
-	if (c->version > w->version)
-		return c;
-	if (c->version < w->version)
-		mp_event(EV_CONFIG_BAD_RECORD, G_LOG_LEVEL_WARNING,
-			 "record %" G_GUINT64_FORMAT
-			 " holds version %" G_GUINT64_FORMAT
-			 ", older than %" G_GUINT64_FORMAT,
-			 rec->offset, c->version, w->version);
-	config_unref(c);
-	return NULL;
+/* `before`: what was taken in before this record was asked for. */
+static struct config *usable(struct config_watch *w,
+			     const struct store_record *rec,
+			     struct store_position before)
+{
+	struct config_held held = {
+		.version = w->version,
+		.record = buf_lstr(&w->record),
+		.pos = before,
+		.listed = w->listed,
+	};
+
+	return config_source_newer(&w->source, rec, &held);
 }
 
 /* Takes over a usable version and keeps its record for peers. */
@@ -114,16 +112,21 @@
 	w->version = c->version;
 	w->record.len = 0;
 	buf_add_lstr(&w->record, rec->value);
+	w->digest = digest_of(rec->value);
 	mp_event(EV_CONFIG_APPLIED, G_LOG_LEVEL_MESSAGE,
 		 "version=%" G_GUINT64_FORMAT " offset=%" G_GUINT64_FORMAT
 		 " era=%" G_GUINT64_FORMAT " by=%s routes=%zu services=%zu",
-		 c->version, rec->offset, w->store.store->era, by, c->nroutes,
+		 c->version, rec->pos.offset, rec->pos.era, by, c->nroutes,
 		 c->nservices);
 	w->changed(w->priv, c);
 }
 
-/* Takes the newest usable version of a batch of records. */
-static void take_newest(struct config_watch *w, const struct store_result *r)
+/*
+ * Takes the newest usable version of a batch of records. `before`: what was
+ * taken in by then.
+ */
+static void take_newest(struct config_watch *w, const struct store_result *r,
+			struct store_position before)
 {
 	for (size_t i = r->nrecords; i > 0; i--) {
 		const struct store_record *rec = &r->records[i - 1];
@@ -132,7 +135,7 @@
 		if (!lstr_eq(rec->key, lstr0(w->source.key)) ||
 		    rec->value.len == 0)
 			continue;
-		c = usable(w, rec);
+		c = usable(w, rec, before);
 		if (!c)
 			continue;
 		take(w, c, rec, "store");
@@ -144,7 +147,7 @@
 static void take_absent(struct config_watch *w)
 {
 	struct store_record none = {.key = lstr0(w->source.key)};
-	struct config *c = usable(w, &none);
+	struct config *c = usable(w, &none, w->pos);
 
 	if (c)
 		take(w, c, &none, "settings");
@@ -152,26 +155,38 @@
 
 /*
  * config_watch_introduce() takes a peer's newest record, which stands before
- * `offset` and was the newest at told_ms; the store is read on from there.
+ * `pos` and was the newest at told_ms; the store is read on from there.
  */
 void config_watch_introduce(struct config_watch *w, struct lstr record,
-			    uint64_t offset, int64_t told_ms)
+			    struct store_position pos, int64_t told_ms)
 {
 	struct store_record rec = {
-		.offset = offset, .key = lstr0(w->source.key), .value = record};
+		.pos = pos, .key = lstr0(w->source.key), .value = record};
 	struct config *c;
 
 	if (!record.len && !w->source.usable_when_absent)
 		return;
-	c = usable(w, &rec);
+	c = usable(w, &rec, w->pos);
 	if (!c)
 		return;
 	take(w, c, &rec, "peer");
-	w->offset = offset;
+	w->pos = pos;
 	w->listed = true;
 	w->told_ms = told_ms;
 }
 
+/* The store has nothing at the bookmark any more. */
+static void list_anew(struct config_watch *w)
+{
+	mp_event(EV_STORE_LIST_ANEW, G_LOG_LEVEL_MESSAGE,
+		 "what=config offset=%" G_GUINT64_FORMAT
+		 " era=%" G_GUINT64_FORMAT " known_era=%" G_GUINT64_FORMAT,
+		 w->pos.offset, w->pos.era, w->store.store->era);
+	/* Once at once; a store that says so of each read is not asked at will. */
+	ask_later(w, w->relist ? RETRY_MS : 0);
+	w->relist = true;
+}
+
 static void on_failure(struct config_watch *w, int err)
 {
 	unsigned shift = w->failures < 5 ? w->failures : 4;
@@ -182,9 +197,7 @@
 		mp_event(EV_PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING,
 			 "what=config err=%s version=%" G_GUINT64_FORMAT
 			 " offset=%" G_GUINT64_FORMAT,
-			 g_strerror(-err), w->version, w->offset);
-	if (err == -ERANGE)
-		w->listed = false;
+			 g_strerror(-err), w->version, w->pos.offset);
 	ask_later(w, wait < longest ? wait : longest);
 }
 
@@ -192,6 +205,16 @@
 {
 	struct config_watch *w = priv;
 
+	struct store_position before = w->pos;
+
+	if (r->err == -ERANGE) {
+		list_anew(w);
+		return;
+	}
+	if (r->err == -ECANCELED) {
+		ask_later(w, RETRY_MS);
+		return;
+	}
 	if (r->err) {
 		on_failure(w, r->err);
 		return;
@@ -207,24 +230,31 @@
 	 * this offset. By the one before they heard nothing new, and had it
 	 * half a second later, with the next heartbeat.
 	 */
-	if (r->end_offset > w->offset)
-		w->offset = r->end_offset;
-	take_newest(w, r);
+	if (store_position_cmp(r->end, w->pos) > 0)
+		w->pos = r->end;
+	w->relist = false;
+	take_newest(w, r, before);
 	if (!w->version && w->source.usable_when_absent)
 		take_absent(w);
-	if (w->polls || w->told_offset > w->offset)
+	if (w->polls || store_position_cmp(w->told, w->pos) > 0)
 		ask_later(w, r->nrecords
 				     ? config_poll_pause_ms(g_random_double())
 				     : 0);
 }
 
+/* A bookmark of an earlier era marks nothing in the store's present log. */
+static bool is_bookmark_valid(const struct config_watch *w)
+{
+	return w->pos.era == w->store.store->era;
+}
+
 static void ask(struct config_watch *w)
 {
 	w->asked_ms = clock_ms();
-	if (!w->listed)
+	if (!w->listed || w->relist || !is_bookmark_valid(w))
 		store_newest(&w->store, w->source.topic, LSTR(""));
 	else
-		store_read(&w->store, w->source.topic, w->offset,
+		store_read(&w->store, w->source.topic, w->pos,
 			   config_poll_wait_ms(g_random_double()));
 }
 
@@ -242,8 +272,10 @@
 		       int64_t now_ms)
 {
 	int quiet = w->patient ? QUIET_PATIENT_MS : QUIET_MS;
+	/* After a rise of the era those that read the store have their turn. */
+	int64_t heard_ms = MAX(w->told_ms, w->era_ms);
 
-	w->polls = may_ask && (first || now_ms - w->told_ms > quiet);
+	w->polls = may_ask && (first || now_ms - heard_ms > quiet);
 	if (w->polls && is_idle(w))
 		ask(w);
 }
@@ -255,56 +287,77 @@
 		ask(w);
 }
 
+/* Takes over a peer's bookmark, if that marks anything in the present era. */
+static void advance(struct config_watch *w, struct store_position pos,
+		    int64_t told_ms)
+{
+	if (pos.era != w->store.store->era)
+		return;
+	if (store_position_cmp(pos, w->pos) > 0) {
+		w->pos = pos;
+		w->relist = false;
+	}
+	if (store_position_cmp(pos, w->pos) == 0 && told_ms > w->told_ms)
+		w->told_ms = told_ms;
+}
+
 /*
  * config_watch_update() takes a peer's newest usable record, which is all that
- * matters of the records before `offset`. Returns 0, or -ESTALE when the peer
+ * matters of the records before `pos`. Returns 0, or -ESTALE when the peer
  * knows less than is known here, so that the store must be read.
  */
 int config_watch_update(struct config_watch *w, struct lstr record,
-			uint64_t offset, int64_t told_ms)
+			struct store_position pos, int64_t told_ms)
 {
 	struct store_record rec = {
-		.offset = offset, .key = lstr0(w->source.key), .value = record};
-	struct config *c;
+		.pos = pos, .key = lstr0(w->source.key), .value = record};
+	bool ahead = store_position_cmp(pos, w->pos) > 0;
+	struct config *c = usable(w, &rec, w->pos);
 
-	if (offset <= w->offset)
-		return 0;
-	c = usable(w, &rec);
-	if (c)
+	if (c) {
 		take(w, c, &rec, "peer");
-	else if (!lstr_eq(record, buf_lstr(&w->record)))
-		return -ESTALE;
-	w->offset = offset;
-	w->told_ms = told_ms;
+	} else if (!is_in_force(w, record)) {
+		w->unfit_digest = digest_of(record);
+		if (ahead && pos.era == w->pos.era)
+			return -ESTALE;
+	}
+	advance(w, pos, told_ms);
 	return 0;
 }
 
 /* A peer knows of records that this instance hasn't read: since when? */
-static void note_behind(struct config_watch *w, uint64_t offset, int64_t now_ms)
+static void note_behind(struct config_watch *w, struct store_position pos,
+			int64_t now_ms)
 {
-	if (w->told_offset <= w->offset || w->behind_at != w->offset) {
+	if (store_position_cmp(w->told, w->pos) <= 0 ||
+	    store_position_cmp(w->behind_at, w->pos) != 0) {
 		w->behind_ms = now_ms;
-		w->behind_at = w->offset;
+		w->behind_at = w->pos;
 	}
-	if (offset > w->told_offset)
-		w->told_offset = offset;
+	if (store_position_cmp(pos, w->told) > 0)
+		w->told = pos;
 }
 
-/*
- * config_watch_heard() takes in what a peer knows: all records before
- * `offset`, as of age_ms ago. Returns whether there are some that are new here
- * and that no call under way will bring.
- */
-bool config_watch_heard(struct config_watch *w, uint64_t offset,
-			uint32_t age_ms, int64_t now_ms)
+/* Whether a peer's version counts more than the one that is in force. */
+static bool is_newer(const struct config_watch *w, const struct config_mark *m)
 {
-	if (offset == w->offset && w->version && now_ms - age_ms > w->told_ms)
-		w->told_ms = now_ms - age_ms;
-	if (offset <= w->offset)
-		return false;
-	note_behind(w, offset, now_ms);
+	if (m->version != w->version)
+		return m->version > w->version;
+	return m->digest != w->digest && store_position_cmp(m->pos, w->pos) > 0;
+}
+
+/* A newer version is in the store, unless that has come back without it. */
+static enum config_need fetch(struct config_watch *w,
+			      const struct config_mark *m, int64_t now_ms)
+{
+	bool ahead = store_position_cmp(m->pos, w->pos) > 0;
+
+	if (ahead)
+		note_behind(w, m->pos, now_ms);
 	if (!w->listed)
-		return false;
+		return CONFIG_KNOWN;
+	if (!ahead || m->pos.era != w->pos.era || !is_bookmark_valid(w))
+		return w->unfit_digest == m->digest ? CONFIG_KNOWN : CONFIG_ASK;
 	/* A call from after that time brings it, however long it takes. */
 	if (w->store.call != STORE_NO_CALL && w->asked_ms < w->behind_ms &&
 	    now_ms - w->behind_ms > ON_THE_WAY_MS)
@@ -312,24 +365,69 @@
 	/* Somebody could read it: the pause after a failure is over. */
 	if (w->failures && ev_is_active(&w->retry))
 		ev_timer_stop(w->loop, &w->retry);
-	return is_idle(w);
+	return is_idle(w) ? CONFIG_READ : CONFIG_KNOWN;
+}
+
+/*
+ * config_watch_heard() takes in how far a peer knows the configuration. Returns
+ * what is to be done about a version that is new here and that no call under
+ * way will bring.
+ */
+enum config_need config_watch_heard(struct config_watch *w,
+				    const struct config_mark *m, int64_t now_ms)
+{
+	if (is_newer(w, m))
+		return fetch(w, m, now_ms);
+	if (w->listed && w->version)
+		advance(w, m->pos,
+			m->age_ms == AGE_UNKNOWN ? 0 : now_ms - m->age_ms);
+	return CONFIG_KNOWN;
 }
 
 /*
  * config_watch_age_ms() tells how old the knowledge of the newest version is.
  * While a poll waits it is as new as the last sign of the store, which came
- * at store_ms.
+ * at store_ms. AGE_UNKNOWN: nobody has confirmed it in the store's present era.
  */
 uint32_t config_watch_age_ms(const struct config_watch *w, int64_t store_ms,
 			     int64_t now_ms)
 {
 	bool waits = w->store.call == STORE_READ && w->failures == 0 &&
 		     now_ms - w->asked_ms < WAIT_MS + WAIT_LATE_MS;
-	int64_t at = w->fresh_ms > w->told_ms ? w->fresh_ms : w->told_ms;
+	int64_t at = MAX(w->fresh_ms, w->told_ms);
 
+	if (!is_bookmark_valid(w))
+		return AGE_UNKNOWN;
 	if (waits && store_ms > at)
 		at = store_ms;
-	return (uint32_t)(now_ms - at);
+	return (uint32_t)MIN(now_ms - at, AGE_UNKNOWN - 1);
+}
+
+/* config_watch_mark() says how far this instance knows the configuration. */
+struct config_mark config_watch_mark(const struct config_watch *w,
+				     int64_t store_ms, int64_t now_ms)
+{
+	return (struct config_mark){
+		.pos = w->pos,
+		.age_ms = config_watch_age_ms(w, store_ms, now_ms),
+		.version = w->version,
+		.digest = w->digest,
+	};
+}
+
+/*
+ * config_watch_new_era() drops what belongs to the earlier one: bookmark, ages
+ * and the call under way, but not the version. Not from within a call's outcome.
+ */
+void config_watch_new_era(struct config_watch *w, int64_t now_ms)
+{
+	w->era_ms = now_ms;
+	w->fresh_ms = 0;
+	w->told_ms = 0;
+	if (store_call_is_old(&w->store))
+		store_cancel(&w->store);
+	if (w->store.call == STORE_NO_CALL && w->polls)
+		ask_later(w, 0);
 }
 
 /* config_watch_start() begins to follow; `changed` owns what it gets. */
--- a/control/control.c
+++ b/control/control.c
@@ -5,10 +5,9 @@
 #include <sys/random.h>
 #include <unistd.h>
 
-#include <ck_pr.h>
-
 #include "common/event.h"
 #include "control/control.h"
+#include "control/publish.h"
 #include "control/relay.h"
 #include "http/socket.h"
 #include "misc/clock.h"
@@ -51,16 +50,17 @@
 {
 	if (ch->removed)
 		mp_event(EV_MEMBER_GONE, G_LOG_LEVEL_MESSAGE,
-			 "backend=%s offset=%" G_GUINT64_FORMAT, ch->entry.id,
-			 ch->offset);
+			 "backend=%s offset=%" G_GUINT64_FORMAT
+			 " era=%" G_GUINT64_FORMAT,
+			 ch->entry.id, ch->pos.offset, ch->pos.era);
 	else
-		mp_event(
-			ch->entry.draining ? EV_MEMBER_LEAVING
-					   : EV_MEMBER_JOINED,
-			G_LOG_LEVEL_MESSAGE,
-			"backend=%s service=%s dc=%s offset=%" G_GUINT64_FORMAT,
-			ch->entry.id, ch->entry.service, ch->entry.dc,
-			ch->offset);
+		mp_event(ch->entry.draining ? EV_MEMBER_LEAVING
+					    : EV_MEMBER_JOINED,
+			 G_LOG_LEVEL_MESSAGE,
+			 "backend=%s service=%s dc=%s offset=%" G_GUINT64_FORMAT
+			 " era=%" G_GUINT64_FORMAT,
+			 ch->entry.id, ch->entry.service, ch->entry.dc,
+			 ch->pos.offset, ch->pos.era);
 }
 
 static void on_backend(void *priv, const struct backend_change *ch)
@@ -72,57 +72,19 @@
 	control_tell_traffic(priv, TO_TRAFFIC_BACKEND, copy);
 }
 
-/* Publishes how old the list of backend servers and the configuration are. */
-static void publish_age(struct control *c)
-{
-	int64_t now_ms = clock_ms();
-	uint32_t config_age_ms = config_watch_age_ms(
-		&c->config, c->backends.answered_ms, now_ms);
-
-	ck_pr_store_64(&c->view.config_offset, c->config.offset);
-	ck_pr_store_64((uint64_t *)&c->view.config_ms,
-		       (uint64_t)(now_ms - config_age_ms));
-	ck_pr_store_64((uint64_t *)&c->view.fresh_ms,
-		       (uint64_t)c->backends.list.fresh_ms);
-}
-
-/* Publishes what the control thread has cost so far. */
-static void publish_cost(struct control *c)
-{
-	const struct store_channel *channels[] = {
-		&c->config.store, &c->backends.store, &c->record.store,
-		&c->crashes.record.store};
-	uint64_t in = c->peers.bytes_in, out = c->peers.bytes_out;
-	uint64_t calls = 0;
-	struct timespec cpu;
-
-	for (size_t i = 0; i < G_N_ELEMENTS(channels); i++) {
-		in += channels[i]->bytes_in;
-		out += channels[i]->bytes_out;
-		calls += channels[i]->calls;
-	}
-	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &cpu);
-	ck_pr_store_64(&c->view.cpu_us, (uint64_t)cpu.tv_sec * 1000000 +
-						(uint64_t)cpu.tv_nsec / 1000);
-	ck_pr_store_64(&c->view.bytes_in, in);
-	ck_pr_store_64(&c->view.bytes_out, out);
-	ck_pr_store_64(&c->view.store_calls, calls);
-	ck_pr_store_64(&c->view.store_era, c->store.era);
-}
-
 /* What every datagram says of this instance. */
 static void stamp_self(struct control *c, int64_t now_ms)
 {
 	struct peer_info *self = &c->peers.peers.self;
 
-	self->config_offset = c->config.offset;
+	self->store_era = c->store.era;
 	/*
 	 * Only the store's answers to this instance vouch for its poll: a list
 	 * that others fed kept two pollers that were both cut off from the
 	 * store from being replaced, and a version was in force 3 s late.
 	 */
-	self->config_age_ms = config_watch_age_ms(
-		&c->config, c->backends.answered_ms, now_ms);
+	self->config =
+		config_watch_mark(&c->config, c->backends.answered_ms, now_ms);
 	c->knew = c->knew || (c->config.version && c->backends.list.loaded);
 	self->ready = c->knew;
 }
@@ -143,6 +105,14 @@
 	peer_channel_beat_live(&c->peers, now_ms);
 }
 
+/* Passes the list on, unless nobody knows yet what the present era holds. */
+static void feed(struct control *c, enum feed_to to, int64_t now_ms)
+{
+	if (backend_watch_is_current(&c->backends))
+		feeder_send(&c->feeder, &c->peers, &c->backends.list, to,
+			    now_ms);
+}
+
 /* After an own read: passes it on, which also is a heartbeat. */
 static void on_read_done(void *priv, bool recovered)
 {
@@ -151,10 +121,9 @@
 	bool many = hubs_serve(&c->peers.peers);
 	unsigned rank = peers_rank(&c->peers.peers, now_ms);
 
-	publish_age(c);
+	control_publish_age(c);
 	stamp_self(c, now_ms);
-	feeder_send(&c->feeder, &c->peers, &c->backends.list,
-		    feeder_after_read(many, rank), now_ms);
+	feed(c, feeder_after_read(many, rank), now_ms);
 	if (recovered)
 		config_watch_restart(&c->config);
 }
@@ -163,10 +132,15 @@
  * A peer has a version that is new here: in a large system it is asked for
  * it, as the store's calls are dear there.
  */
-static void fetch_config(struct control *c, const struct peer_info *peer)
+static void fetch_config(struct control *c, const struct peer_info *peer,
+			 enum config_need need)
 {
-	if (!hubs_serve(&c->peers.peers) ||
-	    introduce_config(&c->introduce, peer))
+	/* If another question is under way, the next heartbeat asks again. */
+	if (need == CONFIG_ASK)
+		(void)introduce_config(&c->introduce, peer, true);
+	else if (need == CONFIG_READ &&
+		 (!hubs_serve(&c->peers.peers) ||
+		  introduce_config(&c->introduce, peer, false)))
 		config_watch_read(&c->config);
 }
 
@@ -178,15 +152,15 @@
 
 	if (relay_from_peer(c, m))
 		return;
+	store_endpoint_learn(&c->store, m->sender.store_era, m->sender.name);
 	if (m->kind == GOSSIP_FEED) {
 		backend_watch_feed(&c->backends, &m->feed, now_ms);
-		publish_age(c);
+		control_publish_age(c);
 	}
 	if (m->kind == GOSSIP_CRASH)
 		crash_watch_heard(&c->crashes, m->sender.name, m->crashes);
-	if (config_watch_heard(&c->config, m->sender.config_offset,
-			       m->sender.config_age_ms, now_ms))
-		fetch_config(c, &m->sender);
+	fetch_config(c, &m->sender,
+		     config_watch_heard(&c->config, &m->sender.config, now_ms));
 }
 
 /* Both hold elements of so many bytes. */
@@ -274,6 +248,15 @@
 	};
 }
 
+/* Those that don't read the store go on from the bookmark of one that does. */
+static void tell_era(struct control *c, int64_t now_ms)
+{
+	if (!c->config.polls || c->config.pos.era == c->era_told)
+		return;
+	c->era_told = c->config.pos.era;
+	peer_channel_beat_live(&c->peers, now_ms);
+}
+
 /* Does all that is due. */
 static void step(struct control *c)
 {
@@ -288,15 +271,16 @@
 	config_watch_tick(&c->config, reads || c->introduce.config_left,
 			  rank < CONFIG_POLLERS, now_ms);
 	backend_watch_tick(&c->backends, reads, rank, start.many, now_ms);
-	publish_age(c);
-	publish_cost(c);
+	control_publish_age(c);
+	control_publish_cost(c);
 	stamp_self(c, now_ms);
 	if (start_asks_peers(&start, store_failures))
 		introduce_tick(&c->introduce, store_failures > 0, now_ms);
-	feeder_send(&c->feeder, &c->peers, &c->backends.list,
-		    feeder_after_feed(&c->feeder, start.many, rank,
-				      c->backends.list.fresh_ms, now_ms),
-		    now_ms);
+	feed(c,
+	     feeder_after_feed(&c->feeder, start.many, rank,
+			       c->backends.list.fresh_ms, now_ms),
+	     now_ms);
+	tell_era(c, now_ms);
 	peer_channel_tick(&c->peers, now_ms);
 	crash_watch_tick(&c->crashes, rank, start.many);
 	log_lost_peers(c, now_ms);
@@ -308,6 +292,24 @@
 	step(t->data);
 }
 
+static void on_new_era(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct control *c = t->data;
+	int64_t now_ms = clock_ms();
+
+	config_watch_new_era(&c->config, now_ms);
+	backend_watch_new_era(&c->backends, now_ms);
+	step(c);
+}
+
+static void on_era_risen(void *priv)
+{
+	struct control *c = priv;
+
+	ev_timer_stop(c->loop, &c->era_risen);
+	ev_timer_start(c->loop, &c->era_risen);
+}
+
 static void on_verdict(void *priv, const struct verdict *v)
 {
 	control_tell_traffic(priv, TO_TRAFFIC_VERDICT,
@@ -452,7 +454,9 @@
 	struct sockaddr_in addr;
 
 	socket_addr(c->settings.store, &addr);
-	store_endpoint_init(&c->store, &addr, NULL, NULL);
+	ev_timer_init(&c->era_risen, on_new_era, 0, 0);
+	c->era_risen.data = c;
+	store_endpoint_init(&c->store, &addr, on_era_risen, c);
 	crash_watch_start(&c->crashes, c->loop, &c->store, &c->peers,
 			  on_verdict, c);
 	member_record_start(&c->record, c->loop, &c->store, &c->peers.peers,
--- a/control/control.h
+++ b/control/control.h
@@ -58,6 +58,7 @@
 	uint64_t store_calls;
 	uint64_t store_era;	/* 0: none named */
 	uint64_t config_offset; /* records before it are taken in */
+	uint64_t config_era;	/* in this era */
 	int64_t config_ms;	/* the newest version is known as of then */
 };
 
@@ -71,6 +72,8 @@
 	struct peer_view last_view;
 	struct feeder feeder;
 	ev_timer tick;
+	ev_timer era_risen; /* at once, but not from within a call */
+	uint64_t era_told;  /* the configuration's, as peers were told */
 	ev_signal term, interrupt, hup;
 	struct store_endpoint store;
 	struct config_source source;
--- a/control/crash_record.c
+++ b/control/crash_record.c
@@ -7,23 +7,34 @@
 /* The store is away for seconds at a time; nobody waits for the record. */
 enum { RETRY_MS = 1000 };
 
-/* Writes the first of those that wait; an answered one is dropped. */
-static void next_call(struct crash_record *r)
+/* crash_record_batch() adds a verdict's record; an answered one is dropped. */
+void crash_record_batch(struct buf *batch, const struct peer_info *self,
+			const struct crash_news *news)
 {
-	const struct crash_news *news = g_queue_peek_head(&r->pending);
 	struct buf value = {0};
 	char key[32];
 
-	if (!news)
-		return;
 	g_snprintf(key, sizeof(key), "quarantine-%016" PRIx64, news->digest);
 	if (news->kind == CRASH_NEWS_QUARANTINE)
-		gossip_write_crashes(&value, r->self, news, 1);
-	store_append(&r->store, STORE_TOPIC_MEMBERS, lstr0(key),
-		     buf_lstr(&value), -1);
+		gossip_write_crashes(&value, self, news, 1);
+	store_batch_add(batch, lstr0(key), buf_lstr(&value));
 	buf_free(&value);
 }
 
+/* Writes the first of those that wait. */
+static void next_call(struct crash_record *r)
+{
+	const struct crash_news *news = g_queue_peek_head(&r->pending);
+	struct buf batch = {0};
+
+	if (!news)
+		return;
+	crash_record_batch(&batch, r->self, news);
+	store_append_batch(&r->store, STORE_TOPIC_MEMBERS, buf_lstr(&batch),
+			   NULL);
+	buf_free(&batch);
+}
+
 static void on_retry(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	next_call(t->data);
--- a/control/crash_watch.c
+++ b/control/crash_watch.c
@@ -343,9 +343,13 @@
 	w->from_store = false;
 }
 
-/* Tells those that have just joined which requests are refused. */
-static void tell_verdicts(struct crash_watch *w)
+/*
+ * crash_watch_verdicts() lists the requests that are refused, as struct
+ * crash_news; unref the array after use.
+ */
+GArray *crash_watch_verdicts(const struct crash_watch *w)
 {
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct crash_news));
 	GHashTableIter it;
 	gpointer v;
 
@@ -355,8 +359,20 @@
 		struct crash_news news = verdict_news(c);
 
 		if (c->quarantined)
-			tell(w, &news, EVIDENCE_TELLS);
+			g_array_append_val(all, news);
 	}
+	return all;
+}
+
+/* Tells those that have just joined which requests are refused. */
+static void tell_verdicts(struct crash_watch *w)
+{
+	GArray *all = crash_watch_verdicts(w);
+
+	for (guint i = 0; i < all->len; i++)
+		tell(w, &g_array_index(all, struct crash_news, i),
+		     EVIDENCE_TELLS);
+	g_array_unref(all);
 }
 
 /* crash_watch_tick() does what is due; call it every 0.1 s or so. */
--- a/control/crash_watch.h
+++ b/control/crash_watch.h
@@ -41,6 +41,7 @@
 void crash_watch_heard(struct crash_watch *w, const char *teller,
 		       const GArray *news);
 void crash_watch_stored(struct crash_watch *w, const GArray *news);
+GArray *crash_watch_verdicts(const struct crash_watch *w);
 void crash_watch_tick(struct crash_watch *w, unsigned rank, bool many);
 
 #endif
--- /dev/null
+++ b/control/ended_servers.c
@@ -0,0 +1,83 @@
+#include <string.h>
+
+#include "control/ended_servers.h"
+
+enum {
+	/* Writes without an answer are done seconds later. */
+	LATE_MS = 10 * 1000,
+	/* A copy is some seconds old; what has left before it isn't in it. */
+	COPY_MS = 60 * 1000,
+	/* Beyond so many those that nothing can name any more are forgotten. */
+	ENDED_KEPT = 1024,
+};
+
+struct ended_server {
+	struct backend_entry entry; /* its last word */
+	struct store_position pos;  /* of its removal */
+	int64_t at_ms;
+};
+
+/* ended_servers_init() makes an empty memory. */
+void ended_servers_init(struct ended_servers *s)
+{
+	s->by_id = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+}
+
+static gboolean is_over(gpointer key, gpointer value, gpointer now_ms)
+{
+	const struct ended_server *x = value;
+
+	return *(const int64_t *)now_ms - x->at_ms >= COPY_MS;
+}
+
+/* ended_servers_add() remembers the last word of a server that is taken off. */
+void ended_servers_add(struct ended_servers *s, const struct backend_entry *e,
+		       struct store_position pos, int64_t now_ms)
+{
+	struct ended_server *x = g_new0(struct ended_server, 1);
+
+	if (g_hash_table_size(s->by_id) >= ENDED_KEPT)
+		g_hash_table_foreach_remove(s->by_id, is_over, &now_ms);
+	x->entry = *e;
+	x->pos = pos;
+	x->at_ms = now_ms;
+	g_hash_table_replace(s->by_id, x->entry.id, x);
+}
+
+/* ended_servers_count() counts those of a service that were taken off since. */
+unsigned ended_servers_count(const struct ended_servers *s, const char *service,
+			     int64_t since_ms)
+{
+	GHashTableIter it;
+	unsigned n = 0;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, s->by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct ended_server *x = v;
+
+		n += x->at_ms >= since_ms && !strcmp(x->entry.service, service);
+	}
+	return n;
+}
+
+/*
+ * ended_servers_judge() tells what an entry is worth that stands at `pos`. In a
+ * later era than the removal it may come from the copy.
+ */
+enum ended_word ended_servers_judge(const struct ended_servers *s,
+				    const struct backend_entry *said,
+				    struct store_position pos, int64_t now_ms)
+{
+	const struct ended_server *x = g_hash_table_lookup(s->by_id, said->id);
+	int64_t ago_ms = x ? now_ms - x->at_ms : 0;
+
+	if (!x)
+		return ENDED_NEWS;
+	if (pos.era > x->pos.era && ago_ms < COPY_MS &&
+	    !backend_entry_is_newer(said, &x->entry))
+		return ENDED_DOUBT;
+	if (ago_ms < LATE_MS && backend_entry_is_older(said, &x->entry))
+		return ENDED_LATE;
+	return ENDED_NEWS;
+}
--- /dev/null
+++ b/control/ended_servers.h
@@ -0,0 +1,31 @@
+/*
+ * The last words of backend servers that are off the list: an earlier one may still
+ * be on its way, or stand in the copy from which the store came back.
+ */
+#ifndef MP_CONTROL_ENDED_SERVERS_H
+#define MP_CONTROL_ENDED_SERVERS_H
+
+#include "core/backend.h"
+#include "platform/store_position.h"
+
+struct ended_servers {
+	GHashTable *by_id; /* id -> struct ended_server * */
+};
+
+/* What an entry says of a server that is off the list. */
+enum ended_word {
+	ENDED_NEWS,  /* the server is back, or was never off */
+	ENDED_LATE,  /* an earlier word: it says nothing */
+	ENDED_DOUBT, /* the copy has it; the server may have left, or be back */
+};
+
+void ended_servers_init(struct ended_servers *s);
+void ended_servers_add(struct ended_servers *s, const struct backend_entry *e,
+		       struct store_position pos, int64_t now_ms);
+unsigned ended_servers_count(const struct ended_servers *s, const char *service,
+			     int64_t since_ms);
+enum ended_word ended_servers_judge(const struct ended_servers *s,
+				    const struct backend_entry *said,
+				    struct store_position pos, int64_t now_ms);
+
+#endif
--- a/control/feeder.c
+++ b/control/feeder.c
@@ -46,7 +46,9 @@
 	if (to == FEED_NOBODY)
 		return;
 	backend_list_outline(list, &feed, now_ms);
-	at = gossip_feed_begin(&feed, ch->joined ? 0 : f->told_to, CHANGES_MAX);
+	at = gossip_feed_begin(
+		&feed, ch->joined ? (struct store_position){0} : f->told_to,
+		CHANGES_MAX);
 	ch->joined = false;
 	do {
 		b.len = 0;
--- a/control/feeder.h
+++ b/control/feeder.h
@@ -11,7 +11,7 @@
 enum feed_to { FEED_NOBODY, FEED_HUBS, FEED_ALL };
 
 struct feeder {
-	uint64_t told_to; /* changes before this offset were sent */
+	struct store_position told_to; /* changes before it were sent */
 	int64_t fresh_ms; /* the list was complete as of then when sent */
 	int64_t sent_ms;
 };
--- a/control/introduce.c
+++ b/control/introduce.c
@@ -30,6 +30,8 @@
 #define WHOLE_PATH    LSTR("/snapshot/whole")
 #define SNAPSHOT_PATH LSTR("/snapshot")
 #define CONFIG_PATH   LSTR("/config")
+/* A version of any size, which the store may have lost. */
+#define CONFIG_WHOLE_PATH LSTR("/config/whole")
 
 /* Writes what this instance knows of the configuration, the list, or both. */
 static void write_own(const struct introduce *in, bool config, bool backends,
@@ -40,14 +42,17 @@
 
 	snapshot_init(&s);
 	s.has_config = config;
-	s.config_offset = in->config->offset;
-	s.config_age_ms = in->peers->self.config_age_ms;
+	s.config_pos = in->config->pos;
+	s.config_age_ms = in->peers->self.config.age_ms;
 	if (config)
 		buf_add_lstr(&s.config, buf_lstr(&in->config->record));
 	if (backends) {
-		s.backends_offset = in->backends->list.offset;
+		s.backends_pos = in->backends->list.pos;
 		s.backends_age_ms =
-			(uint32_t)(now_ms - in->backends->list.fresh_ms);
+			backend_watch_is_current(in->backends)
+				? (uint32_t)(now_ms -
+					     in->backends->list.fresh_ms)
+				: AGE_UNKNOWN;
 		backend_list_export(&in->backends->list, s.backends);
 	}
 	snapshot_write(&s, body);
@@ -69,7 +74,7 @@
 		write_own(in, true, true, body);
 	else if (lstr_eq(path, SNAPSHOT_PATH))
 		write_own(in, small, true, body);
-	else if (version && small)
+	else if ((version && small) || lstr_eq(path, CONFIG_WHOLE_PATH))
 		write_own(in, true, false, body);
 	else
 		return 404;
@@ -99,11 +104,11 @@
 	in->config_left = config && !s->has_config;
 	if (config && s->has_config)
 		config_watch_introduce(in->config, buf_lstr(&s->config),
-				       s->config_offset,
+				       s->config_pos,
 				       clock_ms() - s->config_age_ms);
 	if (backends)
 		backend_list_import(
-			&in->backends->list, s->backends, s->backends_offset,
+			&in->backends->list, s->backends, s->backends_pos,
 			clock_ms() - s->backends_age_ms, clock_ms());
 	mp_event(EV_PEER_INTRODUCED, G_LOG_LEVEL_MESSAGE,
 		 "peer=%s config=%s backends=%s servers=%u age_ms=%u",
@@ -118,8 +123,7 @@
 /* A version that is new here; if it can't be used the store is read. */
 static void take_config(struct introduce *in, const struct snapshot *s)
 {
-	if (config_watch_update(in->config, buf_lstr(&s->config),
-				s->config_offset,
+	if (config_watch_update(in->config, buf_lstr(&s->config), s->config_pos,
 				clock_ms() - s->config_age_ms))
 		config_watch_read(in->config);
 }
@@ -175,7 +179,8 @@
 	int rc;
 
 	in->asked = *peer;
-	in->config_only = lstr_eq(path, CONFIG_PATH);
+	in->config_only =
+		lstr_eq(path, CONFIG_PATH) || lstr_eq(path, CONFIG_WHOLE_PATH);
 	rc = http_client_open(&in->client, in->loop, &peer->addr, ASK_TIMEOUT_S,
 			      limits, &client_ops, in);
 	if (rc)
@@ -189,14 +194,16 @@
 
 /*
  * introduce_config() asks a peer for the version that it has; the store is
- * read if that brings nothing. Returns 0 when a peer is asked, by this call or
- * an earlier one, or a negative errno.
+ * read if that brings nothing. `whole`: a large one too, as the store may have
+ * lost it. Returns 0 when a peer is asked, by this call or an earlier one, or a
+ * negative errno.
  */
-int introduce_config(struct introduce *in, const struct peer_info *peer)
+int introduce_config(struct introduce *in, const struct peer_info *peer,
+		     bool whole)
 {
 	if (in->client.state != CLIENT_CLOSED)
 		return in->config_only ? 0 : -EBUSY;
-	return ask(in, peer, CONFIG_PATH);
+	return ask(in, peer, whole ? CONFIG_WHOLE_PATH : CONFIG_PATH);
 }
 
 /*
--- a/control/introduce.h
+++ b/control/introduce.h
@@ -30,7 +30,8 @@
 int introduce_init(struct introduce *in, struct ev_loop *loop,
 		   const char *listen, struct peer_table *peers,
 		   struct config_watch *config, struct backend_watch *backends);
-int introduce_config(struct introduce *in, const struct peer_info *peer);
+int introduce_config(struct introduce *in, const struct peer_info *peer,
+		     bool whole);
 void introduce_tick(struct introduce *in, bool whole, int64_t now_ms);
 
 #endif
--- a/control/member_record.c
+++ b/control/member_record.c
@@ -16,7 +16,8 @@
 		/* A record has the form of a heartbeat. */
 		gossip_write_beat(&value, &m->peers->self);
 		store_append(&m->store, STORE_TOPIC_MEMBERS,
-			     lstr0(m->peers->self.name), buf_lstr(&value), -1);
+			     lstr0(m->peers->self.name), buf_lstr(&value),
+			     NULL);
 		buf_free(&value);
 	} else if (!m->listed) {
 		store_newest(&m->store, STORE_TOPIC_MEMBERS, LSTR(""));
--- /dev/null
+++ b/control/publish.c
@@ -0,0 +1,48 @@
+#include <time.h>
+
+#include <ck_pr.h>
+
+#include "control/publish.h"
+#include "misc/clock.h"
+
+/* control_publish_age() publishes how old the list and the configuration are. */
+void control_publish_age(struct control *c)
+{
+	int64_t now_ms = clock_ms();
+	uint32_t config_age_ms = config_watch_age_ms(
+		&c->config, c->backends.answered_ms, now_ms);
+
+	ck_pr_store_64(&c->view.config_offset, c->config.pos.offset);
+	ck_pr_store_64(&c->view.config_era, c->config.pos.era);
+	ck_pr_store_64((uint64_t *)&c->view.config_ms,
+		       (uint64_t)(now_ms - config_age_ms));
+	/* Nobody has confirmed in this era what is known of an earlier one. */
+	ck_pr_store_64((uint64_t *)&c->view.fresh_ms,
+		       (uint64_t)(backend_watch_is_current(&c->backends)
+					  ? c->backends.list.fresh_ms
+					  : now_ms - AGE_UNKNOWN));
+}
+
+/* control_publish_cost() publishes what the control thread has cost so far. */
+void control_publish_cost(struct control *c)
+{
+	const struct store_channel *channels[] = {
+		&c->config.store, &c->backends.store, &c->record.store,
+		&c->crashes.record.store};
+	uint64_t in = c->peers.bytes_in, out = c->peers.bytes_out;
+	uint64_t calls = 0;
+	struct timespec cpu;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(channels); i++) {
+		in += channels[i]->bytes_in;
+		out += channels[i]->bytes_out;
+		calls += channels[i]->calls;
+	}
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &cpu);
+	ck_pr_store_64(&c->view.cpu_us, (uint64_t)cpu.tv_sec * 1000000 +
+						(uint64_t)cpu.tv_nsec / 1000);
+	ck_pr_store_64(&c->view.bytes_in, in);
+	ck_pr_store_64(&c->view.bytes_out, out);
+	ck_pr_store_64(&c->view.store_calls, calls);
+	ck_pr_store_64(&c->view.store_era, c->store.era);
+}
--- /dev/null
+++ b/control/publish.h
@@ -0,0 +1,10 @@
+/* What the control thread lets the traffic thread and the metrics read. */
+#ifndef MP_CONTROL_PUBLISH_H
+#define MP_CONTROL_PUBLISH_H
+
+#include "control/control.h"
+
+void control_publish_age(struct control *c);
+void control_publish_cost(struct control *c);
+
+#endif
--- a/core/backend.c
+++ b/core/backend.c
@@ -99,6 +99,18 @@
 	return a->born_ms && a->sequence < b->sequence;
 }
 
+/*
+ * backend_entry_is_newer() tells whether a surely says more than b of the same
+ * server: it comes from a later start, or is a later word of the same.
+ */
+bool backend_entry_is_newer(const struct backend_entry *a,
+			    const struct backend_entry *b)
+{
+	if (a->born_ms != b->born_ms)
+		return a->born_ms > b->born_ms;
+	return a->sequence > b->sequence;
+}
+
 /* backend_start_hash() tells starts of servers apart, on all instances alike. */
 uint32_t backend_start_hash(const struct backend_entry *e)
 {
--- a/core/backend.h
+++ b/core/backend.h
@@ -111,6 +111,8 @@
 uint32_t backend_start_hash(const struct backend_entry *e);
 bool backend_entry_is_older(const struct backend_entry *a,
 			    const struct backend_entry *b);
+bool backend_entry_is_newer(const struct backend_entry *a,
+			    const struct backend_entry *b);
 bool backend_is_limited(const struct backend *b);
 struct backend *backend_ref(struct backend *b);
 void backend_unref(struct backend *b);
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -5,9 +5,10 @@
 
 /* Positions in the arrays on the wire. */
 enum {
-	HEAD_FIELDS = 12,
-	FEED_FIELDS = 5,
-	CHANGE_FIELDS = 11,
+	HEAD_FIELDS = 17,
+	FEED_FIELDS = 9,
+	CHANGE_FIELDS = 13,
+	CHANGE_ID_FIELDS = 4, /* of one that names a server only */
 	ROLL_FIELDS = 4,
 	CRASH_FIELDS = 3,
 	LOAD_FIELDS = 3,
@@ -18,11 +19,11 @@
 
 enum {
 	/* Room that one change takes at most, with names of usual length. */
-	CHANGE_BYTES = 180,
+	CHANGE_BYTES = 190,
 	/* And what stands before the changes. */
-	FEED_HEAD_BYTES = 200,
+	FEED_HEAD_BYTES = 240,
 	/* Entries of a roll that fit one, behind its sender's names. */
-	ROLL_PART = (GOSSIP_MAX - 250) / 5,
+	ROLL_PART = (GOSSIP_MAX - 290) / 5,
 };
 
 static void pack_addr(msgpack_packer *pk, const struct sockaddr_in *sa)
@@ -31,6 +32,12 @@
 	msgpack_pack_uint16(pk, ntohs(sa->sin_port));
 }
 
+static void pack_position(msgpack_packer *pk, struct store_position p)
+{
+	msgpack_pack_uint64(pk, p.era);
+	msgpack_pack_uint64(pk, p.offset);
+}
+
 static void pack_info(msgpack_packer *pk, const struct peer_info *p)
 {
 	codec_pack_cstr(pk, p->name);
@@ -41,8 +48,12 @@
 	msgpack_pack_uint64(pk, p->boot);
 	msgpack_pack_uint8(pk, p->leaving);
 	msgpack_pack_uint8(pk, p->ready);
-	msgpack_pack_uint64(pk, p->config_offset);
-	msgpack_pack_uint32(pk, p->config_age_ms);
+	msgpack_pack_uint64(pk, p->store_era);
+	msgpack_pack_uint64(pk, p->records_era);
+	pack_position(pk, p->config.pos);
+	msgpack_pack_uint32(pk, p->config.age_ms);
+	msgpack_pack_uint64(pk, p->config.version);
+	msgpack_pack_uint32(pk, p->config.digest);
 }
 
 static void pack_sender(msgpack_packer *pk, enum gossip_kind kind,
@@ -69,15 +80,16 @@
 {
 	const struct backend_entry *e = &c->entry;
 
-	if (c->removed) {
-		msgpack_pack_array(pk, 2);
-		msgpack_pack_uint64(pk, c->offset);
-		codec_pack_cstr(pk, e->id);
-		return;
-	}
-	msgpack_pack_array(pk, CHANGE_FIELDS);
-	msgpack_pack_uint64(pk, c->offset);
+	bool named_only = c->removed || c->missing;
+
+	msgpack_pack_array(pk, named_only ? CHANGE_ID_FIELDS : CHANGE_FIELDS);
+	pack_position(pk, c->pos);
 	codec_pack_cstr(pk, e->id);
+	msgpack_pack_uint8(pk, c->doubted   ? CHANGE_DOUBTED
+			       : c->missing ? CHANGE_MISSING
+					    : CHANGE_PLAIN);
+	if (named_only)
+		return;
 	codec_pack_cstr(pk, e->service);
 	codec_pack_cstr(pk, e->dc);
 	pack_addr(pk, &e->addr);
@@ -88,26 +100,27 @@
 	msgpack_pack_uint64(pk, e->sequence);
 }
 
-static uint64_t offset_at(const struct backend_feed *feed, guint i)
+static struct store_position pos_at(const struct backend_feed *feed, guint i)
 {
-	return g_array_index(feed->changes, struct backend_change, i).offset;
+	return g_array_index(feed->changes, struct backend_change, i).pos;
 }
 
 /*
  * gossip_feed_begin() chooses the first change to send: none that the peers
- * were not yet sent, from offset `told` on, is left out, and older ones are
+ * were not yet sent, from `told` on, is left out, and older ones are
  * repeated as far as one datagram goes, against loss. Beyond
  * changes_max the oldest are left out all the same.
  */
-guint gossip_feed_begin(const struct backend_feed *feed, uint64_t told,
-			guint changes_max)
+guint gossip_feed_begin(const struct backend_feed *feed,
+			struct store_position told, guint changes_max)
 {
 	guint fit = (GOSSIP_MAX - FEED_HEAD_BYTES) / CHANGE_BYTES;
 	guint len = feed->changes->len;
 	guint begin = len > fit ? len - fit : 0;
 	guint least = len > changes_max ? len - changes_max : 0;
 
-	while (begin > least && offset_at(feed, begin - 1) >= told)
+	while (begin > least &&
+	       store_position_cmp(pos_at(feed, begin - 1), told) >= 0)
 		begin--;
 	return begin;
 }
@@ -128,6 +141,20 @@
 	return end;
 }
 
+/* Where the part that begins with a change goes on from. */
+static struct store_position part_from(const struct backend_feed *feed,
+				       guint begin)
+{
+	struct store_position after, next;
+
+	if (begin == 0)
+		return feed->from;
+	after = store_position_after(pos_at(feed, begin - 1));
+	next = begin < feed->changes->len ? pos_at(feed, begin) : feed->to;
+	/* What a copy of the store lacks all stands at one place. */
+	return store_position_cmp(next, after) < 0 ? next : after;
+}
+
 /*
  * gossip_write_feed() writes one datagram with the changes from `begin` on
  * and returns the index of the first that did not fit. Only the last one says
@@ -144,10 +171,10 @@
 	msgpack_packer_init(&pk, out, codec_buf_write);
 	pack_sender(&pk, GOSSIP_FEED, self);
 	msgpack_pack_array(&pk, FEED_FIELDS);
-	msgpack_pack_uint64(&pk, begin ? offset_at(feed, begin - 1) + 1
-				       : feed->from);
-	msgpack_pack_uint64(&pk, last ? feed->to : offset_at(feed, end));
-	msgpack_pack_uint32(&pk, last ? feed->age_ms : FEED_AGE_UNKNOWN);
+	pack_position(&pk, part_from(feed, begin));
+	pack_position(&pk, feed->listed);
+	pack_position(&pk, last ? feed->to : pos_at(feed, end));
+	msgpack_pack_uint32(&pk, last ? feed->age_ms : AGE_UNKNOWN);
 	msgpack_pack_uint32(&pk, feed->settle_ms);
 	msgpack_pack_array(&pk, end - begin);
 	buf_add_lstr(out, buf_lstr(&changes));
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -34,10 +34,23 @@
 	GOSSIP_LIMIT = 12, /* limits of servers; its sender is an id only */
 };
 
+/* Kinds of changes on the wire. */
+enum { CHANGE_PLAIN, CHANGE_MISSING, CHANGE_DOUBTED };
+
 /* One record of the list of backend servers. */
 struct backend_change {
-	uint64_t offset;
+	struct store_position pos;
 	bool removed; /* only entry.id is meant */
+	/*
+	 * Only entry.id is meant: the store has come back from a copy that
+	 * lacks it, so it is gone unless it is written again in time.
+	 */
+	bool missing;
+	/*
+	 * The copy has it though it had left: it is back unless it is removed
+	 * again in time.
+	 */
+	bool doubted;
 	struct backend_entry entry;
 };
 
@@ -57,15 +70,17 @@
 /* News that fit one datagram, 16 bytes each. */
 enum { CRASH_NEWS_MAX = 64 };
 
-/* In a part of a feed that more parts follow. */
-#define FEED_AGE_UNKNOWN UINT32_MAX
-
-/* The list's changes between two offsets. */
+/* The list's changes between two places. */
 struct backend_feed {
-	uint64_t from, to;  /* covers records from <= offset < to */
-	uint32_t age_ms;    /* since the store was asked, or FEED_AGE_UNKNOWN */
+	/*
+	 * Covers records from <= pos < to. Where `to` is of a later era, those
+	 * of `from` to it as a whole, and those of its own from `listed` on.
+	 */
+	struct store_position from, listed, to;
+	uint32_t
+		age_ms; /* since the store was asked; AGE_UNKNOWN in parts but the last */
 	uint32_t settle_ms; /* removals are held back this much longer */
-	GArray *changes;    /* struct backend_change, by offset */
+	GArray *changes;    /* struct backend_change, by pos */
 };
 
 struct gossip_message {
@@ -87,8 +102,8 @@
 enum { GOSSIP_MAX = 1400 };
 
 void gossip_write_beat(struct buf *out, const struct peer_info *self);
-guint gossip_feed_begin(const struct backend_feed *feed, uint64_t told,
-			guint changes_max);
+guint gossip_feed_begin(const struct backend_feed *feed,
+			struct store_position told, guint changes_max);
 guint gossip_write_feed(struct buf *out, const struct peer_info *self,
 			const struct backend_feed *feed, guint begin);
 void gossip_write_load(struct buf *out, const struct peer_load *load);
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -77,17 +77,28 @@
 	sa->sin_port = htons((uint16_t)next_uint(c));
 }
 
+static struct store_position next_position(struct cursor *c)
+{
+	uint64_t era = next_uint(c);
+
+	return (struct store_position){era, next_uint(c)};
+}
+
 /* gossip_read_change() reads one; false when it is none. */
 bool gossip_read_change(const msgpack_object *o, struct backend_change *out)
 {
 	struct cursor c = cursor_of(o);
 	struct backend_entry *e = &out->entry;
+	uint64_t kind;
 
 	memset(out, 0, sizeof(*out));
-	out->offset = next_uint(&c);
+	out->pos = next_position(&c);
 	next_text(&c, e->id, sizeof(e->id));
-	out->removed = c.at == c.end;
-	if (out->removed)
+	kind = next_uint(&c);
+	out->missing = kind == CHANGE_MISSING;
+	out->doubted = kind == CHANGE_DOUBTED;
+	out->removed = !out->missing && c.at == c.end;
+	if (c.at == c.end)
 		return !c.bad;
 	next_text(&c, e->service, sizeof(e->service));
 	next_text(&c, e->dc, sizeof(e->dc));
@@ -104,8 +115,9 @@
 {
 	struct cursor c = cursor_of(o), list;
 
-	f->from = next_uint(&c);
-	f->to = next_uint(&c);
+	f->from = next_position(&c);
+	f->listed = next_position(&c);
+	f->to = next_position(&c);
 	f->age_ms = (uint32_t)next_uint(&c);
 	f->settle_ms = (uint32_t)next_uint(&c);
 	list = cursor_of(next(&c));
@@ -143,8 +155,12 @@
 	p->boot = next_uint(c);
 	p->leaving = next_uint(c) != 0;
 	p->ready = next_uint(c) != 0;
-	p->config_offset = next_uint(c);
-	p->config_age_ms = (uint32_t)next_uint(c);
+	p->store_era = next_uint(c);
+	p->records_era = next_uint(c);
+	p->config.pos = next_position(c);
+	p->config.age_ms = (uint32_t)next_uint(c);
+	p->config.version = next_uint(c);
+	p->config.digest = (uint32_t)next_uint(c);
 }
 
 static bool read_person(const msgpack_object *o, struct peer_info *p)
--- a/member/peers.c
+++ b/member/peers.c
@@ -169,6 +169,19 @@
 	return count_before(t, now_ms, true);
 }
 
+/* peers_records_era() tells as of which era somebody found the system's records whole. */
+uint64_t peers_records_era(const struct peer_table *t)
+{
+	uint64_t era = 0;
+
+	for (guint i = 0; i < t->peers->len; i++) {
+		const struct peer *p = g_ptr_array_index(t->peers, i);
+
+		era = MAX(era, p->info.records_era);
+	}
+	return era;
+}
+
 /* peers_count() counts the instances that may be serving, this one too. */
 unsigned peers_count(const struct peer_table *t, int64_t now_ms)
 {
--- a/member/peers.h
+++ b/member/peers.h
@@ -12,12 +12,25 @@
 
 #include <glib.h>
 
+#include "platform/store_position.h"
+
 enum {
 	PEER_NAME_MAX = 64,
 	PEER_ADDR_MAX = 32,
 	PEER_LOST_MS = 10 * 1000, /* unheard of for so long: taken as gone */
 };
 
+/* In the place of an age that nobody confirmed in the store's present era. */
+#define AGE_UNKNOWN UINT32_MAX
+
+/* How far an instance knows the configuration. */
+struct config_mark {
+	struct store_position pos; /* records before it are taken in */
+	uint32_t age_ms;	   /* it knew then that these are all */
+	uint64_t version;	   /* the newest that it knows; 0: none */
+	uint32_t digest;	   /* of that version's record */
+};
+
 /* What an instance says of itself. */
 struct peer_info {
 	char name[PEER_NAME_MAX];
@@ -28,8 +41,9 @@
 	uint64_t boot;		     /* random, one for each start */
 	bool leaving;		     /* it is stopping as planned */
 	bool ready;		     /* it knows what it needs to serve */
-	uint64_t config_offset;	     /* records of the configuration it saw */
-	uint32_t config_age_ms;	     /* it knew then that these are all */
+	uint64_t store_era;	     /* the highest that it has heard of */
+	uint64_t records_era;	     /* its own records stand there in it */
+	struct config_mark config;
 };
 
 struct peer {
@@ -77,6 +91,7 @@
 unsigned peers_rank(const struct peer_table *t, int64_t now_ms);
 unsigned peers_start_rank(const struct peer_table *t, int64_t now_ms);
 unsigned peers_ready(const struct peer_table *t, int64_t now_ms);
+uint64_t peers_records_era(const struct peer_table *t);
 unsigned peers_count(const struct peer_table *t, int64_t now_ms);
 GArray *peers_sharers(const struct peer_table *t, uint32_t stop_ms,
 		      int64_t now_ms);
--- a/member/snapshot.c
+++ b/member/snapshot.c
@@ -7,9 +7,11 @@
 /* Fields of the array on the wire. */
 enum {
 	HAS_CONFIG,
+	CONFIG_ERA,
 	CONFIG_OFFSET,
 	CONFIG_AGE,
 	CONFIG,
+	BACKENDS_ERA,
 	BACKENDS_OFFSET,
 	BACKENDS_AGE,
 	BACKENDS,
@@ -39,10 +41,12 @@
 	msgpack_packer_init(&pk, out, codec_buf_write);
 	msgpack_pack_array(&pk, FIELDS);
 	msgpack_pack_uint8(&pk, s->has_config);
-	msgpack_pack_uint64(&pk, s->config_offset);
+	msgpack_pack_uint64(&pk, s->config_pos.era);
+	msgpack_pack_uint64(&pk, s->config_pos.offset);
 	msgpack_pack_uint32(&pk, s->config_age_ms);
 	msgpack_pack_bin_with_body(&pk, s->config.ptr, s->config.len);
-	msgpack_pack_uint64(&pk, s->backends_offset);
+	msgpack_pack_uint64(&pk, s->backends_pos.era);
+	msgpack_pack_uint64(&pk, s->backends_pos.offset);
 	msgpack_pack_uint32(&pk, s->backends_age_ms);
 	msgpack_pack_array(&pk, s->backends->len);
 	for (guint i = 0; i < s->backends->len; i++)
@@ -61,16 +65,20 @@
 	const msgpack_object *f = o->via.array.ptr;
 
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != FIELDS ||
-	    !is_uint(&f[HAS_CONFIG]) || !is_uint(&f[CONFIG_OFFSET]) ||
-	    !is_uint(&f[CONFIG_AGE]) || f[CONFIG].type != MSGPACK_OBJECT_BIN ||
-	    !is_uint(&f[BACKENDS_OFFSET]) || !is_uint(&f[BACKENDS_AGE]) ||
+	    !is_uint(&f[HAS_CONFIG]) || !is_uint(&f[CONFIG_ERA]) ||
+	    !is_uint(&f[CONFIG_OFFSET]) || !is_uint(&f[CONFIG_AGE]) ||
+	    f[CONFIG].type != MSGPACK_OBJECT_BIN ||
+	    !is_uint(&f[BACKENDS_ERA]) || !is_uint(&f[BACKENDS_OFFSET]) ||
+	    !is_uint(&f[BACKENDS_AGE]) ||
 	    f[BACKENDS].type != MSGPACK_OBJECT_ARRAY)
 		return false;
 	s->has_config = f[HAS_CONFIG].via.u64 != 0;
-	s->config_offset = f[CONFIG_OFFSET].via.u64;
+	s->config_pos = (struct store_position){f[CONFIG_ERA].via.u64,
+						f[CONFIG_OFFSET].via.u64};
 	s->config_age_ms = (uint32_t)f[CONFIG_AGE].via.u64;
 	buf_add(&s->config, f[CONFIG].via.bin.ptr, f[CONFIG].via.bin.size);
-	s->backends_offset = f[BACKENDS_OFFSET].via.u64;
+	s->backends_pos = (struct store_position){f[BACKENDS_ERA].via.u64,
+						  f[BACKENDS_OFFSET].via.u64};
 	s->backends_age_ms = (uint32_t)f[BACKENDS_AGE].via.u64;
 	for (uint32_t i = 0; i < f[BACKENDS].via.array.size; i++) {
 		struct backend_change c;
--- a/member/snapshot.h
+++ b/member/snapshot.h
@@ -1,7 +1,7 @@
 /*
  * What one instance knows, for another that has just started while the store
  * does not answer: the newest configuration record and the whole list of
- * backend servers, with the offsets from which the store is to be read on.
+ * backend servers, with the places from which the store is to be read on.
  */
 #ifndef MP_MEMBER_SNAPSHOT_H
 #define MP_MEMBER_SNAPSHOT_H
@@ -10,10 +10,10 @@
 
 struct snapshot {
 	bool has_config; /* else the receiver is to read it in the store */
-	uint64_t config_offset;
+	struct store_position config_pos;
 	uint32_t config_age_ms; /* it was known then that these are all */
 	struct buf config;	/* the record as the store holds it; owned */
-	uint64_t backends_offset;
+	struct store_position backends_pos;
 	uint32_t backends_age_ms;
 	GArray *backends; /* struct backend_change, none removed */
 };
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -368,6 +368,7 @@
 				    .retry_window_s = 10,
 				    .questions_per_s = 1000};
 	b->view.fresh_ms = clock_ms();
+	b->view.config_ms = clock_ms();
 	if (traffic_init(&b->traffic, s, NULL, &b->view, &b->control))
 		abort();
 	b->loop = b->traffic.loop;
--- a/tests/peer_info.h
+++ b/tests/peer_info.h
@@ -9,7 +9,13 @@
 /* An instance "eN" in data centre dc-1. */
 static inline struct peer_info info(const char *name, uint64_t boot)
 {
-	struct peer_info p = {.boot = boot, .config_offset = 7};
+	struct peer_info p = {.boot = boot,
+			      .store_era = 3,
+			      .records_era = 2,
+			      .config = {.pos = {3, 7},
+					 .age_ms = 5,
+					 .version = 21,
+					 .digest = 99}};
 
 	g_strlcpy(p.name, name, sizeof(p.name));
 	g_strlcpy(p.dc, "dc-1", sizeof(p.dc));
--- a/tests/store-restore.sh
+++ b/tests/store-restore.sh
@@ -199,7 +199,8 @@
 check "drains: nothing new after the restore" test "$(sent_to_1)" -eq "$before"
 
 # What instances wrote stands there again.
-member_is_there() { curl -s -m 2 "http://127.0.0.1:$BASE_PORT/log-newest?topic=keyed.status&part=0" | grep -aq '.e5.value'; }
+member_is_there() { curl -s -m 2 "http://127.0.0.1:$BASE_PORT/log-newest?topic=keyed.status&part=0" | LC_ALL=C grep -aq '.e5.value'; }
+check "members: all are there" member_is_there
 write_record keyed.status e5 "$logs/empty"
 check "members: one is missing" eval '! member_is_there'
 store_fault copy=1
--- a/tests/test_backend_list.c
+++ b/tests/test_backend_list.c
@@ -28,10 +28,15 @@
 	backend_list_init(l, on_change, s);
 }
 
+static struct store_position at(uint64_t offset)
+{
+	return (struct store_position){1, offset};
+}
+
 static struct backend_change change(uint64_t offset, const char *id,
 				    const char *what)
 {
-	struct backend_change c = {.offset = offset};
+	struct backend_change c = {.pos = at(offset)};
 
 	g_strlcpy(c.entry.id, id, sizeof(c.entry.id));
 	g_strlcpy(c.entry.service, "harta", sizeof(c.entry.service));
@@ -50,8 +55,8 @@
 
 static void list_anew(struct backend_list *l, uint64_t end, int64_t now)
 {
-	backend_list_replace_begin(l, now);
-	backend_list_replace_end(l, end, now, now);
+	backend_list_replace_begin(l, 1, now);
+	backend_list_replace_end(l, at(end), now, now);
 }
 
 static const char *state_of(const struct seen *s, const char *id)
@@ -89,15 +94,15 @@
 	list_anew(&l, 0, 1000);
 	record(&l, 0, "a", "ready", 1000);
 	record(&l, 1, "b", "ready", 1000);
-	backend_list_caught_up(&l, 2, 1000, 1000);
+	backend_list_caught_up(&l, at(2), 1000, 1000);
 	/* The store is away from 1 s to 8 s; both leases run out. */
 	backend_list_read_begin(&l, 8000);
 	record(&l, 2, "a", "gone", 8000);
 	record(&l, 3, "b", "gone", 8000);
-	backend_list_caught_up(&l, 4, 8000, 8000);
+	backend_list_caught_up(&l, at(4), 8000, 8000);
 	assert_string_equal(state_of(&s, "a"), "ready");
 	record(&l, 4, "a", "ready", 9000);
-	backend_list_caught_up(&l, 5, 9000, 9000);
+	backend_list_caught_up(&l, at(5), 9000, 9000);
 	backend_list_settle(&l, 9900);
 	assert_string_equal(state_of(&s, "b"), "ready");
 	backend_list_settle(&l, 10300);
@@ -118,7 +123,7 @@
 	init(&l, &s);
 	list_anew(&l, 0, 1000);
 	record(&l, 0, "a", "ready", 1000);
-	backend_list_caught_up(&l, 1, 1000, 1000);
+	backend_list_caught_up(&l, at(1), 1000, 1000);
 	backend_list_read_begin(&l, 1500);
 	record(&l, 1, "a", "gone", 1500);
 	assert_string_equal(state_of(&s, "a"), "gone");
@@ -188,16 +193,16 @@
 	feed_to(&reader, &fed, false, 1000);
 	list_anew(&fed, 0, 1000);
 	record(&reader, 0, "a", "ready", 1400);
-	backend_list_caught_up(&reader, 5, 1400, 1400);
+	backend_list_caught_up(&reader, at(5), 1400, 1400);
 	feed_to(&reader, &fed, true, 1450);
 	assert_string_equal(state_of(&fs, "a"), "ready");
-	assert_int_equal(fed.offset, 5);
+	assert_int_equal(fed.pos.offset, 5);
 	assert_int_equal(fed.fresh_ms, 1400);
 	/* The next feed is lost; the one after it still covers both. */
 	record(&reader, 5, "b", "ready", 1900);
-	backend_list_caught_up(&reader, 9, 1900, 1900);
+	backend_list_caught_up(&reader, at(9), 1900, 1900);
 	record(&reader, 9, "a", "draining", 2400);
-	backend_list_caught_up(&reader, 12, 2400, 2400);
+	backend_list_caught_up(&reader, at(12), 2400, 2400);
 	feed_to(&reader, &fed, true, 2400);
 	assert_string_equal(state_of(&fs, "b"), "ready");
 	assert_string_equal(state_of(&fs, "a"), "draining");
@@ -205,8 +210,8 @@
 	feed_to(&reader, &fed, true, 2410);
 	/* After a long silence the covered changes are too new. */
 	record(&reader, 12, "c", "ready", 2900);
-	backend_list_caught_up(&reader, 14, 2900, 2900);
-	backend_list_caught_up(&reader, 30, 6000, 6000);
+	backend_list_caught_up(&reader, at(14), 2900, 2900);
+	backend_list_caught_up(&reader, at(30), 6000, 6000);
 	feed_to(&reader, &fed, false, 6000);
 	assert_string_equal(state_of(&fs, "c"), "gone");
 }
@@ -226,18 +231,18 @@
 	list_anew(&fed, 0, 1000);
 	record(&reader, 0, "a", "ready", 1000);
 	record(&reader, 1, "b", "ready", 1000);
-	backend_list_caught_up(&reader, 2, 1000, 1000);
+	backend_list_caught_up(&reader, at(2), 1000, 1000);
 	feed_to(&reader, &fed, true, 1000);
 	backend_list_read_begin(&reader, 9000);
 	record(&reader, 2, "a", "gone", 9000);
 	record(&reader, 3, "b", "gone", 9000);
-	backend_list_caught_up(&reader, 4, 9000, 9000);
+	backend_list_caught_up(&reader, at(4), 9000, 9000);
 	/* The fed one heard of the outage by nothing else. */
 	fed.fresh_ms = 8900;
 	feed_to(&reader, &fed, true, 9010);
 	assert_string_equal(state_of(&fs, "a"), "ready");
 	record(&reader, 4, "b", "ready", 10000);
-	backend_list_caught_up(&reader, 5, 10000, 10000);
+	backend_list_caught_up(&reader, at(5), 10000, 10000);
 	feed_to(&reader, &fed, true, 10010);
 	backend_list_settle(&fed, 11300);
 	backend_list_settle(&reader, 11300);
@@ -261,11 +266,11 @@
 	record(&l, 4, "b", "draining", 1000);
 	record(&l, 5, "c", "ready", 1000);
 	record(&l, 6, "c", "gone", 1000);
-	backend_list_caught_up(&l, 7, 1000, 1000);
+	backend_list_caught_up(&l, at(7), 1000, 1000);
 	backend_list_export(&l, all);
-	backend_list_import(&fresh, all, l.offset, 1000, 5000);
+	backend_list_import(&fresh, all, l.pos, 1000, 5000);
 	assert_true(fresh.loaded);
-	assert_int_equal(fresh.offset, 7);
+	assert_int_equal(fresh.pos.offset, 7);
 	assert_int_equal(fresh.fresh_ms, 1000);
 	assert_string_equal(state_of(&fs, "a"), "ready");
 	assert_string_equal(state_of(&fs, "b"), "draining");
@@ -290,7 +295,7 @@
 	list_anew(&old, 0, 1000);
 	c = change(1, "i-1", "ready");
 	backend_list_record(&old, &c, 1000);
-	backend_list_caught_up(&old, 2, 1000, 1000);
+	backend_list_caught_up(&old, at(2), 1000, 1000);
 	backend_list_export(&old, all);
 	init(&l, &seen);
 	list_anew(&l, 0, 1000);
@@ -298,14 +303,185 @@
 	backend_list_record(&l, &c, 1100);
 	c = change(6, "i-2", "ready");
 	backend_list_record(&l, &c, 1100);
-	backend_list_caught_up(&l, 7, 1100, 1100);
-	backend_list_import(&l, all, 2, 1000, 1200);
+	backend_list_caught_up(&l, at(7), 1100, 1100);
+	backend_list_import(&l, all, at(2), 1000, 1200);
 	assert_string_equal(state_of(&seen, "i-1"), "draining");
 	assert_string_equal(state_of(&seen, "i-2"), "ready");
-	assert_int_equal(l.offset, 7);
+	assert_int_equal(l.pos.offset, 7);
 	g_array_unref(all);
 }
 
+static struct store_position in_era(uint64_t era, uint64_t offset)
+{
+	return (struct store_position){era, offset};
+}
+
+/* An entry with its word, as it stands in an era. */
+static void say(struct backend_list *l, struct store_position pos,
+		const char *id, uint64_t sequence, const char *what,
+		int64_t now)
+{
+	struct backend_change c = change(0, id, what);
+
+	c.pos = pos;
+	c.entry.born_ms = 5000;
+	c.entry.sequence = sequence;
+	backend_list_record(l, &c, now);
+}
+
+/* A list with a and b, the first 8 records of era 1 taken in at 1,000 ms. */
+static void begin_copied(struct backend_list *l, struct seen *s)
+{
+	init(l, s);
+	list_anew(l, 0, 1000);
+	say(l, in_era(1, 0), "a", 1, "ready", 1000);
+	say(l, in_era(1, 1), "b", 1, "ready", 1000);
+	backend_list_caught_up(l, in_era(1, 8), 1000, 1000);
+}
+
+static void test_left_server_of_the_copy_stays_off(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	begin_copied(&l, &s);
+	record(&l, 8, "b", "gone", 1100);
+	backend_list_caught_up(&l, in_era(1, 9), 1100, 1100);
+	backend_list_replace_begin(&l, 2, 1500);
+	say(&l, in_era(2, 0), "a", 1, "ready", 1500);
+	say(&l, in_era(2, 1), "b", 1, "ready", 1500);
+	backend_list_replace_end(&l, in_era(2, 2), 1500, 1500);
+	assert_string_equal(state_of(&s, "b"), "gone");
+	/* Its removal is written again. */
+	say(&l, in_era(2, 2), "b", 0, "gone", 2500);
+	backend_list_settle(&l, 60000);
+	assert_string_equal(state_of(&s, "b"), "gone");
+	assert_string_equal(state_of(&s, "a"), "ready");
+}
+
+/* It lapsed and came back in the lost seconds: nobody removes it again. */
+static void test_doubted_server_that_lives_is_back(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	begin_copied(&l, &s);
+	record(&l, 8, "a", "gone", 1100);
+	record(&l, 9, "b", "gone", 1100);
+	backend_list_caught_up(&l, in_era(1, 10), 1100, 1100);
+	backend_list_replace_begin(&l, 2, 1500);
+	say(&l, in_era(2, 0), "a", 1, "ready", 1500);
+	say(&l, in_era(2, 1), "b", 2, "ready", 1500);
+	backend_list_replace_end(&l, in_era(2, 2), 1500, 1500);
+	/* A later word than its last proves it. */
+	assert_string_equal(state_of(&s, "b"), "ready");
+	assert_string_equal(state_of(&s, "a"), "gone");
+	backend_list_settle(&l, 5000);
+	assert_string_equal(state_of(&s, "a"), "gone");
+	backend_list_settle(&l, 9000);
+	assert_string_equal(state_of(&s, "a"), "ready");
+}
+
+static void test_joined_server_stays_until_it_writes_again(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	begin_copied(&l, &s);
+	say(&l, in_era(1, 8), "c", 1, "ready", 1100);
+	say(&l, in_era(1, 9), "d", 1, "ready", 1100);
+	backend_list_caught_up(&l, in_era(1, 10), 1100, 1100);
+	backend_list_replace_begin(&l, 2, 1500);
+	say(&l, in_era(2, 0), "a", 1, "ready", 1500);
+	say(&l, in_era(2, 1), "b", 1, "ready", 1500);
+	backend_list_replace_end(&l, in_era(2, 2), 1500, 1500);
+	backend_list_settle(&l, 3500);
+	assert_string_equal(state_of(&s, "c"), "ready");
+	assert_string_equal(state_of(&s, "d"), "ready");
+	say(&l, in_era(2, 2), "c", 2, "ready", 3500);
+	backend_list_settle(&l, 3800);
+	assert_string_equal(state_of(&s, "c"), "ready");
+	assert_string_equal(state_of(&s, "d"), "gone");
+}
+
+static void test_draining_that_the_copy_lacks_holds(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	begin_copied(&l, &s);
+	say(&l, in_era(1, 8), "a", 2, "draining", 1100);
+	backend_list_replace_begin(&l, 2, 1500);
+	say(&l, in_era(2, 0), "a", 1, "ready", 1500);
+	say(&l, in_era(2, 1), "b", 1, "ready", 1500);
+	backend_list_replace_end(&l, in_era(2, 2), 1500, 1500);
+	assert_string_equal(state_of(&s, "a"), "draining");
+	/* And what is said in the new era counts at once. */
+	say(&l, in_era(2, 2), "b", 2, "draining", 1600);
+	assert_string_equal(state_of(&s, "b"), "draining");
+	say(&l, in_era(2, 3), "a", 3, "gone", 1600);
+	assert_string_equal(state_of(&s, "a"), "gone");
+}
+
+/* Leases of the copy run out together before their servers can write. */
+static void test_lapse_of_most_after_a_copy_is_held_back(void **state)
+{
+	struct backend_list l;
+	struct seen s;
+
+	begin_copied(&l, &s);
+	say(&l, in_era(1, 8), "c", 1, "ready", 1100);
+	backend_list_caught_up(&l, in_era(1, 9), 1100, 1100);
+	backend_list_replace_begin(&l, 2, 1500);
+	say(&l, in_era(2, 0), "a", 1, "ready", 1500);
+	say(&l, in_era(2, 1), "b", 1, "ready", 1500);
+	say(&l, in_era(2, 2), "c", 1, "ready", 1500);
+	backend_list_replace_end(&l, in_era(2, 3), 1500, 1500);
+	say(&l, in_era(2, 3), "a", 0, "gone", 1600);
+	say(&l, in_era(2, 4), "b", 0, "gone", 1600);
+	say(&l, in_era(2, 5), "c", 0, "gone", 1600);
+	assert_string_equal(state_of(&s, "a"), "gone");
+	assert_string_equal(state_of(&s, "b"), "ready");
+	assert_string_equal(state_of(&s, "c"), "ready");
+	say(&l, in_era(2, 6), "b", 2, "ready", 2000);
+	backend_list_settle(&l, 4000);
+	assert_string_equal(state_of(&s, "b"), "ready");
+	assert_string_equal(state_of(&s, "c"), "gone");
+}
+
+/* One that reads the new log feeds those that are still in the old one. */
+static void test_feed_into_the_new_era(void **state)
+{
+	struct backend_list reader, fed;
+	struct seen rs, fs;
+
+	begin_copied(&reader, &rs);
+	begin_copied(&fed, &fs);
+	say(&reader, in_era(1, 8), "c", 1, "ready", 1100);
+	backend_list_caught_up(&reader, in_era(1, 9), 1100, 1100);
+	/* The fed one misses that feed; the next covers it and the rise. */
+	backend_list_replace_begin(&reader, 2, 1500);
+	say(&reader, in_era(2, 5), "d", 1, "ready", 1500);
+	say(&reader, in_era(2, 0), "a", 1, "ready", 1500);
+	backend_list_replace_end(&reader, in_era(2, 6), 1500, 1500);
+	feed_to(&reader, &fed, true, 1510);
+	assert_int_equal(store_position_cmp(fed.pos, in_era(2, 6)), 0);
+	assert_string_equal(state_of(&fs, "c"), "ready");
+	assert_string_equal(state_of(&fs, "d"), "ready");
+	assert_string_equal(state_of(&fs, "b"), "ready");
+	/* c writes again, b doesn't; the old era has nothing to say. */
+	say(&reader, in_era(2, 6), "c", 2, "ready", 2000);
+	backend_list_caught_up(&reader, in_era(2, 7), 2000, 2000);
+	feed_to(&reader, &fed, true, 2010);
+	begin_copied(&reader, &rs);
+	feed_to(&reader, &fed, true, 2020);
+	assert_int_equal(store_position_cmp(fed.pos, in_era(2, 7)), 0);
+	backend_list_settle(&fed, 4000);
+	assert_string_equal(state_of(&fs, "c"), "ready");
+	assert_string_equal(state_of(&fs, "b"), "gone");
+	assert_string_equal(state_of(&fs, "a"), "ready");
+}
+
 static void test_read_due(void **state)
 {
 	/* The first reads twice a second; others when nobody did. */
@@ -329,7 +505,13 @@
 	assert_in_range(backend_read_due(100, true, 0, 5000, 50), 7000, 8000);
 }
 
-enum { HISTORIES = 60, STEPS = 400, INSTANCES = 4, IDS = 6 };
+enum {
+	HISTORIES = 60,
+	COPIED_HISTORIES = 200,
+	STEPS = 400,
+	INSTANCES = 4,
+	IDS = 6
+};
 
 /* The log of a seeded history and the instances that follow it. */
 struct world {
@@ -358,11 +540,11 @@
 	struct backend_feed f;
 
 	backend_list_read_begin(l, w->now);
-	for (guint k = (guint)l->offset; k < w->log->len; k++)
+	for (guint k = (guint)l->pos.offset; k < w->log->len; k++)
 		backend_list_record(
 			l, &g_array_index(w->log, struct backend_change, k),
 			w->now);
-	backend_list_caught_up(l, w->log->len, w->now, w->now);
+	backend_list_caught_up(l, at(w->log->len), w->now, w->now);
 	for (int k = 0; k < INSTANCES; k++) {
 		if (k == i || g_rand_int_range(w->rand, 0, 4) == 0)
 			continue;
@@ -422,6 +604,267 @@
 	g_array_unref(w.log);
 }
 
+/* A store that comes back from copies, and the servers that write to it. */
+struct copied_world {
+	GArray *log, *copy; /* struct backend_change, at their offsets */
+	uint64_t era;
+	struct backend_change truth[IDS]; /* the last word of each server */
+	int64_t write_ms[IDS]; /* it writes again then; 0: it needn't */
+	GArray *ghosts;	       /* struct backend_change, at their lapse */
+	struct backend_list lists[INSTANCES];
+	struct seen seen[INSTANCES];
+	GRand *rand;
+	int64_t now;
+};
+
+static void write_truth(struct copied_world *w, int i)
+{
+	struct backend_change c = w->truth[i];
+
+	c.pos = in_era(w->era, w->log->len);
+	g_array_append_val(w->log, c);
+	w->write_ms[i] = 0;
+}
+
+/* A server goes on in its life; one that has left is followed by another. */
+static void live(struct copied_world *w, int i)
+{
+	struct backend_change *c = &w->truth[i];
+	static unsigned lives;
+
+	c->entry.sequence++;
+	if (c->removed && w->write_ms[i]) {
+		/* Its lost removal is made good by the lease's end. */
+		c->pos.offset = (uint64_t)w->now + 4500;
+		g_array_append_val(w->ghosts, *c);
+	}
+	if (c->removed) {
+		*c = change(0, "", "ready");
+		g_snprintf(c->entry.id, sizeof(c->entry.id), "i-%d-%u", i,
+			   ++lives);
+		c->entry.born_ms = (uint64_t)w->now;
+	} else if (c->entry.draining) {
+		c->removed = true;
+	} else {
+		c->entry.draining = true;
+	}
+	write_truth(w, i);
+}
+
+/* Whether the log's last word of a server is its own last word. */
+static bool is_written(const struct copied_world *w, int i)
+{
+	for (guint k = w->log->len; k > 0; k--) {
+		const struct backend_change *c =
+			&g_array_index(w->log, struct backend_change, k - 1);
+
+		if (!strcmp(c->entry.id, w->truth[i].entry.id))
+			return c->removed == w->truth[i].removed &&
+			       c->entry.draining == w->truth[i].entry.draining;
+	}
+	return w->truth[i].removed;
+}
+
+/* The entries of those that are gone lapse once more. */
+static void plan_lapses(struct copied_world *w)
+{
+	g_array_set_size(w->ghosts, 0);
+	for (guint k = 0; k < w->log->len; k++) {
+		struct backend_change c =
+			g_array_index(w->log, struct backend_change, k);
+		bool lives = c.removed;
+
+		for (int i = 0; i < IDS; i++)
+			lives = lives ||
+				!strcmp(w->truth[i].entry.id, c.entry.id);
+		if (lives)
+			continue;
+		c.removed = true;
+		c.pos.offset = (uint64_t)w->now + 4500;
+		g_array_append_val(w->ghosts, c);
+	}
+}
+
+static void write_lapses(struct copied_world *w, bool all)
+{
+	for (guint i = w->ghosts->len; i > 0; i--) {
+		struct backend_change c =
+			g_array_index(w->ghosts, struct backend_change, i - 1);
+
+		if (!all && (int64_t)c.pos.offset > w->now)
+			continue;
+		c.pos = in_era(w->era, w->log->len);
+		g_array_append_val(w->log, c);
+		g_array_remove_index(w->ghosts, i - 1);
+	}
+}
+
+static void copied_restore(struct copied_world *w)
+{
+	g_array_set_size(w->log, 0);
+	g_array_append_vals(w->log, w->copy->data, w->copy->len);
+	w->era++;
+	for (guint k = 0; k < w->log->len; k++)
+		g_array_index(w->log, struct backend_change, k).pos.era =
+			w->era;
+	plan_lapses(w);
+	for (int i = 0; i < IDS; i++) {
+		if (!is_written(w, i))
+			w->write_ms[i] =
+				w->now + g_rand_int_range(w->rand, 0, 1500);
+	}
+}
+
+/* The newest record of each key that has a value, as a listing has them. */
+static void copied_list(struct copied_world *w, struct backend_list *l)
+{
+	backend_list_replace_begin(l, w->era, w->now);
+	for (guint k = 0; k < w->log->len; k++) {
+		const struct backend_change *c =
+			&g_array_index(w->log, struct backend_change, k);
+		bool newest = true;
+
+		for (guint n = k + 1; n < w->log->len && newest; n++)
+			newest = strcmp(g_array_index(w->log,
+						      struct backend_change, n)
+						.entry.id,
+					c->entry.id) != 0;
+		if (newest && !c->removed)
+			backend_list_record(l, c, w->now);
+	}
+	backend_list_replace_end(l, in_era(w->era, w->log->len), w->now,
+				 w->now);
+}
+
+static void copied_read(struct copied_world *w, int i)
+{
+	struct backend_list *l = &w->lists[i];
+	struct backend_feed f;
+
+	if (l->pos.era != w->era) {
+		copied_list(w, l);
+	} else {
+		backend_list_read_begin(l, w->now);
+		for (guint k = (guint)l->pos.offset; k < w->log->len; k++)
+			backend_list_record(
+				l,
+				&g_array_index(w->log, struct backend_change,
+					       k),
+				w->now);
+		backend_list_caught_up(l, in_era(w->era, w->log->len), w->now,
+				       w->now);
+	}
+	for (int k = 0; k < INSTANCES; k++) {
+		if (k == i || g_rand_int_range(w->rand, 0, 4) == 0)
+			continue;
+		backend_list_outline(l, &f, w->now);
+		if (!backend_list_feed(&w->lists[k], &f, w->now))
+			copied_list(w, &w->lists[k]);
+	}
+}
+
+static void copied_step(struct copied_world *w)
+{
+	w->now += g_rand_int_range(w->rand, 1, 100);
+	for (int i = 0; i < IDS; i++) {
+		if (w->write_ms[i] && w->write_ms[i] <= w->now)
+			write_truth(w, i);
+	}
+	write_lapses(w, false);
+	switch (g_rand_int_range(w->rand, 0, 40)) {
+	case 0:
+		g_array_set_size(w->copy, 0);
+		g_array_append_vals(w->copy, w->log->data, w->log->len);
+		break;
+	case 1:
+		copied_restore(w);
+		break;
+	case 2:
+	case 3:
+	case 4:
+		live(w, g_rand_int_range(w->rand, 0, IDS));
+		break;
+	default:
+		copied_read(w, g_rand_int_range(w->rand, 0, INSTANCES));
+		break;
+	}
+	for (int k = 0; k < INSTANCES; k++)
+		backend_list_settle(&w->lists[k], w->now);
+}
+
+static void expect_truth(struct copied_world *w, guint32 seed)
+{
+	for (int i = 0; i < INSTANCES; i++) {
+		guint n = 0;
+
+		for (int k = 0; k < IDS; k++) {
+			const struct backend_change *c = &w->truth[k];
+			const char *truth = c->removed		? "gone"
+					    : c->entry.draining ? "draining"
+								: "ready";
+			const char *known = state_of(&w->seen[i], c->entry.id);
+
+			n += !c->removed;
+			if (strcmp(known, truth))
+				fail_msg("seed %u: instance %d has %s %s, in "
+					 "truth %s",
+					 seed, i, c->entry.id, known, truth);
+		}
+		/* Nor does anybody hold one of an earlier life. */
+		if (g_hash_table_size(w->seen[i].ids) != n)
+			fail_msg("seed %u: instance %d has %u servers of %u",
+				 seed, i, g_hash_table_size(w->seen[i].ids), n);
+	}
+}
+
+static void run_copied_history(guint32 seed)
+{
+	struct copied_world w = {
+		.rand = g_rand_new_with_seed(seed), .era = 1, .now = 1000};
+
+	w.log = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	w.copy = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	w.ghosts = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
+	for (int i = 0; i < IDS; i++)
+		w.truth[i] = change(0, "none", "gone");
+	for (int i = 0; i < IDS; i++)
+		live(&w, i);
+	for (int i = 0; i < INSTANCES; i++) {
+		init(&w.lists[i], &w.seen[i]);
+		copied_list(&w, &w.lists[i]);
+	}
+	for (int i = 0; i < STEPS; i++)
+		copied_step(&w);
+	/* All that was lost is written again, and what is missing settles. */
+	for (int i = 0; i < IDS; i++) {
+		if (w.write_ms[i])
+			write_truth(&w, i);
+	}
+	write_lapses(&w, true);
+	for (int i = 0; i < 3 * INSTANCES; i++) {
+		copied_read(&w, i % INSTANCES);
+		w.now += 1000;
+		for (int k = 0; k < INSTANCES; k++)
+			backend_list_settle(&w.lists[k], w.now);
+	}
+	expect_truth(&w, seed);
+	g_rand_free(w.rand);
+	g_array_unref(w.log);
+	g_array_unref(w.copy);
+	g_array_unref(w.ghosts);
+}
+
+static void test_histories_with_copies(void **state)
+{
+	const char *env = g_getenv("MP_SEED");
+	guint32 seed =
+		env ? (guint32)g_ascii_strtoull(env, NULL, 10) : 20261203;
+
+	print_message("seed %u\n", seed);
+	for (guint32 i = 0; i < COPIED_HISTORIES; i++)
+		run_copied_history(seed + i);
+}
+
 static void test_histories(void **state)
 {
 	const char *env = g_getenv("MP_SEED");
@@ -445,6 +888,14 @@
 		cmocka_unit_test(test_import),
 		cmocka_unit_test(test_import_older),
 		cmocka_unit_test(test_read_due),
+		cmocka_unit_test(test_left_server_of_the_copy_stays_off),
+		cmocka_unit_test(test_doubted_server_that_lives_is_back),
+		cmocka_unit_test(
+			test_joined_server_stays_until_it_writes_again),
+		cmocka_unit_test(test_draining_that_the_copy_lacks_holds),
+		cmocka_unit_test(test_lapse_of_most_after_a_copy_is_held_back),
+		cmocka_unit_test(test_feed_into_the_new_era),
+		cmocka_unit_test(test_histories_with_copies),
 		cmocka_unit_test(test_histories),
 	};
 
--- a/tests/test_backend_watch.c
+++ b/tests/test_backend_watch.c
@@ -31,7 +31,7 @@
 /* The store answers a whole listing that was sent at `sent_ms`. */
 static void answer_listing(struct backend_watch *w, int64_t sent_ms)
 {
-	struct store_result r = {.end_offset = 10};
+	struct store_result r = {.end = {0, 10}};
 
 	w->tried_ms = sent_ms;
 	w->asked_all = true;
@@ -49,8 +49,10 @@
 static void test_fed_is_no_sign(void **state)
 {
 	int64_t now_ms = clock_ms();
-	struct backend_feed feed = {.from = 10, .to = 10, .age_ms = 0};
-	struct config_watch config = {0};
+	struct backend_feed feed = {
+		.from = {0, 10}, .to = {0, 10}, .age_ms = 0};
+	static struct store_endpoint store;
+	struct config_watch config = {.store.store = &store};
 	struct backend_watch w;
 
 	begin(&w);
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -11,6 +11,29 @@
 static unsigned taken;
 static struct store_endpoint store;
 
+/* What a peer says that knows the records before `offset`, of age_ms ago. */
+static struct config_mark mark(uint64_t version, uint64_t offset,
+			       uint32_t age_ms)
+{
+	return (struct config_mark){.pos = {store.era, offset},
+				    .age_ms = age_ms,
+				    .version = version,
+				    .digest = (uint32_t)version};
+}
+
+static enum config_need hear(struct config_watch *w, uint64_t version,
+			     uint64_t offset, uint32_t age_ms, int64_t now_ms)
+{
+	struct config_mark m = mark(version, offset, age_ms);
+
+	return config_watch_heard(w, &m, now_ms);
+}
+
+static struct store_position at(uint64_t offset)
+{
+	return (struct store_position){store.era, offset};
+}
+
 static void on_changed(void *priv, struct config *c)
 {
 	taken++;
@@ -34,8 +57,9 @@
 	w->changed = on_changed;
 	w->store.store = &store;
 	w->listed = true;
-	w->offset = offset;
+	w->pos = (struct store_position){0, offset};
 	w->version = (uint64_t)g_ascii_strtoull(record, NULL, 10);
+	w->digest = (uint32_t)w->version;
 	buf_add_lstr(&w->record, lstr0(record));
 	taken = 0;
 }
@@ -46,17 +70,17 @@
 
 	init(&w, "5", 10);
 	/* A peer that knows as much: there was nothing newer 300 ms ago. */
-	assert_false(config_watch_heard(&w, 10, 300, 10000));
+	assert_int_equal(hear(&w, 5, 10, 300, 10000), CONFIG_KNOWN);
 	assert_int_equal(config_watch_age_ms(&w, 0, 10100), 400);
 	/* Older news doesn't make it older, nor does one that knows less. */
-	assert_false(config_watch_heard(&w, 10, 2000, 10100));
-	assert_false(config_watch_heard(&w, 9, 0, 10200));
+	assert_int_equal(hear(&w, 5, 10, 2000, 10100), CONFIG_KNOWN);
+	assert_int_equal(hear(&w, 5, 9, 0, 10200), CONFIG_KNOWN);
 	assert_int_equal(config_watch_age_ms(&w, 0, 10200), 500);
 	/* One that knows more. */
-	assert_true(config_watch_heard(&w, 12, 0, 10300));
+	assert_int_equal(hear(&w, 6, 12, 0, 10300), CONFIG_READ);
 	/* While nothing is known yet the start decides. */
 	w.listed = false;
-	assert_false(config_watch_heard(&w, 12, 0, 10300));
+	assert_int_equal(hear(&w, 6, 12, 0, 10300), CONFIG_KNOWN);
 	buf_free(&w.record);
 }
 
@@ -65,20 +89,20 @@
 	struct config_watch w;
 
 	init(&w, "5", 10);
-	assert_int_equal(config_watch_update(&w, LSTR("7"), 12, 10000), 0);
+	assert_int_equal(config_watch_update(&w, LSTR("7"), at(12), 10000), 0);
 	assert_int_equal(taken, 1);
 	assert_int_equal(w.version, 7);
-	assert_int_equal(w.offset, 12);
+	assert_int_equal(w.pos.offset, 12);
 	/* A repeat, and a record that was unfit: the newest stays. */
-	assert_int_equal(config_watch_update(&w, LSTR("7"), 12, 10000), 0);
-	assert_int_equal(config_watch_update(&w, LSTR("7"), 13, 10100), 0);
+	assert_int_equal(config_watch_update(&w, LSTR("7"), at(12), 10000), 0);
+	assert_int_equal(config_watch_update(&w, LSTR("7"), at(13), 10100), 0);
 	assert_int_equal(taken, 1);
-	assert_int_equal(w.offset, 13);
+	assert_int_equal(w.pos.offset, 13);
 	/* A peer with an older version can't be right: the store decides. */
-	assert_int_equal(config_watch_update(&w, LSTR("6"), 14, 10200),
+	assert_int_equal(config_watch_update(&w, LSTR("6"), at(14), 10200),
 			 -ESTALE);
 	assert_int_equal(taken, 1);
-	assert_int_equal(w.offset, 13);
+	assert_int_equal(w.pos.offset, 13);
 	buf_free(&w.record);
 }
 
@@ -93,14 +117,14 @@
 	ev_timer_set(&w.retry, 3, 0);
 	ev_timer_start(w.loop, &w.retry);
 	w.failures = 4;
-	assert_false(config_watch_heard(&w, 10, 300, 10000));
+	assert_int_equal(hear(&w, 5, 10, 300, 10000), CONFIG_KNOWN);
 	assert_true(ev_is_active(&w.retry));
-	assert_true(config_watch_heard(&w, 11, 300, 10000));
+	assert_int_equal(hear(&w, 6, 11, 300, 10000), CONFIG_READ);
 	assert_false(ev_is_active(&w.retry));
 	/* The pause after a version is kept. */
 	ev_timer_start(w.loop, &w.retry);
 	w.failures = 0;
-	assert_false(config_watch_heard(&w, 12, 300, 10000));
+	assert_int_equal(hear(&w, 6, 12, 300, 10000), CONFIG_KNOWN);
 	ev_timer_stop(w.loop, &w.retry);
 	buf_free(&w.record);
 }
@@ -120,10 +144,10 @@
 	w.store.call = STORE_READ;
 	w.asked_ms = 9000;
 	for (int64_t now = 10000; now <= 10700; now += 100)
-		assert_false(config_watch_heard(&w, 12, 0, now));
+		assert_int_equal(hear(&w, 6, 12, 0, now), CONFIG_KNOWN);
 	assert_int_equal(w.store.call, STORE_READ);
 	/* It doesn't come: asked anew on another connection. */
-	assert_false(config_watch_heard(&w, 12, 0, 10800));
+	assert_int_equal(hear(&w, 6, 12, 0, 10800), CONFIG_KNOWN);
 	assert_int_equal(w.store.call, STORE_NO_CALL);
 	assert_true(ev_is_active(&w.retry));
 	ev_timer_stop(w.loop, &w.retry);
@@ -131,7 +155,7 @@
 	w.store.call = STORE_READ;
 	w.asked_ms = 10800;
 	for (int64_t now = 10900; now <= 12900; now += 100)
-		assert_false(config_watch_heard(&w, 12, 0, now));
+		assert_int_equal(hear(&w, 6, 12, 0, now), CONFIG_KNOWN);
 	assert_int_equal(w.store.call, STORE_READ);
 	buf_free(&w.record);
 }
@@ -159,7 +183,7 @@
 {
 	const struct config_watch *w = priv;
 
-	offset_told = w->offset;
+	offset_told = w->pos.offset;
 	config_unref(c);
 }
 
@@ -171,9 +195,8 @@
 static void test_told_with_version(void **state)
 {
 	struct store_record rec = {
-		.offset = 10, .key = LSTR("config"), .value = LSTR("6")};
-	struct store_result r = {
-		.end_offset = 11, .records = &rec, .nrecords = 1};
+		.pos = at(10), .key = LSTR("config"), .value = LSTR("6")};
+	struct store_result r = {.end = at(11), .records = &rec, .nrecords = 1};
 	struct config_source source = {.key = "config", .decode = decode};
 	struct store_endpoint nobody = {.addr.sin_family = AF_INET};
 	struct config_watch w;
@@ -181,13 +204,160 @@
 	config_watch_start(&w, ev_default_loop(0), &nobody, &source,
 			   tell_offset, &w);
 	w.listed = true;
-	w.offset = 10;
+	w.pos = at(10);
 	w.store.done(w.store.priv, &r);
 	assert_int_equal(w.version, 6);
 	assert_int_equal(offset_told, 11);
 	buf_free(&w.record);
 }
 
+/* The store is back from a copy, and the instance has heard so. */
+static void rise(struct config_watch *w, uint64_t era)
+{
+	store.era = era;
+	config_watch_new_era(w, 20000);
+}
+
+static int calm(void **state)
+{
+	store.era = 0;
+	return 0;
+}
+
+/* A version that is confirmed again stands below what was read of the old log. */
+static void test_version_below_the_old_bookmark(void **state)
+{
+	struct config_watch w;
+
+	init(&w, "19", 7);
+	rise(&w, 1);
+	/* Peers that know no more have a bookmark in the new log. */
+	assert_int_equal(hear(&w, 19, 4, 10, 20100), CONFIG_KNOWN);
+	assert_int_equal(w.pos.offset, 4);
+	assert_int_equal(hear(&w, 21, 5, 10, 20200), CONFIG_READ);
+	/* Without one the peer is asked, as it is when the store hasn't it. */
+	w.pos = (struct store_position){0, 7};
+	assert_int_equal(hear(&w, 21, 5, 10, 20200), CONFIG_ASK);
+	assert_int_equal(config_watch_update(&w, LSTR("21"), at(5), 20200), 0);
+	assert_int_equal(w.version, 21);
+	assert_int_equal(store_position_cmp(w.pos, at(5)), 0);
+	buf_free(&w.record);
+}
+
+/* A peer that still lives in the old era knows a version that the copy lacks. */
+static void test_version_that_the_copy_lacks(void **state)
+{
+	struct config_watch w;
+	struct config_mark old = mark(21, 9, 10);
+
+	init(&w, "19", 7);
+	rise(&w, 1);
+	assert_int_equal(hear(&w, 19, 4, 10, 20100), CONFIG_KNOWN);
+	assert_int_equal(config_watch_heard(&w, &old, 20200), CONFIG_ASK);
+	assert_int_equal(config_watch_update(&w, LSTR("21"), old.pos, 20200),
+			 0);
+	assert_int_equal(w.version, 21);
+	/* Its bookmark marks nothing any more. */
+	assert_int_equal(store_position_cmp(w.pos, at(4)), 0);
+	buf_free(&w.record);
+}
+
+static void answer(struct config_watch *w, uint64_t offset, const char *value)
+{
+	struct store_record rec = {.pos = at(offset),
+				   .key = LSTR("config"),
+				   .value = lstr0(value)};
+	struct store_result r = {
+		.end = at(offset + 1), .records = &rec, .nrecords = 1};
+
+	w->store.done(w->store.priv, &r);
+}
+
+static void start(struct config_watch *w)
+{
+	static const struct config_source source = {.key = "config",
+						    .decode = decode};
+
+	config_watch_start(w, ev_default_loop(0), &store, &source, on_changed,
+			   NULL);
+	taken = 0;
+}
+
+static void test_copy_never_takes_a_version_back(void **state)
+{
+	struct config_watch w;
+
+	start(&w);
+	answer(&w, 6, "21");
+	rise(&w, 1);
+	answer(&w, 3, "19");
+	assert_int_equal(w.version, 21);
+	assert_int_equal(taken, 1);
+	/* What follows is read from the copy's end on. */
+	assert_int_equal(store_position_cmp(w.pos, at(4)), 0);
+	answer(&w, 4, "25");
+	assert_int_equal(w.version, 25);
+	buf_free(&w.record);
+}
+
+/* Of two contents under one number the one that stands later counts. */
+static void test_same_number_other_content(void **state)
+{
+	struct config_mark m;
+	struct config_watch w;
+
+	start(&w);
+	answer(&w, 6, "21 a");
+	answer(&w, 6, "21 b");
+	assert_int_equal(taken, 1);
+	rise(&w, 1);
+	answer(&w, 2, "21 b");
+	assert_int_equal(taken, 2);
+	assert_true(lstr_eq(buf_lstr(&w.record), LSTR("21 b")));
+	/* Peers learn of it by the record's digest. */
+	m = config_watch_mark(&w, 0, 20100);
+	buf_free(&w.record);
+	init(&w, "21", 1);
+	w.pos = at(1);
+	assert_int_equal(config_watch_heard(&w, &m, 20100), CONFIG_READ);
+	m.pos = at(0);
+	assert_int_equal(config_watch_heard(&w, &m, 20100), CONFIG_KNOWN);
+	buf_free(&w.record);
+}
+
+static void test_age_is_unknown_until_confirmed_in_this_era(void **state)
+{
+	struct config_watch w;
+
+	init(&w, "5", 10);
+	w.fresh_ms = 19990;
+	assert_int_equal(config_watch_age_ms(&w, 0, 20000), 10);
+	/* A poll that waits vouches for nothing any more either. */
+	w.store.call = STORE_READ;
+	w.asked_ms = 19990;
+	rise(&w, 1);
+	assert_int_equal(w.store.call, STORE_NO_CALL);
+	assert_int_equal(config_watch_age_ms(&w, 19999, 20000), AGE_UNKNOWN);
+	assert_int_equal(hear(&w, 5, 3, AGE_UNKNOWN, 20100), CONFIG_KNOWN);
+	assert_true(config_watch_age_ms(&w, 0, 20100) > 10000);
+	assert_int_equal(hear(&w, 5, 3, 40, 20100), CONFIG_KNOWN);
+	assert_int_equal(config_watch_age_ms(&w, 0, 20100), 40);
+	buf_free(&w.record);
+}
+
+/* Those that don't read the store aren't all to do so when its era rises. */
+static void test_rise_is_no_reason_to_poll(void **state)
+{
+	struct config_watch w;
+
+	init(&w, "5", 10);
+	w.told_ms = 19900;
+	rise(&w, 1);
+	config_watch_tick(&w, true, false, 20900);
+	assert_false(w.polls);
+	buf_free(&w.record);
+}
+
 enum {
 	PLAY_POLLERS = 2,
 	PLAY_VERSIONS = 10000,
@@ -247,6 +417,16 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_teardown(test_version_below_the_old_bookmark,
+					  calm),
+		cmocka_unit_test_teardown(test_version_that_the_copy_lacks,
+					  calm),
+		cmocka_unit_test_teardown(test_copy_never_takes_a_version_back,
+					  calm),
+		cmocka_unit_test_teardown(test_same_number_other_content, calm),
+		cmocka_unit_test_teardown(
+			test_age_is_unknown_until_confirmed_in_this_era, calm),
+		cmocka_unit_test_teardown(test_rise_is_no_reason_to_poll, calm),
 		cmocka_unit_test(test_told_with_version),
 		cmocka_unit_test(test_polls_differ),
 		cmocka_unit_test(test_heard),
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -15,7 +15,7 @@
 static void fill_changes(GArray *a, int n)
 {
 	for (int i = 0; i < n; i++) {
-		struct backend_change c = {.offset = 100 + (uint64_t)i,
+		struct backend_change c = {.pos = {2, 100 + (uint64_t)i},
 					   .removed = i % 3 == 2};
 
 		g_snprintf(c.entry.id, sizeof(c.entry.id), "i-%d", i);
@@ -54,18 +54,20 @@
 
 	snapshot_init(&s);
 	s.has_config = true;
-	s.config_offset = 7;
+	s.config_pos = (struct store_position){2, 7};
 	buf_add_lstr(&s.config, LSTR("any \x01 bytes"));
-	s.backends_offset = 1234567;
+	s.backends_pos = (struct store_position){3, 1234567};
 	s.backends_age_ms = 89;
 	fill_changes(s.backends, 2);
 	snapshot_write(&s, &b);
 	snapshot_init(&got);
 	assert_int_equal(snapshot_read(buf_lstr(&b), &got), 0);
 	assert_true(got.has_config);
-	assert_int_equal(got.config_offset, 7);
+	assert_int_equal(got.config_pos.era, 2);
+	assert_int_equal(got.config_pos.offset, 7);
 	assert_true(lstr_eq(buf_lstr(&got.config), buf_lstr(&s.config)));
-	assert_int_equal(got.backends_offset, 1234567);
+	assert_int_equal(got.backends_pos.era, 3);
+	assert_int_equal(got.backends_pos.offset, 1234567);
 	assert_int_equal(got.backends_age_ms, 89);
 	assert_int_equal(got.backends->len, 2);
 	assert_memory_equal(got.backends->data, s.backends->data,
@@ -91,7 +93,7 @@
 static void test_mangled_datagrams(void **state)
 {
 	struct peer_info self = info("e3", 77);
-	struct backend_feed f = {.from = 90, .to = 110, .age_ms = 3};
+	struct backend_feed f = {.from = {2, 90}, .to = {2, 110}, .age_ms = 3};
 	GRand *rand = g_rand_new_with_seed(43);
 	struct buf b = {0};
 	int taken = 0;
@@ -158,7 +160,7 @@
 {
 	struct peer_info self = info("e3", 77);
 	struct backend_feed f = {
-		.from = 90, .to = 110, .age_ms = 3, .settle_ms = 4};
+		.from = {2, 90}, .to = {2, 110}, .age_ms = 3, .settle_ms = 4};
 	struct gossip_message m;
 	struct buf b = {0};
 
@@ -170,9 +172,16 @@
 	assert_memory_equal(&m.sender.addr, &self.addr, sizeof(self.addr));
 	assert_string_equal(m.sender.callers, self.callers);
 	assert_int_equal(m.sender.boot, 77);
-	assert_int_equal(m.sender.config_offset, 7);
-	assert_int_equal(m.feed.from, 90);
-	assert_int_equal(m.feed.to, 110);
+	assert_int_equal(m.sender.store_era, 3);
+	assert_int_equal(m.sender.records_era, 2);
+	assert_int_equal(m.sender.config.pos.era, 3);
+	assert_int_equal(m.sender.config.pos.offset, 7);
+	assert_int_equal(m.sender.config.age_ms, 5);
+	assert_int_equal(m.sender.config.version, 21);
+	assert_int_equal(m.sender.config.digest, 99);
+	assert_int_equal(m.feed.from.offset, 90);
+	assert_int_equal(m.feed.to.era, 2);
+	assert_int_equal(m.feed.to.offset, 110);
 	assert_int_equal(m.feed.changes->len, 6);
 	for (guint i = 0; i < 6; i++)
 		assert_memory_equal(
@@ -374,14 +383,14 @@
 static void test_feed_fits(void **state)
 {
 	struct peer_info self = info("e3", 77);
-	struct backend_feed f = {.from = 90, .to = 400};
+	struct backend_feed f = {.from = {2, 90}, .to = {2, 400}};
 	struct gossip_message m;
 	struct buf b = {0};
 	guint begin;
 
 	f.changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
 	fill_changes(f.changes, 200);
-	begin = gossip_feed_begin(&f, 400, 1000);
+	begin = gossip_feed_begin(&f, (struct store_position){2, 400}, 1000);
 	assert_true(begin > 0);
 	assert_int_equal(gossip_write_feed(&b, &self, &f, begin), 200);
 	assert_true(b.len <= GOSSIP_MAX);
@@ -389,9 +398,9 @@
 	const struct backend_change *first =
 		&g_array_index(m.feed.changes, struct backend_change, 0);
 
-	assert_int_equal(first->offset, m.feed.from);
-	assert_int_equal(first->offset + m.feed.changes->len, 300);
-	assert_int_equal(m.feed.to, 400);
+	assert_int_equal(first->pos.offset, m.feed.from.offset);
+	assert_int_equal(first->pos.offset + m.feed.changes->len, 300);
+	assert_int_equal(m.feed.to.offset, 400);
 	gossip_message_clear(&m);
 	buf_free(&b);
 	g_array_unref(f.changes);
@@ -404,7 +413,7 @@
 static void test_feed_in_parts(void **state)
 {
 	struct peer_info self = info("e3", 77);
-	struct backend_feed f = {.from = 90, .to = 400, .age_ms = 3};
+	struct backend_feed f = {.from = {2, 90}, .to = {2, 400}, .age_ms = 3};
 	struct gossip_message m;
 	struct buf b = {0};
 	uint64_t next;
@@ -412,31 +421,31 @@
 
 	f.changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
 	fill_changes(f.changes, 200);
-	next = g_array_index(f.changes, struct backend_change, 49).offset + 1;
-	at = gossip_feed_begin(&f, next, 1000);
+	next = g_array_index(f.changes, struct backend_change, 49).pos.offset +
+	       1;
+	at = gossip_feed_begin(&f, (struct store_position){2, next}, 1000);
 	assert_int_equal(at, 50);
 	while (at < 200) {
 		b.len = 0;
 		at = gossip_write_feed(&b, &self, &f, at);
 		assert_true(b.len <= GOSSIP_MAX);
 		assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
-		assert_int_equal(m.feed.from, next);
-		assert_int_equal(m.feed.age_ms,
-				 at < 200 ? FEED_AGE_UNKNOWN : 3);
-		next = m.feed.to;
+		assert_int_equal(m.feed.from.offset, next);
+		assert_int_equal(m.feed.age_ms, at < 200 ? AGE_UNKNOWN : 3);
+		next = m.feed.to.offset;
 		gossip_message_clear(&m);
 	}
 	assert_int_equal(next, 400);
 	/* More than may be sent: the newest of it. */
-	at = gossip_feed_begin(&f, 0, 24);
+	at = gossip_feed_begin(&f, (struct store_position){2, 0}, 24);
 	assert_int_equal(at, 200 - 24);
 	b.len = 0;
 	gossip_write_feed(&b, &self, &f, at);
 	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
-	assert_int_equal(
-		m.feed.from,
-		g_array_index(f.changes, struct backend_change, at - 1).offset +
-			1);
+	assert_int_equal(m.feed.from.offset,
+			 g_array_index(f.changes, struct backend_change, at - 1)
+					 .pos.offset +
+				 1);
 	gossip_message_clear(&m);
 	buf_free(&b);
 	g_array_unref(f.changes);
--- /dev/null
+++ b/tests/test_store_era.c
@@ -0,0 +1,195 @@
+/*
+ * Tests of platform/store and platform/store_era: what era an answer is of, and what
+ * it is worth when that isn't the one that was asked in.
+ */
+#include "tests/unit.h"
+
+#include <errno.h>
+
+#include "tests/scripted_store.h"
+
+#define ADDR  "127.0.0.1:17392"
+#define TOPIC "keyed.op"
+
+static struct scripted_store *store;
+static struct store_channel channel;
+static struct store_result last; /* without its records */
+static unsigned outcomes, rises;
+
+static void on_done(void *priv, const struct store_result *r)
+{
+	last = *r;
+	outcomes++;
+}
+
+static void on_risen(void *priv)
+{
+	rises++;
+}
+
+static int setup(void **state)
+{
+	store = scripted_store_new(ADDR);
+	store->endpoint.risen = on_risen;
+	store_open(&channel, store->loop, &store->endpoint, on_done, NULL);
+	outcomes = rises = 0;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	store_cancel(&channel);
+	scripted_store_free(store);
+	return 0;
+}
+
+/* Runs until the call has its outcome, which is expected to be `err`. */
+static void expect(int err)
+{
+	unsigned before = outcomes;
+
+	while (outcomes == before)
+		ev_run(store->loop, EVRUN_ONCE);
+	assert_int_equal(last.err, err);
+}
+
+static void list(unsigned status, const char *era, int err)
+{
+	scripted_answer(store, status, era, scripted_page("a", 7, false));
+	store_newest(&channel, TOPIC, LSTR(""));
+	expect(err);
+}
+
+static struct store_position at(uint64_t era, uint64_t offset)
+{
+	return (struct store_position){era, offset};
+}
+
+static void test_order(void **state)
+{
+	assert_true(store_position_cmp(at(1, 9), at(2, 0)) < 0);
+	assert_true(store_position_cmp(at(2, 1), at(1, 9)) > 0);
+	assert_true(store_position_cmp(at(2, 1), at(2, 2)) < 0);
+	assert_int_equal(store_position_cmp(at(2, 2), at(2, 2)), 0);
+	assert_int_equal(store_position_after(at(2, 2)).offset, 3);
+}
+
+static void test_every_answer_names_it(void **state)
+{
+	list(200, "3", 0);
+	assert_int_equal(last.end.era, 3);
+	assert_int_equal(last.end.offset, 7);
+	/* So do those that refuse, and appends. */
+	list(503, "4", -EBUSY);
+	assert_int_equal(store->endpoint.era, 4);
+	list(410, "7", -ERANGE);
+	assert_int_equal(store->endpoint.era, 7);
+	scripted_answer(store, 200, "8", (struct buf){0});
+	store_append(&channel, TOPIC, LSTR("k"), LSTR("v"), NULL);
+	expect(0);
+	assert_int_equal(last.end.era, 8);
+	assert_int_equal(rises, 4);
+}
+
+static void test_bad_values_are_refused(void **state)
+{
+	static const char *const bad[] = {
+		"",    "two", "-5",	    "5.5",
+		"6 7", "0x9", "4294967296", "99999999999999999999999999"};
+
+	list(200, "3", 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		list(200, bad[i], 0);
+		assert_int_equal(last.end.era, 3);
+	}
+	list(200, NULL, 0);
+	assert_int_equal(last.end.era, 3);
+	assert_int_equal(rises, 1);
+	list(200, "4294967295", 0);
+	assert_int_equal(rises, 2);
+}
+
+static void test_late_answer_of_an_old_era(void **state)
+{
+	list(200, "5", 0);
+	list(200, "4", -ECANCELED);
+	list(503, "4", -ECANCELED);
+	assert_int_equal(store->endpoint.era, 5);
+	/* A peer told of the rise while the call was under way. */
+	store_newest(&channel, TOPIC, LSTR(""));
+	while (!store->held)
+		ev_run(store->loop, EVRUN_ONCE);
+	store_endpoint_learn(&store->endpoint, 6, "e1");
+	assert_true(store_call_is_old(&channel));
+	scripted_answer(store, 200, NULL, scripted_page("a", 7, false));
+	expect(-ECANCELED);
+}
+
+static void test_read_across_eras(void **state)
+{
+	list(200, "1", 0);
+	scripted_answer(store, 200, "2", scripted_no_records());
+	store_read(&channel, TOPIC, at(1, 7), 0);
+	expect(-ERANGE);
+	/* The bookmark is of the present era again. */
+	scripted_answer(store, 200, "2", scripted_no_records());
+	store_read(&channel, TOPIC, at(2, 4), 0);
+	expect(0);
+	assert_int_equal(store_position_cmp(last.end, at(2, 4)), 0);
+}
+
+static void test_listing_never_mixes_eras(void **state)
+{
+	scripted_answer(store, 200, "1", scripted_page("abc", 9, true));
+	store_newest(&channel, TOPIC, LSTR(""));
+	expect(0);
+	scripted_answer(store, 200, "2", scripted_page("de", 9, false));
+	store_newest(&channel, TOPIC, LSTR("c"));
+	expect(-ERANGE);
+	/* From its first page on the listing is of one era. */
+	scripted_answer(store, 200, "2", scripted_page("abc", 9, true));
+	store_newest(&channel, TOPIC, LSTR(""));
+	expect(0);
+	scripted_answer(store, 200, "2", scripted_page("de", 9, false));
+	store_newest(&channel, TOPIC, LSTR("c"));
+	expect(0);
+}
+
+/* The end that a condition names may be met by chance in another log. */
+static void test_conditional_append_across_eras(void **state)
+{
+	struct store_position end = at(1, 7);
+
+	list(200, "1", 0);
+	scripted_answer(store, 200, "2", (struct buf){0});
+	store_append(&channel, TOPIC, LSTR("k"), LSTR("v"), &end);
+	expect(-ECANCELED);
+	scripted_answer(store, 412, "3", (struct buf){0});
+	store_append(&channel, TOPIC, LSTR("k"), LSTR("v"), &end);
+	expect(-ESTALE);
+	/* One without a condition counts, whatever era it was sent in. */
+	scripted_answer(store, 200, "4", (struct buf){0});
+	store_append(&channel, TOPIC, LSTR("k"), LSTR("v"), NULL);
+	expect(0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_order),
+		cmocka_unit_test_setup_teardown(test_every_answer_names_it,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_bad_values_are_refused,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_late_answer_of_an_old_era,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(test_read_across_eras, setup,
+						teardown),
+		cmocka_unit_test_setup_teardown(test_listing_never_mixes_eras,
+						setup, teardown),
+		cmocka_unit_test_setup_teardown(
+			test_conditional_append_across_eras, setup, teardown),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tools/ctl.c
+++ b/tools/ctl.c
@@ -28,11 +28,12 @@
 	struct ev_loop *loop;
 	struct store_endpoint endpoint;
 	struct store_channel store;
-	struct conf_values live; /* the newest version */
-	uint64_t end;		 /* where the topic ended when it was read */
-	int err;		 /* of the last call */
-	int last;		 /* log: how many versions to print */
+	struct conf_values live;   /* the newest version */
+	struct store_position end; /* of the topic when it was read */
+	int err;		   /* of the last call */
+	int last;		   /* log: how many versions to print */
 	bool print;
+	bool writes; /* the call under way is a write */
 };
 
 /* Takes the newest version out of a listing. */
@@ -44,7 +45,7 @@
 		if (lstr_eq(r->records[i].key, lstr0(CONF_KEY)))
 			c->err = conf_read(r->records[i].value, &c->live);
 	}
-	c->end = r->end_offset;
+	c->end = r->end;
 }
 
 static void print_versions(struct ctl *c, const struct store_result *r)
@@ -59,7 +60,7 @@
 		conf_init(&v);
 		if (conf_read(r->records[i].value, &v) == 0)
 			printf("%6" PRIu64 "  v%" PRIu64 "  patch %.8s\n",
-			       r->records[i].offset, v.version, v.patch_id);
+			       r->records[i].pos.offset, v.version, v.patch_id);
 		conf_clear(&v);
 	}
 }
@@ -71,7 +72,7 @@
 	c->err = r->err;
 	if (!r->err && c->print)
 		print_versions(c, r);
-	else if (!r->err && r->end_offset)
+	else if (!r->err && !c->writes)
 		take_live(c, r);
 	ev_break(c->loop, EVBREAK_ALL);
 }
@@ -94,13 +95,16 @@
 static int write_live(struct ctl *c)
 {
 	struct buf record = {0};
-	uint64_t end = c->end;
+	int rc;
 
 	conf_write(&c->live, &record);
 	store_append(&c->store, CONF_TOPIC, lstr0(CONF_KEY), buf_lstr(&record),
-		     (int64_t)end);
+		     &c->end);
 	buf_free(&record);
-	return wait_call(c);
+	c->writes = true;
+	rc = wait_call(c);
+	c->writes = false;
+	return rc;
 }
 
 static void print_values(const struct conf_values *v)
@@ -202,7 +206,7 @@
  * written at its place. Returns 0, -ESTALE or -EIO.
  */
 static int resolve(struct ctl *c, const char *patch_id, uint64_t version,
-		   uint64_t end)
+		   struct store_position end)
 {
 	for (int i = 0; i < RESOLVE_TRIES; i++) {
 		usleep(RESOLVE_PAUSE_US);
@@ -212,8 +216,12 @@
 			return 0;
 		if (c->live.version >= version)
 			return -ESTALE;
-		/* Not written so far: once more under the same condition. */
-		if (c->end == end)
+		/*
+		 * Not written so far: once more under the same condition. One of
+		 * an earlier era can't hold any more.
+		 */
+		if (store_position_cmp(c->end, end) == 0 ||
+		    c->end.era != end.era)
 			return -EAGAIN;
 	}
 	return -EIO;
@@ -235,7 +243,7 @@
 	int rc;
 
 	do {
-		uint64_t end = c->end;
+		struct store_position end = c->end;
 
 		rc = conf_apply(&c->live, base, id, a->set_kv, a->unset);
 		if (rc)
@@ -292,7 +300,8 @@
 	}
 	c->print = true;
 	c->last = a->last;
-	store_read(&c->store, CONF_TOPIC, 0, 0);
+	store_read(&c->store, CONF_TOPIC,
+		   (struct store_position){c->end.era, 0}, 0);
 	if (wait_call(c) == -ERANGE)
 		printf("older versions are no longer kept; live is v%" PRIu64
 		       "\n",
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -120,6 +120,8 @@
 					(const uint64_t *)&v->config_ms));
 	buf_printf(out, "config_offset %" G_GUINT64_FORMAT "\n",
 		   ck_pr_load_64(&v->config_offset));
+	buf_printf(out, "config_era %" G_GUINT64_FORMAT "\n",
+		   ck_pr_load_64(&v->config_era));
 	buf_printf(out, "store_era %" G_GUINT64_FORMAT "\n",
 		   ck_pr_load_64(&v->store_era));
 	buf_printf(out, "control_cpu_us %" G_GUINT64_FORMAT "\n",
