Members and quarantines that the copy lacks are written again, by the first instance

Seen by our own test only: an instance whose record stands in no copy isn't found by those that start later, and a quarantine that all had agreed on would be gone at the next restart of all. Cause: each wrote once and took "acknowledged" for good.

Now the first in rank lists what the system wrote, 2 s after a rise of the era, and writes what is missing in one call; heartbeats tell in which era the records were found whole, so that the next in rank does it only if nobody has. Verdicts of the copy that have been released since are dropped by who knew the era before. One listing and at most one write a drill, at any number of instances.

--- a/control/control.c
+++ b/control/control.c
@@ -78,6 +78,7 @@
 	struct peer_info *self = &c->peers.peers.self;
 
 	self->store_era = c->store.era;
+	self->records_era = c->records.checked_era;
 	/*
 	 * Only the store's answers to this instance vouch for its poll: a list
 	 * that others fed kept two pollers that were both cut off from the
@@ -283,6 +284,7 @@
 	tell_era(c, now_ms);
 	peer_channel_tick(&c->peers, now_ms);
 	crash_watch_tick(&c->crashes, rank, start.many);
+	record_check_tick(&c->records, rank == 0, now_ms);
 	log_lost_peers(c, now_ms);
 	publish_peers(c, now_ms);
 }
@@ -459,6 +461,8 @@
 	store_endpoint_init(&c->store, &addr, on_era_risen, c);
 	crash_watch_start(&c->crashes, c->loop, &c->store, &c->peers,
 			  on_verdict, c);
+	record_check_init(&c->records, c->loop, &c->store, &c->peers.peers,
+			  &c->crashes);
 	member_record_start(&c->record, c->loop, &c->store, &c->peers.peers,
 			    on_members, on_crash_records, c);
 	config_watch_start(&c->config, c->loop, &c->store, &c->source,
--- a/control/control.h
+++ b/control/control.h
@@ -13,6 +13,7 @@
 #include "control/introduce.h"
 #include "control/member_record.h"
 #include "control/peer_channel.h"
+#include "control/record_check.h"
 #include "control/start.h"
 #include "core/peer_load.h"
 #include "misc/mailbox.h"
@@ -82,6 +83,7 @@
 	struct member_record record;
 	struct introduce introduce;
 	struct crash_watch crashes;
+	struct record_check records;
 	int64_t started_ms;
 	bool knew; /* it has known what it needs to serve, and may serve */
 	int64_t stopping_ms; /* 0: not stopping */
--- a/control/publish.c
+++ b/control/publish.c
@@ -28,7 +28,7 @@
 {
 	const struct store_channel *channels[] = {
 		&c->config.store, &c->backends.store, &c->record.store,
-		&c->crashes.record.store};
+		&c->crashes.record.store, &c->records.store};
 	uint64_t in = c->peers.bytes_in, out = c->peers.bytes_out;
 	uint64_t calls = 0;
 	struct timespec cpu;
