No 404 from an instance whose configuration nobody has confirmed in the store's present era

An instance that starts when the store has come back from a copy may know a version older than its peers' and answered 404, which is final, for routes that they serve; one that waits for the first word of the new era did as well. 404 now needs what was needed for the list of servers before: news not older than 4 s, here of the configuration, in the present era; at the start a peer's word (or nobody there for a second), and no peer with a newer version that isn't taken over yet. Else 503 with a time to come back.

--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -352,6 +352,7 @@
 {
 	bool ahead = store_position_cmp(m->pos, w->pos) > 0;
 
+	w->news = *m;
 	if (ahead)
 		note_behind(w, m->pos, now_ms);
 	if (!w->listed)
@@ -403,6 +404,15 @@
 	return (uint32_t)MIN(now_ms - at, AGE_UNKNOWN - 1);
 }
 
+/*
+ * config_watch_is_behind() tells whether a peer has a version, fit to be used,
+ * that counts more than the one in force here.
+ */
+bool config_watch_is_behind(const struct config_watch *w)
+{
+	return is_newer(w, &w->news) && w->news.digest != w->unfit_digest;
+}
+
 /* config_watch_mark() says how far this instance knows the configuration. */
 struct config_mark config_watch_mark(const struct config_watch *w,
 				     int64_t store_ms, int64_t now_ms)
--- a/control/config_watch.h
+++ b/control/config_watch.h
@@ -30,13 +30,15 @@
 	struct store_position pos; /* records before it are taken in */
 	uint64_t version;	   /* the newest usable one; 0: none */
 	uint32_t unfit_digest;	   /* of a peer's record that can't be used */
-	unsigned failures;	   /* in a row */
-	int64_t asked_ms;	   /* the call under way was sent then */
-	bool patient;		   /* others find out when the store is back */
-	bool polls;		   /* a poll is to be under way all the time */
-	int64_t fresh_ms; /* the store told of the newest record then */
-	int64_t told_ms;  /* a peer knew that there is nothing newer */
-	int64_t era_ms;	  /* the store's present era was heard of then */
+	struct config_mark
+		news;	   /* a peer's, that is newer than what is in force */
+	unsigned failures; /* in a row */
+	int64_t asked_ms;  /* the call under way was sent then */
+	bool patient;	   /* others find out when the store is back */
+	bool polls;	   /* a poll is to be under way all the time */
+	int64_t fresh_ms;  /* the store told of the newest record then */
+	int64_t told_ms;   /* a peer knew that there is nothing newer */
+	int64_t era_ms;	   /* the store's present era was heard of then */
 	struct store_position told; /* records before it are known to a peer */
 	int64_t behind_ms; /* since then it is known that some are missing */
 	struct store_position behind_at; /* from there on */
@@ -59,6 +61,7 @@
 enum config_need config_watch_heard(struct config_watch *w,
 				    const struct config_mark *m,
 				    int64_t now_ms);
+bool config_watch_is_behind(const struct config_watch *w);
 void config_watch_new_era(struct config_watch *w, int64_t now_ms);
 struct config_mark config_watch_mark(const struct config_watch *w,
 				     int64_t store_ms, int64_t now_ms);
--- a/control/control.h
+++ b/control/control.h
@@ -85,6 +85,7 @@
 	struct crash_watch crashes;
 	struct record_check records;
 	int64_t started_ms;
+	bool met;  /* a peer was heard since the start */
 	bool knew; /* it has known what it needs to serve, and may serve */
 	int64_t stopping_ms; /* 0: not stopping */
 	struct control_view view;
--- a/control/publish.c
+++ b/control/publish.c
@@ -5,12 +5,29 @@
 #include "control/publish.h"
 #include "misc/clock.h"
 
+/* A peer that lives has answered the first heartbeat by then. */
+enum { MEET_MS = 1000 };
+
+/*
+ * The store may have come back without a version that the peers know, so an
+ * instance that has just started is sure of none before it has heard of them.
+ */
+static bool is_sure_of_config(const struct control *c, int64_t now_ms)
+{
+	bool alone = c->record.listed && now_ms - c->record.listed_ms > MEET_MS;
+
+	return (c->met || alone) && !config_watch_is_behind(&c->config);
+}
+
 /* control_publish_age() publishes how old the list and the configuration are. */
 void control_publish_age(struct control *c)
 {
 	int64_t now_ms = clock_ms();
-	uint32_t config_age_ms = config_watch_age_ms(
-		&c->config, c->backends.answered_ms, now_ms);
+	uint32_t config_age_ms =
+		is_sure_of_config(c, now_ms)
+			? config_watch_age_ms(&c->config,
+					      c->backends.answered_ms, now_ms)
+			: AGE_UNKNOWN;
 
 	ck_pr_store_64(&c->view.config_offset, c->config.pos.offset);
 	ck_pr_store_64(&c->view.config_era, c->config.pos.era);
--- a/tests/store-restore.sh
+++ b/tests/store-restore.sh
@@ -140,7 +140,18 @@
 sleep 0.5
 store_fault restore=reset
 restart 3
-sleep 3
+none_404() { # from an instance that has just started, for a route that its peers know
+	local k status bad=0
+	for ((k = 0; k < 60; k++)); do
+		status=$(status_at 3 newest.example /v80/x)
+		[ "$status" != 404 ] || bad=$((bad + 1))
+		sleep 0.03
+	done
+	echo "$bad of 60 answered 404"
+	return $((bad > 0))
+}
+check "started in between: a route that its peers know gets no 404" none_404
+sleep 1
 check "started in between: it has what its peers have" handled_by 80
 
 # An era that isn't named, or is none, changes nothing.
--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -253,10 +253,13 @@
 	init(&w, "19", 7);
 	rise(&w, 1);
 	assert_int_equal(hear(&w, 19, 4, 10, 20100), CONFIG_KNOWN);
+	assert_false(config_watch_is_behind(&w));
 	assert_int_equal(config_watch_heard(&w, &old, 20200), CONFIG_ASK);
+	assert_true(config_watch_is_behind(&w));
 	assert_int_equal(config_watch_update(&w, LSTR("21"), old.pos, 20200),
 			 0);
 	assert_int_equal(w.version, 21);
+	assert_false(config_watch_is_behind(&w));
 	/* Its bookmark marks nothing any more. */
 	assert_int_equal(store_position_cmp(w.pos, at(4)), 0);
 	buf_free(&w.record);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -264,6 +264,12 @@
 	c = bench_call_path(b, "GET", "/none/", 1000);
 	bench_run_until(b, c);
 	assert_int_equal(c->status, 503);
+	/* Nor without anybody who confirms the configuration. */
+	b->view.fresh_ms += 60000;
+	b->view.config_ms -= 60000;
+	c = bench_call_path(b, "GET", "/none/", 1000);
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 503);
 	config_unref(b->traffic.config);
 	b->traffic.config = NULL;
 	c = bench_call(b, "GET", 1000);
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -310,8 +310,10 @@
 			    struct http_message *m,
 			    const struct call_info *call)
 {
-	int64_t fresh = (int64_t)ck_pr_load_64(
-		(const uint64_t *)&t->control_view->fresh_ms);
+	const struct control_view *v = t->control_view;
+	int64_t fresh =
+		MIN((int64_t)ck_pr_load_64((const uint64_t *)&v->fresh_ms),
+		    (int64_t)ck_pr_load_64((const uint64_t *)&v->config_ms));
 	bool sure = t->config && clock_ms() - fresh < NEWS_TOO_OLD_MS;
 	unsigned status = sure ? 404 : 503;
 	struct buf headers = {0};
