--- a/tests/test_request_send.c
+++ b/tests/test_request_send.c
@@ -155,9 +155,25 @@
 	bench_free(b);
 }
 
+static void test_same_version_with_other_content(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct config *other = config_new();
+	struct caller *c;
+
+	other->version = b->traffic.config->version;
+	mailbox_send(&b->traffic.in, TO_TRAFFIC_CONFIG, other);
+	bench_run_ms(b, 5);
+	c = bench_call(b, "GET", 1000);
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 404);
+	bench_free(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_same_version_with_other_content),
 		cmocka_unit_test(test_answer_lost),
 		cmocka_unit_test(test_hedge),
 		cmocka_unit_test(test_rescue),
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -184,7 +184,7 @@
 
 static void take_config(struct traffic *t, struct config *c)
 {
-	mp_invariant(!t->config || c->version > t->config->version,
+	mp_invariant(!t->config || c->version >= t->config->version,
 		     "configuration went back from %" G_GUINT64_FORMAT
 		     " to %" G_GUINT64_FORMAT,
 		     t->config->version, c->version);
