--- a/stand/lapse.c
+++ b/stand/lapse.c
@@ -25,6 +25,18 @@
 			     g_memdup2(&now_ms, sizeof(now_ms)));
 }
 
+/* lapse_restart() begins the leases of a partition that came back from a copy. */
+void lapse_restart(struct lapse *l, const struct log_part *p, int64_t now_ms)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, p->newest);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		g_hash_table_replace(l->written_ms, g_strdup(key),
+				     g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
 /* Bytes before the number that each beat has of its own. */
 static size_t before_sequence(const char *p, size_t n)
 {
--- a/stand/lapse.h
+++ b/stand/lapse.h
@@ -17,6 +17,7 @@
 void lapse_init(struct lapse *l, int ttl_ms);
 void lapse_note(struct lapse *l, const struct query *q, struct lstr body,
 		int64_t now_ms);
+void lapse_restart(struct lapse *l, const struct log_part *p, int64_t now_ms);
 bool lapse_is_repeat(const struct lapse *l, const struct log_part *p,
 		     const struct query *q, struct lstr body);
 bool lapse_drop(struct lapse *l, struct log_part *p, int64_t now_ms);
--- a/stand/store.c
+++ b/stand/store.c
@@ -346,6 +346,8 @@
 	GList *parked = g_list_copy(s->parked);
 
 	s->topics = drill_restore(&s->drill);
+	lapse_restart(&s->beats, part_named(s, STORE_TOPIC_BACKENDS "/0"),
+		      clock_ms());
 	for (GList *l = parked; l; l = l->next) {
 		if (g_list_find(s->parked, l->data) &&
 		    ((struct parked *)l->data)->is_read)
