--- a/tests/test_config_watch.c
+++ b/tests/test_config_watch.c
@@ -330,6 +330,7 @@
 
 static void test_age_is_unknown_until_confirmed_in_this_era(void **state)
 {
+	struct config_mark old = mark(5, 10, 10);
 	struct config_watch w;
 
 	init(&w, "5", 10);
@@ -341,6 +342,8 @@
 	rise(&w, 1);
 	assert_int_equal(w.store.call, STORE_NO_CALL);
 	assert_int_equal(config_watch_age_ms(&w, 19999, 20000), AGE_UNKNOWN);
+	/* Nor does a peer that still lives in the old era. */
+	assert_int_equal(config_watch_heard(&w, &old, 20000), CONFIG_KNOWN);
 	assert_int_equal(hear(&w, 5, 3, AGE_UNKNOWN, 20100), CONFIG_KNOWN);
 	assert_true(config_watch_age_ms(&w, 0, 20100) > 10000);
 	assert_int_equal(hear(&w, 5, 3, 40, 20100), CONFIG_KNOWN);
