--- a/tests/test_backend_copies.c
+++ b/tests/test_backend_copies.c
@@ -29,6 +29,15 @@
 	backend_list_caught_up(l, in_era(1, 8), 1000, 1000);
 }
 
+/* The copy is read by one that missed what another knows. */
+static void copy_without_draining(struct backend_list *l)
+{
+	backend_list_replace_begin(l, 2, 1500);
+	say(l, in_era(2, 0), "a", 1, "ready", 1500);
+	say(l, in_era(2, 1), "b", 1, "ready", 1500);
+	backend_list_replace_end(l, in_era(2, 2), 1500, 1500);
+}
+
 static void test_left_server_of_the_copy_stays_off(void **state)
 {
 	struct backend_list l;
@@ -113,6 +122,49 @@
 	assert_string_equal(state_of(&s, "a"), "gone");
 }
 
+/* Its reader may end before the doubt does. */
+static void test_doubt_is_fed(void **state)
+{
+	struct backend_list reader, fed;
+	struct seen rs, fs;
+
+	begin_copied(&reader, &rs);
+	begin_copied(&fed, &fs);
+	record(&reader, 8, "b", "gone", 1100);
+	backend_list_caught_up(&reader, in_era(1, 9), 1100, 1100);
+	feed_to(&reader, &fed, true, 1110);
+	copy_without_draining(&reader);
+	feed_to(&reader, &fed, true, 1510);
+	assert_string_equal(state_of(&fs, "b"), "gone");
+	backend_list_settle(&fed, 9000);
+	assert_string_equal(state_of(&fs, "b"), "ready");
+}
+
+/* A listing comes by key; a feed of several datagrams needs the log's order. */
+static void test_news_of_a_copy_are_in_order(void **state)
+{
+	struct backend_feed f;
+	struct backend_list l;
+	struct seen s;
+
+	begin_copied(&l, &s);
+	backend_list_replace_begin(&l, 2, 1500);
+	say(&l, in_era(2, 7), "c", 1, "ready", 1500);
+	say(&l, in_era(2, 3), "d", 1, "ready", 1500);
+	say(&l, in_era(2, 5), "e", 1, "ready", 1500);
+	backend_list_replace_end(&l, in_era(2, 8), 1500, 1500);
+	backend_list_outline(&l, &f, 1500);
+	assert_in_range(f.changes->len, 5, 7);
+	for (guint i = 1; i < f.changes->len; i++)
+		assert_true(store_position_cmp(
+				    g_array_index(f.changes,
+						  struct backend_change, i - 1)
+					    .pos,
+				    g_array_index(f.changes,
+						  struct backend_change, i)
+					    .pos) <= 0);
+}
+
 /* Words of a server that doesn't tell its start have an order there as well. */
 static void test_draining_without_a_start_holds(void **state)
 {
@@ -134,15 +186,6 @@
 	assert_string_equal(state_of(&s, "a"), "draining");
 }
 
-/* The copy is read by one that missed what another knows. */
-static void copy_without_draining(struct backend_list *l)
-{
-	backend_list_replace_begin(l, 2, 1500);
-	say(l, in_era(2, 0), "a", 1, "ready", 1500);
-	say(l, in_era(2, 1), "b", 1, "ready", 1500);
-	backend_list_replace_end(l, in_era(2, 2), 1500, 1500);
-}
-
 /* A record that is known to its reader from the old era is news to others. */
 static void test_known_record_is_fed_in_the_new_era(void **state)
 {
@@ -240,6 +283,8 @@
 		cmocka_unit_test(test_lapse_of_most_after_a_copy_is_held_back),
 		cmocka_unit_test(test_draining_without_a_start_holds),
 		cmocka_unit_test(test_known_record_is_fed_in_the_new_era),
+		cmocka_unit_test(test_doubt_is_fed),
+		cmocka_unit_test(test_news_of_a_copy_are_in_order),
 		cmocka_unit_test(test_feed_into_the_new_era),
 	};
 
