How long a removal that a copy lost may take comes from the settings

A doubted server got nothing for three heartbeats of 1.5 s and the time to settle, and a silence counted from 1.5 s on, whatever the platform's heartbeat: a figure of today's deployments in the code. The settings name it (heartbeatMs); without it 1.5 s stands. test_instance: named and left empty. No figure of today's deployments changes.

--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -4,11 +4,7 @@
 #include "control/backend_list_private.h"
 
 enum {
-	/*
-	 * Without news for this long the store may have been away and leases
-	 * may have run out; below it no lease can (three heartbeats of 1.5 s).
-	 */
-	AWAY_MS = 1500,
+	HEARTBEAT_STANDARD_MS = 1500,
 	/* Changes are repeated to peers for this long, against loss. */
 	RECENT_MS = 2500,
 };
@@ -20,6 +16,7 @@
 		       void *priv)
 {
 	memset(l, 0, sizeof(*l));
+	l->heartbeat_ms = HEARTBEAT_STANDARD_MS;
 	l->entries =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	l->doubted =
@@ -65,7 +62,8 @@
  */
 void backend_list_note_silence(struct backend_list *l, int64_t now_ms)
 {
-	if (l->loaded && now_ms - l->fresh_ms > AWAY_MS)
+	/* A lease is three heartbeats: below one none can have run out. */
+	if (l->loaded && now_ms - l->fresh_ms > l->heartbeat_ms)
 		l->settle_until = now_ms + BACKEND_SETTLE_MS;
 }
 
@@ -127,7 +125,6 @@
 			int64_t now_ms)
 {
 	struct listed *d = g_new0(struct listed, 1);
-
 	struct backend_change told = *c;
 
 	d->entry = c->entry;
--- a/control/backend_list.h
+++ b/control/backend_list.h
@@ -12,6 +12,7 @@
 #include "member/gossip.h"
 
 struct backend_list {
+	int heartbeat_ms;    /* servers write their entries so often */
 	GHashTable *entries; /* id -> struct listed * */
 	GHashTable *doubted; /* id -> struct listed *, see ENDED_DOUBT */
 	struct ended_servers ended;
--- a/control/backend_settle.c
+++ b/control/backend_settle.c
@@ -2,13 +2,8 @@
 
 #include "control/backend_list_private.h"
 
-enum {
-	/*
-	 * An entry of the copy whose server had left is dropped again by then:
-	 * three heartbeats of silence, and the time to settle.
-	 */
-	DOUBT_MS = 3 * 1500 + BACKEND_SETTLE_MS,
-};
+/* An entry lapses after so many of its server's heartbeats have failed. */
+enum { LEASE_HEARTBEATS = 3 };
 
 /* The removal of an entry, or the end of a doubt, is due then. */
 static void plan(struct backend_list *l, struct listed *e, int64_t due_ms)
@@ -83,7 +78,8 @@
 void backend_list_doubt(struct backend_list *l, struct listed *d,
 			int64_t now_ms)
 {
-	plan(l, d, now_ms + DOUBT_MS);
+	plan(l, d,
+	     now_ms + LEASE_HEARTBEATS * l->heartbeat_ms + BACKEND_SETTLE_MS);
 	g_hash_table_replace(l->doubted, d->entry.id, d);
 }
 
--- a/control/control.c
+++ b/control/control.c
@@ -470,6 +470,7 @@
 			   on_config, c);
 	backend_watch_start(&c->backends, c->loop, &c->store, on_backend,
 			    on_read_done, c);
+	c->backends.list.heartbeat_ms = (int)c->settings.heartbeat_ms;
 	c->started_ms = clock_ms();
 	ev_timer_init(&c->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
 	c->tick.data = c;
--- a/options/instance.c
+++ b/options/instance.c
@@ -27,6 +27,7 @@
 
 static const struct opt_def platform_opts[] = {
 	{"store", OPT_ADDR, FIELD(store), NULL, 0, 0},
+	{"heartbeat_ms", OPT_REAL, FIELD(heartbeat_ms), "1500", 0, 0},
 	OPT_END,
 };
 
@@ -204,6 +205,7 @@
 	out->metrics = g_strdup_printf("%s:%d", host, port + PORT_METRICS);
 	out->peers = g_strdup_printf("%s:%d", host, port + PORT_PEERS);
 	out->store = g_strdup(d->entry.platform);
+	out->heartbeat_ms = 1500;
 	out->log_level = g_strdup(d->entry.log_level);
 	out->policy = mechanisms;
 	/* What the users' platform promises today, but for the questions:
--- a/options/instance.h
+++ b/options/instance.h
@@ -31,6 +31,7 @@
 	char *own; /* the product's own interface; NULL: not served */
 	/* [platform] */
 	char *store;
+	double heartbeat_ms; /* backend servers write their entries so often */
 	/* [log] */
 	char *log_level; /* info or notice */
 	struct bounds bounds;
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -27,6 +27,7 @@
 	{"listen.directory", "10.1.0.18:8383"},
 	{"internalPortRange.0", "7200"},
 	{"platform.address", "10.200.1.7:8384"},
+	{"heartbeatMs", "900"},
 	{"bounds.drainMs", "2000"},
 	{"bounds.configApplyMs", "2500"},
 	{"bounds.graceS", "6"},
@@ -90,6 +91,7 @@
 	assert_string_equal(s.callers, "10.1.0.18:8381");
 	assert_string_equal(s.peers, "10.1.0.18:7200");
 	assert_null(s.own);
+	assert_true(s.heartbeat_ms == 900);
 	assert_true(s.bounds.config_ms == 2500);
 	assert_true(s.bounds.retry_ratio == 0.2);
 	assert_true(s.bounds.retry_slack == 56);
@@ -109,6 +111,11 @@
 	assert_true(s.first_start);
 	unlink(path);
 	g_free(path);
+	path = render("heartbeatMs");
+	assert_int_equal(instance_settings_load(path, &s), 0);
+	assert_true(s.heartbeat_ms == 1500);
+	unlink(path);
+	g_free(path);
 	/* Without the word it is a restart, which is in more of a hurry. */
 	path = render("firstStart");
 	assert_int_equal(instance_settings_load(path, &s), 0);
