--- /dev/null
+++ b/stand/lapse.c
@@ -0,0 +1,88 @@
+#include <string.h>
+
+#include "platform/store.h"
+#include "stand/lapse.h"
+
+/* lapse_init() prepares one that knows of no entry. */
+void lapse_init(struct lapse *l, int ttl_ms)
+{
+	l->ttl_ms = ttl_ms;
+	l->written_ms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* lapse_note() remembers an append, if it is of a backend server. */
+void lapse_note(struct lapse *l, const struct query *q, struct lstr body,
+		int64_t now_ms)
+{
+	const char *topic = query_text(q, "topic");
+	size_t klen = body.len > 4 ? (unsigned char)body.ptr[4] : 0;
+
+	if (!topic || strcmp(topic, STORE_TOPIC_BACKENDS) ||
+	    body.len < 5 + klen)
+		return;
+	g_hash_table_replace(l->written_ms, g_strndup(body.ptr + 5, klen),
+			     g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
+/* Bytes before the number that each beat has of its own. */
+static size_t before_sequence(const char *p, size_t n)
+{
+	static const char name[] = "sequenceNumber";
+	const char *at = memmem(p, n, name, sizeof(name) - 1);
+
+	return at ? (size_t)(at - p) : n;
+}
+
+/* lapse_is_repeat() tells whether an entry says nothing new of its server. */
+bool lapse_is_repeat(const struct lapse *l, const struct log_part *p,
+		     const struct query *q, struct lstr body)
+{
+	const char *topic = query_text(q, "topic");
+	size_t klen = body.len > 4 ? (unsigned char)body.ptr[4] : 0;
+	const struct log_newest *n;
+	const char *value;
+	gsize len;
+	char *key;
+
+	if (!l->changes_only || !topic || strcmp(topic, STORE_TOPIC_BACKENDS) ||
+	    body.len <= 5 + klen)
+		return false;
+	key = g_strndup(body.ptr + 5, klen);
+	n = g_hash_table_lookup(p->newest, key);
+	g_free(key);
+	if (!n)
+		return false;
+	value = g_bytes_get_data(n->value, &len);
+	len = before_sequence(value, len);
+	return len == before_sequence(body.ptr + 5 + klen,
+				      body.len - 5 - klen) &&
+	       !memcmp(value, body.ptr + 5 + klen, len);
+}
+
+/* lapse_drop() drops what is due from its partition; true when it did. */
+bool lapse_drop(struct lapse *l, struct log_part *p, int64_t now_ms)
+{
+	struct log_condition cond = {.at = -1};
+	bool dropped = false;
+	GHashTableIter it;
+	gpointer key, at;
+
+	g_hash_table_iter_init(&it, l->written_ms);
+	while (g_hash_table_iter_next(&it, &key, &at)) {
+		struct log_position pos;
+		struct buf rec = {0};
+		unsigned char n = (unsigned char)strlen(key);
+		unsigned char head[] = {0, 0, 0, n + 1, n};
+
+		if (now_ms - *(int64_t *)at < l->ttl_ms)
+			continue;
+		buf_add(&rec, head, sizeof(head));
+		buf_add(&rec, key, n);
+		log_append(p, buf_lstr(&rec), &cond, &pos);
+		buf_free(&rec);
+		g_hash_table_iter_remove(&it);
+		dropped = true;
+	}
+	return dropped;
+}
--- /dev/null
+++ b/stand/listing.c
@@ -0,0 +1,55 @@
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "misc/codec.h"
+#include "stand/listing.h"
+
+enum { NEWEST_MAX = 500 }; /* items a page */
+
+static void write_item(msgpack_packer *pk, const char *key,
+		       const struct log_newest *n)
+{
+	gsize len;
+	const void *value = g_bytes_get_data(n->value, &len);
+	char *text = g_base64_encode(value, len);
+
+	msgpack_pack_map(pk, 3);
+	codec_pack_cstr(pk, "key");
+	codec_pack_cstr(pk, key);
+	codec_pack_cstr(pk, "value");
+	codec_pack_cstr(pk, text);
+	codec_pack_cstr(pk, "offset");
+	msgpack_pack_uint64(pk, n->offset);
+	g_free(text);
+}
+
+/* listing_write() writes the page of the keys after `after`; NULL: the first. */
+void listing_write(const struct log_part *p, const char *after,
+		   struct buf *body)
+{
+	GList *keys = g_list_sort(g_hash_table_get_keys(p->newest),
+				  (GCompareFunc)strcmp);
+	msgpack_packer pk;
+	GList *l = keys;
+	guint n;
+
+	while (after && l && strcmp(l->data, after) <= 0)
+		l = l->next;
+	n = g_list_length(l);
+	msgpack_packer_init(&pk, body, codec_buf_write);
+	msgpack_pack_map(&pk, 3);
+	codec_pack_cstr(&pk, "items");
+	msgpack_pack_array(&pk, MIN(n, NEWEST_MAX));
+	for (guint i = 0; l && i < NEWEST_MAX; i++, l = l->next)
+		write_item(&pk, l->data,
+			   g_hash_table_lookup(p->newest, l->data));
+	codec_pack_cstr(&pk, "more");
+	if (n > NEWEST_MAX)
+		msgpack_pack_true(&pk);
+	else
+		msgpack_pack_false(&pk);
+	codec_pack_cstr(&pk, "endOffset");
+	msgpack_pack_uint64(&pk, log_end(p));
+	g_list_free(keys);
+}
--- a/stand/log.c
+++ b/stand/log.c
@@ -31,6 +31,35 @@
 	return p;
 }
 
+static void copy_newest(gpointer key, gpointer value, gpointer to)
+{
+	const struct log_newest *n = value;
+	struct log_newest *copy = g_memdup2(n, sizeof(*n));
+
+	g_bytes_ref(n->value);
+	g_hash_table_insert(to, g_strdup(key), copy);
+}
+
+static void copy_producer(gpointer key, gpointer value, gpointer to)
+{
+	g_hash_table_insert(to, g_strdup(key),
+			    g_memdup2(value, sizeof(struct log_producer)));
+}
+
+/* log_part_copy() makes one that later appends to either leave apart. */
+struct log_part *log_part_copy(const struct log_part *p)
+{
+	struct log_part *copy = log_part_new(p->keyed);
+
+	copy->first = p->first;
+	for (guint i = 0; i < p->records->len; i++)
+		g_ptr_array_add(copy->records,
+				g_bytes_ref(g_ptr_array_index(p->records, i)));
+	g_hash_table_foreach(p->newest, copy_newest, copy->newest);
+	g_hash_table_foreach(p->producers, copy_producer, copy->producers);
+	return copy;
+}
+
 /* log_end() returns the offset of the next record. */
 uint64_t log_end(const struct log_part *p)
 {
@@ -180,7 +209,7 @@
 {
 	size_t begin = out->len;
 
-	if (from < p->first)
+	if (from < p->first || from > log_end(p))
 		return LOG_GONE;
 	add_big_endian(out, log_end(p), 8);
 	add_big_endian(out, p->first, 8);
--- a/stand/log.h
+++ b/stand/log.h
@@ -47,7 +47,7 @@
 	LOG_MOVED,  /* the partition doesn't end at `at` */
 	LOG_FENCED, /* a later epoch was seen */
 	LOG_SEQ,    /* the sequence number doesn't follow */
-	LOG_GONE,   /* the records asked for are deleted */
+	LOG_GONE,   /* the records asked for are deleted, or not there yet */
 };
 
 struct log_position {
@@ -55,6 +55,7 @@
 };
 
 struct log_part *log_part_new(bool keyed);
+struct log_part *log_part_copy(const struct log_part *p);
 uint64_t log_end(const struct log_part *p);
 enum log_outcome log_append(struct log_part *p, struct lstr body,
 			    const struct log_condition *c,
--- a/stand/operator.c
+++ b/stand/operator.c
@@ -1,7 +1,8 @@
 /*
  * The users' operator as a stand-in: writes one whole configuration version
  * with a route for each service of the deployment. Host SERVICE.example,
- * path prefix /work/.
+ * path prefix /work/; and one that only this version has: host newest.example,
+ * prefix /vVERSION/.
  */
 #include <errno.h>
 #include <stdio.h>
@@ -18,17 +19,18 @@
 	msgpack_pack_uint64(pk, v);
 }
 
-static void pack_route(msgpack_packer *pk, const struct service_opts *s)
+static void pack_route(msgpack_packer *pk, const char *name, const char *prefix,
+		       const struct service_opts *s)
 {
 	char host[BACKEND_NAME_MAX + 16];
 
-	snprintf(host, sizeof(host), "%s.example", s->name);
-	codec_pack_cstr(pk, s->name);
+	snprintf(host, sizeof(host), "%s.example", name);
+	codec_pack_cstr(pk, name);
 	msgpack_pack_map(pk, 8);
 	codec_pack_cstr(pk, "host");
 	codec_pack_cstr(pk, host);
 	codec_pack_cstr(pk, "pathPrefix");
-	codec_pack_cstr(pk, "/work/");
+	codec_pack_cstr(pk, prefix);
 	codec_pack_cstr(pk, "kind");
 	codec_pack_cstr(pk,
 			s->protected_action ? "non_idempotent" : "idempotent");
@@ -44,7 +46,7 @@
 			 struct buf *out)
 {
 	msgpack_packer pk;
-	char text[17];
+	char text[17], prefix[32];
 
 	snprintf(text, sizeof(text), "%08llx", (unsigned long long)version);
 	msgpack_packer_init(&pk, out, codec_buf_write);
@@ -52,9 +54,15 @@
 	codec_pack_cstr(&pk, "configVersion");
 	codec_pack_cstr(&pk, text);
 	codec_pack_cstr(&pk, "routes");
-	msgpack_pack_map(&pk, d->services->len);
-	for (guint i = 0; i < d->services->len; i++)
-		pack_route(&pk, d->services->pdata[i]);
+	msgpack_pack_map(&pk, d->services->len + 1);
+	for (guint i = 0; i < d->services->len; i++) {
+		const struct service_opts *s = d->services->pdata[i];
+
+		pack_route(&pk, s->name, "/work/", s);
+	}
+	snprintf(prefix, sizeof(prefix), "/v%llu/",
+		 (unsigned long long)version);
+	pack_route(&pk, "newest", prefix, d->services->pdata[0]);
 	codec_pack_cstr(&pk, "services");
 	msgpack_pack_map(&pk, d->services->len);
 	for (guint i = 0; i < d->services->len; i++) {
--- a/stand/store.c
+++ b/stand/store.c
@@ -3,6 +3,8 @@
  * product uses: append (conditions, producers), read with a wait, the newest
  * of each key, trim. Faults are switched on by POST /stand/faults?NAME=VALUE:
  *   down=busy|silent|reset|no   slow_ms=N   lost_pct=N   forget=1
+ *   changes_only=0|1: what repeats a server's entry is no record
+ * and those of stand/drill.h.
  * Backend servers and the operator write through POST /stand/append, since
  * the system itself may not write to their topics.
  */
@@ -15,6 +17,9 @@
 #include "misc/clock.h"
 #include "misc/codec.h"
 #include "platform/store.h"
+#include "stand/drill.h"
+#include "stand/lapse.h"
+#include "stand/listing.h"
 #include "stand/log.h"
 #include "stand/query.h"
 #include "stand/stand.h"
@@ -22,7 +27,6 @@
 enum {
 	READ_DEFAULT_KB = 1024,
 	WAIT_MAX_MS = 30000,
-	NEWEST_MAX = 500, /* items a page */
 	HEAD_MAX = 16384,
 	BODY_MAX = 4 << 20,
 };
@@ -32,11 +36,11 @@
 	struct http_server http;
 	GHashTable *topics; /* "topic/part" -> struct log_part * */
 	GList *parked;	    /* struct parked * */
+	struct drill drill;
 	char down[16];
 	int slow_ms, lost_pct;
-	GHashTable *beats; /* backend server -> its last record's time */
+	struct lapse beats;
 	ev_timer lapse;
-	int ttl_ms;	  /* an entry lapses after this long without one */
 	int append_limit; /* a second */
 	int64_t limit_s;
 	int appends;
@@ -49,6 +53,8 @@
 	struct http_conn *conn;
 	ev_timer timer;
 	struct log_part *part; /* of a read */
+	char *name;	       /* of that partition */
+	uint64_t era;	       /* in which the answer was made */
 	uint64_t from;
 	size_t max;
 	bool is_read;
@@ -56,27 +62,50 @@
 	struct buf body;
 };
 
-static struct log_part *find_part(struct store *s, const struct query *q)
+static char *part_name(const struct query *q)
 {
 	const char *topic = query_text(q, "topic");
 	const char *part = query_text(q, "part");
-	char *name =
-		g_strdup_printf("%s/%s", topic ? topic : "", part ? part : "0");
+
+	return g_strdup_printf("%s/%s", topic ? topic : "", part ? part : "0");
+}
+
+static struct log_part *part_named(struct store *s, const char *name)
+{
 	struct log_part *p = g_hash_table_lookup(s->topics, name);
 
-	if (p) {
-		g_free(name);
+	if (p)
 		return p;
-	}
-	p = log_part_new(topic && g_str_has_prefix(topic, "keyed."));
-	g_hash_table_insert(s->topics, name, p);
+	p = log_part_new(g_str_has_prefix(name, "keyed."));
+	g_hash_table_insert(s->topics, g_strdup(name), p);
+	return p;
+}
+
+static struct log_part *find_part(struct store *s, const struct query *q)
+{
+	char *name = part_name(q);
+	struct log_part *p = part_named(s, name);
+
+	g_free(name);
 	return p;
 }
 
-static void reply(struct http_conn *c, unsigned status, struct lstr body)
+static void reply_of_era(struct store *s, struct http_conn *c, uint64_t era,
+			 unsigned status, struct lstr body)
 {
-	http_conn_reply(c,
-			&(struct http_reply){.status = status, .body = body});
+	struct buf headers = {0};
+
+	drill_write_era(&s->drill, era, &headers);
+	http_conn_reply(c, &(struct http_reply){.status = status,
+						.headers = buf_lstr(&headers),
+						.body = body});
+	buf_free(&headers);
+}
+
+static void reply(struct store *s, struct http_conn *c, unsigned status,
+		  struct lstr body)
+{
+	reply_of_era(s, c, s->drill.era, status, body);
 }
 
 static void parked_free(struct parked *k)
@@ -84,6 +113,7 @@
 	k->store->parked = g_list_remove(k->store->parked, k);
 	ev_timer_stop(k->store->loop, &k->timer);
 	buf_free(&k->body);
+	g_free(k->name);
 	g_free(k);
 }
 
@@ -93,13 +123,15 @@
 	struct http_conn *c = k->conn;
 	struct buf body = k->body;
 	unsigned status = k->status;
+	struct store *s = k->store;
+	uint64_t era = k->is_read ? s->drill.era : k->era;
 
 	k->body = (struct buf){0};
 	if (k->is_read && log_read(k->part, k->from, k->max, &body))
 		status = 410;
 	parked_free(k);
 	http_conn_set_user(c, NULL);
-	reply(c, status, buf_lstr(&body));
+	reply_of_era(s, c, era, status, buf_lstr(&body));
 	buf_free(&body);
 }
 
@@ -115,6 +147,7 @@
 	k->store = s;
 	k->conn = c;
 	k->status = 200;
+	k->era = s->drill.era;
 	ev_timer_init(&k->timer, on_parked_timer, ms / 1000.0, 0);
 	k->timer.data = k;
 	ev_timer_start(s->loop, &k->timer);
@@ -130,7 +163,7 @@
 	struct parked *k;
 
 	if (s->slow_ms == 0) {
-		reply(c, status, buf_lstr(body));
+		reply(s, c, status, buf_lstr(body));
 		buf_free(body);
 		return;
 	}
@@ -195,48 +228,15 @@
 	msgpack_pack_uint64(&pk, pos->end);
 }
 
-/* Remembers when a backend server last wrote its entry. */
-static void note_beat(struct store *s, const struct query *q,
-		      const struct http_message *m)
-{
-	const char *topic = query_text(q, "topic");
-	size_t klen = m->body.len > 4 ? (unsigned char)m->body.ptr[4] : 0;
-	int64_t *at;
-
-	if (!topic || strcmp(topic, STORE_TOPIC_BACKENDS) ||
-	    m->body.len < 5 + klen)
-		return;
-	at = g_new(int64_t, 1);
-	*at = clock_ms();
-	g_hash_table_replace(s->beats, g_strndup(m->body.ptr + 5, klen), at);
-}
-
 /* Drops the entries of servers that have not written for too long. */
 static void on_lapse(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct store *s = t->data;
-	struct log_condition cond = {.at = -1};
 	struct log_part *p =
 		g_hash_table_lookup(s->topics, STORE_TOPIC_BACKENDS "/0");
-	GHashTableIter it;
-	gpointer key, at;
-
-	g_hash_table_iter_init(&it, s->beats);
-	while (p && g_hash_table_iter_next(&it, &key, &at)) {
-		struct log_position pos;
-		struct buf rec = {0};
-		unsigned char n = (unsigned char)strlen(key);
-		unsigned char head[] = {0, 0, 0, n + 1, n};
-
-		if (clock_ms() - *(int64_t *)at < s->ttl_ms)
-			continue;
-		buf_add(&rec, head, sizeof(head));
-		buf_add(&rec, key, n);
-		log_append(p, buf_lstr(&rec), &cond, &pos);
-		buf_free(&rec);
-		g_hash_table_iter_remove(&it);
+
+	if (p && lapse_drop(&s->beats, p, clock_ms()))
 		wake_reads(s, p);
-	}
 }
 
 static void do_append(struct store *s, struct http_conn *c,
@@ -254,12 +254,17 @@
 	enum log_outcome rc;
 
 	if (over_limit(s)) {
-		reply(c, 429, LSTR(""));
+		reply(s, c, 429, LSTR(""));
 		return;
 	}
-	rc = log_append(p, buf_lstr(&m->body), &cond, &pos);
+	if (lapse_is_repeat(&s->beats, p, q, buf_lstr(&m->body))) {
+		pos = (struct log_position){log_end(p), log_end(p)};
+		rc = LOG_OK;
+	} else {
+		rc = log_append(p, buf_lstr(&m->body), &cond, &pos);
+	}
 	if (rc == LOG_OK) {
-		note_beat(s, q, m);
+		lapse_note(&s->beats, q, buf_lstr(&m->body), clock_ms());
 		wake_reads(s, p);
 	}
 	if (rc == LOG_OK && g_rand_int_range(s->rand, 0, 100) < s->lost_pct) {
@@ -279,10 +284,11 @@
 	struct buf body = {0};
 	struct parked *k;
 
-	if (from >= log_end(p) && wait > 0) {
+	if (from == log_end(p) && wait > 0) {
 		k = park(s, c, (int)MIN(wait, WAIT_MAX_MS));
 		k->is_read = true;
 		k->part = p;
+		k->name = part_name(q);
 		k->from = from;
 		k->max = max;
 		return;
@@ -292,60 +298,19 @@
 	reply_slowly(s, c, status_of(rc), &body);
 }
 
-static void write_item(msgpack_packer *pk, const char *key,
-		       const struct log_newest *n)
-{
-	gsize len;
-	const void *value = g_bytes_get_data(n->value, &len);
-	char *text = g_base64_encode(value, len);
-
-	msgpack_pack_map(pk, 3);
-	codec_pack_cstr(pk, "key");
-	codec_pack_cstr(pk, key);
-	codec_pack_cstr(pk, "value");
-	codec_pack_cstr(pk, text);
-	codec_pack_cstr(pk, "offset");
-	msgpack_pack_uint64(pk, n->offset);
-	g_free(text);
-}
-
 static void do_newest(struct store *s, struct http_conn *c,
 		      const struct query *q)
 {
-	struct log_part *p = find_part(s, q);
-	const char *after = query_text(q, "after");
-	GList *keys = g_list_sort(g_hash_table_get_keys(p->newest),
-				  (GCompareFunc)strcmp);
 	struct buf body = {0};
-	msgpack_packer pk;
-	GList *l = keys;
-	guint n;
-
-	while (after && l && strcmp(l->data, after) <= 0)
-		l = l->next;
-	n = g_list_length(l);
-	msgpack_packer_init(&pk, &body, codec_buf_write);
-	msgpack_pack_map(&pk, 3);
-	codec_pack_cstr(&pk, "items");
-	msgpack_pack_array(&pk, MIN(n, NEWEST_MAX));
-	for (guint i = 0; l && i < NEWEST_MAX; i++, l = l->next)
-		write_item(&pk, l->data,
-			   g_hash_table_lookup(p->newest, l->data));
-	codec_pack_cstr(&pk, "more");
-	if (n > NEWEST_MAX)
-		msgpack_pack_true(&pk);
-	else
-		msgpack_pack_false(&pk);
-	codec_pack_cstr(&pk, "endOffset");
-	msgpack_pack_uint64(&pk, log_end(p));
-	g_list_free(keys);
+
+	listing_write(find_part(s, q), query_text(q, "after"), &body);
 	reply_slowly(s, c, 200, &body);
 }
 
 static void do_trim(struct store *s, struct http_conn *c, const struct query *q)
 {
 	log_trim(find_part(s, q), (uint64_t)query_int(q, "before", 0));
-	reply(c, 200, LSTR(""));
+	reply(s, c, 200, LSTR(""));
 }
 
 /* Deletes the history; the newest of each key stays. */
@@ -359,19 +324,57 @@
 		log_trim(v, log_end(v));
 }
 
+/* What becomes of a read that waits while the store comes back from a copy. */
+static void disturb_read(struct store *s, struct parked *k, const char *how)
+{
+	struct http_conn *c = k->conn;
+
+	if (!strcmp(how, "reset")) {
+		parked_free(k);
+		http_conn_abort(c);
+	} else if (!strcmp(how, "answer")) {
+		k->part = part_named(s, k->name);
+		finish_parked(k);
+	} else {
+		http_conn_set_user(c, NULL);
+		parked_free(k);
+	}
+}
+
+static void restore(struct store *s, const char *how)
+{
+	GList *parked = g_list_copy(s->parked);
+
+	s->topics = drill_restore(&s->drill);
+	for (GList *l = parked; l; l = l->next) {
+		if (g_list_find(s->parked, l->data) &&
+		    ((struct parked *)l->data)->is_read)
+			disturb_read(s, l->data, how);
+	}
+	g_list_free(parked);
+}
+
 static void do_faults(struct store *s, struct http_conn *c,
 		      const struct query *q)
 {
 	const char *down = query_text(q, "down");
+	const char *how = query_text(q, "restore");
 
 	if (down)
 		g_strlcpy(s->down, strcmp(down, "no") ? down : "",
 			  sizeof(s->down));
 	s->slow_ms = (int)query_int(q, "slow_ms", s->slow_ms);
 	s->lost_pct = (int)query_int(q, "lost_pct", s->lost_pct);
+	drill_set(&s->drill, q);
+	s->beats.changes_only =
+		query_int(q, "changes_only", s->beats.changes_only);
+	if (query_int(q, "copy", 0))
+		drill_copy(&s->drill, s->topics);
+	if (how)
+		restore(s, how);
 	if (query_int(q, "forget", 0))
 		forget(s);
-	reply(c, 200, LSTR(""));
+	reply(s, c, 200, LSTR(""));
 }
 
 /* Answers as a store that is down; true when it is. */
@@ -380,7 +383,7 @@
 	if (!*s->down)
 		return false;
 	if (!strcmp(s->down, "busy"))
-		reply(c, 503, LSTR(""));
+		reply(s, c, 503, LSTR(""));
 	else if (!strcmp(s->down, "reset"))
 		http_conn_abort(c);
 	return true;
@@ -410,13 +413,13 @@
 	else if (!strcmp(path, "/log-newest"))
 		do_newest(s, c, &q);
 	else if (!strcmp(path, "/log-append") && is_foreign_topic(&q))
-		reply(c, 403, LSTR(""));
+		reply(s, c, 403, LSTR(""));
 	else if (!strcmp(path, "/log-append") || !strcmp(path, "/stand/append"))
 		do_append(s, c, &q, m);
 	else if (!strcmp(path, "/log-trim"))
 		do_trim(s, c, &q);
 	else
-		reply(c, 404, LSTR(""));
+		reply(s, c, 404, LSTR(""));
 	g_free(path);
 	query_free(&q);
 	http_message_free(m);
@@ -440,15 +443,14 @@
 /* stand_store_main() serves the stand-in until SIGTERM. */
 int stand_store_main(const struct deploy *d)
 {
-	struct store s = {.append_limit = d->platform.append_limit_per_s,
-			  .ttl_ms = d->platform.member_ttl_ms};
+	struct store s = {.append_limit = d->platform.append_limit_per_s};
 	ev_signal term;
 	int rc;
 
 	s.loop = ev_default_loop(EVFLAG_NOENV);
 	s.topics = g_hash_table_new(g_str_hash, g_str_equal);
-	s.beats =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	drill_init(&s.drill);
+	lapse_init(&s.beats, d->platform.member_ttl_ms);
 	s.rand = g_rand_new();
 	ev_timer_init(&s.lapse, on_lapse, 0.2, 0.2);
 	s.lapse.data = &s;
