--- a/caller/own.c
+++ b/caller/own.c
@@ -205,6 +205,12 @@
 		http_message_free(m);
 		return;
 	}
+	route = config_match(t->config, call->host, call->path);
+	if (!route) {
+		refuse(c, 404, call->id, "no route in this configuration");
+		http_message_free(m);
+		return;
+	}
 	key = s->protected_action ? key_of(m) : NULL;
 	seen = key && answer_duplicate(t, c, s, call->id, key);
 	g_free(key);
@@ -212,7 +218,6 @@
 		http_message_free(m);
 		return;
 	}
-	route = config_match(t->config, call->host, call->path);
 	request_start(t, c, m, call, route, &own_protocol);
 }
 
--- a/tests/e2e.sh
+++ b/tests/e2e.sh
@@ -215,6 +215,7 @@
 check "users' protocol: served" test "$(users_status 19101 harta.example /work/1)" = 200
 check "users' protocol: POST served" test "$(users_status 19101 becas-pagos.example /work/1 -d x=1)" = 200
 check "users' protocol: no such route" test "$(users_status 19101 harta.example /other/)" = 404
+check "the product's own interface finds no route in the operator's configuration" test "$(curl -s -m 2 -o /dev/null -w '%{http_code}' -X POST -H 'X-Tenant: strada' -H 'X-Request-Id: own-1' http://127.0.0.1:18101/v1/call/harta)" = 404
 check "users' protocol: ready" test "$(curl -s -m 2 -o /dev/null -w '%{http_code}' http://127.0.0.1:20101/readiness)" = 200
 check "users' protocol: directory names the entry" sh -c "curl -s -m 2 'http://127.0.0.1:21101/resolution?name=x&region=r&zone=z' | grep -q 127.0.0.1:19101"
 check "older version is not taken" $bin operator --deployment $ini --version 4
