--- a/tests/repeated-crashes.sh
+++ b/tests/repeated-crashes.sh
@@ -149,6 +149,8 @@
 # As callers do: two servers may be in a slow spell at a first attempt.
 check "served before" test "$(call_again /work/ok)" = 200
 
+store_fault() { curl -s -m 2 -X POST "http://127.0.0.1:13000/stand/faults?$1" >/dev/null; }
+store_fault copy=1
 for i in 1 2 3; do others "$logs/others.txt" "" $i & done
 others "$logs/popular.txt" /work/popular 4 &
 others "$logs/popular.txt" /work/popular 5 &
@@ -170,12 +172,21 @@
 check "still only that request is refused" test "$(refused_digests)" -le 1
 
 # All instances lose what they know.
-for e in e1 e2 e3; do kill -KILL "${pids[$e]}"; done
-for e in e1 e2 e3; do wait "${pids[$e]}" 2>/dev/null; done
-for e in e1 e2 e3; do start_entry $e; done
-sleep $((WINDOW_S + 1))
-spread_fatal 4
+restart_all() {
+	for e in e1 e2 e3; do kill -KILL "${pids[$e]}"; done
+	for e in e1 e2 e3; do wait "${pids[$e]}" 2>/dev/null; done
+	for e in e1 e2 e3; do start_entry $e; done
+	sleep $((WINDOW_S + 1))
+	spread_fatal 4
+}
+restart_all
 check "few sends after all instances have started anew" within_allowance
+
+# So does the store: it comes back from a copy from before the request was known.
+store_fault restore=reset
+sleep 4
+restart_all
+check "few sends after that, though the store had lost the verdict" within_allowance
 touch "$logs/quiet"
 sleep 0.5
 check "no invariant broken" sh -c "! grep -l 'ev=900' $logs/*.log"
