Servers that report no load and start slowly are probed; reports of load stay in the data centre

Change: with more than 20 instances reports go to those of the own data centre, and servers are chosen there while one is usable. A service with a slow start is probed although no load is told; the time that a probe takes tells how slow the server is (core/probe_times), and the first quick answer gets the request.

--- a/app/main.c
+++ b/app/main.c
@@ -38,6 +38,9 @@
 	"  backend --service S --index I [--seed N]\n"
 	"                              stand-in: a backend server\n"
 	"  operator --version N        stand-in: writes a configuration\n"
+	"  operator --evacuate DC | --restore DC\n"
+	"                              stand-in: evacuates a data centre, or\n"
+	"                              takes that back\n"
 	"  fill --index FROM --version TO\n"
 	"                              stand-in: entries of servers that are\n"
 	"                              not there, to measure their cost\n"
@@ -52,6 +55,7 @@
 
 struct cli {
 	char *settings, *deployment, *name, *service, *unset, *tenant;
+	char *evacuate, *restore;
 	int index, seed, base, last, wait, seconds, rate, concurrency, direct;
 	int entries;
 	int version, from_operator;
@@ -76,6 +80,10 @@
 		 "version that the patch is based on", "N"},
 		{"version", 0, POPT_ARG_INT, &o->version, 0,
 		 "operator: version to write", "N"},
+		{"evacuate", 0, POPT_ARG_STRING, &o->evacuate, 0,
+		 "operator: data centre to evacuate", "DC"},
+		{"restore", 0, POPT_ARG_STRING, &o->restore, 0,
+		 "operator: data centre that is no longer evacuated", "DC"},
 		{"unset", 0, POPT_ARG_STRING, &o->unset, 0, "keys to remove",
 		 "K,.."},
 		{"wait", 'w', POPT_ARG_NONE, &o->wait, 0,
@@ -171,6 +179,16 @@
 	return instance_run(&s, &source, o->from_operator ? NULL : d, d);
 }
 
+/* Runs the stand-in operator. */
+static int run_operator(const struct deploy *d, const struct cli *o)
+{
+	if (o->evacuate)
+		return stand_evacuate_main(d, o->evacuate, true);
+	if (o->restore)
+		return stand_evacuate_main(d, o->restore, false);
+	return stand_operator_main(d, (uint64_t)o->version);
+}
+
 /* Runs a role of a local deployment. */
 static int run_local(const char *role, struct cli *o, char **rest)
 {
@@ -183,7 +201,7 @@
 	if (!strcmp(role, "store"))
 		return stand_store_main(&d);
 	if (!strcmp(role, "operator"))
-		return stand_operator_main(&d, (uint64_t)o->version);
+		return run_operator(&d, o);
 	if (!strcmp(role, "fill"))
 		return stand_fill_main(&d, o->index, o->version);
 	if (!strcmp(role, "backend") && o->service)
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -33,16 +33,16 @@
 }
 
 /*
- * peer_channel_send_plain() sends all live peers a datagram that does not count
- * as a heartbeat.
+ * peer_channel_send_plain() sends the live peers in a data centre, or all of
+ * them if it is NULL, a datagram that does not count as a heartbeat.
  */
 void peer_channel_send_plain(struct peer_channel *ch, const struct buf *b,
-			     int64_t now_ms)
+			     const char *dc, int64_t now_ms)
 {
 	for (guint i = 0; i < ch->peers.peers->len; i++) {
 		const struct peer *p = g_ptr_array_index(ch->peers.peers, i);
 
-		if (peer_alive(p, now_ms))
+		if (peer_alive(p, now_ms) && (!dc || !strcmp(p->info.dc, dc)))
 			send_plain(ch, b, p);
 	}
 }
--- a/control/peer_channel.h
+++ b/control/peer_channel.h
@@ -41,7 +41,7 @@
 void peer_channel_distribute(struct peer_channel *ch, const struct buf *b,
 			     unsigned turn, bool new_direct, int64_t now_ms);
 void peer_channel_send_plain(struct peer_channel *ch, const struct buf *b,
-			     int64_t now_ms);
+			     const char *dc, int64_t now_ms);
 void peer_channel_send_hubs(struct peer_channel *ch, const struct buf *b,
 			    int64_t now_ms);
 void peer_channel_send_limit_call(struct peer_channel *ch,
--- a/control/relay.c
+++ b/control/relay.c
@@ -37,6 +37,7 @@
 void relay_from_traffic(struct control *c, enum from_traffic kind, void *data)
 {
 	uint32_t self = peer_id(c->peers.peers.self.name);
+	const char *dc = NULL;
 	struct drain_gossip *drain = data;
 	struct limit_gossip *limits = data;
 	struct peer_load *load = data;
@@ -47,6 +48,9 @@
 	} else if (kind == FROM_TRAFFIC_LOAD) {
 		load->peer = self;
 		gossip_write_load(&b, load);
+		if (peer_loads_are_local(
+			    peers_count(&c->peers.peers, clock_ms())))
+			dc = c->peers.peers.self.dc;
 	} else if (kind == FROM_TRAFFIC_LIMITS) {
 		limits->peer = self;
 		gossip_write_limits(&b, limits);
@@ -55,7 +59,7 @@
 		gossip_write_drain(&b, drain);
 	}
 	if (b.len)
-		peer_channel_send_plain(&c->peers, &b, clock_ms());
+		peer_channel_send_plain(&c->peers, &b, dc, clock_ms());
 	buf_free(&b);
 	g_free(data);
 }
--- a/core/backend.c
+++ b/core/backend.c
@@ -2,6 +2,7 @@
 
 #include "core/backend.h"
 #include "core/mechanisms.h"
+#include "core/peer_load.h"
 #include "core/policy.h"
 
 /*
@@ -55,11 +56,13 @@
 
 /*
  * service_is_probed() returns whether servers are probed right before they are
- * sent a request.
+ * sent a request: for the load that they report, or because only their
+ * responses tell whether they are cold.
  */
 bool service_is_probed(const struct service *s)
 {
-	return service_reports_load(s) && s->policy->probes_load;
+	return s->policy->probes_load &&
+	       (service_reports_load(s) || slow_start_applies(&s->slow_start));
 }
 
 /* backend_ref() takes a reference. */
@@ -164,6 +167,7 @@
 	b->refs = 1;
 	b->entry = *e;
 	b->start_hash = backend_start_hash(e);
+	b->id_hash = peer_load_hash(e->id);
 	b->state = server_state_get(&s->states, e->id, e->server_start_ms);
 	b->service = backend_set_service(s, lstr0(e->service));
 	g_ptr_array_add(b->service->backends, b);
--- a/core/backend.h
+++ b/core/backend.h
@@ -15,6 +15,7 @@
 #include "core/budget.h"
 #include "core/latency_model.h"
 #include "core/limit_borrow.h"
+#include "core/probe_times.h"
 #include "core/server_state.h"
 #include "misc/lstr.h"
 
@@ -53,6 +54,7 @@
 	struct backend_entry entry;
 	struct service *service;
 	uint32_t start_hash;	    /* backend_start_hash() of entry */
+	uint32_t id_hash;	    /* peer_load_hash() of entry.id */
 	struct server_state *state; /* announced by this start of the server */
 	unsigned refs;
 	bool gone; /* no longer listed: gets no new requests */
@@ -81,6 +83,7 @@
 	char name[BACKEND_NAME_MAX];
 	GPtrArray *backends; /* struct backend *, the listed ones */
 	enum load_support load_support;
+	struct probe_times probe_times; /* of servers that report no load */
 	struct slow_start_bound slow_start;
 	struct retry_budget budget;
 	struct budget_stats retry_stats; /* since this process started */
--- a/core/peer_load.c
+++ b/core/peer_load.c
@@ -14,6 +14,15 @@
 	int64_t at_ms;
 };
 
+/*
+ * peer_loads_are_local() returns whether reports only come from instances in
+ * the own data centre.
+ */
+bool peer_loads_are_local(unsigned instances)
+{
+	return instances > PEER_LOAD_GLOBAL_MAX;
+}
+
 /* peer_load_hash() hashes a server's id; equal on all instances. */
 uint32_t peer_load_hash(const char *backend_id)
 {
@@ -56,10 +65,9 @@
 	g_hash_table_iter_init(&it, set->by_id);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct backend *b = v;
-		uint32_t hash = peer_load_hash(b->entry.id);
 
 		for (unsigned i = 0; i < load->n; i++) {
-			if (load->items[i].backend == hash)
+			if (load->items[i].backend == b->id_hash)
 				b->peers_in_flight +=
 					sign * (int)load->items[i].count;
 		}
--- a/core/peer_load.h
+++ b/core/peer_load.h
@@ -8,7 +8,15 @@
 
 #include "core/backend.h"
 
-enum { PEER_LOAD_MAX = 128 };
+enum {
+	PEER_LOAD_MAX = 128,
+	/*
+	 * Reports of more instances than this would cost each of them more
+	 * time than its requests: they only go to those in the same data
+	 * centre.
+	 */
+	PEER_LOAD_GLOBAL_MAX = 20,
+};
 
 /* In-flight requests of one instance at one server. */
 struct peer_load_item {
@@ -27,6 +35,7 @@
 	GHashTable *by_peer; /* peer id -> struct applied * */
 };
 
+bool peer_loads_are_local(unsigned instances);
 uint32_t peer_load_hash(const char *backend_id);
 void peer_loads_init(struct peer_loads *p);
 void peer_loads_collect(struct backend_set *set, struct peer_load *out);
--- a/core/place.c
+++ b/core/place.c
@@ -22,25 +22,34 @@
  */
 static const double GOOD_ENOUGH_FACTOR = 1.2;
 
+/*
+ * Maximum age of a load report used in ranking: a server's speed changes about
+ * every 300 ms.
+ */
+enum { REPORT_FRESH_MS = 250 };
+
 /*
  * Returns b's load: as it last reported, or, if the service's servers don't
- * report load, from the requests that all instances have in flight there.
+ * report load, from the requests that all instances have in flight there and
+ * the time of the last probe.
  */
-static struct load_report current_load(const struct backend *b)
+static struct load_report current_load(const struct backend *b, int64_t now_ms)
 {
+	bool timed = b->load.at_ms && now_ms - b->load.at_ms <= REPORT_FRESH_MS;
+
 	if (service_reports_load(b->service))
 		return b->load;
 	return (struct load_report){
 		.running = b->in_flight + (unsigned)b->peers_in_flight,
 		.slots = b->entry.slots ? b->entry.slots : 1,
-		.slowdown_pct = 100,
+		.slowdown_pct = timed ? b->load.slowdown_pct : 100,
 	};
 }
 
 /* place_server_view() returns b's state with one more request. */
 struct server_view place_server_view(const struct backend *b, int64_t now_ms)
 {
-	struct load_report l = current_load(b);
+	struct load_report l = current_load(b, now_ms);
 
 	return (struct server_view){
 		.active_requests = l.running + l.waiting + 1,
@@ -60,12 +69,6 @@
 	return false;
 }
 
-/*
- * Maximum age of a load report used in ranking: a server's speed changes about
- * every 300 ms.
- */
-enum { REPORT_FRESH_MS = 250 };
-
 /*
  * Probe order: a server's rank is the sum of the terms that apply and a random
  * number below 1, which spreads the instances over equal servers. The lowest
@@ -107,6 +110,9 @@
 {
 	int64_t age_ms = b->load.at_ms ? q->now_ms - b->load.at_ms : INT64_MAX;
 
+	if (!service_reports_load(b->service) &&
+	    !place_has_capacity(b, q->now_ms))
+		return RANK_FULL;
 	if (age_ms > REPORT_FRESH_MS)
 		return explore && age_ms > REPORT_OLD_MS ? RANK_UNREPORTED : 0;
 	struct server_view v = place_server_view(b, q->now_ms);
@@ -277,7 +283,7 @@
 /* place_has_capacity() returns whether b can take one more request. */
 bool place_has_capacity(const struct backend *b, int64_t now_ms)
 {
-	struct load_report l = current_load(b);
+	struct load_report l = current_load(b, now_ms);
 	unsigned allowed = latency_max_concurrency(
 		&b->service->model, usable_slots(b, l.slots), now_ms);
 
@@ -292,7 +298,7 @@
  */
 bool place_has_headroom(const struct backend *b, int64_t now_ms)
 {
-	struct load_report l = current_load(b);
+	struct load_report l = current_load(b, now_ms);
 	unsigned best = latency_best_concurrency(
 		&b->service->model, usable_slots(b, l.slots), now_ms);
 
--- a/options/deploy.c
+++ b/options/deploy.c
@@ -40,6 +40,7 @@
 	{"base_port", OPT_INT, S(base_port), NULL, 1024, 65000},
 	{"proxy_offset", OPT_INT, S(proxy_offset), "0", 0, 30000},
 	{"work_ms", OPT_INT, S(work_ms), "4", 0, 60000},
+	{"cold_per_s", OPT_INT, S(cold_per_s), "0", 0, 100000},
 	{"protected", OPT_BOOL, S(protected_action), "false", 0, 0},
 	{"hangs", OPT_BOOL, S(hangs), "false", 0, 0},
 	{"fatal_word", OPT_STR, S(fatal_word), "", 0, 0},
--- a/options/deploy.h
+++ b/options/deploy.h
@@ -37,6 +37,7 @@
 	int base_port;
 	int proxy_offset; /* added to advertised ports; 0: no proxy */
 	int work_ms;
+	int cold_per_s; /* requests that a cold server tolerates; 0: any */
 	bool protected_action;
 	bool hangs;	  /* never responds when full, instead of refusing */
 	char *fatal_word; /* in a path or body: crashes the server; "": none */
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -27,65 +27,18 @@
 	EXIT_FATAL = 70,
 };
 
+/* The users' rules for servers with a limit, and for cold ones. */
+static const struct limit_check_rule limit_rule_of_servers = {
+	.factor = 1.5, .slack = 5, .window_ms = 4000, .grace_ms = 3000};
+static const struct limit_check_rule cold_rule = {
+	.factor = 1.5, .slack = 8, .window_ms = 1000};
+
 /* Whether a fault with this chance per request occurs now. */
 static bool fault_occurs(struct server *s, int pct)
 {
 	return pct && g_rand_int_range(s->work.rand, 0, 100) < pct;
 }
 
-/* Adds the header that reports the load. */
-static void add_load(struct server *s, struct buf *b)
-{
-	buf_printf(b, "Server-Load: %u,%u,%u,%u\r\n", s->work.running,
-		   s->work.waiting.length, s->work.slots,
-		   work_slowdown_pct(&s->work, clock_ms()));
-}
-
-/* Adds the header that sets a rate limit, if there is one. */
-static void add_limit(struct server *s, struct buf *b)
-{
-	if (s->faults.limit_odd)
-		buf_printf(b, "Server-Limit: as many as you like\r\n");
-	else if (s->limit_check.active)
-		buf_printf(b, "Server-Limit: %g\r\n", s->limit_check.per_s);
-}
-
-/* Whether responses announce that the server drains. */
-static bool is_draining(const struct server *s)
-{
-	return s->drain_start_ms || s->faults.draining;
-}
-
-/* Returns the lifetime of the sending instance, from the Via header. */
-static struct lstr sender_lifetime(const struct http_message *m)
-{
-	struct lstr via = http_find_header(m, LSTR("Via"));
-
-	return via.ptr ? via : LSTR("");
-}
-
-/* Adds the header that announces the drain, if the server drains. */
-static void add_draining(struct server *s, struct lstr to, struct buf *b)
-{
-	if (!is_draining(s))
-		return;
-	buf_printf(b, "Server-Leaving: 1\r\n");
-	audit_draining(&s->audit, to, clock_ms());
-}
-
-/* Adds the header that asks for a backoff, if a fault says so. */
-static void add_backoff(struct server *s, struct lstr to, struct buf *b)
-{
-	if (s->faults.backoff_odd) {
-		buf_printf(b, "Retry-After: in a while\r\n");
-		return;
-	}
-	if (s->faults.backoff_milli < 0)
-		return;
-	buf_printf(b, "Retry-After: %g\r\n", s->faults.backoff_milli / 1000.0);
-	audit_backoff(&s->audit, to, s->faults.backoff_milli, clock_ms());
-}
-
 /* Sends a response; closes the connection after it if the server drains. */
 static void reply(struct server *s, struct http_conn *c, unsigned status,
 		  const struct buf *headers, struct lstr body)
@@ -104,11 +57,11 @@
 	struct buf h = {0};
 
 	buf_printf(&h, "Not-Executed: 1\r\nInstance-Id: %s\r\n", s->id);
-	add_load(s, &h);
-	add_limit(s, &h);
-	add_draining(s, sender_lifetime(m), &h);
+	server_add_load(s, &h);
+	server_add_limit(s, &h);
+	server_add_draining(s, server_sender(m), &h);
 	if (status == 503)
-		add_backoff(s, sender_lifetime(m), &h);
+		server_add_backoff(s, server_sender(m), &h);
 	reply(s, c, status, &h, LSTR(""));
 	buf_free(&h);
 }
@@ -129,9 +82,9 @@
 
 	buf_printf(headers, "Attempt-Id: %.*s\r\nResponse-Seal: stand.%.*s\r\n",
 		   (int)id.len, id.ptr, (int)id.len, id.ptr);
-	add_load(s, headers);
-	add_limit(s, headers);
-	add_draining(s, sender_lifetime(j->message), headers);
+	server_add_load(s, headers);
+	server_add_limit(s, headers);
+	server_add_draining(s, server_sender(j->message), headers);
 	buf_printf(body,
 		   "{\"req\":\"%.*s\",\"backend\":\"%s\","
 		   "\"service\":\"%s\"}",
@@ -314,7 +267,9 @@
 	    clock_ms() - s->drain_start_ms > LEAVE_GRACE_MS)
 		s->work.late++;
 	limit_check_request(&s->limit_check, clock_ms());
-	audit_request(&s->audit, sender_lifetime(m), false, clock_ms());
+	if (server_cold_ms(s))
+		limit_check_request(&s->cold_check, clock_ms());
+	audit_request(&s->audit, server_sender(m), false, clock_ms());
 	j = g_new0(struct job, 1);
 	j->server = s;
 	j->conn = c;
@@ -345,13 +300,14 @@
 	struct buf h = {0};
 
 	s->work.probes++;
-	audit_request(&s->audit, sender_lifetime(m), true, clock_ms());
+	audit_request(&s->audit, server_sender(m), true, clock_ms());
 	buf_printf(&h, "Instance-Id: %s\r\n", s->id);
-	add_load(s, &h);
+	server_add_load(s, &h);
 	if (s->faults.limit_asked)
-		add_limit(s, &h);
-	add_draining(s, sender_lifetime(m), &h);
-	reply(s, c, is_draining(s) ? 503 : 200, &h, LSTR(""));
+		server_add_limit(s, &h);
+	server_add_cold(s, &h);
+	server_add_draining(s, server_sender(m), &h);
+	reply(s, c, server_is_draining(s) ? 503 : 200, &h, LSTR(""));
 	buf_free(&h);
 }
 
@@ -365,6 +321,17 @@
 	buf_free(&b);
 }
 
+/* Turns the server cold for some time, and reports that in its entry. */
+static void turn_cold(struct server *s, int for_ms)
+{
+	int64_t now_ms = clock_ms();
+
+	s->cold_until_ms = now_ms + for_ms;
+	work_turn_cold(&s->work, for_ms, now_ms);
+	limit_check_set(&s->cold_check, true, s->service->cold_per_s, now_ms);
+	server_register(s);
+}
+
 /* Handles a request that sets faults or controls the audit. */
 static void handle_faults(struct server *s, struct http_conn *c,
 			  const struct query *q)
@@ -373,6 +340,8 @@
 	struct buf none = {0};
 
 	faults_set(f, q);
+	if (query_text(q, "cold_ms"))
+		turn_cold(s, f->cold_ms);
 	if (query_text(q, "audit_off"))
 		audit_suspend(&s->audit);
 	if (query_text(q, "audit_on"))
@@ -459,7 +428,8 @@
 		  sizeof(s->dc));
 	work_init(&s->work, (unsigned)s->service->slots, s->service->work_ms,
 		  seed ^ (unsigned)index * 2654435761U, clock_ms());
-	limit_check_init(&s->limit_check);
+	limit_check_init(&s->limit_check, &limit_rule_of_servers);
+	limit_check_init(&s->cold_check, &cold_rule);
 	audit_init(&s->audit);
 	faults_init(&s->faults);
 	s->http.limits = (struct http_limits){HEAD_MAX, BODY_MAX};
--- a/stand/faults.c
+++ b/stand/faults.c
@@ -31,6 +31,7 @@
 		{"limit_odd", offsetof(struct faults, limit_odd)},
 		{"limit_asked", offsetof(struct faults, limit_asked)},
 		{"quiet", offsetof(struct faults, quiet)},
+		{"cold_ms", offsetof(struct faults, cold_ms)},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
--- a/stand/faults.h
+++ b/stand/faults.h
@@ -16,6 +16,8 @@
  *   limit_milli=N    set a rate limit of N requests in 1,000 s; -1: none
  *   limit_odd=0|1    set a rate limit that is no number
  *   limit_asked=0|1  set the limit in responses to probes too
+ *   cold_ms=N        turn cold for N ms, which health responses and the entry
+ *                    report; what arrives meanwhile is checked
  * Exemptions from the checks of stand/audit.h:
  *   audit_off=1 ... audit_on=1  suspend the checks between these
  *   excuse=NAME      drop the backoffs and announcements sent to an instance
@@ -30,7 +32,7 @@
 	int shed_pct, backoff_milli, backoff_odd, late_ms, draining, unlisted;
 	int hang_pct, lost_pct, cut_pct, extra_pct;
 	int limit_milli, limit_odd, limit_asked;
-	int quiet;
+	int quiet, cold_ms;
 };
 
 void faults_init(struct faults *f);
--- a/stand/limit_check.c
+++ b/stand/limit_check.c
@@ -1,18 +1,10 @@
 #include "stand/limit_check.h"
 
-enum {
-	LIMIT_GRACE_MS = 3000, /* not checked after a change of the limit */
-	WINDOW_MS = 4000,
-};
-
-/* Allowed in a window: limit * RULE_FACTOR + RULE_SLACK requests. */
-static const double RULE_FACTOR = 1.5;
-static const double RULE_SLACK = 5;
-
 /* limit_check_init() sets no limit. */
-void limit_check_init(struct limit_check *n)
+void limit_check_init(struct limit_check *n,
+		      const struct limit_check_rule *rule)
 {
-	*n = (struct limit_check){.active = false};
+	*n = (struct limit_check){.rule = *rule};
 	g_queue_init(&n->arrived);
 }
 
@@ -40,13 +32,15 @@
 /* limit_check_request() counts a request and updates the worst window. */
 void limit_check_request(struct limit_check *n, int64_t now_ms)
 {
-	double allowed = RULE_FACTOR * n->per_s * WINDOW_MS / 1000 + RULE_SLACK;
+	const struct limit_check_rule *rule = &n->rule;
+	double per_window = n->per_s * (double)rule->window_ms / 1000;
+	double allowed = rule->factor * per_window + rule->slack;
 
-	if (!n->active || now_ms < n->set_ms + LIMIT_GRACE_MS)
+	if (!n->active || now_ms < n->set_ms + rule->grace_ms)
 		return;
 	n->requests++;
 	g_queue_push_tail(&n->arrived, g_memdup2(&now_ms, sizeof(now_ms)));
-	drop_before(n, now_ms - WINDOW_MS);
+	drop_before(n, now_ms - rule->window_ms);
 	if (n->has_worst &&
 	    n->arrived.length - allowed <= n->worst - n->allowed)
 		return;
--- a/stand/limit_check.h
+++ b/stand/limit_check.h
@@ -12,8 +12,16 @@
 
 #include <glib.h>
 
+/* Allowed in a window: what the limit does times a factor, plus a slack. */
+struct limit_check_rule {
+	double factor, slack;
+	int64_t window_ms;
+	int64_t grace_ms; /* not checked after a change of the limit */
+};
+
 /* The rate limit and the requests that arrived under it. */
 struct limit_check {
+	struct limit_check_rule rule;
 	bool active;
 	double per_s;
 	int64_t set_ms;
@@ -24,7 +32,8 @@
 	double allowed; /* requests allowed in that window */
 };
 
-void limit_check_init(struct limit_check *n);
+void limit_check_init(struct limit_check *n,
+		      const struct limit_check_rule *rule);
 void limit_check_set(struct limit_check *n, bool active, double per_s,
 		     int64_t now_ms);
 void limit_check_request(struct limit_check *n, int64_t now_ms);
--- a/stand/operator.c
+++ b/stand/operator.c
@@ -10,7 +10,12 @@
 #include "misc/codec.h"
 #include "stand/stand.h"
 
-enum { TIMEOUT_MS = 1000, TARGET_MS = 200, MAX_ATTEMPTS = 2 };
+enum {
+	TIMEOUT_MS = 1000,
+	TARGET_MS = 200,
+	MAX_ATTEMPTS = 2,
+	SLOW_START_S = 3,
+};
 
 /* Packs a field with a number. */
 static void pack_number(msgpack_packer *pk, const char *name, uint64_t v)
@@ -71,10 +76,14 @@
 		const struct service_opts *s = d->services->pdata[i];
 
 		codec_pack_cstr(&pk, s->name);
-		msgpack_pack_map(&pk, 2);
+		msgpack_pack_map(&pk, s->cold_per_s ? 4 : 2);
 		codec_pack_cstr(&pk, "healthPath");
 		codec_pack_cstr(&pk, STAND_HEALTH_PATH);
 		pack_number(&pk, "maxConnections", (uint64_t)s->connections);
+		if (!s->cold_per_s)
+			continue;
+		pack_number(&pk, "warmupS", SLOW_START_S);
+		pack_number(&pk, "warmupPerS", (uint64_t)s->cold_per_s);
 	}
 }
 
@@ -87,26 +96,50 @@
 	return http->served > served ? 0 : -EIO;
 }
 
-/* stand_operator_main() writes the version. Returns 0 or a negative errno. */
-int stand_operator_main(const struct deploy *d, uint64_t version)
+/* Writes a record of the operator's topic. Returns 0 or a negative errno. */
+static int put_record(const struct deploy *d, struct lstr key,
+		      struct lstr value)
 {
 	struct ev_loop *loop = ev_default_loop(EVFLAG_NOENV);
 	struct http_client http = {0};
 	struct sockaddr_in store;
-	struct buf value = {0};
 	int rc = socket_parse_addr(d->entry.platform, &store);
 
 	if (rc)
 		return rc;
-	write_config(d, version, &value);
-	stand_put(&http, loop, &store, STORE_TOPIC_CONFIG,
-		  lstr0(STORE_KEY_CONFIG), buf_lstr(&value));
-	buf_free(&value);
+	stand_put(&http, loop, &store, STORE_TOPIC_CONFIG, key, value);
 	rc = await_put(loop, &http, 0);
 	http_client_close(&http);
 	return rc;
 }
 
+/* stand_operator_main() writes the version. Returns 0 or a negative errno. */
+int stand_operator_main(const struct deploy *d, uint64_t version)
+{
+	struct buf value = {0};
+	int rc;
+
+	write_config(d, version, &value);
+	rc = put_record(d, lstr0(STORE_KEY_CONFIG), buf_lstr(&value));
+	buf_free(&value);
+	return rc;
+}
+
+/*
+ * stand_evacuate_main() evacuates a data centre, or takes that back. Returns 0
+ * or a negative errno.
+ */
+int stand_evacuate_main(const struct deploy *d, const char *dc, bool evacuate)
+{
+	static const char empty_map[] = "\x80";
+	char *key = g_strconcat(STORE_KEY_EVACUATION, dc, NULL);
+	int rc = put_record(d, lstr0(key),
+			    evacuate ? lstr0(empty_map) : LSTR(""));
+
+	g_free(key);
+	return rc;
+}
+
 /* Writes the entry of a nonexistent server; i selects the service in turn. */
 static void write_fake_entry(const struct deploy *d, int i, struct buf *value)
 {
--- a/stand/server.h
+++ b/stand/server.h
@@ -17,6 +17,8 @@
 	struct work work;
 	struct faults faults;
 	struct limit_check limit_check;
+	struct limit_check cold_check; /* while it is cold */
+	int64_t cold_until_ms;
 	struct audit audit;
 	char id[BACKEND_NAME_MAX], addr[32], dc[BACKEND_NAME_MAX];
 	struct http_client store;
@@ -37,6 +39,14 @@
 	bool rejected; /* rejected when the timer expires */
 };
 
+int64_t server_cold_ms(const struct server *s);
+bool server_is_draining(const struct server *s);
+struct lstr server_sender(const struct http_message *m);
+void server_add_load(struct server *s, struct buf *b);
+void server_add_limit(struct server *s, struct buf *b);
+void server_add_draining(struct server *s, struct lstr to, struct buf *b);
+void server_add_backoff(struct server *s, struct lstr to, struct buf *b);
+void server_add_cold(struct server *s, struct buf *b);
 void server_write_stats(struct buf *out, const struct server *s);
 void server_register_start(struct server *s);
 void server_register(struct server *s);
--- a/stand/server_list.c
+++ b/stand/server_list.c
@@ -1,8 +1,17 @@
+#include "misc/clock.h"
 #include "misc/codec.h"
 #include "stand/server.h"
 
 enum { REGISTER_INTERVAL_MS = 500 };
 
+/* server_cold_ms() returns for how much longer the server is cold. */
+int64_t server_cold_ms(const struct server *s)
+{
+	int64_t left_ms = s->cold_until_ms - clock_ms();
+
+	return left_ms > 0 ? left_ms : 0;
+}
+
 /* Writes the entry of this server in the list of backend servers. */
 static void write_registration(struct server *s, struct buf *value)
 {
@@ -29,7 +38,7 @@
 	codec_pack_cstr(&pk, "sequenceNumber");
 	msgpack_pack_uint32(&pk, s->registrations++);
 	codec_pack_cstr(&pk, "warmupLeftMs");
-	msgpack_pack_uint32(&pk, 0);
+	msgpack_pack_uint32(&pk, (uint32_t)server_cold_ms(s));
 }
 
 /* server_register() writes the entry, unless a fault lets its lease expire. */
--- a/stand/server_stats.c
+++ b/stand/server_stats.c
@@ -21,6 +21,10 @@
 		   "limited_allowed %g\n",
 		   s->limit_check.requests, s->limit_check.worst,
 		   s->limit_check.allowed);
+	buf_printf(out,
+		   "cold_got %" PRIu64 "\ncold_worst %u\ncold_allowed %g\n",
+		   s->cold_check.requests, s->cold_check.worst,
+		   s->cold_check.allowed);
 	buf_printf(out,
 		   "backoffs %" PRIu64 "\nbackoff_got %" PRIu64
 		   "\nbackoff_questions %" PRIu64 "\nbackoff_worst %u\n"
--- a/stand/stand.h
+++ b/stand/stand.h
@@ -19,6 +19,7 @@
 int stand_backend_main(const struct deploy *d, const char *service, int index,
 		       unsigned seed);
 int stand_operator_main(const struct deploy *d, uint64_t version);
+int stand_evacuate_main(const struct deploy *d, const char *dc, bool evacuate);
 int stand_proxy_main(const struct deploy *d, const char *service);
 int stand_fill_main(const struct deploy *d, int from, int to);
 void stand_put(struct http_client *c, struct ev_loop *loop,
--- a/stand/work.c
+++ b/stand/work.c
@@ -62,6 +62,12 @@
 	g_queue_remove(&w->waiting, job);
 }
 
+/* work_turn_cold() makes jobs take longer for some time, as after a start. */
+void work_turn_cold(struct work *w, int64_t for_ms, int64_t now_ms)
+{
+	w->started_ms = now_ms - SLOW_START_MS + for_ms;
+}
+
 /* work_record_run() records a run of the job with this key. */
 void work_record_run(struct work *w, const char *key)
 {
--- a/stand/work.h
+++ b/stand/work.h
@@ -32,6 +32,7 @@
 enum work_admission work_admit(struct work *w, void *job);
 void *work_finish(struct work *w);
 void work_cancel(struct work *w, void *job);
+void work_turn_cold(struct work *w, int64_t for_ms, int64_t now_ms);
 void work_record_run(struct work *w, const char *key);
 double work_duration_ms(struct work *w, int64_t now_ms);
 unsigned work_slowdown_pct(struct work *w, int64_t now_ms);
--- a/tests/small_system.sh
+++ b/tests/small_system.sh
@@ -5,6 +5,8 @@
 #   ENTRIES        number of instances
 #   RATE           calls per second
 #   TTL_MS         time after which a silent server's record expires
+#   DCS            data centres of the servers in turn (default: one)
+#   COLD_PER_S     requests that a cold server tolerates (default: any)
 #   ENTRY_OPTIONS  extra options for each instance (default: none)
 ini=$logs/deployment.ini
 declare -A pids # name -> pid of each process that should be running
@@ -21,7 +23,8 @@
 slots = 8
 base_port = $((BASE_PORT + 300))
 work_ms = 4
-dcs = hala-cluj
+dcs = ${DCS:-hala-cluj}
+cold_per_s = ${COLD_PER_S:-0}
 INI
 for ((i = 0; i < ENTRIES; i++)); do
 	printf '[entry.e%d]\nlisten = 127.0.0.1:%d\ndc = hala-cluj\n' $i $((BASE_PORT + 100 + i))
--- a/tests/test_peer_load.c
+++ b/tests/test_peer_load.c
@@ -127,6 +127,14 @@
 	servers_free(s);
 }
 
+/* In a large system reports only come from the own data centre. */
+static void test_local_reports(void **state)
+{
+	assert_false(peer_loads_are_local(1));
+	assert_false(peer_loads_are_local(PEER_LOAD_GLOBAL_MAX));
+	assert_true(peer_loads_are_local(PEER_LOAD_GLOBAL_MAX + 1));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -134,6 +142,7 @@
 		cmocka_unit_test(test_never_negative),
 		cmocka_unit_test(test_collect),
 		cmocka_unit_test(test_load_from_peers),
+		cmocka_unit_test(test_local_reports),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_slow_starts.c
+++ b/tests/test_slow_starts.c
@@ -8,6 +8,7 @@
 #include "tests/unit.h"
 
 #include "tests/bench.h"
+#include "core/policy.h"
 #include "traffic/slow_starts.h"
 
 #define COLD "Warmup-Remaining-Ms: 5000\r\n"
@@ -141,15 +142,42 @@
 	bench_free(b);
 }
 
-/* Servers that don't report their load are bounded by their entries. */
+/* Selects servers without probes. */
+static void use_policy(struct bench *b, const char *name)
+{
+	struct service *s =
+		backend_set_service(&b->traffic.backends, LSTR("harta"));
+
+	s->policy = place_policy_find(name);
+	assert_non_null(s->policy);
+}
+
+/* Servers that report no load are probed nevertheless: they may be cold. */
+static void test_no_load_reported(void **state)
+{
+	struct bench *b = bench_new(2);
+
+	b->servers[0].reports_load = b->servers[1].reports_load = false;
+	set_bound(b, 4, 2);
+	call_for_ms(b, 100);
+	b->servers[0].received = 0;
+	b->servers[0].probe_headers = COLD;
+	bench_run_ms(b, 150);
+	assert_float_equal(call_for_ms(b, 500), 1, 0);
+	assert_true(b->servers[0].probes > 0);
+	assert_true(b->servers[0].received <= 4);
+	bench_free(b);
+}
+
+/* Servers that aren't probed are bounded by their entries. */
 static void test_listed_as_cold(void **state)
 {
 	struct bench *b = bench_new(2);
 	struct backend *s =
 		g_hash_table_lookup(b->traffic.backends.by_id, "i-0");
 
-	b->servers[0].reports_load = b->servers[1].reports_load = false;
 	set_bound(b, 1, 1);
+	use_policy(b, "rr");
 	s->warm_up_until_ms = clock_ms() + 5000;
 	slow_starts_listed(&b->traffic, s);
 	assert_float_equal(call_for_ms(b, 500), 1, 0);
@@ -187,8 +215,8 @@
 	struct backend *s =
 		g_hash_table_lookup(b->traffic.backends.by_id, "i-0");
 
-	b->servers[0].reports_load = false;
 	set_bound(b, 4, 2);
+	use_policy(b, "rr");
 	call_for_ms(b, 100);
 	evacuate(b, "dc-1");
 	evacuate(b, NULL);
@@ -222,6 +250,7 @@
 		cmocka_unit_test(test_turns_warm),
 		cmocka_unit_test(test_all_cold),
 		cmocka_unit_test(test_no_bound),
+		cmocka_unit_test(test_no_load_reported),
 		cmocka_unit_test(test_listed_as_cold),
 		cmocka_unit_test(test_evacuated),
 		cmocka_unit_test(test_restored_without_probes),
--- a/traffic/probe.c
+++ b/traffic/probe.c
@@ -85,10 +85,21 @@
 	backend_set_remove(&t->backends, b->entry.id);
 }
 
+/* Estimates the load of a server that reports none from the probe's time. */
+static struct load_report timed_load(const struct probe *p, int64_t now_ms)
+{
+	return (struct load_report){
+		.slots = p->backend->entry.slots,
+		.slowdown_pct = probe_times_record(
+			&p->backend->service->probe_times,
+			(double)(now_ms - p->sent_ms), p->new_connection),
+	};
+}
+
 /*
- * Stores the reported load; returns false if the response has none. The first
- * response without load marks the service as not reporting, but only if it
- * comes from a healthy server: a failing or draining one may omit its load.
+ * Stores the server's load; returns false if the response doesn't show it. The
+ * first response without load marks the service as not reporting, but only if
+ * it comes from a healthy server: a failing or draining one may omit its load.
  */
 static bool record_load_report(struct probe *p,
 			       const struct response_info *info,
@@ -96,16 +107,17 @@
 {
 	struct service *s = p->backend->service;
 
-	if (info->has_load) {
+	if (info->has_load)
 		s->load_support = LOAD_REPORTED;
-		p->backend->load = info->load;
-		p->backend->load.at_ms = now_ms;
-		place_record_load(p->backend, now_ms);
-		return true;
-	}
-	if (status == 200 && s->load_support == LOAD_UNKNOWN)
+	else if (status == 200 && s->load_support == LOAD_UNKNOWN)
 		s->load_support = LOAD_NOT_REPORTED;
-	return false;
+	if (!info->has_load &&
+	    (status != 200 || service_reports_load(s) || !service_is_probed(s)))
+		return false;
+	p->backend->load = info->has_load ? info->load : timed_load(p, now_ms);
+	p->backend->load.at_ms = now_ms;
+	place_record_load(p->backend, now_ms);
+	return true;
 }
 
 /* Continues the selection that waits for the probe, or frees a detached one. */
--- a/traffic/request_select.c
+++ b/traffic/request_select.c
@@ -206,16 +206,27 @@
 	backend_unref(b);
 }
 
-/* Returns the servers that may get the request; unref the array after use. */
+/*
+ * Returns the servers that may get the request; unref the array after use. If
+ * only the load in the own data centre is known, these are preferred.
+ */
 static GPtrArray *candidates(const struct request *r)
 {
 	struct backend *excluded[REQUEST_PROBES_MAX + REQUEST_SENDS_MAX];
-	struct place_query q = {.service = r->service,
-				.avoid = excluded,
-				.navoid = excluded_backends(r, excluded),
-				.hedge = r->select_reason == SELECT_HEDGE,
-				.now_ms = clock_ms()};
+	struct place_query q = {
+		.service = r->service,
+		.dc = r->traffic->settings->dc,
+		.avoid = excluded,
+		.navoid = excluded_backends(r, excluded),
+		.own_dc_only = peer_loads_are_local(r->traffic->max_instances),
+		.hedge = r->select_reason == SELECT_HEDGE,
+		.now_ms = clock_ms()};
+	GPtrArray *servers = place_candidates(&q);
 
+	if (servers->len || !q.own_dc_only)
+		return servers;
+	g_ptr_array_unref(servers);
+	q.own_dc_only = false;
 	return place_candidates(&q);
 }
 
@@ -315,8 +326,7 @@
 		abort_quarantined(r);
 		return;
 	}
-	if (!r->service->policy->probes_load ||
-	    !service_reports_load(r->service)) {
+	if (!service_is_probed(r->service)) {
 		select_without_probes(r, now_ms);
 		return;
 	}
