--- a/core/slow_start.h
+++ b/core/slow_start.h
@@ -32,7 +32,7 @@
 	int64_t cold_heard_ms; /* when the last such report was received */
 	int64_t warm_asked_ms; /* when the last probe that reported it as warm
 				  was sent; 0: none */
-	bool logged_cold;
+	bool logged_cold;      /* as last logged; the share has a quota then */
 	struct limit_share share;
 };
 
--- a/misc/codec.c
+++ b/misc/codec.c
@@ -42,10 +42,21 @@
 	return true;
 }
 
+/* Reads a finite, non-negative floating-point number. */
+static bool read_float(const msgpack_object *o, double *out)
+{
+	if (o->type != MSGPACK_OBJECT_FLOAT64 &&
+	    o->type != MSGPACK_OBJECT_FLOAT32)
+		return false;
+	*out = o->via.f64;
+	return isfinite(*out) && *out >= 0;
+}
+
 /* codec_get_uint() reads a non-negative integer member. */
 bool codec_get_uint(const msgpack_object *map, const char *name, uint64_t *out)
 {
 	const msgpack_object *o = codec_get(map, name);
+	double v;
 
 	if (!o)
 		return false;
@@ -53,14 +64,10 @@
 		*out = o->via.u64;
 		return true;
 	}
-	if ((o->type == MSGPACK_OBJECT_FLOAT64 ||
-	     o->type == MSGPACK_OBJECT_FLOAT32) &&
-	    o->via.f64 >= 0 && o->via.f64 <= DOUBLE_EXACT_INT_MAX &&
-	    floor(o->via.f64) == o->via.f64) {
-		*out = (uint64_t)o->via.f64;
-		return true;
-	}
-	return false;
+	if (!read_float(o, &v) || v > DOUBLE_EXACT_INT_MAX || floor(v) != v)
+		return false;
+	*out = (uint64_t)v;
+	return true;
 }
 
 /* codec_get_real() reads a non-negative number. */
@@ -74,13 +81,7 @@
 		*out = (double)o->via.u64;
 		return true;
 	}
-	if ((o->type == MSGPACK_OBJECT_FLOAT64 ||
-	     o->type == MSGPACK_OBJECT_FLOAT32) &&
-	    isfinite(o->via.f64) && o->via.f64 >= 0) {
-		*out = o->via.f64;
-		return true;
-	}
-	return false;
+	return read_float(o, out);
 }
 
 /* codec_buf_write() is the msgpack_packer callback for a struct buf. */
--- a/traffic/limits.c
+++ b/traffic/limits.c
@@ -70,20 +70,25 @@
 		 text.ptr);
 }
 
+/* Returns the instances that share servers' limits. */
+struct limit_instances limits_participants(const struct traffic *t)
+{
+	const GArray *known = t->peers.participants;
+
+	if (!known)
+		return (struct limit_instances){.n = 0};
+	return (struct limit_instances){
+		(const struct limit_instance *)(void *)known->data, known->len};
+}
+
 /* Recomputes this instance's share of b's limit. */
 static void update_share(struct traffic *t, struct backend *b)
 {
-	const GArray *known = t->peers.participants;
-	struct limit_instances participants = {.n = 0};
-	struct limit_quota part;
-
-	if (known)
-		participants = (struct limit_instances){
-			(const struct limit_instance *)(void *)known->data,
-			known->len};
-	part = limit_quota(&limit_rule_announced,
-			   b->state->limit->advertised.per_s, b->start_hash,
-			   &participants);
+	struct limit_instances participants = limits_participants(t);
+	struct limit_quota part = limit_quota(&limit_rule_announced,
+					      b->state->limit->advertised.per_s,
+					      b->start_hash, &participants);
+
 	limit_share_set_quota(&b->state->limit->share, &part, clock_ms());
 }
 
--- a/traffic/limits.h
+++ b/traffic/limits.h
@@ -9,6 +9,7 @@
 #include "traffic/request.h"
 
 void limits_init(struct traffic *t);
+struct limit_instances limits_participants(const struct traffic *t);
 struct backend *limits_find(struct traffic *t, uint32_t start);
 void limits_response(struct traffic *t, struct backend *b,
 		     const struct response_info *info, int64_t request_sent_ms,
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -42,6 +42,8 @@
 {
 	const struct load_report *l = &b->load;
 	bool limited = backend_is_limited(b);
+	const struct slow_start *slow = b->state->slow_start;
+	bool cold = slow && now_ms < slow->cold_until_ms;
 	int64_t backoff_left_ms = b->state->resume_ms - now_ms;
 	const struct {
 		const char *name;
@@ -61,6 +63,10 @@
 		 limited ? b->state->limit->advertised.per_s : -1},
 		{"limit_own_per_s",
 		 limited ? b->state->limit->share.quota.rate_s : -1},
+		{"evacuated", b->evacuated},
+		{"cold_left_ms",
+		 cold ? (double)(slow->cold_until_ms - now_ms) : 0},
+		{"cold_own_per_s", cold ? slow->share.quota.rate_s : -1},
 	};
 
 	for (size_t i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
@@ -107,6 +113,14 @@
 	write_account(out, s);
 }
 
+/* Writes the data centres that are evacuated as known here. */
+static void write_evacuations(struct buf *out, const struct evacuations *e)
+{
+	buf_printf(out, "evacuations %u\n", e->n);
+	for (unsigned i = 0; i < e->n; i++)
+		buf_printf(out, "evacuated_dc{dc=\"%s\"} 1\n", e->list[i].dc);
+}
+
 /* Writes all metrics of the traffic thread. */
 void metrics_write(struct buf *out, const struct traffic *t)
 {
@@ -143,6 +157,8 @@
 	buf_printf(out, "lifetime{id=\"%08x\"} %" G_GINT64_FORMAT "\n",
 		   t->lifetime, clock_ms() - t->started_ms);
 	buf_printf(out, "instances %u\n", t->peers.instances);
+	write_evacuations(out, &t->evacuations);
+	buf_printf(out, "cold_sends %" G_GUINT64_FORMAT "\n", n->cold_sends);
 	buf_printf(out, "open_requests %u\n", t->open_requests);
 	buf_printf(out, "caller_connections %u\n", t->caller_server.nconns);
 	buf_printf(out, "backend_connections_opened %u\n", upstream_opened());
--- a/traffic/probe.c
+++ b/traffic/probe.c
@@ -112,7 +112,7 @@
 	else if (status == 200 && s->load_support == LOAD_UNKNOWN)
 		s->load_support = LOAD_NOT_REPORTED;
 	if (!info->has_load &&
-	    (status != 200 || service_reports_load(s) || !service_is_probed(s)))
+	    (service_reports_load(s) || !service_is_probed(s)))
 		return false;
 	p->backend->load = info->has_load ? info->load : timed_load(p, now_ms);
 	p->backend->load.at_ms = now_ms;
--- a/traffic/slow_starts.c
+++ b/traffic/slow_starts.c
@@ -1,5 +1,6 @@
 #include "common/event.h"
 #include "misc/clock.h"
+#include "traffic/limits.h"
 #include "traffic/slow_starts.h"
 
 /* Length of the windows in which the requests to a cold server are bounded. */
@@ -16,16 +17,10 @@
 static void update_quota(struct traffic *t, struct backend *b, int64_t now_ms)
 {
 	const struct slow_start_bound *bound = &b->service->slow_start;
-	const GArray *known = t->peers.participants;
-	struct limit_instances participants = {.n = 0};
-	struct limit_quota quota;
-
-	if (known)
-		participants = (struct limit_instances){
-			(const struct limit_instance *)(void *)known->data,
-			known->len};
-	quota = limit_quota(&bound->rule, bound->per_s, b->start_hash,
-			    &participants);
+	struct limit_instances participants = limits_participants(t);
+	struct limit_quota quota = limit_quota(&bound->rule, bound->per_s,
+					       b->start_hash, &participants);
+
 	limit_share_set_quota(&b->state->slow_start->share, &quota, now_ms);
 }
 
@@ -84,9 +79,8 @@
 static void assume_cold(struct traffic *t, struct backend *b, int64_t until_ms,
 			const char *by)
 {
-	int64_t now_ms = clock_ms();
-
 	struct slow_start *s = b->state->slow_start;
+	int64_t now_ms = clock_ms();
 
 	if (until_ms <= now_ms)
 		return;
@@ -96,8 +90,11 @@
 	apply_change(t, b, by, 0, now_ms);
 }
 
-/* Creates b's state if servers of its service start slowly. */
-static bool has_state(struct backend *b)
+/*
+ * Creates b's state if servers of its service start slowly. Returns whether
+ * they do.
+ */
+static bool ensure_state(struct backend *b)
 {
 	struct server_state *s = b->state;
 
@@ -116,7 +113,7 @@
  */
 void slow_starts_listed(struct traffic *t, struct backend *b)
 {
-	if (!has_state(b))
+	if (!ensure_state(b))
 		return;
 	slow_start_forget(b->state->slow_start);
 	assume_cold(t, b, b->warm_up_until_ms, "list");
@@ -131,7 +128,7 @@
  */
 void slow_starts_restored(struct traffic *t, struct backend *b)
 {
-	if (!has_state(b))
+	if (!ensure_state(b))
 		return;
 	slow_start_forget(b->state->slow_start);
 	if (!service_is_probed(b->service))
@@ -154,7 +151,7 @@
 
 static void configure_backend(struct traffic *t, struct backend *b)
 {
-	if (!has_state(b))
+	if (!ensure_state(b))
 		return;
 	if (b->state->slow_start->logged_cold)
 		update_quota(t, b, clock_ms());
@@ -212,6 +209,7 @@
 		return;
 	share = &b->state->slow_start->share;
 	limit_share_take(share, s->sent_ms);
+	r->traffic->counters.cold_sends++;
 	mp_event(
 		EV_SLOW_START_CHARGED, G_LOG_LEVEL_INFO,
 		"id=%.*s backend=%s service=%s cause=%s phase=%s lifetime=%08x "
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -353,6 +353,7 @@
 		break;
 	case TO_TRAFFIC_BOUNDS:
 		apply_bounds(t, m->data);
+		slow_starts_configure(t);
 		g_free(m->data);
 		break;
 	case TO_TRAFFIC_EVACUATIONS:
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -38,6 +38,7 @@
 	uint64_t limits_bad;		       /* invalid limit values */
 	uint64_t limits_given, limits_granted; /* sends, to and by peers */
 	uint64_t backoffs;		       /* requested by servers */
+	uint64_t cold_sends;		       /* charged to a slow start */
 	uint64_t withdrawn;	 /* sends cancelled before their first byte */
 	uint64_t invalid_values; /* other invalid values in responses */
 };
