tests/test_limits: a second send needs both limits to be known first

The test now calls until both servers are limited and fails if they aren't within 50 calls; what it checks is unchanged.

--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -68,6 +68,20 @@
 		b->servers[k].received = 0;
 }
 
+/* Calls until the limits of all servers are known. */
+static void call_until_limited(struct bench *b)
+{
+	bool all = false;
+
+	for (int i = 0; i < 50 && !all; i++) {
+		call_times(b, 1);
+		all = true;
+		for (int k = 0; k < b->n; k++)
+			all = all && backend_is_limited(backend_of(b, k));
+	}
+	assert_true(all);
+}
+
 /*
  * A limited server gets its saved-up and newly earned sends; the other server
  * serves the rest.
@@ -258,7 +272,7 @@
 	warm_up(b);
 	b->servers[0].limit = "100";
 	b->servers[1].limit = "100";
-	call_times(b, 10);
+	call_until_limited(b);
 	b->servers[0].script = b->servers[1].script = SCRIPT_HANG;
 	b->servers[0].received = b->servers[1].received = 0;
 	c = bench_call(b, "GET", 1000);
