--- a/core/backend.h
+++ b/core/backend.h
@@ -16,6 +16,7 @@
 #include "core/latency_model.h"
 #include "core/limit_borrow.h"
 #include "core/probe_times.h"
+#include "core/reach.h"
 #include "core/server_state.h"
 #include "misc/lstr.h"
 
@@ -84,6 +85,7 @@
 	GPtrArray *backends; /* struct backend *, the listed ones */
 	enum load_support load_support;
 	struct probe_times probe_times; /* of servers that report no load */
+	struct reach reach; /* over direct connections */
 	struct slow_start_bound slow_start;
 	struct retry_budget budget;
 	struct budget_stats retry_stats; /* since this process started */
--- a/http/client.c
+++ b/http/client.c
@@ -166,6 +166,7 @@
 			fail(c, err);
 			return;
 		}
+		c->connected = true;
 		c->state = c->waiting ? CLIENT_BUSY : CLIENT_IDLE;
 		set_timer(c, c->waiting ? c->timeout_s : 0);
 	}
--- a/http/client.h
+++ b/http/client.h
@@ -56,9 +56,10 @@
 	struct http_reader reader;
 	struct buf out;
 	double connect_timeout_s, timeout_s;
-	bool waiting;  /* a request is queued or sent */
-	bool sent;     /* some of its bytes may have been sent */
-	bool reusable; /* may be used for another request */
+	bool waiting;	/* a request is queued or sent */
+	bool connected; /* the connection has been established */
+	bool sent;	/* some of its bytes may have been sent */
+	bool reusable;	/* may be used for another request */
 	unsigned served;
 };
 
--- a/tools/explain.c
+++ b/tools/explain.c
@@ -53,6 +53,8 @@
 	{EV_PLATFORM_RECOVERED, "the store responds again"},
 	{EV_MEMBER_LEAVING, "a server started to drain"},
 	{EV_MEMBER_REMOVED, "a server was removed from the list"},
+	{EV_SERVICE_LOST, "no server of a service was reached any more"},
+	{EV_SERVICE_REACHED, "a server of the service was reached again"},
 	{EV_BACKEND_DOWN, "a server doesn't respond to probes"},
 	{EV_LIMIT_STARTED, "a server set a rate limit"},
 	{EV_LIMIT_ENDED, "a server removed its rate limit"},
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -106,6 +106,10 @@
 {
 	buf_printf(out, "service_backends{service=\"%s\"} %u\n", s->name,
 		   s->backends->len);
+	buf_printf(
+		out, "service_lost_ms{service=\"%s\"} %" G_GINT64_FORMAT "\n",
+		s->name,
+		reach_is_lost(&s->reach) ? clock_ms() - s->reach.lost_ms : 0);
 	buf_printf(out, "service_waiting{service=\"%s\"} %u\n", s->name,
 		   s->waiting.length);
 	buf_printf(out, "service_retries_left{service=\"%s\"} %.1f\n", s->name,
--- a/traffic/request_queue.c
+++ b/traffic/request_queue.c
@@ -75,7 +75,9 @@
 	else if (r->maybe_executed)
 		request_fail(r, 502, "no server left");
 	else
-		request_refuse(r, "no room");
+		request_refuse(r, reach_is_lost(&r->service->reach)
+					  ? "no server reached"
+					  : "no room");
 }
 
 /* Returns the time until which the request may wait for capacity. */
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -51,6 +51,30 @@
 	g_free(u);
 }
 
+/* Records a response as evidence that its server is reached. */
+static void record_reached(struct upstream *u, int64_t now_ms)
+{
+	reach_record(u->backend, u->answered ? REACH_ANSWERED : REACH_OPENED, 0,
+		     now_ms);
+	u->answered = true;
+}
+
+/*
+ * Records a failed connection if it is evidence of a failed link. A request
+ * without a response isn't: the server may be slow, or the request to blame.
+ */
+static void record_unreached(struct upstream *u, int err, int64_t now_ms)
+{
+	bool unanswered_probe = u->is_probe && err == -ETIMEDOUT;
+
+	if (err == -ECANCELED || u->idle)
+		return;
+	if (!u->http.connected || (u->is_probe && !u->answered))
+		reach_record(u->backend, REACH_OPEN_FAILED, err, now_ms);
+	else if (unanswered_probe)
+		reach_record(u->backend, REACH_HUNG, err, now_ms);
+}
+
 /* Applies the server's feedback even if the owner skips the response. */
 static enum http_match classify_response(void *priv,
 					 const struct http_message *m)
@@ -59,6 +83,7 @@
 	struct feedback f = {.sent_ms = u->sent_ms, .probe = u->is_probe};
 	enum http_match verdict;
 
+	record_reached(u, clock_ms());
 	exchange_read_response(m, &f.info);
 	verdict = u->ops->classify(u->owner, &f.info);
 	f.solicited = verdict == HTTP_MATCHED;
@@ -99,6 +124,7 @@
 	const struct upstream_ops *ops = u->idle ? NULL : u->ops;
 	void *owner = u->owner;
 
+	record_unreached(u, err, clock_ms());
 	free_upstream(u);
 	if (ops)
 		ops->failed(owner, err, sent);
--- a/traffic/upstream.h
+++ b/traffic/upstream.h
@@ -28,6 +28,7 @@
 	struct backend *backend;
 	struct upstream *next; /* in the server's idle or busy list */
 	bool idle;
+	bool answered; /* has had a response */
 	int64_t last_used_ms;		/* when its last response arrived */
 	int64_t sent_ms;		/* when the current request was sent */
 	bool is_probe;			/* the current request is a probe */
