--- a/app/main.c
+++ b/app/main.c
@@ -148,6 +148,7 @@
 		.only_tenant = o->tenant,
 		.only_service = o->service,
 		.direct = o->direct,
+		.entry = o->name,
 		.entries = o->entries,
 	};
 
@@ -208,7 +209,7 @@
 		return stand_backend_main(&d, o->service, o->index,
 					  (unsigned)o->seed);
 	if (!strcmp(role, "proxy"))
-		return stand_proxy_main(&d, o->service);
+		return stand_proxy_main(&d, o->service, o->name);
 	if (!strcmp(role, "ctl"))
 		return run_ctl(&d, o, rest);
 	if (!strcmp(role, "load"))
--- a/options/deploy.c
+++ b/options/deploy.c
@@ -53,6 +53,7 @@
 static const struct opt_def entry_defs[] = {
 	{"listen", OPT_ADDR, N(listen), NULL, 0, 0},
 	{"dc", OPT_STR, N(dc), NULL, 0, 0},
+	{"server_host", OPT_STR, N(server_host), "", 0, 0},
 	OPT_END,
 };
 #undef N
@@ -173,10 +174,20 @@
  */
 int deploy_worker_advertised_addr(const struct service_opts *svc, int index,
 				  char *buf, size_t len)
+{
+	return deploy_worker_proxy_addr(svc, index, "127.0.0.1", buf, len);
+}
+
+/*
+ * deploy_worker_proxy_addr() formats the address of a proxy to worker index at
+ * `host`, with the port that the worker registers. Returns 0 or -ERANGE.
+ */
+int deploy_worker_proxy_addr(const struct service_opts *svc, int index,
+			     const char *host, char *buf, size_t len)
 {
 	if (index < 0 || index >= svc->workers)
 		return -ERANGE;
-	snprintf(buf, len, "127.0.0.1:%d",
+	snprintf(buf, len, "%s:%d", host,
 		 svc->base_port + svc->proxy_offset + index);
 	return 0;
 }
--- a/options/deploy.h
+++ b/options/deploy.h
@@ -48,6 +48,7 @@
 	char *name;
 	char *listen;
 	char *dc;
+	char *server_host; /* host of its own proxies to servers; "": none */
 };
 
 struct deploy {
@@ -66,6 +67,8 @@
 const struct entry_opts *deploy_entry(const struct deploy *d, const char *name);
 int deploy_worker_advertised_addr(const struct service_opts *svc, int index,
 				  char *buf, size_t len);
+int deploy_worker_proxy_addr(const struct service_opts *svc, int index,
+			     const char *host, char *buf, size_t len);
 int deploy_worker_addr(const struct service_opts *svc, int index, char *buf,
 		       size_t len);
 
--- a/options/instance.c
+++ b/options/instance.c
@@ -250,6 +250,7 @@
 	out->region = g_strdup("");
 	out->ip = g_strdup(host);
 	out->seeds = g_strdup("");
+	out->server_host = *en->server_host ? g_strdup(en->server_host) : NULL;
 	out->own = g_strdup(en->listen);
 	out->callers =
 		g_strdup_printf("%s:%d", host, port + PORT_OFFSET_CALLERS);
--- a/options/instance.h
+++ b/options/instance.h
@@ -32,6 +32,8 @@
 	char *seeds; /* HOST:PORT, separated by commas; only the hosts count */
 	bool first_start; /* of the whole system: startup may take longer */
 	bool via;	  /* adds a Via header with name and lifetime */
+	/* Replaces the hosts of servers; NULL: as listed. Local only. */
+	char *server_host;
 	/* [listen] */
 	char *callers, *ready, *directory, *peers, *metrics;
 	char *own; /* native API; NULL: not served */
--- a/stand/proxy.c
+++ b/stand/proxy.c
@@ -6,6 +6,8 @@
  *   delay_ms=N              delay the bytes in both directions
  *   silent=up|down|both|no  drop the bytes to the server, from it, or both
  *   refuse=1|0              reset new connections
+ *   closed=1|0              stop listening, so that the system refuses them
+ *   hang=1|0                leave new connections without any answer
  *   reset=1                 reset all open connections
  */
 #include <errno.h>
@@ -24,22 +26,31 @@
 #include "stand/query.h"
 #include "stand/stand.h"
 
-enum { CHUNK = 16 * 1024, CONTROL_TIMEOUT_S = 5, CONTROL_MAX = 4096 };
+enum {
+	CHUNK = 16 * 1024,
+	CONTROL_TIMEOUT_S = 5,
+	CONTROL_MAX = 4096,
+	/* Connections that fill the queue of a socket with a backlog of 0. */
+	BACKLOG_FILLERS = 4,
+};
 
 /* State of the proxy process. */
 struct proxy {
 	struct ev_loop *loop;
 	struct http_server control;
 	int delay_ms;
-	bool silent_up, silent_down, refuse;
+	bool silent_up, silent_down, refuse, closed, hang;
 	GPtrArray *links; /* struct link * */
+	GPtrArray *ports; /* struct port * */
 };
 
 /* A listening port and the address that it forwards to. */
 struct port {
 	struct proxy *proxy;
+	char listen[64];
 	struct sockaddr_in target;
 	ev_io accept;
+	int fillers[BACKLOG_FILLERS]; /* while it hangs; -1: none */
 };
 
 /* One end of a forwarded connection and the bytes to be written to it. */
@@ -199,6 +210,66 @@
 	g_ptr_array_unref(all);
 }
 
+/* Listens on the port; new connections are accepted. */
+static int port_listen(struct port *port)
+{
+	int fd = socket_listen(port->listen);
+
+	if (fd < 0) {
+		mp_event(EV_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL,
+			 "addr=%s err=%s", port->listen, g_strerror(-fd));
+		return fd;
+	}
+	ev_io_init(&port->accept, on_accept, fd, EV_READ);
+	port->accept.data = port;
+	ev_io_start(port->proxy->loop, &port->accept);
+	return 0;
+}
+
+/* Stops listening. */
+static void port_close(struct port *port)
+{
+	ev_io_stop(port->proxy->loop, &port->accept);
+	close(port->accept.fd);
+	for (int i = 0; i < BACKLOG_FILLERS; i++) {
+		if (port->fillers[i] >= 0)
+			close(port->fillers[i]);
+		port->fillers[i] = -1;
+	}
+}
+
+/*
+ * Fills the queue of new connections, and accepts none: the system drops the
+ * packets of further ones.
+ */
+static void port_hang(struct port *port)
+{
+	struct sockaddr_in sa;
+
+	ev_io_stop(port->proxy->loop, &port->accept);
+	listen(port->accept.fd, 0);
+	socket_parse_addr(port->listen, &sa);
+	for (int i = 0; i < BACKLOG_FILLERS; i++)
+		port->fillers[i] = socket_connect(&sa);
+}
+
+/* Changes how new connections are handled. */
+static void set_ports(struct proxy *p, bool closed, bool hang)
+{
+	if (closed == p->closed && hang == p->hang)
+		return;
+	for (guint i = 0; i < p->ports->len; i++) {
+		struct port *port = g_ptr_array_index(p->ports, i);
+
+		if (!p->closed)
+			port_close(port);
+		if (!closed && !port_listen(port) && hang)
+			port_hang(port);
+	}
+	p->closed = closed;
+	p->hang = hang;
+}
+
 /* Sets the faults that the query has. */
 static void set_faults(struct proxy *p, const struct query *q)
 {
@@ -212,6 +283,8 @@
 		p->silent_up = both || !strcmp(silent, "up");
 		p->silent_down = both || !strcmp(silent, "down");
 	}
+	set_ports(p, query_int(q, "closed", p->closed) != 0,
+		  query_int(q, "hang", p->hang) != 0);
 	if (query_int(q, "reset", 0))
 		reset_links(p);
 }
@@ -238,33 +311,28 @@
 /* Listens on `listen` and forwards connections to `target`. */
 static int open_port(struct proxy *p, const char *listen, const char *target)
 {
-	int fd = socket_listen(listen);
-	struct port *port;
+	struct port *port = g_new0(struct port, 1);
 
-	if (fd < 0) {
-		mp_event(EV_LISTEN_FAILED, G_LOG_LEVEL_CRITICAL,
-			 "addr=%s err=%s", listen, g_strerror(-fd));
-		return fd;
-	}
-	port = g_new0(struct port, 1);
 	port->proxy = p;
-	ev_io_init(&port->accept, on_accept, fd, EV_READ);
-	port->accept.data = port;
-	ev_io_start(p->loop, &port->accept);
-	return socket_parse_addr(target, &port->target);
+	memset(port->fillers, -1, sizeof(port->fillers));
+	g_strlcpy(port->listen, listen, sizeof(port->listen));
+	g_ptr_array_add(p->ports, port);
+	if (socket_parse_addr(target, &port->target))
+		return -EINVAL;
+	return port_listen(port);
 }
 
-/* Opens a port for each backend server of a service. */
-static int open_service_ports(struct proxy *p, const struct service_opts *s)
+/* Opens a port at `host` for each backend server of a service. */
+static int open_service_ports(struct proxy *p, const struct service_opts *s,
+			      const char *host)
 {
-	char advertised[64], actual[64];
+	char listen[64], actual[64];
 	int rc = 0;
 
 	for (int i = 0; i < s->workers && !rc; i++) {
 		deploy_worker_addr(s, i, actual, sizeof(actual));
-		deploy_worker_advertised_addr(s, i, advertised,
-					      sizeof(advertised));
-		rc = open_port(p, advertised, actual);
+		deploy_worker_proxy_addr(s, i, host, listen, sizeof(listen));
+		rc = open_port(p, listen, actual);
 	}
 	return rc;
 }
@@ -284,27 +352,44 @@
 	return http_server_open(&p->control, p->loop, addr, &control_ops, p);
 }
 
+/*
+ * Returns the host at which a proxy for a service listens: that of an entry's
+ * own proxies, the one that the servers register, or NULL.
+ */
+static const char *service_host(const struct deploy *d,
+				const struct service_opts *s, const char *entry)
+{
+	const struct entry_opts *en = entry ? deploy_entry(d, entry) : NULL;
+
+	if (entry)
+		return en && *en->server_host ? en->server_host : NULL;
+	return s->proxy_offset ? "127.0.0.1" : NULL;
+}
+
 /*
  * stand_proxy_main() runs the proxy: for the backend servers of a service, at
- * the addresses that they advertise, or for the store if `service` is NULL, at
- * the address that entry instances are configured with. Returns 0 or a negative
- * errno.
+ * the addresses that they advertise or at the host at which the named entry
+ * reaches them, or for the store if `service` is NULL, at the address that
+ * entry instances are configured with. Returns 0 or a negative errno.
  */
-int stand_proxy_main(const struct deploy *d, const char *service)
+int stand_proxy_main(const struct deploy *d, const char *service,
+		     const char *entry)
 {
 	struct proxy p = {.loop = ev_default_loop(EVFLAG_NOENV),
-			  .links = g_ptr_array_new()};
+			  .links = g_ptr_array_new(),
+			  .ports = g_ptr_array_new()};
 	char first[64];
 	int rc;
 
 	g_strlcpy(first, d->entry.platform, sizeof(first));
 	if (service) {
 		const struct service_opts *s = deploy_service(d, service);
+		const char *host = s ? service_host(d, s, entry) : NULL;
 
-		if (!s || s->proxy_offset == 0)
+		if (!host)
 			return -ENOENT;
-		deploy_worker_advertised_addr(s, 0, first, sizeof(first));
-		rc = open_service_ports(&p, s);
+		deploy_worker_proxy_addr(s, 0, host, first, sizeof(first));
+		rc = open_service_ports(&p, s, host);
 	} else {
 		rc = open_port(&p, d->entry.platform, d->platform.listen);
 	}
--- a/stand/stand.h
+++ b/stand/stand.h
@@ -20,7 +20,8 @@
 		       unsigned seed);
 int stand_operator_main(const struct deploy *d, uint64_t version);
 int stand_evacuate_main(const struct deploy *d, const char *dc, bool evacuate);
-int stand_proxy_main(const struct deploy *d, const char *service);
+int stand_proxy_main(const struct deploy *d, const char *service,
+		     const char *entry);
 int stand_fill_main(const struct deploy *d, int from, int to);
 void stand_put(struct http_client *c, struct ev_loop *loop,
 	       const struct sockaddr_in *store, const char *topic,
--- a/tools/load_main.c
+++ b/tools/load_main.c
@@ -29,6 +29,19 @@
 	}
 }
 
+/* Uses a single entry instance, whether it is listed or not. */
+static int use_entry(struct load *l, const char *name)
+{
+	const struct entry_opts *en = deploy_entry(l->deploy, name);
+
+	if (!en)
+		return -ENOENT;
+	l->nentries = 1;
+	l->entries = g_new0(char *, 2);
+	l->entries[0] = g_strdup(en->listen);
+	return 0;
+}
+
 /* Gets the list of entry instances from one of them, as a caller does. */
 static void fetch_entries(struct load *l)
 {
@@ -180,7 +193,13 @@
 	l.rand = g_rand_new_with_seed(a->seed);
 	l.run_id = (uint64_t)g_get_real_time() & 0xffffffff;
 	add_services(&l);
-	fetch_entries(&l);
+	if (a->entry && use_entry(&l, a->entry)) {
+		fprintf(stderr, "load: no entry is called %s\n", a->entry);
+		load_free(&l);
+		return -ENOENT;
+	}
+	if (!a->entry)
+		fetch_entries(&l);
 	if ((!l.nentries && !a->direct) || !l.nservices) {
 		fprintf(stderr, "load: no entry returned an instance list\n");
 		load_free(&l);
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 
@@ -227,10 +228,12 @@
 }
 
 /* Applies an entry of the list of backend servers. */
-static void put_backend(struct traffic *t, const struct backend_entry *e)
+static void put_backend(struct traffic *t, struct backend_entry *e)
 {
 	struct backend *b;
 
+	if (t->settings->server_host)
+		inet_pton(AF_INET, t->settings->server_host, &e->addr.sin_addr);
 	backend_set_put(&t->backends, e, clock_ms());
 	b = g_hash_table_lookup(t->backends.by_id, e->id);
 	limits_listed(t, b);
