Instances that reach no server of a service open tunnels through peers

Cause: an instance could reach a backend server over its own links only. Peers passed lists, limits and loads, never a byte of a request, and a failure seen over the instance's own link was taken for a failure of the server (trouble, 'no room').

Change: when several different servers of a service fail in a row over direct connections, new connections to its servers are opened through a tunnel of another instance (CONNECT with the server's id, traffic/tunnels; core/path; member/tunnel_peers). Selection, sends, limits, slow starts, retry budget, attempts and time left stay with the instance that the caller asked, so each rule of a send holds as over a direct connection; the peer opens direct connections only.

--- a/core/backend.h
+++ b/core/backend.h
@@ -15,6 +15,7 @@
 #include "core/budget.h"
 #include "core/latency_model.h"
 #include "core/limit_borrow.h"
+#include "core/path.h"
 #include "core/probe_times.h"
 #include "core/reach.h"
 #include "core/server_state.h"
@@ -72,9 +73,10 @@
 	bool deprioritized;	  /* as last logged */
 	bool unreachable;	  /* the last load probe failed; for the log */
 	bool process_ended;	  /* known for certain */
-	void *crash_check;	  /* traffic/: pending check of process_ended */
-	void *idle_conns;	  /* traffic/: idle connections */
-	void *busy_conns; /* traffic/: those with a pending or held response */
+	struct server_path path;
+	void *crash_check; /* traffic/: pending check of process_ended */
+	void *idle_conns;  /* traffic/: idle connections */
+	void *busy_conns;  /* traffic/: those with a pending or held response */
 };
 
 /* Whether a service's backend servers report their load. */
@@ -85,7 +87,8 @@
 	GPtrArray *backends; /* struct backend *, the listed ones */
 	enum load_support load_support;
 	struct probe_times probe_times; /* of servers that report no load */
-	struct reach reach; /* over direct connections */
+	struct reach reach;		/* over direct connections */
+	struct service_paths paths;
 	struct slow_start_bound slow_start;
 	struct retry_budget budget;
 	struct budget_stats retry_stats; /* since this process started */
--- a/core/mechanisms.c
+++ b/core/mechanisms.c
@@ -14,4 +14,5 @@
 	.spent = true,
 	.return_time = true,
 	.quarantine = true,
+	.tunnel = true,
 };
--- a/core/mechanisms.h
+++ b/core/mechanisms.h
@@ -22,6 +22,7 @@
 	bool spent;	  /* count the time of a caller's earlier attempts */
 	bool return_time; /* derive Retry-After from the caller's time left */
 	bool quarantine;  /* refuse requests that crash servers */
+	bool tunnel;	  /* reach servers through peers if links fail */
 };
 
 /* Of this process; set before its threads start. */
--- a/core/outlier.c
+++ b/core/outlier.c
@@ -58,3 +58,9 @@
 		 G_LOG_LEVEL_MESSAGE, "backend=%s service=%s trouble=%.1f",
 		 b->entry.id, b->service->name, b->failure_score);
 }
+
+/* outlier_forget() drops failures that were not the server's. */
+void outlier_forget(struct backend *b, int64_t now_ms)
+{
+	outlier_record(b, -OUTLIER_MAX, now_ms);
+}
--- a/core/outlier.h
+++ b/core/outlier.h
@@ -8,6 +8,7 @@
 
 #include "core/backend.h"
 
+void outlier_forget(struct backend *b, int64_t now_ms);
 void outlier_record(struct backend *b, double weight, int64_t now_ms);
 double outlier_score(const struct backend *b, int64_t now_ms);
 bool outlier_is_deprioritized(const struct backend *b, int64_t now_ms);
--- a/core/reach.c
+++ b/core/reach.c
@@ -18,6 +18,15 @@
 	return r->lost_ms != 0;
 }
 
+/*
+ * reach_is_hung() returns whether the service is lost and probes on older
+ * connections weren't answered.
+ */
+bool reach_is_hung(const struct reach *r)
+{
+	return reach_is_lost(r) && r->hung.servers > 0;
+}
+
 /* Counts a failure at b. */
 static void add_failure(struct reach_failures *f, const struct backend *b,
 			int64_t now_ms)
--- a/core/reach.h
+++ b/core/reach.h
@@ -36,5 +36,6 @@
 void reach_record(struct backend *b, enum reach_outcome outcome, int err,
 		  int64_t now_ms);
 bool reach_is_lost(const struct reach *r);
+bool reach_is_hung(const struct reach *r);
 
 #endif
--- a/http/client.c
+++ b/http/client.c
@@ -41,6 +41,7 @@
 	c->state = CLIENT_CLOSED;
 	http_reader_free(&c->reader);
 	buf_free(&c->out);
+	buf_free(&c->connect_head);
 }
 
 /* Closes the connection and reports err to the owner. */
@@ -156,6 +157,60 @@
 	return c->sent || !c->ops->may_send || c->ops->may_send(c->priv);
 }
 
+/* The connection to the server is established. */
+static void on_connected(struct http_client *c)
+{
+	c->connected = true;
+	c->state = c->waiting ? CLIENT_BUSY : CLIENT_IDLE;
+	c->reader.no_body = c->no_body;
+	set_timer(c, c->waiting ? c->timeout_s : 0);
+}
+
+/* Asks the proxy for a tunnel. The head fits in an empty socket buffer. */
+static void request_tunnel(struct http_client *c)
+{
+	ssize_t n = send(c->fd, c->connect_head.ptr, c->connect_head.len,
+			 MSG_NOSIGNAL);
+
+	if (n != (ssize_t)c->connect_head.len) {
+		fail(c, n < 0 ? -errno : -EPROTO);
+		return;
+	}
+	c->state = CLIENT_TUNNELING;
+	c->reader.no_body = true;
+	watch(c, EV_READ);
+}
+
+/* Reads the proxy's answer; nothing follows it until a request is sent. */
+static void on_tunnel_answer(struct http_client *c)
+{
+	char chunk[READ_CHUNK_BYTES];
+	ssize_t n = recv(c->fd, chunk, sizeof(chunk), 0);
+	ssize_t used;
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n <= 0) {
+		fail(c, n ? -errno : -EPIPE);
+		return;
+	}
+	used = http_reader_feed(&c->reader, chunk, (size_t)n);
+	if (used < 0 || (c->reader.msg->done && used < n)) {
+		fail(c, -EPROTO);
+		return;
+	}
+	if (!c->reader.msg->done)
+		return;
+	c->tunnel_status = c->reader.msg->status;
+	http_message_free(http_reader_take(&c->reader));
+	if (c->tunnel_status != 200) {
+		fail(c, -EHOSTUNREACH);
+		return;
+	}
+	on_connected(c);
+	watch(c, c->out.len ? EV_READ | EV_WRITE : EV_READ);
+}
+
 /* Completes a connection attempt and sends pending output. */
 static void on_writable(struct http_client *c)
 {
@@ -166,9 +221,11 @@
 			fail(c, err);
 			return;
 		}
-		c->connected = true;
-		c->state = c->waiting ? CLIENT_BUSY : CLIENT_IDLE;
-		set_timer(c, c->waiting ? c->timeout_s : 0);
+		if (c->tunneled) {
+			request_tunnel(c);
+			return;
+		}
+		on_connected(c);
 	}
 	if (c->out.len && !may_send(c)) {
 		fail(c, -ECANCELED);
@@ -194,6 +251,10 @@
 {
 	struct http_client *c = io->data;
 
+	if (c->state == CLIENT_TUNNELING) {
+		on_tunnel_answer(c);
+		return;
+	}
 	if ((revents & EV_READ) && c->state != CLIENT_CONNECTING) {
 		on_readable(c);
 		return;
@@ -239,6 +300,28 @@
 	return 0;
 }
 
+/*
+ * http_client_open_tunnel() connects to a proxy and sends it `head`, a complete
+ * CONNECT request. Once the proxy has answered 200 the connection is used like
+ * a direct one. connect_timeout_s covers both steps. Returns 0 or -errno; a
+ * refusal of the proxy is reported through ops->failed as -EHOSTUNREACH, with
+ * its status in c->tunnel_status.
+ */
+int http_client_open_tunnel(struct http_client *c, struct ev_loop *loop,
+			    const struct sockaddr_in *proxy, struct lstr head,
+			    double connect_timeout_s, struct http_limits limits,
+			    const struct http_client_ops *ops, void *priv)
+{
+	int rc = http_client_open(c, loop, proxy, connect_timeout_s, limits,
+				  ops, priv);
+
+	if (rc)
+		return rc;
+	c->tunneled = true;
+	buf_add_lstr(&c->connect_head, head);
+	return 0;
+}
+
 /*
  * http_client_send() sends one request, now or once connected. The response
  * or a failure is reported through ops; timeout_s starts when the request is
@@ -250,10 +333,11 @@
 	c->waiting = true;
 	c->sent = false;
 	c->timeout_s = timeout_s;
-	c->reader.no_body = head_request;
+	c->no_body = head_request;
 	buf_add_lstr(&c->out, bytes);
-	if (c->state == CLIENT_CONNECTING)
+	if (c->state == CLIENT_CONNECTING || c->state == CLIENT_TUNNELING)
 		return;
+	c->reader.no_body = head_request;
 	c->state = CLIENT_BUSY;
 	set_timer(c, timeout_s);
 	if (may_send(c)) {
--- a/http/client.h
+++ b/http/client.h
@@ -41,6 +41,7 @@
 enum client_state {
 	CLIENT_CLOSED,
 	CLIENT_CONNECTING,
+	CLIENT_TUNNELING, /* connected to a proxy that opens a tunnel */
 	CLIENT_IDLE,
 	CLIENT_BUSY
 };
@@ -55,6 +56,10 @@
 	enum client_state state;
 	struct http_reader reader;
 	struct buf out;
+	struct buf connect_head; /* of a tunnel; empty: none */
+	bool tunneled;		 /* through a proxy */
+	unsigned tunnel_status;	 /* the proxy's answer; 0: none yet */
+	bool no_body;		 /* the current request is a HEAD */
 	double connect_timeout_s, timeout_s;
 	bool waiting;	/* a request is queued or sent */
 	bool connected; /* the connection has been established */
@@ -67,6 +72,10 @@
 		     const struct sockaddr_in *sa, double connect_timeout_s,
 		     struct http_limits limits,
 		     const struct http_client_ops *ops, void *priv);
+int http_client_open_tunnel(struct http_client *c, struct ev_loop *loop,
+			    const struct sockaddr_in *proxy, struct lstr head,
+			    double connect_timeout_s, struct http_limits limits,
+			    const struct http_client_ops *ops, void *priv);
 void http_client_send(struct http_client *c, struct lstr bytes,
 		      double timeout_s, bool head_request);
 bool http_client_linger(struct http_client *c, double timeout_s);
--- a/http/conn.c
+++ b/http/conn.c
@@ -29,6 +29,8 @@
 		return "Bad Request";
 	case 404:
 		return "Not Found";
+	case 405:
+		return "Method Not Allowed";
 	case 408:
 		return "Request Timeout";
 	case 413:
@@ -58,14 +60,13 @@
 	c->user = user;
 }
 
-/* http_conn_free() closes and frees a connection. */
-void http_conn_free(struct http_conn *c)
+/* Frees a connection without closing its socket. */
+static void conn_release(struct http_conn *c)
 {
 	struct http_server *s = c->server;
 
 	ev_io_stop(s->loop, &c->io);
 	ev_timer_stop(s->loop, &c->timer);
-	close(c->fd);
 	http_reader_free(&c->reader);
 	buf_free(&c->in);
 	buf_free(&c->out);
@@ -79,6 +80,27 @@
 	free(c);
 }
 
+/* http_conn_free() closes and frees a connection. */
+void http_conn_free(struct http_conn *c)
+{
+	close(c->fd);
+	conn_release(c);
+}
+
+/*
+ * http_conn_detach() frees a connection whose request has been received and
+ * returns its socket, which the caller owns. Bytes received after the request
+ * are added to `input`.
+ */
+int http_conn_detach(struct http_conn *c, struct buf *input)
+{
+	int fd = c->fd;
+
+	buf_add_lstr(input, buf_lstr(&c->in));
+	conn_release(c);
+	return fd;
+}
+
 /*
  * http_conn_abort() closes a connection without a reply and without calling
  * ops->closed.
--- a/http/server.h
+++ b/http/server.h
@@ -57,6 +57,7 @@
 void *http_conn_user(const struct http_conn *c);
 void http_conn_set_user(struct http_conn *c, void *user);
 void http_conn_abort(struct http_conn *c);
+int http_conn_detach(struct http_conn *c, struct buf *input);
 
 const char *http_reason(unsigned status);
 
--- /dev/null
+++ b/http/splice.h
@@ -0,0 +1,42 @@
+/*
+ * Forwards bytes between two connected sockets in both directions until both
+ * have ended. What one side can't take yet is buffered up to a limit, beyond
+ * which the other one isn't read. An end of stream is passed on as such.
+ */
+#ifndef MP_HTTP_SPLICE_H
+#define MP_HTTP_SPLICE_H
+
+#include <ev.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "misc/buf.h"
+
+struct splice;
+
+struct splice_end {
+	struct splice *splice;
+	struct splice_end *other;
+	int fd;
+	ev_io io;
+	struct buf out;	   /* to be written to this end */
+	uint64_t received; /* bytes */
+	bool ended;	   /* has sent its last byte */
+};
+
+struct splice {
+	struct ev_loop *loop;
+	struct splice_end ends[2];
+	ev_timer linger;
+	/* Optional: called with each first byte of an end. */
+	void (*first_byte)(void *priv, const struct splice_end *end);
+	/* Called when both sockets have been closed; err is 0 or -errno. */
+	void (*closed)(void *priv, int err);
+	void *priv;
+};
+
+void splice_start(struct splice *s, struct ev_loop *loop, int fd0, int fd1,
+		  struct lstr to_fd1);
+void splice_abort(struct splice *s);
+
+#endif
--- a/member/peers.c
+++ b/member/peers.c
@@ -261,12 +261,14 @@
 
 static void add_endpoint(GArray *out, const struct peer_info *p)
 {
-	struct peer_endpoint b;
+	struct peer_endpoint b = {.peer_addr = {.sin_family = AF_INET}};
 
 	memcpy(b.name, p->name, sizeof(b.name));
 	memcpy(b.dc, p->dc, sizeof(b.dc));
 	memcpy(b.caller_addr, p->caller_addr, sizeof(b.caller_addr));
 	memcpy(b.own_addr, p->own_addr, sizeof(b.own_addr));
+	b.peer_addr.sin_addr = p->addr.sin_addr;
+	b.peer_addr.sin_port = p->addr.sin_port;
 	g_array_append_val(out, b);
 }
 
--- a/member/peers.h
+++ b/member/peers.h
@@ -65,6 +65,7 @@
 struct peer_endpoint {
 	char name[PEER_NAME_MAX], dc[PEER_NAME_MAX];
 	char caller_addr[PEER_ADDR_MAX], own_addr[PEER_ADDR_MAX];
+	struct sockaddr_in peer_addr; /* as in struct peer_info */
 };
 
 /* An instance that is alive and not leaving, as known to a hub. */
--- /dev/null
+++ b/member/tunnel_request.h
@@ -0,0 +1,31 @@
+/*
+ * The request with which an entry instance asks another one for a tunnel to a
+ * backend server: CONNECT (RFC 9110, 9.3.6) with the server's id as its target,
+ * which each instance resolves by its own list.
+ */
+#ifndef MP_MEMBER_TUNNEL_REQUEST_H
+#define MP_MEMBER_TUNNEL_REQUEST_H
+
+#include <stdint.h>
+
+#include "http/message.h"
+
+/* Statuses of the answer other than 200. */
+enum tunnel_status {
+	TUNNEL_UNKNOWN_SERVER = 404, /* or one that takes nothing now */
+	TUNNEL_SERVER_REFUSES = 502, /* others of its service are reached */
+	TUNNEL_UNAVAILABLE = 503,    /* the service isn't reached either */
+	TUNNEL_SERVER_SILENT = 504,
+};
+
+struct tunnel_request {
+	struct lstr backend; /* id of the server */
+	struct lstr from;    /* name of the asking instance */
+	uint64_t id;	     /* random, for logs of both */
+};
+
+void tunnel_request_write(struct buf *out, const struct tunnel_request *r);
+int tunnel_request_read(const struct http_message *m,
+			struct tunnel_request *out);
+
+#endif
--- a/options/instance.c
+++ b/options/instance.c
@@ -24,6 +24,7 @@
 	{"directory", OPT_ADDR, FIELD(directory), NULL, 0, 0},
 	{"peers", OPT_ADDR, FIELD(peers), NULL, 0, 0},
 	{"metrics", OPT_ADDR, FIELD(metrics), NULL, 0, 0},
+	{"tunnels", OPT_ADDR, FIELD(tunnels), "", 0, 0},
 	{"own", OPT_ADDR, FIELD(own), "", 0, 0},
 	OPT_END,
 };
@@ -73,6 +74,7 @@
 	{"spent", OPT_BOOL, FIELD(policy.spent), "true", 0, 0},
 	{"return_time", OPT_BOOL, FIELD(policy.return_time), "true", 0, 0},
 	{"quarantine", OPT_BOOL, FIELD(policy.quarantine), "true", 0, 0},
+	{"tunnel", OPT_BOOL, FIELD(policy.tunnel), "true", 0, 0},
 	OPT_END,
 };
 
@@ -227,6 +229,7 @@
 	PORT_OFFSET_DIRECTORY = 3000,
 	PORT_OFFSET_METRICS = 4000,
 	PORT_OFFSET_PEERS = 5000,
+	PORT_OFFSET_TUNNELS = 6000,
 };
 
 /*
@@ -260,6 +263,8 @@
 	out->metrics =
 		g_strdup_printf("%s:%d", host, port + PORT_OFFSET_METRICS);
 	out->peers = g_strdup_printf("%s:%d", host, port + PORT_OFFSET_PEERS);
+	out->tunnels =
+		g_strdup_printf("%s:%d", host, port + PORT_OFFSET_TUNNELS);
 	out->store = g_strdup(d->entry.platform);
 	out->heartbeat_ms = 1500;
 	out->log_level = g_strdup(d->entry.log_level);
--- a/options/instance.h
+++ b/options/instance.h
@@ -36,7 +36,8 @@
 	char *server_host;
 	/* [listen] */
 	char *callers, *ready, *directory, *peers, *metrics;
-	char *own; /* native API; NULL: not served */
+	char *own;     /* native API; NULL: not served */
+	char *tunnels; /* of peers to servers; NULL: none either way */
 	/* [platform] */
 	char *store;
 	double heartbeat_ms; /* interval of backend servers' records */
--- a/tests/bench.h
+++ b/tests/bench.h
@@ -368,6 +368,8 @@
 	s->ready = bench_addr(1);
 	s->directory = bench_addr(2);
 	s->metrics = bench_addr(3);
+	s->tunnels = bench_addr(4);
+	s->peers = bench_addr(5);
 	s->policy = mechanisms;
 	s->bounds = (struct bounds){.grace_s = 6,
 				    /* Ten extra sends a request at once. */
@@ -474,6 +476,7 @@
 	http_server_close(&b->traffic.readiness_server);
 	http_server_close(&b->traffic.directory_server);
 	http_server_close(&b->traffic.metrics_server);
+	http_server_close(&b->traffic.tunnel_server);
 	ev_loop_destroy(b->loop);
 	g_ptr_array_unref(b->callers);
 	g_hash_table_unref(b->executions);
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -29,6 +29,7 @@
 	{"listen.ready", "10.1.0.18:8388"},
 	{"listen.directory", "10.1.0.18:8383"},
 	{"internalPortRange.0", "7200"},
+	{"internalPortRange.1", "7215"},
 	{"platform.address", "10.200.1.7:8384"},
 	{"heartbeatMs", "900"},
 	{"bounds.drainMs", "2000"},
--- /dev/null
+++ b/tests/tunnel_peer.h
@@ -0,0 +1,109 @@
+/*
+ * A scripted peer for tests/bench.h: forwards tunnels to the bench's servers, or
+ * refuses them. The bench's own links to its servers can be broken meanwhile.
+ */
+#ifndef MP_TESTS_TUNNEL_PEER_H
+#define MP_TESTS_TUNNEL_PEER_H
+
+#include "http/splice.h"
+#include "member/tunnel_request.h"
+#include "tests/bench.h"
+
+enum { BROKEN_PORT = BENCH_PORT + 40 }; /* nobody listens there */
+
+struct scripted_peer {
+	struct bench *bench;
+	struct http_server http;
+	unsigned status; /* of its answers; 200: forward */
+	unsigned asked;
+};
+
+static inline void free_splice(void *priv, int err)
+{
+	g_free(priv);
+}
+
+static inline void peer_request(void *priv, struct http_conn *c,
+				struct http_message *m)
+{
+	struct scripted_peer *p = priv;
+	struct tunnel_request r;
+	struct sockaddr_in sa;
+	struct buf input = {0};
+	struct splice *s;
+	char addr[32];
+	int fd;
+
+	p->asked++;
+	if (tunnel_request_read(m, &r))
+		abort();
+	snprintf(addr, sizeof(addr), "127.0.0.1:%d",
+		 BENCH_PORT + atoi(r.backend.ptr + 2));
+	http_message_free(m);
+	if (p->status != 200) {
+		http_conn_reply(c, &(struct http_reply){.status = p->status,
+							.close = true});
+		return;
+	}
+	socket_parse_addr(addr, &sa);
+	fd = http_conn_detach(c, &input);
+	(void)!send(fd, "HTTP/1.1 200 OK\r\n\r\n", 19, MSG_NOSIGNAL);
+	s = g_new0(struct splice, 1);
+	s->closed = free_splice;
+	s->priv = s;
+	splice_start(s, p->bench->loop, fd, socket_connect(&sa),
+		     buf_lstr(&input));
+	buf_free(&input);
+}
+
+static const struct http_server_ops peer_ops = {peer_request, NULL};
+
+/* Starts a peer and makes it known to the bench's traffic thread. */
+static inline struct scripted_peer *bench_add_peer(struct bench *b)
+{
+	struct scripted_peer *p = g_new0(struct scripted_peer, 1);
+	struct peer_endpoint e = {.name = "e2", .dc = "dc-1"};
+	char *addr = bench_addr(10);
+
+	p->bench = b;
+	p->status = 200;
+	p->http.limits = (struct http_limits){4096, 4096};
+	p->http.head_timeout_s = p->http.idle_timeout_s = 10;
+	if (http_server_open(&p->http, b->loop, addr, &peer_ops, p))
+		abort();
+	socket_parse_addr(addr, &e.peer_addr);
+	b->traffic.tunnel_peers.port_offset = 0;
+	if (!b->traffic.peers.named)
+		b->traffic.peers.named =
+			g_array_new(FALSE, TRUE, sizeof(struct peer_endpoint));
+	g_array_append_val(b->traffic.peers.named, e);
+	tunnel_peers_update(&b->traffic.tunnel_peers, b->traffic.peers.named);
+	g_free(addr);
+	return p;
+}
+
+/* Sets whether the bench reaches server i itself. */
+static inline void bench_set_link(struct bench *b, int i, bool up)
+{
+	struct backend *known = g_hash_table_lookup(b->traffic.backends.by_id,
+						    b->servers[i].id);
+
+	known->entry.addr.sin_port =
+		htons((uint16_t)((up ? BENCH_PORT : BROKEN_PORT) + i));
+}
+
+/* Breaks the links to all servers, with the open connections. */
+static inline void bench_break_links(struct bench *b)
+{
+	for (int i = 0; i < b->n; i++) {
+		bench_set_link(b, i, false);
+		for (struct http_conn *c = b->servers[i].http.conns, *next; c;
+		     c = next) {
+			next = c->next;
+			if (!http_conn_user(c))
+				http_conn_abort(c);
+		}
+	}
+}
+
+#endif
--- a/tools/explain.c
+++ b/tools/explain.c
@@ -55,6 +55,11 @@
 	{EV_MEMBER_REMOVED, "a server was removed from the list"},
 	{EV_SERVICE_LOST, "no server of a service was reached any more"},
 	{EV_SERVICE_REACHED, "a server of the service was reached again"},
+	{EV_TUNNEL_OPENED, "a peer's tunnel to a server was opened"},
+	{EV_TUNNEL_FAILED, "a peer could not open a tunnel to a server"},
+	{EV_TUNNEL_SERVED, "the peer serves the tunnel to the server"},
+	{EV_TUNNEL_REFUSED, "the peer refused the tunnel"},
+	{EV_TUNNEL_CLOSED, "the peer closed the tunnel"},
 	{EV_BACKEND_DOWN, "a server doesn't respond to probes"},
 	{EV_LIMIT_STARTED, "a server set a rate limit"},
 	{EV_LIMIT_ENDED, "a server removed its rate limit"},
@@ -111,10 +116,43 @@
 	return found;
 }
 
+/* Adds the tunnel that a request's line names, unless it is none. */
+static void add_tunnel(GHashTable *tunnels, const struct log_line *l)
+{
+	const char *p = strstr(l->text, " tunnel=");
+	char *id;
+
+	if (!p || l->ev != EV_REQUEST_SENT)
+		return;
+	p += strlen(" tunnel=");
+	id = g_strndup(p, strcspn(p, " "));
+	if (strspn(id, "0") == strlen(id))
+		g_free(id);
+	else
+		g_hash_table_add(tunnels, id);
+}
+
+/* Whether a line, of either end, is about one of these tunnels. */
+static bool is_of_tunnels(const struct log_line *l, GHashTable *tunnels)
+{
+	const char *p = strstr(l->text, " tunnel=");
+	char *id;
+	bool found;
+
+	if (!p || l->ev < EV_TUNNEL_OPENED || l->ev > EV_TUNNEL_CLOSED)
+		return false;
+	p += strlen(" tunnel=");
+	id = g_strndup(p, strcspn(p, " "));
+	found = g_hash_table_contains(tunnels, id);
+	g_free(id);
+	return found;
+}
+
 /* Whether an event reports a state change rather than a step of a request. */
 static bool is_state_event(int ev)
 {
 	return ev < EV_RESPONSE_MISMATCHED && ev != EV_MEMBER_JOINED &&
+	       !(ev >= EV_TUNNEL_OPENED && ev <= EV_TUNNEL_CLOSED) &&
 	       describe_event(ev);
 }
 
@@ -146,6 +184,7 @@
 	GArray *lines = read_lines(stdin);
 	double first = 0, last = 0;
 	GHashTable *sources = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *tunnels = g_hash_table_new(g_str_hash, g_str_equal);
 
 	g_array_sort(lines, compare_ts);
 	for (guint i = 0; i < lines->len; i++) {
@@ -156,6 +195,7 @@
 		first = first ? first : l->ts;
 		last = l->ts;
 		g_hash_table_add(sources, l->source);
+		add_tunnel(tunnels, l);
 	}
 	if (!last) {
 		fprintf(stderr, "explain: no log line has id=%s\n", id);
@@ -167,7 +207,7 @@
 			       is_state_event(l->ev) &&
 			       g_hash_table_contains(sources, l->source);
 
-		if (context || has_id(l, id))
+		if (context || has_id(l, id) || is_of_tunnels(l, tunnels))
 			print_line(l, first);
 	}
 	return 0;
--- a/tools/tools.h
+++ b/tools/tools.h
@@ -30,7 +30,7 @@
 	unsigned seed;
 	const char *only_tenant;  /* NULL: all */
 	const char *only_service; /* NULL: all */
-	int direct;  /* call the backend servers, bypassing the entries */
+	int direct;	   /* call the backend servers, bypassing the entries */
 	const char *entry; /* call only this entry; NULL: any */
 	int entries; /* use only the first N entries of the list; 0: all */
 };
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -183,6 +183,15 @@
 	buf_printf(out, "backoffs %" G_GUINT64_FORMAT "\n", n->backoffs);
 	buf_printf(out, "sends_withdrawn %" G_GUINT64_FORMAT "\n",
 		   n->withdrawn);
+	buf_printf(out, "tunnels_open %u\n", t->tunnels);
+	buf_printf(out, "tunnels_opened %" G_GUINT64_FORMAT "\n",
+		   n->tunnels_opened);
+	buf_printf(out, "tunnel_failures %" G_GUINT64_FORMAT "\n",
+		   n->tunnel_failures);
+	buf_printf(out, "tunnels_served %" G_GUINT64_FORMAT "\n",
+		   n->tunnels_served);
+	buf_printf(out, "tunnels_refused %" G_GUINT64_FORMAT "\n",
+		   n->tunnels_refused);
 	buf_printf(out, "invalid_values %" G_GUINT64_FORMAT "\n",
 		   n->invalid_values);
 	buf_printf(out, "quarantined %" G_GUINT64_FORMAT "\n", n->quarantined);
--- a/traffic/probe.c
+++ b/traffic/probe.c
@@ -2,6 +2,7 @@
 
 #include "common/event.h"
 #include "core/outlier.h"
+#include "core/path.h"
 #include "misc/clock.h"
 #include "traffic/probe.h"
 
@@ -173,7 +174,9 @@
 	 */
 	if (err != -EPIPE && err != -ECONNRESET && err != -ECANCELED) {
 		record_reachability(p->backend, err, now_ms);
-		outlier_record(p->backend, PROBE_FAILURE_WEIGHT, now_ms);
+		if (!path_is_broken(p->backend))
+			outlier_record(p->backend, PROBE_FAILURE_WEIGHT,
+				       now_ms);
 	}
 	probe_done(p, now_ms);
 }
@@ -181,31 +184,66 @@
 static const struct upstream_ops probe_ops = {probe_classify, probe_response,
 					      probe_failed};
 
+/* Creates a probe of b on a connection that it takes over. */
+static struct probe *new_probe(struct traffic *t, struct backend *b,
+			       struct upstream *u)
+{
+	struct probe *p = g_new0(struct probe, 1);
+
+	p->traffic = t;
+	p->upstream = u;
+	p->sent_ms = clock_ms();
+	p->new_connection = u->last_used_ms == 0;
+	p->backend = backend_ref(b);
+	p->pending = true;
+	return p;
+}
+
+/* Sends a probe. */
+static void probe_send(struct probe *p)
+{
+	struct traffic *t = p->traffic;
+	const struct service_config *sc =
+		t->config ? config_service(t->config,
+					   lstr0(p->backend->service->name))
+			  : NULL;
+	struct buf bytes = {0};
+
+	t->counters.probes++;
+	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"),
+			     p->backend, t->via);
+	upstream_probe(p->upstream, buf_lstr(&bytes), PROBE_TIMEOUT_S,
+		       &probe_ops, p);
+	buf_free(&bytes);
+}
+
 /* Probes b for its load on behalf of a request. */
 void probe_start(struct request *r, struct backend *b)
 {
-	const struct service_config *sc =
-		config_service(r->config, lstr0(r->service->name));
 	struct upstream *u = upstream_get(r->traffic, b, 0);
-	struct buf bytes = {0};
 	struct probe *p;
 
 	if (!u)
 		return;
-	p = g_new0(struct probe, 1);
+	p = new_probe(r->traffic, b, u);
 	p->request = r;
-	p->traffic = r->traffic;
-	p->upstream = u;
-	p->sent_ms = clock_ms();
-	p->new_connection = u->last_used_ms == 0;
 	r->probes[r->nprobes++] = p;
-	p->backend = backend_ref(b);
-	p->pending = true;
-	r->traffic->counters.probes++;
 	r->probes_sent++;
-	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"), b,
-			     r->traffic->via);
-	upstream_probe(p->upstream, buf_lstr(&bytes), PROBE_TIMEOUT_S,
-		       &probe_ops, p);
-	buf_free(&bytes);
+	probe_send(p);
+}
+
+/*
+ * Probes b on a new direct connection, to see whether it is reached without a
+ * tunnel; within the probe budget.
+ */
+void probe_check_path(struct traffic *t, struct backend *b)
+{
+	struct upstream *u;
+
+	if (!probe_budget_take(&t->probe_limiter, &t->probe_rate,
+			       traffic_count_backends(t), 1, 0, clock_ms()))
+		return;
+	u = upstream_open_direct(t, b);
+	if (u)
+		probe_send(new_probe(t, b, u));
 }
--- a/traffic/probe.h
+++ b/traffic/probe.h
@@ -23,5 +23,6 @@
 
 void probe_start(struct request *r, struct backend *b);
 void probes_release(struct request *r);
+void probe_check_path(struct traffic *t, struct backend *b);
 
 #endif
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -47,6 +47,8 @@
 	/* load probes before this send */
 	unsigned probes_sent, probes_answered;
 	bool saturated; /* requests that could be on time lack capacity */
+	char via[PEER_NAME_MAX]; /* the peer that tunnels; "-": direct */
+	uint64_t tunnel;	 /* its id; 0: direct */
 };
 
 /* One copy of the request sent to a backend server. */
--- a/traffic/request_log.c
+++ b/traffic/request_log.c
@@ -22,14 +22,14 @@
 		 " load=%u/%u/%u slowdown_pct=%u load_age_ms=%" G_GINT64_FORMAT
 		 " estimate_ms=%.0f trouble=%.1f asked=%u answered=%u "
 		 "spent_ms=%.0f left_ms=%" G_GINT64_FORMAT
-		 " retries_left=%.1f pressed=%d",
+		 " retries_left=%.1f pressed=%d via=%s tunnel=%016" PRIx64,
 		 (int)r->call.id.len, r->call.id.ptr, r->digest,
 		 s->backend->entry.id, s->backend->entry.dc, number,
 		 now_ms - s->sent_ms, b->load.running, b->load.waiting,
 		 b->load.slots, b->load.slowdown_pct, b->load_age_ms,
 		 s->estimate_ms, b->failure_score, b->probes_sent,
 		 b->probes_answered, b->spent_ms, b->left_ms, b->retries_left,
-		 b->saturated);
+		 b->saturated, b->via, b->tunnel);
 }
 
 /* Writes the deferred lines; later lines are written immediately. */
@@ -59,7 +59,11 @@
 		.left_ms = r->deadline_ms - now_ms,
 		.probes_sent = r->probes_sent,
 		.probes_answered = r->probes_answered,
-		.saturated = request_service_is_saturated(r, now_ms)};
+		.saturated = request_service_is_saturated(r, now_ms),
+		.tunnel = s->upstream->tunnel};
+	g_strlcpy(s->decision.via,
+		  s->upstream->peer ? s->upstream->peer->name : "-",
+		  sizeof(s->decision.via));
 	if (!r->log_deferred)
 		write_sent(r, s, r->nsends, now_ms);
 }
--- a/traffic/request_queue.c
+++ b/traffic/request_queue.c
@@ -3,6 +3,7 @@
 #include "core/hedge.h"
 #include "core/limit_capacity.h"
 #include "core/mechanisms.h"
+#include "core/path.h"
 #include "misc/clock.h"
 #include "traffic/limit_sends.h"
 #include "traffic/probe.h"
@@ -17,6 +18,11 @@
 	RECHECK_DOUBLINGS_MAX = 6, /* limit of the doubling */
 	/* Interval between attempts to start a rescue. */
 	RESCUE_RETRY_MS = 150,
+	/*
+	 * While no server answers: until connection attempts have timed out and
+	 * a peer has been asked for a tunnel.
+	 */
+	PATH_WAIT_MS = 300,
 };
 
 /* Orders the queue by priority, then by time spent since the first attempt. */
@@ -84,8 +90,12 @@
 static int64_t wait_deadline_ms(const struct request *r, int64_t now_ms)
 {
 	struct admit_request view = request_admission_view(r, now_ms);
+	int64_t wait_ms = (int64_t)admit_max_wait_ms(&view);
 
-	return r->select_start_ms + (int64_t)admit_max_wait_ms(&view);
+	if (wait_ms < PATH_WAIT_MS && r->probes_answered == 0 &&
+	    path_may_be_found(r->service, now_ms))
+		wait_ms = PATH_WAIT_MS;
+	return r->select_start_ms + wait_ms;
 }
 
 /* Returns whether r gets its turn in time with `ahead` requests before it. */
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -18,7 +18,9 @@
 #include "traffic/metrics.h"
 #include "traffic/request.h"
 #include "traffic/slow_starts.h"
+#include "traffic/path_check.h"
 #include "traffic/traffic.h"
+#include "traffic/tunnels.h"
 #include "traffic/upstream.h"
 
 enum {
@@ -270,7 +272,7 @@
 	http_server_close_idle(&t->caller_server);
 	http_server_close_idle(&t->own_server);
 	if ((http_server_busy(&t->caller_server) ||
-	     http_server_busy(&t->own_server)) &&
+	     http_server_busy(&t->own_server) || tunnels_busy(t)) &&
 	    elapsed_ms < grace_ms - STOP_RESERVE_MS)
 		return;
 	mp_event(EV_STOPPED, G_LOG_LEVEL_MESSAGE, "open_requests=%u",
@@ -317,6 +319,7 @@
 		t->max_instances = v->instances;
 	t->budget_params.instances = t->max_instances;
 	t->probe_rate.instances = t->max_instances;
+	path_check_peers_changed(t);
 	limits_peers_changed(t);
 	slow_starts_peers_changed(t);
 	drain_gossip_peers_changed(t);
@@ -413,6 +416,8 @@
 				 &metrics_ops);
 	if (!rc && s->own)
 		rc = open_server(t, &t->own_server, s->own, &own_ops);
+	if (!rc)
+		rc = tunnels_open(t);
 	return rc;
 }
 
@@ -442,6 +447,7 @@
 	t->budget_params.instances = 1;
 	probe_budget_init(&t->probe_limiter, t->started_ms);
 	apply_bounds(t, &s->bounds);
+	path_check_init(t);
 	inflight_report_init(t);
 	limits_init(t);
 	drain_gossip_init(t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -18,6 +18,7 @@
 #include "core/evacuations.h"
 #include "core/quarantine.h"
 #include "http/server.h"
+#include "member/tunnel_peers.h"
 #include "misc/hist.h"
 #include "traffic/early.h"
 
@@ -39,7 +40,9 @@
 	uint64_t limits_given, limits_granted; /* sends, to and by peers */
 	uint64_t backoffs;		       /* requested by servers */
 	uint64_t cold_sends;		       /* charged to a slow start */
-	uint64_t withdrawn;	 /* sends cancelled before their first byte */
+	uint64_t withdrawn; /* sends cancelled before their first byte */
+	uint64_t tunnels_opened, tunnel_failures; /* through peers */
+	uint64_t tunnels_served, tunnels_refused; /* for peers */
 	uint64_t invalid_values; /* other invalid values in responses */
 };
 
@@ -51,7 +54,7 @@
 	struct mailbox *control_inbox;
 	const struct control_view *control_view;
 	struct http_server caller_server, readiness_server, directory_server,
-		metrics_server, own_server;
+		metrics_server, own_server, tunnel_server;
 	struct config *config;
 	struct evacuations evacuations;
 	struct backend_set backends;
@@ -60,6 +63,9 @@
 	ev_timer inflight_report_timer;
 	bool inflight_report_pending;
 	struct peer_view peers;
+	struct tunnel_peers tunnel_peers;
+	unsigned tunnels;	/* served to peers, open now */
+	ev_timer path_timer;	/* while servers are reached by tunnels */
 	unsigned max_instances; /* the most seen at once in this lifetime */
 	struct budget_params budget_params;
 	struct probe_rate probe_rate;
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -1,8 +1,13 @@
 #include <errno.h>
+#include <inttypes.h>
 #include <string.h>
 
+#include "common/event.h"
+#include "core/path.h"
+#include "member/tunnel_request.h"
 #include "misc/clock.h"
 #include "traffic/feedback.h"
+#include "traffic/path_check.h"
 #include "traffic/upstream.h"
 
 /*
@@ -11,6 +16,9 @@
  */
 static const double CONNECT_TIMEOUT_S = 0.1;
 
+/* To the peer and, in the same time as from here, from there to the server. */
+static const double TUNNEL_TIMEOUT_S = 0.2;
+
 /* How long a response to a cancelled request is still read. */
 static const double LINGER_S = 1.0;
 
@@ -47,6 +55,8 @@
 static void free_upstream(struct upstream *u)
 {
 	unlink_upstream(u);
+	if (u->peer)
+		tunnel_peer_unref(u->peer);
 	backend_unref(u->backend);
 	g_free(u);
 }
@@ -54,9 +64,39 @@
 /* Records a response as evidence that its server is reached. */
 static void record_reached(struct upstream *u, int64_t now_ms)
 {
-	reach_record(u->backend, u->answered ? REACH_ANSWERED : REACH_OPENED, 0,
-		     now_ms);
+	bool first = !u->answered;
+
 	u->answered = true;
+	if (u->peer && first) {
+		mp_event(EV_TUNNEL_OPENED, G_LOG_LEVEL_MESSAGE,
+			 "tunnel=%016" PRIx64 " peer=%s backend=%s service=%s",
+			 u->tunnel, u->peer->name, u->backend->entry.id,
+			 u->backend->service->name);
+		tunnel_peer_worked(u->peer, u->backend->service);
+		path_tunnel_opened(u->backend, now_ms);
+	}
+	if (u->peer)
+		return;
+	reach_record(u->backend, first ? REACH_OPENED : REACH_ANSWERED, 0,
+		     now_ms);
+	if (first)
+		path_direct_opened(u->backend, now_ms);
+}
+
+/* Handles a tunnel that could not be opened. */
+static void on_tunnel_failed(struct upstream *u, int err, int64_t now_ms)
+{
+	unsigned status = u->http.tunnel_status;
+
+	u->traffic->counters.tunnel_failures++;
+	mp_event(EV_TUNNEL_FAILED, G_LOG_LEVEL_MESSAGE,
+		 "tunnel=%016" PRIx64 " peer=%s backend=%s service=%s "
+		 "status=%u err=%s",
+		 u->tunnel, u->peer->name, u->backend->entry.id,
+		 u->backend->service->name, status, g_strerror(-err));
+	if (status != TUNNEL_SERVER_REFUSES && status != TUNNEL_SERVER_SILENT)
+		tunnel_peer_failed(u->peer, u->backend->service, now_ms);
+	path_tunnel_failed(u->backend->service, now_ms);
 }
 
 /*
@@ -65,14 +105,18 @@
  */
 static void record_unreached(struct upstream *u, int err, int64_t now_ms)
 {
-	bool unanswered_probe = u->is_probe && err == -ETIMEDOUT;
+	bool open_failed = !u->http.connected || (u->is_probe && !u->answered);
 
 	if (err == -ECANCELED || u->idle)
 		return;
-	if (!u->http.connected || (u->is_probe && !u->answered))
+	if (u->peer && !u->http.connected) {
+		on_tunnel_failed(u, err, now_ms);
+	} else if (!u->peer && open_failed) {
 		reach_record(u->backend, REACH_OPEN_FAILED, err, now_ms);
-	else if (unanswered_probe)
+		path_direct_failed(u->backend, now_ms);
+	} else if (!u->peer && u->is_probe && err == -ETIMEDOUT) {
 		reach_record(u->backend, REACH_HUNG, err, now_ms);
+	}
 }
 
 /* Applies the server's feedback even if the owner skips the response. */
@@ -133,24 +177,100 @@
 static const struct http_client_ops client_ops = {
 	classify_response, on_response, on_failed, may_send, on_unsolicited};
 
-static struct upstream *open_connection(struct traffic *t, struct backend *b)
+static struct upstream *new_upstream(struct traffic *t, struct backend *b)
 {
-	struct http_limits limits = {.head_max = HEAD_MAX,
-				     .body_max = BODY_MAX};
 	struct upstream *u = g_new0(struct upstream, 1);
 
-	if (http_client_open(&u->http, t->loop, &b->entry.addr,
-			     CONNECT_TIMEOUT_S, limits, &client_ops, u)) {
+	u->traffic = t;
+	u->backend = b;
+	return u;
+}
+
+/* Takes over a connection attempt that began with status rc. */
+static struct upstream *connection_started(struct upstream *u, int rc)
+{
+	if (rc) {
 		g_free(u);
 		return NULL;
 	}
 	opened++;
-	u->traffic = t;
-	u->backend = backend_ref(b);
+	backend_ref(u->backend);
+	if (u->peer)
+		tunnel_peer_ref(u->peer);
 	mark_in_use(u);
 	return u;
 }
 
+static const struct http_limits response_limits = {HEAD_MAX, BODY_MAX};
+
+/*
+ * upstream_open_direct() opens a new direct connection to b. Returns NULL if no
+ * socket can be opened.
+ */
+struct upstream *upstream_open_direct(struct traffic *t, struct backend *b)
+{
+	struct upstream *u = new_upstream(t, b);
+
+	return connection_started(
+		u, http_client_open(&u->http, t->loop, &b->entry.addr,
+				    CONNECT_TIMEOUT_S, response_limits,
+				    &client_ops, u));
+}
+
+/* Opens a new connection to b through a tunnel of the peer. */
+static struct upstream *open_tunneled(struct traffic *t, struct backend *b,
+				      struct tunnel_peer *peer)
+{
+	struct upstream *u = new_upstream(t, b);
+	struct buf head = {0};
+	int rc;
+
+	u->peer = peer;
+	u->tunnel = (uint64_t)g_rand_int(t->rand) << 32 | g_rand_int(t->rand);
+	tunnel_request_write(&head, &(struct tunnel_request){
+					    .backend = lstr0(b->entry.id),
+					    .from = lstr0(t->settings->name),
+					    .id = u->tunnel});
+	rc = http_client_open_tunnel(&u->http, t->loop, &peer->addr,
+				     buf_lstr(&head), TUNNEL_TIMEOUT_S,
+				     response_limits, &client_ops, u);
+	buf_free(&head);
+	t->counters.tunnels_opened += !rc;
+	return connection_started(u, rc);
+}
+
+/* Opens a new connection to b, directly or through a peer. */
+static struct upstream *open_connection(struct traffic *t, struct backend *b)
+{
+	int64_t now_ms = clock_ms();
+	struct tunnel_peer *peer;
+
+	if (!t->settings->tunnels || !path_use_tunnel(b, now_ms))
+		return upstream_open_direct(t, b);
+	path_check_begin(t);
+	peer = tunnel_peers_pick(&t->tunnel_peers, b->service, TUNNEL_NEAR,
+				 t->rand, now_ms);
+	if (peer)
+		return open_tunneled(t, b, peer);
+	path_tunnel_failed(b->service, now_ms);
+	return upstream_open_direct(t, b);
+}
+
+/*
+ * Returns whether an idle connection may be used: not a tunnel once the server
+ * is reached directly again, nor an old direct connection while these hang.
+ */
+static bool is_usable(const struct upstream *u, int64_t idle_since_ms)
+{
+	const struct backend *b = u->backend;
+
+	if (u->last_used_ms < idle_since_ms)
+		return false;
+	if (u->peer)
+		return u->peer->listed && path_is_broken(b);
+	return !reach_is_hung(&b->service->reach);
+}
+
 /*
  * Returns a connection to b, held by the caller: the most recently used idle
  * one if it was used since idle_since_ms, else a new one. Returns NULL if no
@@ -161,7 +281,9 @@
 {
 	struct upstream *u = b->idle_conns;
 
-	if (!u || u->last_used_ms < idle_since_ms)
+	while (u && !is_usable(u, idle_since_ms))
+		u = u->next;
+	if (!u)
 		return open_connection(t, b);
 	unlink_upstream(u);
 	mark_in_use(u);
@@ -202,7 +324,7 @@
 void upstream_put(struct upstream *u, int64_t now_ms)
 {
 	if (!u->http.reusable || u->backend->gone ||
-	    u->http.state != CLIENT_IDLE) {
+	    (u->peer && !u->peer->listed) || u->http.state != CLIENT_IDLE) {
 		upstream_drop(u);
 		return;
 	}
@@ -252,6 +374,19 @@
 	}
 }
 
+/*
+ * Closes idle tunnels to b that aren't needed any more, or whose peer isn't
+ * listed any more: it waits for them before it exits.
+ */
+void upstream_drop_unlisted(struct backend *b)
+{
+	for (struct upstream *u = b->idle_conns, *next; u; u = next) {
+		next = u->next;
+		if (u->peer && (!u->peer->listed || !path_is_broken(b)))
+			upstream_drop(u);
+	}
+}
+
 /*
  * Closes all connections to b, whose process has ended. Their requests are
  * lost, and the owners are notified without waiting for a timeout.
--- a/traffic/upstream.h
+++ b/traffic/upstream.h
@@ -26,9 +26,11 @@
 	struct http_client http;
 	struct traffic *traffic;
 	struct backend *backend;
-	struct upstream *next; /* in the server's idle or busy list */
+	struct tunnel_peer *peer; /* that tunnels to it; NULL: direct */
+	uint64_t tunnel;	  /* id of the tunnel, for logs */
+	struct upstream *next;	  /* in the server's idle or busy list */
 	bool idle;
-	bool answered; /* has had a response */
+	bool answered;			/* has had a response */
 	int64_t last_used_ms;		/* when its last response arrived */
 	int64_t sent_ms;		/* when the current request was sent */
 	bool is_probe;			/* the current request is a probe */
@@ -47,6 +49,8 @@
 void upstream_put(struct upstream *u, int64_t now_ms);
 void upstream_drop(struct upstream *u);
 void upstream_drop_idle(struct backend *b);
+void upstream_drop_unlisted(struct backend *b);
+struct upstream *upstream_open_direct(struct traffic *t, struct backend *b);
 void upstream_fail_all(struct backend *b);
 unsigned upstream_opened(void);
 
