Crash checks: a refused connection proves an end only if peers are refused too

A connection that breaks under a request, and a refused one after it, counted as the end of the server's process.

Change: after a refusal the check goes on 0.1 s later through a tunnel of a peer, of another data centre first. The server's end is reported if that peer is refused while it reaches others of the service, or if two peers are refused that reach none of it; an answer through a tunnel shows that the server lives. A single instance has only its own word, as before.

--- a/member/tunnel_request.h
+++ b/member/tunnel_request.h
@@ -13,8 +13,11 @@
 /* Statuses of the answer other than 200. */
 enum tunnel_status {
 	TUNNEL_UNKNOWN_SERVER = 404, /* or one that takes nothing now */
-	TUNNEL_SERVER_REFUSES = 502, /* others of its service are reached */
-	TUNNEL_UNAVAILABLE = 503,    /* the service isn't reached either */
+	/* The server refuses connections, and so do others of its service. */
+	TUNNEL_SERVICE_REFUSES = 500,
+	/* The server refuses connections; others of its service don't. */
+	TUNNEL_SERVER_REFUSES = 502,
+	TUNNEL_UNAVAILABLE = 503, /* or the service isn't reached either */
 	TUNNEL_SERVER_SILENT = 504,
 };
 
--- a/tests/test_tunnels.c
+++ b/tests/test_tunnels.c
@@ -204,7 +204,7 @@
 	assert_int_equal(c.tunnel_status, TUNNEL_SERVER_REFUSES);
 	ask_through(b, &c, "i-1");
 	ask_through(b, &c, "i-2");
-	assert_int_equal(c.tunnel_status, TUNNEL_UNAVAILABLE);
+	assert_int_equal(c.tunnel_status, TUNNEL_SERVICE_REFUSES);
 	assert_int_equal(p->asked, 0);
 	http_server_close(&p->http);
 	bench_free(b);
--- a/traffic/crash_check.c
+++ b/traffic/crash_check.c
@@ -3,6 +3,7 @@
 #include "common/event.h"
 #include "core/availability.h"
 #include "core/mechanisms.h"
+#include "member/tunnel_request.h"
 #include "misc/clock.h"
 #include "platform/exchange.h"
 #include "traffic/crash_check.h"
@@ -16,6 +17,9 @@
 static const double CONNECT_TIMEOUT_S = 0.1;
 static const double RESPONSE_TIMEOUT_S = 0.1;
 
+/* To a peer, and from there to the server. */
+static const double TUNNEL_TIMEOUT_S = 0.2;
+
 enum {
 	HEAD_MAX = 16 * 1024, /* bytes of a response */
 	BODY_MAX = 64 * 1024,
@@ -26,6 +30,8 @@
 	 */
 	RETRY_MS = 100,
 	PROBES_MAX = 6,
+	/* Peers that reach none of the service's servers either. */
+	PEERS_REFUSED_NEEDED = 2,
 };
 
 /*
@@ -38,7 +44,10 @@
 	struct http_client http;
 	ev_timer retry_timer;
 	unsigned probes;
-	GArray *digests; /* uint64_t */
+	bool refused;		  /* a direct connection was */
+	unsigned peers_refused;	  /* tunnels, as the service refuses */
+	struct tunnel_peer *peer; /* asked by the current probe; NULL: none */
+	GArray *digests;	  /* uint64_t */
 	int64_t since_ms;
 };
 
@@ -75,6 +84,16 @@
 		 b->entry.id, b->service->name, outcome, why, requests, ms);
 }
 
+/* Sets the peer that tunnels the current probe. */
+static void set_peer(struct crash_check *c, struct tunnel_peer *peer)
+{
+	if (peer)
+		tunnel_peer_ref(peer);
+	if (c->peer)
+		tunnel_peer_unref(c->peer);
+	c->peer = peer;
+}
+
 /* Ends the check with its result and frees it. */
 static void finish(struct crash_check *c, bool ended, const char *outcome,
 		   const char *why)
@@ -84,6 +103,7 @@
 
 	ev_timer_stop(t->loop, &c->retry_timer);
 	http_client_close(&c->http);
+	set_peer(c, NULL);
 	b->process_ended = b->process_ended || ended;
 	log_end(b, c->digests->len, outcome, why, clock_ms() - c->since_ms);
 	t->counters.process_ends += ended;
@@ -149,15 +169,50 @@
 		retry_or_give_up(c, "an answer without a name");
 }
 
+/* Returns whether other instances can be asked if they reach the server. */
+static bool has_peers(const struct crash_check *c)
+{
+	const struct traffic *t = c->traffic;
+
+	return t->settings->tunnels && mechanisms.tunnel &&
+	       t->tunnel_peers.list->len > 0;
+}
+
+/* Handles a failed probe through a peer. */
+static void on_peer_failed(struct crash_check *c, int err)
+{
+	unsigned status = c->http.tunnel_status;
+
+	c->peers_refused += status == TUNNEL_SERVICE_REFUSES;
+	if (status == TUNNEL_SERVER_REFUSES ||
+	    c->peers_refused >= PEERS_REFUSED_NEEDED) {
+		finish(c, true, "ended", "refused from peers too");
+		return;
+	}
+	if (!c->http.connected)
+		tunnel_peer_failed(c->peer, c->backend->service, clock_ms());
+	retry_or_give_up(c, g_strerror(-err));
+}
+
 /*
- * Of all failures only a refused connection proves that the process has ended.
+ * Of all failures only a refused connection proves that the process has ended,
+ * and only if it is refused from another instance too, as this one's links may
+ * have failed. A single instance has only its own word.
  */
 static void on_failed(void *priv, int err, bool sent)
 {
-	if (err == -ECONNREFUSED)
-		finish(priv, true, "ended", g_strerror(-err));
-	else
-		retry_or_give_up(priv, g_strerror(-err));
+	struct crash_check *c = priv;
+
+	if (c->peer) {
+		on_peer_failed(c, err);
+		return;
+	}
+	if (err == -ECONNREFUSED && !has_peers(c)) {
+		finish(c, true, "ended", g_strerror(-err));
+		return;
+	}
+	c->refused = c->refused || err == -ECONNREFUSED;
+	retry_or_give_up(c, g_strerror(-err));
 }
 
 static bool may_send(void *priv)
@@ -172,19 +227,45 @@
 					   .failed = on_failed,
 					   .may_send = may_send};
 
+/* Connects for the next probe: by a peer once a direct one was refused. */
+static int open_connection(struct crash_check *c)
+{
+	static const struct http_limits limits = {.head_max = HEAD_MAX,
+						  .body_max = BODY_MAX};
+	struct traffic *t = c->traffic;
+	struct tunnel_request request = {.backend = lstr0(c->backend->entry.id),
+					 .from = lstr0(t->settings->name),
+					 .id = g_rand_int(t->rand)};
+	struct buf head = {0};
+	int rc;
+
+	set_peer(c, NULL);
+	if (!c->refused || !has_peers(c))
+		return http_client_open(&c->http, t->loop,
+					&c->backend->entry.addr,
+					CONNECT_TIMEOUT_S, limits, &ops, c);
+	set_peer(c, tunnel_peers_pick(&t->tunnel_peers, c->backend->service,
+				      TUNNEL_FAR, t->rand, clock_ms()));
+	if (!c->peer)
+		return -EHOSTUNREACH;
+	tunnel_request_write(&head, &request);
+	rc = http_client_open_tunnel(&c->http, t->loop, &c->peer->addr,
+				     buf_lstr(&head), TUNNEL_TIMEOUT_S, limits,
+				     &ops, c);
+	buf_free(&head);
+	return rc;
+}
+
 /* Sends a probe on a new connection. Returns 0 or a negative errno. */
 static int send_probe(struct crash_check *c)
 {
-	struct http_limits limits = {.head_max = HEAD_MAX,
-				     .body_max = BODY_MAX};
 	struct traffic *t = c->traffic;
 	const struct service_config *sc =
 		t->config ? config_service(t->config,
 					   lstr0(c->backend->service->name))
 			  : NULL;
 	struct buf request = {0};
-	int rc = http_client_open(&c->http, t->loop, &c->backend->entry.addr,
-				  CONNECT_TIMEOUT_S, limits, &ops, c);
+	int rc = open_connection(c);
 
 	c->probes++;
 	if (rc)
--- a/traffic/tunnels.c
+++ b/traffic/tunnels.c
@@ -75,16 +75,16 @@
 	struct service *s = t->backend->service;
 	struct tunnel_request r = {lstr0(t->backend->entry.id), lstr0(t->from),
 				   t->id};
+	bool refused = err == -ECONNREFUSED;
 	unsigned status;
 
 	stop_connecting(t);
 	close(t->fd);
 	reach_record(t->backend, REACH_OPEN_FAILED, err, clock_ms());
 	if (reach_is_lost(&s->reach))
-		status = TUNNEL_UNAVAILABLE;
+		status = refused ? TUNNEL_SERVICE_REFUSES : TUNNEL_UNAVAILABLE;
 	else
-		status = err == -ECONNREFUSED ? TUNNEL_SERVER_REFUSES
-					      : TUNNEL_SERVER_SILENT;
+		status = refused ? TUNNEL_SERVER_REFUSES : TUNNEL_SERVER_SILENT;
 	refuse(t->traffic, t->conn, &r, status, g_strerror(-err));
 	tunnel_free(t);
 }
