Tunnels whose server never answers count as failed; soak mode 'links'

Cause: a tunnel counted as working once the peer's own connection stood. The peer, of the same data centre, had lost the same links in the same way; each probe through it timed out, none of which counted against it.

Why this holds: both ends now judge by answers, not by connections that something on the way may accept.

--- a/core/reach.c
+++ b/core/reach.c
@@ -1,3 +1,5 @@
+#include <errno.h>
+
 #include "common/event.h"
 #include "core/backend.h"
 #include "core/reach.h"
@@ -27,9 +29,18 @@
 	return reach_is_lost(r) && r->hung.servers > 0;
 }
 
+/*
+ * reach_is_refused() returns whether the service is lost and its servers refuse
+ * connections, as they do when they have ended.
+ */
+bool reach_is_refused(const struct reach *r)
+{
+	return reach_is_lost(r) && r->open.err == -ECONNREFUSED;
+}
+
 /* Counts a failure at b. */
 static void add_failure(struct reach_failures *f, const struct backend *b,
-			int64_t now_ms)
+			int err, int64_t now_ms)
 {
 	if (now_ms - f->at_ms > FAILURES_APART_MS)
 		*f = (struct reach_failures){0};
@@ -37,6 +48,7 @@
 		f->servers++;
 	f->last = b;
 	f->at_ms = now_ms;
+	f->err = err;
 }
 
 /* Logs that the service was lost or is reached again. */
@@ -82,10 +94,10 @@
 		r->answered_ms = now_ms;
 		break;
 	case REACH_OPEN_FAILED:
-		add_failure(&r->open, b, now_ms);
+		add_failure(&r->open, b, err, now_ms);
 		break;
 	case REACH_HUNG:
-		add_failure(&r->hung, b, now_ms);
+		add_failure(&r->hung, b, err, now_ms);
 		break;
 	}
 	r->lost_ms = r->open.servers < needed && r->hung.servers < needed ? 0
--- a/core/reach.h
+++ b/core/reach.h
@@ -25,6 +25,7 @@
 	unsigned servers;
 	const struct backend *last; /* only compared */
 	int64_t at_ms;		    /* of the last failure */
+	int err;		    /* its negative errno */
 };
 
 struct reach {
@@ -37,5 +38,6 @@
 		  int64_t now_ms);
 bool reach_is_lost(const struct reach *r);
 bool reach_is_hung(const struct reach *r);
+bool reach_is_refused(const struct reach *r);
 
 #endif
--- a/stand/proxy.c
+++ b/stand/proxy.c
@@ -322,17 +322,24 @@
 	return port_listen(port);
 }
 
-/* Opens a port at `host` for each backend server of a service. */
+/*
+ * Opens a port at `host` for each backend server of a service. Proxies of a
+ * single entry are placed before those that the servers advertise.
+ */
 static int open_service_ports(struct proxy *p, const struct service_opts *s,
-			      const char *host)
+			      const char *host, bool single)
 {
-	char listen[64], actual[64];
+	char listen[64], target[64];
 	int rc = 0;
 
 	for (int i = 0; i < s->workers && !rc; i++) {
-		deploy_worker_addr(s, i, actual, sizeof(actual));
+		if (single)
+			deploy_worker_advertised_addr(s, i, target,
+						      sizeof(target));
+		else
+			deploy_worker_addr(s, i, target, sizeof(target));
 		deploy_worker_proxy_addr(s, i, host, listen, sizeof(listen));
-		rc = open_port(p, listen, actual);
+		rc = open_port(p, listen, target);
 	}
 	return rc;
 }
@@ -389,7 +396,7 @@
 		if (!host)
 			return -ENOENT;
 		deploy_worker_proxy_addr(s, 0, host, first, sizeof(first));
-		rc = open_service_ports(&p, s, host);
+		rc = open_service_ports(&p, s, host, entry != NULL);
 	} else {
 		rc = open_port(&p, d->entry.platform, d->platform.listen);
 	}
--- a/tests/soak-seeds.sh
+++ b/tests/soak-seeds.sh
@@ -15,6 +15,9 @@
 #   601, 602:   a fatal request; proxies accepted connections for servers that
 #               had crashed, so no crash was ever confirmed, and servers kept
 #               crashing.
+#   4601, 4602: instances lose their links to servers; a peer whose own links
+#               accepted connections and swallowed the answers was used on and on
+#               (4601).
 set -u
 cd "$(dirname "$0")/.."
 for seed in 122 153; do
@@ -32,3 +35,6 @@
 for seed in 601 602; do
 	tests/soak.sh $seed 10 0 fatal || exit 1
 done
+for seed in 4601 4602; do
+	tests/soak.sh $seed 10 0 links || exit 1
+done
--- a/traffic/path_check.c
+++ b/traffic/path_check.c
@@ -86,7 +86,7 @@
 	t->path_timer.data = t;
 }
 
-/* Starts the checks; called when a tunnel is opened. */
+/* Starts the checks; called when a service is lost. */
 void path_check_begin(struct traffic *t)
 {
 	if (!ev_is_active(&t->path_timer))
--- a/traffic/path_check.h
+++ b/traffic/path_check.h
@@ -1,6 +1,6 @@
 /*
- * Looks for servers that are reached through tunnels to become reachable
- * directly again.
+ * Looks for servers of lost services, and servers that are reached through
+ * tunnels, to become reachable directly again.
  */
 #ifndef MP_TRAFFIC_PATH_CHECK_H
 #define MP_TRAFFIC_PATH_CHECK_H
--- a/traffic/tunnels.c
+++ b/traffic/tunnels.c
@@ -11,6 +11,7 @@
 #include "http/splice.h"
 #include "member/tunnel_request.h"
 #include "misc/clock.h"
+#include "traffic/path_check.h"
 #include "traffic/tunnels.h"
 
 enum {
@@ -69,24 +70,38 @@
 	http_conn_set_user(t->conn, NULL);
 }
 
-/* The server isn't reached from here either. */
-static void on_connect_failed(struct tunnel *t, int err)
+/* Returns the answer when a server can't be connected. */
+static unsigned failure_status(const struct service *s, int err)
+{
+	if (reach_is_lost(&s->reach))
+		return err == -ECONNREFUSED ? TUNNEL_SERVICE_REFUSES
+					    : TUNNEL_UNAVAILABLE;
+	return err == -ECONNREFUSED ? TUNNEL_SERVER_REFUSES
+				    : TUNNEL_SERVER_SILENT;
+}
+
+/* Ends the connection attempt and refuses the tunnel. */
+static void give_up(struct tunnel *t, unsigned status, const char *why)
 {
-	struct service *s = t->backend->service;
 	struct tunnel_request r = {lstr0(t->backend->entry.id), lstr0(t->from),
 				   t->id};
-	bool refused = err == -ECONNREFUSED;
-	unsigned status;
 
 	stop_connecting(t);
 	close(t->fd);
+	refuse(t->traffic, t->conn, &r, status, why);
+	tunnel_free(t);
+}
+
+/* The server isn't reached from here either. */
+static void on_connect_failed(struct tunnel *t, int err)
+{
+	struct service *s = t->backend->service;
+
 	reach_record(t->backend, REACH_OPEN_FAILED, err, clock_ms());
+	path_direct_failed(t->backend, clock_ms());
 	if (reach_is_lost(&s->reach))
-		status = refused ? TUNNEL_SERVICE_REFUSES : TUNNEL_UNAVAILABLE;
-	else
-		status = refused ? TUNNEL_SERVER_REFUSES : TUNNEL_SERVER_SILENT;
-	refuse(t->traffic, t->conn, &r, status, g_strerror(-err));
-	tunnel_free(t);
+		path_check_begin(t->traffic);
+	give_up(t, failure_status(s, err), g_strerror(-err));
 }
 
 /* The server's first byte shows that this instance reaches it. */
@@ -148,6 +163,9 @@
 
 	if (err)
 		on_connect_failed(t, err);
+	else if (reach_is_lost(&t->backend->service->reach))
+		/* A connection may be accepted on the way to the server. */
+		give_up(t, TUNNEL_UNAVAILABLE, "no server reached");
 	else
 		start_forwarding(t);
 }
@@ -200,6 +218,9 @@
 	} else if (!b || !backend_is_available(b, SEND_COMMITTED, clock_ms())) {
 		refuse(t, c, r, TUNNEL_UNKNOWN_SERVER,
 		       b ? "the server takes nothing" : "not listed");
+	} else if (reach_is_lost(&b->service->reach) &&
+		   !reach_is_refused(&b->service->reach)) {
+		refuse(t, c, r, TUNNEL_UNAVAILABLE, "no server reached");
 	} else {
 		rc = connect_to(t, b, c, r);
 		if (rc)
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -83,7 +83,7 @@
 		path_direct_opened(u->backend, now_ms);
 }
 
-/* Handles a tunnel that could not be opened. */
+/* Handles a tunnel through which its server wasn't reached. */
 static void on_tunnel_failed(struct upstream *u, int err, int64_t now_ms)
 {
 	unsigned status = u->http.tunnel_status;
@@ -99,6 +99,17 @@
 	path_tunnel_failed(u->backend->service, now_ms);
 }
 
+/* Handles a direct connection that failed. */
+static void on_direct_failed(struct upstream *u, enum reach_outcome outcome,
+			     int err, int64_t now_ms)
+{
+	reach_record(u->backend, outcome, err, now_ms);
+	if (outcome == REACH_OPEN_FAILED)
+		path_direct_failed(u->backend, now_ms);
+	if (reach_is_lost(&u->backend->service->reach))
+		path_check_begin(u->traffic);
+}
+
 /*
  * Records a failed connection if it is evidence of a failed link. A request
  * without a response isn't: the server may be slow, or the request to blame.
@@ -109,14 +120,12 @@
 
 	if (err == -ECANCELED || u->idle)
 		return;
-	if (u->peer && !u->http.connected) {
+	if (u->peer && open_failed)
 		on_tunnel_failed(u, err, now_ms);
-	} else if (!u->peer && open_failed) {
-		reach_record(u->backend, REACH_OPEN_FAILED, err, now_ms);
-		path_direct_failed(u->backend, now_ms);
-	} else if (!u->peer && u->is_probe && err == -ETIMEDOUT) {
-		reach_record(u->backend, REACH_HUNG, err, now_ms);
-	}
+	else if (!u->peer && open_failed)
+		on_direct_failed(u, REACH_OPEN_FAILED, err, now_ms);
+	else if (!u->peer && u->is_probe && err == -ETIMEDOUT)
+		on_direct_failed(u, REACH_HUNG, err, now_ms);
 }
 
 /* Applies the server's feedback even if the owner skips the response. */
@@ -247,7 +256,6 @@
 
 	if (!t->settings->tunnels || !path_use_tunnel(b, now_ms))
 		return upstream_open_direct(t, b);
-	path_check_begin(t);
 	peer = tunnel_peers_pick(&t->tunnel_peers, b->service, TUNNEL_NEAR,
 				 t->rand, now_ms);
 	if (peer)
