socket_set_keepalive(): say what decides when a connection fails

TCP_USER_TIMEOUT is set beside the keep-alive probes, so it alone decides when these give up, whatever their number: a silent connection fails timeout_s seconds after the last packet received, not timeout_s + 2 as the comment said. The number of probes had no effect and is no longer set.

Connections to servers set neither: each is probed before it is used.

--- a/http/socket.c
+++ b/http/socket.c
@@ -88,19 +88,19 @@
 }
 
 /*
- * socket_set_keepalive() makes a connection fail after about timeout_s + 2
- * seconds without a packet from the peer, through keep-alive probes while idle
- * and a timeout for unacknowledged data. Otherwise a connection whose state a
- * middlebox has dropped would stay open for ever.
+ * socket_set_keepalive() makes a connection fail when nothing has been received
+ * from the peer for about timeout_s seconds, idle or with unacknowledged data.
+ * Otherwise a connection whose state a middlebox has dropped would stay open for
+ * ever. TCP_USER_TIMEOUT alone decides, also when the keep-alive probes of an
+ * idle connection give up; their number has no effect beside it.
  */
 void socket_set_keepalive(int fd, int timeout_s)
 {
-	int one = 1, tries = 2, timeout_ms = timeout_s * 1000;
+	int one = 1, timeout_ms = timeout_s * 1000;
 
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &one, sizeof(one));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &one, sizeof(one));
-	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &tries, sizeof(tries));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
 		   sizeof(timeout_ms));
 }
