--- a/tests/partition.sh
+++ b/tests/partition.sh
@@ -124,7 +124,16 @@
 	local name=$1 query=$2 service=$3
 	shift 3
 	cut_links "$query" "$service" "$@"
-	call_all "$name" $CUT_S
+	play_cut "$name" "$service" "$@"
+}
+# The same for a cut that has begun already; $WHILE_CUT is run meanwhile.
+play_cut() { # name, service or "all", instances...
+	local name=$1 service=$2
+	shift 2
+	call_all "$name" $CUT_S &
+	local calls=$!
+	[ -z "${WHILE_CUT:-}" ] || $WHILE_CUT
+	wait $calls
 	check "$name: first attempts served alike" served_alike "$name" "$@"
 	check "$name: invariants" invariants_held "$name"
 	cut_links "$HEAL" "$service" "$@"
@@ -132,6 +141,37 @@
 	call_all "$name-after" 1
 	check "$name: served alike after the heal" served_alike "$name-after" "$@"
 }
+# Stops some instances one after the other and starts them again.
+restart_in_turn() { # instances...
+	local i
+	sleep 0.5
+	for i in "$@"; do
+		kill -TERM "${pids[e$i]}"
+		wait "${pids[e$i]}"
+		start_entry "$i"
+	done
+}
+# Succeeds if no call at these instances ended with an unknown outcome.
+none_unknown() { # name, instances...
+	local name=$1 i
+	shift
+	for i in "$@"; do cat "$logs/load-$name-$i.txt"; done |
+		awk '$1 == "strada" || $1 == "semillero" {u += $6} END {print u + 0 " unknown"; exit u > 0}'
+}
+# Counts the log lines of all instances that match a pattern.
+count_lines() { cat "$logs"/entry-*.log | grep -cE "$1"; }
+# Succeeds if callers of a service without servers were refused quickly, tunnels
+# were hardly tried, and the other service wasn't affected.
+gone_servers_refused() { # name, tunnels opened before, tunnels failed before
+	local opened failed
+	opened=$(($(count_lines ' ev=362 ') - $2))
+	failed=$(($(count_lines ' ev=363 ') - $3))
+	cat "$logs"/load-$1-*.txt | awk -v opened=$opened -v failed=$failed -v entries=$ENTRIES '
+		$1 == "strada" {c += $3; d += $4; n += $5}
+		$1 == "semillero" {oc += $3; od += $4}
+		END {print "gone: " d " of " c " served, " n " refused; the other service: " od " of " oc "; tunnels: " opened " opened, " failed " failed"
+			exit !(c > 0 && d == 0 && n == c && od == oc && opened == 0 && failed <= 20 * entries)}'
+}
 no_server_suspected() { ! grep -h ' ev=331 ' "$logs"/entry-*.log; }
 
 $bin store --deployment "$ini" 2>"$logs/store.log" &
@@ -162,6 +202,29 @@
 play data-centre 'closed=1&reset=1' all 0 1 2
 play data-centre-hanging 'hang=1&silent=both' all 3 4 5
 play one-service 'closed=1&reset=1' harta 1 2
+cut_links 'closed=1&reset=1' all 0 3
+kill -KILL "${pids[e0]}"
+wait "${pids[e0]}" 2>/dev/null
+start_entry 0
+sleep 2
+play_cut started-anew all 0 3
+cut_links 'closed=1&reset=1' all 0 3
+WHILE_CUT='restart_in_turn 1 2' play_cut peers-restart all 0 3
+check "peers-restart: no outcome unknown" none_unknown peers-restart 0 3
+sleep 1
+opened=$(count_lines ' ev=362 ')
+failed=$(count_lines ' ev=363 ')
+for i in 0 1 2; do
+	kill -KILL "${pids[harta-$i]}"
+	wait "${pids[harta-$i]}" 2>/dev/null
+done
+call_all gone 2
+check "gone servers: refused, and no tunnels" gone_servers_refused gone "$opened" "$failed"
+check "gone: invariants" invariants_held gone
+for i in 0 1 2; do start_server harta $i; done
+sleep 3
+call_all back 1
+check "back: served alike" served_alike back 0 3
 check "no request was quarantined" no_server_suspected
 
 cat "$logs/checks.log" | grep -E '^cut off' || true
