Tunnels: no data centre is relied on before one of its peers has worked

Cause: the first tunnels all went to peers of the own data centre. Each needed 0.1 s to find out that its own connection hangs, answered 504, which wasn't held against it, and was asked again, until tunnels counted as failing everywhere.

Change: until a peer of the own data centre has worked, every other tunnel goes to another one, and all do once one has failed; whatever the reason of a failed tunnel, the peer is avoided for a time. Why this holds: of the two or three probes of a request at least one goes where other links are used.

--- a/member/tunnel_peers.c
+++ b/member/tunnel_peers.c
@@ -7,17 +7,15 @@
 	/* A peer that didn't reach a service isn't asked again for this long. */
 	AVOID_MS = 1000,
 	AVOID_DOUBLINGS_MAX = 3, /* limit of the doubling with each failure */
-	/*
-	 * After failures of this many peers of the own data centre the others
-	 * are asked first: its links may be down as a whole.
-	 */
-	NEAR_FAILURES_MAX = 2,
+	/* A peer that worked within this time counts as proven. */
+	PROVEN_MS = 10 * 1000,
 };
 
-/* Failed tunnels of a peer to a service, in a row. */
-struct tunnel_failures {
-	unsigned count;
+/* What is known of a peer's tunnels to a service. */
+struct tunnel_record {
+	unsigned failures; /* in a row */
 	int64_t avoid_until_ms;
+	int64_t worked_ms; /* 0: not since the last failure */
 };
 
 /* tunnel_peers_init() initializes an empty table for the named instance. */
@@ -42,7 +40,7 @@
 {
 	if (--p->refs)
 		return;
-	g_hash_table_unref(p->failures);
+	g_hash_table_unref(p->records);
 	g_free(p);
 }
 
@@ -66,7 +64,7 @@
 	if (!p) {
 		p = g_new0(struct tunnel_peer, 1);
 		p->refs = 1;
-		p->failures = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+		p->records = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 		g_strlcpy(p->name, e->name, sizeof(p->name));
 		g_ptr_array_add(t->list, p);
 	}
@@ -103,14 +101,55 @@
 	}
 }
 
-/* Returns whether the peer's tunnels to the service have failed of late. */
-static bool is_avoided(const struct tunnel_peer *p, const void *service,
-		       int64_t now_ms)
+/* Returns what is known of the peer's tunnels to the service; never NULL. */
+static struct tunnel_record *record_of(struct tunnel_peer *p,
+				       const void *service)
 {
-	const struct tunnel_failures *f =
-		g_hash_table_lookup(p->failures, service);
+	struct tunnel_record *r = g_hash_table_lookup(p->records, service);
 
-	return f && now_ms < f->avoid_until_ms;
+	if (r)
+		return r;
+	r = g_new0(struct tunnel_record, 1);
+	g_hash_table_insert(p->records, (void *)service, r);
+	return r;
+}
+
+/* The peers that may be asked for a tunnel. */
+struct candidates {
+	GPtrArray *near, *far; /* of the own data centre, of others */
+	bool near_failed, near_proven;
+};
+
+static void list_candidates(const struct tunnel_peers *t, const void *service,
+			    int64_t now_ms, struct candidates *c)
+{
+	*c = (struct candidates){g_ptr_array_new(), g_ptr_array_new(), 0, 0};
+	for (guint i = 0; i < t->list->len; i++) {
+		struct tunnel_peer *p = g_ptr_array_index(t->list, i);
+		const struct tunnel_record *r = record_of(p, service);
+		bool near = !strcmp(p->dc, t->dc);
+		bool avoided = now_ms < r->avoid_until_ms;
+
+		if (!avoided)
+			g_ptr_array_add(near ? c->near : c->far, p);
+		c->near_failed = c->near_failed || (near && avoided);
+		c->near_proven =
+			c->near_proven || (near && r->worked_ms &&
+					   now_ms - r->worked_ms < PROVEN_MS);
+	}
+}
+
+/*
+ * Returns whether to ask a peer of the own data centre. Its links may be down
+ * as a whole: until one has worked, every other tunnel goes elsewhere, and all
+ * do when one has failed.
+ */
+static bool is_near_turn(struct tunnel_peers *t, const struct candidates *c,
+			 enum tunnel_scope scope)
+{
+	if (scope == TUNNEL_FAR || c->near_failed)
+		return false;
+	return c->near_proven || t->turn++ % 2 == 0;
 }
 
 /*
@@ -119,28 +158,19 @@
  * ones the one with fewer connections is chosen, so that no peer gets most of
  * them.
  */
-struct tunnel_peer *tunnel_peers_pick(const struct tunnel_peers *t,
+struct tunnel_peer *tunnel_peers_pick(struct tunnel_peers *t,
 				      const void *service,
 				      enum tunnel_scope scope, GRand *rand,
 				      int64_t now_ms)
 {
-	GPtrArray *near = g_ptr_array_new(), *far = g_ptr_array_new(), *from;
 	struct tunnel_peer *chosen = NULL;
-	unsigned near_failures = 0;
+	struct candidates c;
+	GPtrArray *from;
 
-	for (guint i = 0; i < t->list->len; i++) {
-		struct tunnel_peer *p = g_ptr_array_index(t->list, i);
-		bool is_near = !strcmp(p->dc, t->dc);
-
-		if (!is_avoided(p, service, now_ms))
-			g_ptr_array_add(is_near ? near : far, p);
-		else
-			near_failures += is_near;
-	}
-	from = scope == TUNNEL_NEAR && near_failures < NEAR_FAILURES_MAX ? near
-									 : far;
+	list_candidates(t, service, now_ms, &c);
+	from = is_near_turn(t, &c, scope) ? c.near : c.far;
 	if (!from->len)
-		from = from == near ? far : near;
+		from = from == c.near ? c.far : c.near;
 	for (int i = 0; i < 2 && from->len; i++) {
 		struct tunnel_peer *p = g_ptr_array_index(
 			from,
@@ -149,8 +179,8 @@
 		if (!chosen || p->refs < chosen->refs)
 			chosen = p;
 	}
-	g_ptr_array_unref(near);
-	g_ptr_array_unref(far);
+	g_ptr_array_unref(c.near);
+	g_ptr_array_unref(c.far);
 	return chosen;
 }
 
@@ -158,19 +188,17 @@
 void tunnel_peer_failed(struct tunnel_peer *p, const void *service,
 			int64_t now_ms)
 {
-	struct tunnel_failures *f = g_hash_table_lookup(p->failures, service);
+	struct tunnel_record *r = record_of(p, service);
 
-	if (!f) {
-		f = g_new0(struct tunnel_failures, 1);
-		g_hash_table_insert(p->failures, (void *)service, f);
-	}
-	f->avoid_until_ms =
-		now_ms + (AVOID_MS << MIN(f->count, AVOID_DOUBLINGS_MAX));
-	f->count++;
+	r->avoid_until_ms =
+		now_ms + (AVOID_MS << MIN(r->failures, AVOID_DOUBLINGS_MAX));
+	r->failures++;
+	r->worked_ms = 0;
 }
 
 /* tunnel_peer_worked() handles an answer through the peer. */
-void tunnel_peer_worked(struct tunnel_peer *p, const void *service)
+void tunnel_peer_worked(struct tunnel_peer *p, const void *service,
+			int64_t now_ms)
 {
-	g_hash_table_remove(p->failures, service);
+	*record_of(p, service) = (struct tunnel_record){.worked_ms = now_ms};
 }
--- a/member/tunnel_peers.h
+++ b/member/tunnel_peers.h
@@ -12,13 +12,14 @@
 	struct sockaddr_in addr; /* where it serves tunnels */
 	bool listed;		 /* still alive and not leaving */
 	unsigned refs;		 /* connections through it */
-	GHashTable *failures;	 /* service -> struct tunnel_failures * */
+	GHashTable *records;	 /* service -> struct tunnel_record * */
 };
 
 struct tunnel_peers {
 	GPtrArray *list; /* struct tunnel_peer * */
 	char self[PEER_NAME_MAX];
 	char dc[PEER_NAME_MAX];
+	unsigned turn;	 /* of tunnels to unproven peers */
 	int port_offset; /* of the tunnels' port from the peers' port */
 };
 
@@ -31,7 +32,7 @@
 void tunnel_peers_init(struct tunnel_peers *t, const char *self, const char *dc,
 		       int port_offset);
 void tunnel_peers_update(struct tunnel_peers *t, const GArray *named);
-struct tunnel_peer *tunnel_peers_pick(const struct tunnel_peers *t,
+struct tunnel_peer *tunnel_peers_pick(struct tunnel_peers *t,
 				      const void *service,
 				      enum tunnel_scope scope, GRand *rand,
 				      int64_t now_ms);
@@ -39,6 +40,7 @@
 void tunnel_peer_unref(struct tunnel_peer *p);
 void tunnel_peer_failed(struct tunnel_peer *p, const void *service,
 			int64_t now_ms);
-void tunnel_peer_worked(struct tunnel_peer *p, const void *service);
+void tunnel_peer_worked(struct tunnel_peer *p, const void *service,
+			int64_t now_ms);
 
 #endif
--- a/tests/partition.sh
+++ b/tests/partition.sh
@@ -191,6 +191,7 @@
 		curl -s -m 2 -X POST "http://127.0.0.1:$((${ports[$s]} + i))/stand/faults?quiet=1" >/dev/null
 	done
 done
+play before-first-request 'hang=1&silent=both' all 0 1 2
 call_all calm 2
 check "calm: served alike" served_alike calm 0 3
 check "calm: invariants" invariants_held calm
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -72,7 +72,7 @@
 			 "tunnel=%016" PRIx64 " peer=%s backend=%s service=%s",
 			 u->tunnel, u->peer->name, u->backend->entry.id,
 			 u->backend->service->name);
-		tunnel_peer_worked(u->peer, u->backend->service);
+		tunnel_peer_worked(u->peer, u->backend->service, now_ms);
 		path_tunnel_opened(u->backend, now_ms);
 	}
 	if (u->peer)
@@ -94,8 +94,7 @@
 		 "status=%u err=%s",
 		 u->tunnel, u->peer->name, u->backend->entry.id,
 		 u->backend->service->name, status, g_strerror(-err));
-	if (status != TUNNEL_SERVER_REFUSES && status != TUNNEL_SERVER_SILENT)
-		tunnel_peer_failed(u->peer, u->backend->service, now_ms);
+	tunnel_peer_failed(u->peer, u->backend->service, now_ms);
 	path_tunnel_failed(u->backend->service, now_ms);
 }
 
