Requests whose probes nobody has answered yet wait for a path to be found

Cause: the wait for room, an eighth of the target, ends before the first connection attempt has timed out, so no failure was known yet.

Where the servers are gone, tunnels have failed a few times after that, and requests are refused as before.

--- a/core/path.c
+++ b/core/path.c
@@ -34,15 +34,12 @@
 }
 
 /*
- * path_may_be_found() returns whether servers of the service have failed to
- * answer, and it isn't known yet whether a tunnel reaches them.
+ * path_may_be_found() returns whether servers that don't answer may be reached
+ * by a tunnel: it isn't known that tunnels fail as well.
  */
-bool path_may_be_found(const struct service *s, int64_t now_ms)
+bool path_may_be_found(const struct service *s)
 {
-	const struct reach *r = &s->reach;
-
 	return mechanisms.tunnel &&
-	       (r->open.servers || r->hung.servers || reach_is_lost(r)) &&
 	       s->paths.failed_tunnels <= FAILED_TUNNELS_MAX;
 }
 
--- a/core/path.h
+++ b/core/path.h
@@ -27,7 +27,7 @@
 
 bool path_is_broken(const struct backend *b);
 bool path_use_tunnel(const struct backend *b, int64_t now_ms);
-bool path_may_be_found(const struct service *s, int64_t now_ms);
+bool path_may_be_found(const struct service *s);
 void path_direct_opened(struct backend *b, int64_t now_ms);
 void path_direct_failed(struct backend *b, int64_t now_ms);
 void path_tunnel_opened(struct backend *b, int64_t now_ms);
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -112,7 +112,7 @@
 		path_tunnel_failed(s.service, now_ms);
 	}
 	assert_in_range(tunnels, 6, 20);
-	assert_false(path_may_be_found(s.service, 10000));
+	assert_false(path_may_be_found(s.service));
 }
 
 static void a_tunnel_that_answers_clears_failures_of_the_link(void **state)
--- a/traffic/request_queue.c
+++ b/traffic/request_queue.c
@@ -92,8 +92,9 @@
 	struct admit_request view = request_admission_view(r, now_ms);
 	int64_t wait_ms = (int64_t)admit_max_wait_ms(&view);
 
-	if (wait_ms < PATH_WAIT_MS && r->probes_answered == 0 &&
-	    path_may_be_found(r->service, now_ms))
+	if (wait_ms < PATH_WAIT_MS && r->traffic->settings->tunnels &&
+	    r->probes_sent && !r->probes_answered &&
+	    path_may_be_found(r->service))
 		wait_ms = PATH_WAIT_MS;
 	return r->select_start_ms + wait_ms;
 }
