--- a/traffic/crash_check.c
+++ b/traffic/crash_check.c
@@ -8,6 +8,7 @@
 #include "platform/exchange.h"
 #include "traffic/crash_check.h"
 #include "traffic/feedback.h"
+#include "traffic/probe.h"
 
 /*
  * If the process has ended, connections are refused within a round trip; if it
@@ -260,17 +261,14 @@
 static int send_probe(struct crash_check *c)
 {
 	struct traffic *t = c->traffic;
-	const struct service_config *sc =
-		t->config ? config_service(t->config,
-					   lstr0(c->backend->service->name))
-			  : NULL;
 	struct buf request = {0};
 	int rc = open_connection(c);
 
 	c->probes++;
 	if (rc)
 		return rc;
-	exchange_write_probe(&request, sc ? sc->health_path : LSTR("/"),
+	exchange_write_probe(&request,
+			     probe_health_path(t, c->backend->service),
 			     c->backend, t->via);
 	http_client_send(&c->http, buf_lstr(&request), RESPONSE_TIMEOUT_S,
 			 false);
--- a/traffic/probe.c
+++ b/traffic/probe.c
@@ -199,18 +199,23 @@
 	return p;
 }
 
+/* Returns the path that probes of the service's servers use. */
+struct lstr probe_health_path(const struct traffic *t, const struct service *s)
+{
+	const struct service_config *sc =
+		t->config ? config_service(t->config, lstr0(s->name)) : NULL;
+
+	return sc ? sc->health_path : LSTR("/");
+}
+
 /* Sends a probe. */
 static void probe_send(struct probe *p)
 {
 	struct traffic *t = p->traffic;
-	const struct service_config *sc =
-		t->config ? config_service(t->config,
-					   lstr0(p->backend->service->name))
-			  : NULL;
 	struct buf bytes = {0};
 
 	t->counters.probes++;
-	exchange_write_probe(&bytes, sc ? sc->health_path : LSTR("/"),
+	exchange_write_probe(&bytes, probe_health_path(t, p->backend->service),
 			     p->backend, t->via);
 	upstream_probe(p->upstream, buf_lstr(&bytes), PROBE_TIMEOUT_S,
 		       &probe_ops, p);
--- a/traffic/probe.h
+++ b/traffic/probe.h
@@ -24,5 +24,6 @@
 void probe_start(struct request *r, struct backend *b);
 void probes_release(struct request *r);
 void probe_check_path(struct traffic *t, struct backend *b);
+struct lstr probe_health_path(const struct traffic *t, const struct service *s);
 
 #endif
