A server that fails long after a cut isn't tunneled to for it

Found by reading: a server that had answered through a tunnel kept that mark after the links were back. When it crashed later, its connections went through tunnels, which failed as well, and where its service wasn't lost nothing looked for it directly again.

Change: the mark ends with the first failure more than 3 s after the links were back, and when a peer doesn't reach the server either; direct checks run as long as any server is reached by tunnels.

--- a/core/path.c
+++ b/core/path.c
@@ -12,6 +12,8 @@
 	FAILED_TUNNELS_MAX = 6,
 	PAUSE_MS = 50,		 /* doubled with each further failure */
 	PAUSE_DOUBLINGS_MAX = 5, /* limit of the doubling */
+	/* Failures later than this after the links are back are new ones. */
+	HEALED_MS = 3000,
 };
 
 /*
@@ -52,9 +54,15 @@
 	b->path = (struct server_path){0};
 }
 
-/* path_direct_failed() handles a direct connection that failed. */
+/*
+ * path_direct_failed() handles a direct connection that failed. Once the links
+ * are back, that a tunnel was needed earlier says nothing about this failure.
+ */
 void path_direct_failed(struct backend *b, int64_t now_ms)
 {
+	if (!path_is_broken(b) &&
+	    now_ms - b->service->paths.reopened_ms > HEALED_MS)
+		b->path.tunneled = false;
 	b->path.failed_ms = now_ms;
 }
 
@@ -73,6 +81,12 @@
 	b->path.tunneled = true;
 }
 
+/* path_tunnel_refused() handles a server that a peer doesn't reach either. */
+void path_tunnel_refused(struct backend *b)
+{
+	b->path.tunneled = false;
+}
+
 /* path_tunnel_failed() handles a tunnel that could not be opened. */
 void path_tunnel_failed(struct service *s, int64_t now_ms)
 {
--- a/core/path.h
+++ b/core/path.h
@@ -31,6 +31,7 @@
 void path_direct_opened(struct backend *b, int64_t now_ms);
 void path_direct_failed(struct backend *b, int64_t now_ms);
 void path_tunnel_opened(struct backend *b, int64_t now_ms);
+void path_tunnel_refused(struct backend *b);
 void path_tunnel_failed(struct service *s, int64_t now_ms);
 
 #endif
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -75,6 +75,31 @@
 	servers_free(s);
 }
 
+static void a_server_that_fails_long_after_the_heal_gets_no_tunnel(void **state)
+{
+	struct servers *s = servers_new(SERVERS, 1);
+
+	lose_service(s, 10);
+	for (int i = 0; i < SERVERS; i++)
+		path_tunnel_opened(s->list[i], 20);
+	open_direct(s, 0, 30);
+	fail_direct(s, 1, 60 * 1000);
+	assert_false(path_use_tunnel(s->list[1], 60 * 1000 + 1));
+	servers_free(s);
+}
+
+static void a_server_that_no_peer_reaches_gets_no_tunnel(void **state)
+{
+	struct servers *s = servers_new(SERVERS, 1);
+
+	lose_service(s, 10);
+	path_tunnel_opened(s->list[0], 20);
+	open_direct(s, 3, 30);
+	path_tunnel_refused(s->list[0]);
+	assert_false(path_use_tunnel(s->list[0], 31));
+	servers_free(s);
+}
+
 static void gone_servers_get_few_tunnels(void **state)
 {
 	struct servers *s = servers_new(SERVERS, 1);
@@ -112,6 +137,9 @@
 			server_that_only_a_peer_reaches_keeps_its_tunnel),
 		cmocka_unit_test(
 			all_go_direct_once_a_tunneled_server_is_reached),
+		cmocka_unit_test(
+			a_server_that_fails_long_after_the_heal_gets_no_tunnel),
+		cmocka_unit_test(a_server_that_no_peer_reaches_gets_no_tunnel),
 		cmocka_unit_test(gone_servers_get_few_tunnels),
 		cmocka_unit_test(
 			a_tunnel_that_answers_clears_failures_of_the_link),
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -95,6 +95,8 @@
 		 u->tunnel, u->peer->name, u->backend->entry.id,
 		 u->backend->service->name, status, g_strerror(-err));
 	tunnel_peer_failed(u->peer, u->backend->service, now_ms);
+	if (status == TUNNEL_SERVER_REFUSES || status == TUNNEL_SERVER_SILENT)
+		path_tunnel_refused(u->backend);
 	path_tunnel_failed(u->backend->service, now_ms);
 }
 
@@ -105,7 +107,7 @@
 	reach_record(u->backend, outcome, err, now_ms);
 	if (outcome == REACH_OPEN_FAILED)
 		path_direct_failed(u->backend, now_ms);
-	if (reach_is_lost(&u->backend->service->reach))
+	if (path_is_broken(u->backend))
 		path_check_begin(u->traffic);
 }
 
