--- a/core/workspace.c
+++ b/core/workspace.c
@@ -35,8 +35,8 @@
 void workspaces_init(struct workspaces *w, struct workspace *list, size_t n)
 {
 	*w = (struct workspaces){.required = true, .list = list, .n = n};
-	w->by_key = g_hash_table_new_full(digest_hash, digest_equal, g_free,
-					  NULL);
+	w->by_key =
+		g_hash_table_new_full(digest_hash, digest_equal, g_free, NULL);
 }
 
 /*
--- a/core/workspace.h
+++ b/core/workspace.h
@@ -19,9 +19,9 @@
 	struct lstr name;
 	uint32_t id; /* hash of the name, the same on all instances */
 	bool has_priority;
-	unsigned priority;     /* 0 is the highest; before the route's */
-	double rate_s;	       /* quota, requests per second; 0: no quota */
-	double burst;	       /* requests that the quota allows at once */
+	unsigned priority; /* 0 is the highest; before the route's */
+	double rate_s;	   /* quota, requests per second; 0: no quota */
+	double burst;	   /* requests that the quota allows at once */
 	unsigned nkeys;
 };
 
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -332,8 +332,7 @@
 static uint64_t compute_digest(const struct http_message *m,
 			       const struct request_info *call)
 {
-	struct lstr caller =
-		call->identified ? call->workspace : call->caller;
+	struct lstr caller = call->identified ? call->workspace : call->caller;
 	const struct lstr parts[] = {m->method, call->host, caller, m->target,
 				     buf_lstr(&m->body)};
 
@@ -345,8 +344,8 @@
 						const struct workspace *w)
 {
 	return (struct request_priority){
-		.workspace = w && w->has_priority ? w->priority
-						  : route->priority,
+		.workspace =
+			w && w->has_priority ? w->priority : route->priority,
 		.route = route->priority,
 	};
 }
