Tests: size.sh asks instances side by side

The instances' logs show 193 requests, all answered, none refused or unanswered: the checks' time went into starting one curl after the other. Each instance is still asked until it serves within the same time, all of them side by side.

--- a/tests/size.sh
+++ b/tests/size.sh
@@ -77,20 +77,27 @@
 # Prints the number of calls that the store got.
 calls() { curl -s -m 2 "http://127.0.0.1:$port/stand/calls"; }
 set_store_faults() { curl -s -m 2 -X POST "http://127.0.0.1:$port/stand/faults?$1" >/dev/null; }
+# Prints the numbers of the given instances that don't serve a request now. They
+# are asked side by side, so that the time is theirs and not that of the asking.
+not_serving() { # instance ...
+	local i next=
+	for i in "$@"; do
+		printf "$next"
+		next='next\n'
+		printf 'url = "http://%s:8001/work/1"\noutput = /dev/null\nwrite-out = "%d %%{http_code}\\n"\nheader = "Host: harta.example"\nheader = "Attempt-Id: a-%d%d"\nheader = "Deadline-Remaining-Ms: 900"\nmax-time = 1\n' \
+			"$(ip "$i")" "$i" $RANDOM $RANDOM
+	done | curl -s -Z --parallel-max 20 -K - 2>/dev/null | awk '$2 != 200 { print $1 }'
+}
 # Succeeds once all instances serve a request, within so many seconds.
 all_serve_within() { # seconds
-	local end=$((SECONDS + $1)) i=0
-	while ((SECONDS < end && i < N)); do
-		if [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' -H 'Host: harta.example' \
-			-H "Attempt-Id: a-$RANDOM$RANDOM" -H 'Deadline-Remaining-Ms: 900' \
-			"http://$(ip $i):8001/work/1")" = 200 ]; then
-			i=$((i + 1))
-		else
-			sleep 0.1
-		fi
+	local end=$((SECONDS + $1)) left
+	mapfile -t left < <(seq 0 $((N - 1)))
+	while ((SECONDS < end && ${#left[@]})); do
+		mapfile -t left < <(not_serving "${left[@]}")
+		((${#left[@]} == 0)) || sleep 0.1
 	done
-	echo "$i of $N serve"
-	((i == N))
+	echo "$((N - ${#left[@]})) of $N serve"
+	((${#left[@]} == 0))
 }
 # Succeeds once all instances know all others, within so many seconds.
 all_know_all_within() { # seconds
