Quotas of workspaces: granted by holders, before a request is sent

Requests of a workspace were sent whatever its quota. Now each quota is divided among some instances, its holders, and a request goes out when one of them has granted it.

--- a/control/control.c
+++ b/control/control.c
@@ -363,6 +363,8 @@
 		break;
 	case FROM_TRAFFIC_LOAD:
 	case FROM_TRAFFIC_LIMIT_CALL:
+	case FROM_TRAFFIC_QUOTA_ASK:
+	case FROM_TRAFFIC_QUOTA_ANSWER:
 	case FROM_TRAFFIC_LIMITS:
 	case FROM_TRAFFIC_DRAIN:
 		relay_from_traffic(c, (enum from_traffic)m->kind, m->data);
--- a/control/control.h
+++ b/control/control.h
@@ -21,26 +21,30 @@
 
 /* Messages to the traffic thread; the receiver owns the data. */
 enum to_traffic {
-	TO_TRAFFIC_CONFIG = 1,	     /* struct config * */
-	TO_TRAFFIC_BACKEND = 2,	     /* struct backend_change * */
-	TO_TRAFFIC_PEERS = 3,	     /* struct peer_view * */
-	TO_TRAFFIC_LOAD = 5,	     /* struct peer_load * */
-	TO_TRAFFIC_STOP = 4,	     /* no data: graceful stop */
-	TO_TRAFFIC_VERDICT = 7,	     /* struct verdict * */
-	TO_TRAFFIC_LIMITS = 8,	     /* struct limit_gossip * */
-	TO_TRAFFIC_LIMIT_CALL = 9,   /* struct limit_borrow_msg * */
-	TO_TRAFFIC_DRAIN = 10,	     /* struct drain_gossip * */
-	TO_TRAFFIC_BOUNDS = 6,	     /* struct bounds *, of changed settings */
-	TO_TRAFFIC_EVACUATIONS = 11, /* struct evacuations * */
+	TO_TRAFFIC_CONFIG = 1,	      /* struct config * */
+	TO_TRAFFIC_BACKEND = 2,	      /* struct backend_change * */
+	TO_TRAFFIC_PEERS = 3,	      /* struct peer_view * */
+	TO_TRAFFIC_LOAD = 5,	      /* struct peer_load * */
+	TO_TRAFFIC_STOP = 4,	      /* no data: graceful stop */
+	TO_TRAFFIC_VERDICT = 7,	      /* struct verdict * */
+	TO_TRAFFIC_LIMITS = 8,	      /* struct limit_gossip * */
+	TO_TRAFFIC_LIMIT_CALL = 9,    /* struct limit_borrow_msg * */
+	TO_TRAFFIC_DRAIN = 10,	      /* struct drain_gossip * */
+	TO_TRAFFIC_BOUNDS = 6,	      /* struct bounds *, of changed settings */
+	TO_TRAFFIC_QUOTA_ASK = 20,    /* struct quota_message * */
+	TO_TRAFFIC_QUOTA_ANSWER = 21, /* struct quota_message * */
+	TO_TRAFFIC_EVACUATIONS = 11,  /* struct evacuations * */
 };
 
 /* Messages from the traffic thread; the receiver owns the data. */
 enum from_traffic {
-	FROM_TRAFFIC_STOPPED = 1, /* no data: all requests are done */
-	FROM_TRAFFIC_CRASH = 3,	  /* struct crash_notice * */
-	FROM_TRAFFIC_LOAD = 2,	  /* struct peer_load *, sender not set */
-	FROM_TRAFFIC_LIMITS = 4,  /* struct limit_gossip *, sender not set */
-	FROM_TRAFFIC_DRAIN = 6,	  /* struct drain_gossip *, sender not set */
+	FROM_TRAFFIC_STOPPED = 1,    /* no data: all requests are done */
+	FROM_TRAFFIC_CRASH = 3,	     /* struct crash_notice * */
+	FROM_TRAFFIC_LOAD = 2,	     /* struct peer_load *, sender not set */
+	FROM_TRAFFIC_LIMITS = 4,     /* struct limit_gossip *, sender not set */
+	FROM_TRAFFIC_DRAIN = 6,	     /* struct drain_gossip *, sender not set */
+	FROM_TRAFFIC_QUOTA_ASK = 20, /* struct quota_message *, no sender */
+	FROM_TRAFFIC_QUOTA_ANSWER = 21, /* struct quota_message *, no sender */
 	FROM_TRAFFIC_LIMIT_CALL =
 		5, /* struct limit_borrow_msg *, `from` not set */
 };
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -154,6 +154,23 @@
 	buf_free(&b);
 }
 
+/*
+ * peer_channel_send_quota() sends a message on a quota to its recipient, also
+ * if that seems lost.
+ */
+void peer_channel_send_quota(struct peer_channel *ch, struct quota_message *m)
+{
+	const struct peer *to = hubs_find_peer(&ch->peers, m->to);
+	struct buf b = {0};
+
+	if (!to)
+		return;
+	m->from = peer_id(ch->peers.self.name);
+	gossip_write_quota(&b, m);
+	send_plain(ch, &b, to);
+	buf_free(&b);
+}
+
 /* Recipients of a heartbeat; TO_DC: also the own data centre. */
 enum heartbeat_targets { TO_DUE, TO_DC, TO_LIVE, TO_ALL };
 
--- a/control/peer_channel.h
+++ b/control/peer_channel.h
@@ -44,6 +44,7 @@
 			     const char *dc, int64_t now_ms);
 void peer_channel_send_hubs(struct peer_channel *ch, const struct buf *b,
 			    int64_t now_ms);
+void peer_channel_send_quota(struct peer_channel *ch, struct quota_message *m);
 void peer_channel_send_limit_call(struct peer_channel *ch,
 				  struct limit_borrow_msg *call,
 				  int64_t now_ms);
--- a/control/relay.c
+++ b/control/relay.c
@@ -17,6 +17,14 @@
 		control_send_traffic(c, TO_TRAFFIC_LIMIT_CALL,
 				     g_memdup2(&m->call, sizeof(m->call)));
 		return true;
+	case GOSSIP_QUOTA_ASK:
+		control_send_traffic(c, TO_TRAFFIC_QUOTA_ASK,
+				     g_memdup2(&m->quota, sizeof(m->quota)));
+		return true;
+	case GOSSIP_QUOTA_ANSWER:
+		control_send_traffic(c, TO_TRAFFIC_QUOTA_ANSWER,
+				     g_memdup2(&m->quota, sizeof(m->quota)));
+		return true;
 	case GOSSIP_LIMITS:
 		control_send_traffic(c, TO_TRAFFIC_LIMITS,
 				     g_memdup2(&m->limits, sizeof(m->limits)));
@@ -45,6 +53,9 @@
 
 	if (kind == FROM_TRAFFIC_LIMIT_CALL) {
 		peer_channel_send_limit_call(&c->peers, data, clock_ms());
+	} else if (kind == FROM_TRAFFIC_QUOTA_ASK ||
+		   kind == FROM_TRAFFIC_QUOTA_ANSWER) {
+		peer_channel_send_quota(&c->peers, data);
 	} else if (kind == FROM_TRAFFIC_LOAD) {
 		load->peer = self;
 		gossip_write_load(&b, load);
--- a/core/limit_share.c
+++ b/core/limit_share.c
@@ -3,6 +3,7 @@
 
 #include "common/event.h"
 #include "core/limit_share.h"
+#include "core/rendezvous.h"
 
 const struct limit_rule limit_rule_announced = {
 	.factor = 1.5, .slack = 5, .window_ms = 4000};
@@ -26,24 +27,14 @@
 _Static_assert((LIMIT_INTERVALS - 1) * INTERVAL_MS > LIMIT_WINDOW_MAX_MS,
 	       "the ring covers a window");
 
-/* Hashes an instance and a server, with the same result on all instances. */
-static uint64_t weight(uint32_t instance, uint32_t server)
-{
-	uint64_t x = (uint64_t)server << 32 | instance;
-
-	x = (x ^ x >> 30) * 0xbf58476d1ce4e5b9;
-	x = (x ^ x >> 27) * 0x94d049bb133111eb;
-	return x ^ x >> 31;
-}
-
 /* Returns how many instances precede this one in the server's order. */
 static unsigned rank_of(uint32_t server, const struct limit_instances *s)
 {
-	uint64_t own = weight(s->list[0].id, server);
+	uint64_t own = rendezvous_weight(s->list[0].id, server);
 	unsigned rank = 0;
 
 	for (unsigned i = 1; i < s->n; i++)
-		rank += weight(s->list[i].id, server) > own;
+		rank += rendezvous_weight(s->list[i].id, server) > own;
 	return rank;
 }
 
--- /dev/null
+++ b/core/quota.h
@@ -0,0 +1,87 @@
+/*
+ * Quotas of workspaces: answers the load of a workspace that sends more than it
+ * may, at any number of instances. A workspace with a quota of R requests per
+ * second and a burst of B gets, from all instances together, at most
+ *     (R W + B) (1 + O) + S
+ * requests run in any window of W seconds; O and S are the rule's overshoot and
+ * slack. What lies below R and B is granted.
+ *
+ * The quota is divided among K instances, its holders: the first in an order
+ * specific to the workspace (core/rendezvous.h) among all instances that may be
+ * serving, also silent ones. So an instance that is cut off and its peers never
+ * both use the same part. Each holder has a token bucket with a rate of R / K
+ * and a K-th of the depth, and grants a request while its tokens are positive:
+ * a fraction of a token is never lost, and a holder's debt is less than one
+ * request. Any instance asks one holder after the other, see core/quota_pick.h.
+ *
+ * A holder starts with an empty bucket, so that an instance that starts again,
+ * or that becomes a holder, doesn't grant a second time what was granted
+ * before. The depth is the burst and a part of the overshoot, so that the
+ * division among holders doesn't refuse what lies below the quota.
+ *
+ * A grant is valid for QUOTA_GRANT_MS; requests that were granted earlier must
+ * be granted again before they are sent. A grant that wasn't used is given
+ * back. As it may then be used in another window, the holder also counts the
+ * grants in a window that is longer by QUOTA_GRANT_MS and keeps these to its
+ * part of the rule.
+ */
+#ifndef MP_CORE_QUOTA_H
+#define MP_CORE_QUOTA_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+	QUOTA_GRANT_MS = 200,	  /* how long a granted request may be sent */
+	QUOTA_TURN_MAX_MS = 2000, /* latest turn named to a refused caller */
+	QUOTA_INTERVALS = 128,	  /* ring of counts of grants */
+	QUOTA_HOLDERS_MAX = 64,
+};
+
+/* The rule for the requests of all instances together. */
+struct quota_rule {
+	double window_s, overshoot, slack;
+};
+
+/* What a workspace may send; rate 0: no quota. */
+struct quota_terms {
+	double rate_s, burst;
+};
+
+/* The part of a quota that one holder grants. */
+struct quota_part {
+	double rate_s;	     /* refill, requests per second */
+	double depth;	     /* requests that the bucket holds */
+	unsigned max_grants; /* in the longer window */
+	unsigned window_ms;  /* that window */
+};
+
+/* A holder's state of one quota. Times are of one monotonic clock. */
+struct quota_bucket {
+	bool held;
+	struct quota_part part;
+	double tokens; /* above -1 */
+	int64_t updated_ms;
+	/* Grants under a higher quota may be in the window until then. */
+	unsigned earlier_max;
+	int64_t earlier_until_ms;
+	int64_t next_turn_ms; /* last time that was named to a refused one */
+	uint16_t granted[QUOTA_INTERVALS];
+	int64_t newest; /* number of the newest interval */
+};
+
+unsigned quota_holder_count(const struct quota_rule *rule,
+			    const struct quota_terms *q, unsigned instances);
+struct quota_part quota_part(const struct quota_rule *rule,
+			     const struct quota_terms *q, unsigned holders);
+void quota_bucket_hold(struct quota_bucket *b, const struct quota_part *part,
+		       bool full, int64_t now_ms);
+void quota_bucket_lose(struct quota_bucket *b);
+bool quota_bucket_grant(struct quota_bucket *b, int64_t now_ms,
+			uint32_t *stamp);
+void quota_bucket_give_back(struct quota_bucket *b, uint32_t stamp,
+			    int64_t now_ms);
+uint32_t quota_bucket_wait_ms(struct quota_bucket *b, int64_t now_ms);
+uint32_t quota_bucket_turn_ms(struct quota_bucket *b, int64_t now_ms);
+
+#endif
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -15,6 +15,7 @@
 #include "core/limit_gossip.h"
 #include "core/limit_borrow.h"
 #include "core/peer_load.h"
+#include "core/quota_message.h"
 #include "member/hubs.h"
 #include "member/peers.h"
 #include "misc/buf.h"
@@ -34,6 +35,8 @@
 	GOSSIP_GRANT = 14,	   /* gives up a send; both: sender is an id */
 	GOSSIP_DRAINING = 15,	   /* draining backends; sender is an id only */
 	GOSSIP_RELAY = 19,	   /* a message to forward in the data centre */
+	GOSSIP_QUOTA_ASK = 20,	   /* to the holder of a quota */
+	GOSSIP_QUOTA_ANSWER = 21,  /* from it; both: sender is an id */
 	GOSSIP_LIMITS = 12,	   /* backends' limits; sender is an id only */
 };
 
@@ -105,8 +108,9 @@
 	struct limit_gossip limits; /* of GOSSIP_LIMITS */
 	struct drain_gossip drain;  /* of GOSSIP_DRAINING */
 	struct limit_borrow_msg
-		call;	 /* of GOSSIP_GRANT_REQUEST and GOSSIP_GRANT */
-	GArray *crashes; /* of GOSSIP_CRASHES: struct crash_notice */
+		call; /* of GOSSIP_GRANT_REQUEST and GOSSIP_GRANT */
+	struct quota_message quota; /* of GOSSIP_QUOTA_ASK and _ANSWER */
+	GArray *crashes;	    /* of GOSSIP_CRASHES: struct crash_notice */
 };
 
 enum {
@@ -142,6 +146,9 @@
 void gossip_write_limits(struct buf *out, const struct limit_gossip *update);
 void gossip_write_drain(struct buf *out, const struct drain_gossip *update);
 void gossip_write_grant(struct buf *out, const struct limit_borrow_msg *call);
+void gossip_write_quota(struct buf *out, const struct quota_message *m);
+bool gossip_read_quota(const msgpack_object *fields, size_t n,
+		       struct quota_message *m);
 bool gossip_has_sender_info(const struct gossip_message *m);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
 void gossip_pack_info(msgpack_packer *pk, const struct peer_info *p);
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -310,6 +310,8 @@
 	case GOSSIP_DRAINING:
 	case GOSSIP_GRANT_REQUEST:
 	case GOSSIP_GRANT:
+	case GOSSIP_QUOTA_ASK:
+	case GOSSIP_QUOTA_ANSWER:
 		return false;
 	default:
 		return true;
@@ -341,6 +343,10 @@
 	case GOSSIP_GRANT_REQUEST:
 	case GOSSIP_GRANT:
 		return read_grant(c, m);
+	case GOSSIP_QUOTA_ASK:
+	case GOSSIP_QUOTA_ANSWER:
+		return gossip_read_quota(c->at, (size_t)(c->end - c->at),
+					 &m->quota);
 	case GOSSIP_ROSTER:
 		return read_roster(next(c), &m->roster);
 	case GOSSIP_INFO_REQUEST:
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -125,6 +125,26 @@
 		buf_printf(out, "evacuated_dc{dc=\"%s\"} 1\n", e->list[i].dc);
 }
 
+/* Writes what was refused because of quotas, and what that cost. */
+static void write_quotas(struct buf *out, const struct traffic_counters *n)
+{
+	const struct {
+		const char *name;
+		uint64_t value;
+	} lines[] = {
+		{"quota_refused", n->quota_refused},
+		{"quota_unreachable", n->quota_unreachable},
+		{"quota_asks", n->quota_asks},
+		{"quota_answers", n->quota_answers},
+		{"quota_timeouts", n->quota_timeouts},
+		{"quota_given_back", n->quota_given_back},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		buf_printf(out, "%s %" G_GUINT64_FORMAT "\n", lines[i].name,
+			   lines[i].value);
+}
+
 /* Writes all metrics of the traffic thread. */
 void metrics_write(struct buf *out, const struct traffic *t)
 {
@@ -180,6 +200,7 @@
 		   n->limits_given);
 	buf_printf(out, "limits_granted %" G_GUINT64_FORMAT "\n",
 		   n->limits_granted);
+	write_quotas(out, n);
 	buf_printf(out, "backoffs %" G_GUINT64_FORMAT "\n", n->backoffs);
 	buf_printf(out, "sends_withdrawn %" G_GUINT64_FORMAT "\n",
 		   n->withdrawn);
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -5,6 +5,7 @@
 #include "core/request_digest.h"
 #include "core/retry_after.h"
 #include "misc/clock.h"
+#include "traffic/quotas.h"
 #include "traffic/request.h"
 
 enum {
@@ -26,6 +27,7 @@
 
 	request_select_end(r);
 	request_sends_end(r);
+	quotas_release(r);
 	for (unsigned i = 0; i < r->nsends; i++)
 		backend_unref(r->sends[i].backend);
 	ev_timer_stop(t->loop, &r->timer);
@@ -128,6 +130,17 @@
 	       MAX(retry_s, queue_s));
 }
 
+/*
+ * Refuses a request that its workspace's quota doesn't cover, or of which that
+ * isn't known; it is logged by the caller.
+ */
+void request_refuse_quota(struct request *r, unsigned status, double retry_s)
+{
+	r->traffic->last_failure_ms = clock_ms();
+	r->stats->refused++;
+	respond_local(r, status, retry_s);
+}
+
 /*
  * Returns whether the request must not be sent to any server: it has crashed
  * servers repeatedly, and each further send would cost another one with all its
@@ -399,7 +412,8 @@
 			   clock_boot_ms());
 	r->service->retry_stats.requests++;
 	http_conn_set_user(c, r);
-	request_select(r, SELECT_FIRST);
+	if (quotas_acquire(r) == QUOTA_GRANTED)
+		request_select(r, SELECT_FIRST);
 }
 
 /*
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -9,6 +9,7 @@
 #include "common/event.h"
 #include "core/place.h"
 #include "platform/exchange.h"
+#include "traffic/quota_claim.h"
 #include "traffic/traffic.h"
 #include "traffic/upstream.h"
 
@@ -85,6 +86,7 @@
 	const struct route *route;
 	const struct workspace *workspace; /* of the caller; NULL: none */
 	struct request_priority priority;
+	struct quota_claim quota;
 	struct service *service;
 	struct class_stats *stats;
 	int64_t start_ms;
@@ -151,6 +153,7 @@
 void request_reject_quarantined(struct request *r);
 void request_arm_timer(struct request *r);
 void request_refuse(struct request *r, const char *why);
+void request_refuse_quota(struct request *r, unsigned status, double retry_s);
 void request_fail(struct request *r, unsigned status, const char *why);
 void request_forward_response(struct request *r, struct http_message *answer);
 double request_retries_left(const struct request *r);
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -206,6 +206,7 @@
 	apply_policies(t);
 	apply_drained(t);
 	slow_starts_configure(t);
+	quotas_configure(t);
 }
 
 /* Updates whether a server's data centre is evacuated. */
@@ -322,6 +323,7 @@
 	path_check_peers_changed(t);
 	limits_peers_changed(t);
 	slow_starts_peers_changed(t);
+	quotas_update(t);
 	drain_gossip_peers_changed(t);
 }
 
@@ -357,9 +359,15 @@
 		limit_sends_peer_message(t, m->data);
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_QUOTA_ASK:
+	case TO_TRAFFIC_QUOTA_ANSWER:
+		quotas_peer_message(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_BOUNDS:
 		apply_bounds(t, m->data);
 		slow_starts_configure(t);
+		quotas_update(t);
 		g_free(m->data);
 		break;
 	case TO_TRAFFIC_EVACUATIONS:
@@ -450,6 +458,7 @@
 	path_check_init(t);
 	inflight_report_init(t);
 	limits_init(t);
+	quotas_init(t);
 	drain_gossip_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -21,6 +21,7 @@
 #include "member/tunnel_peers.h"
 #include "misc/hist.h"
 #include "traffic/early.h"
+#include "traffic/quotas.h"
 
 /* Statistics of a request class: a service and a target latency. */
 struct class_stats {
@@ -39,9 +40,12 @@
 	uint64_t process_checks, process_ends, quarantined;
 	uint64_t limits_bad;		       /* invalid limit values */
 	uint64_t limits_given, limits_granted; /* sends, to and by peers */
-	uint64_t backoffs;		       /* requested by servers */
-	uint64_t cold_sends;		       /* charged to a slow start */
-	uint64_t withdrawn; /* sends cancelled before their first byte */
+	/* requests refused: beyond the quota, and as no holder answered */
+	uint64_t quota_refused, quota_unreachable;
+	uint64_t quota_asks, quota_answers, quota_timeouts, quota_given_back;
+	uint64_t backoffs;   /* requested by servers */
+	uint64_t cold_sends; /* charged to a slow start */
+	uint64_t withdrawn;  /* sends cancelled before their first byte */
 	uint64_t tunnels_opened, tunnel_failures; /* through peers */
 	uint64_t tunnels_served, tunnels_refused; /* for peers */
 	uint64_t invalid_values; /* other invalid values in responses */
@@ -82,6 +86,7 @@
 	unsigned open_requests;
 	struct early_requests early;
 	uint64_t policy_picks; /* servers picked by policies so far */
+	struct quotas quotas;
 	struct dedup dedup;
 	struct quarantine quarantine;
 	const struct deploy *deploy; /* of the native interface, or NULL */
