Quotas: wait for a holder that a busy link delays

3 to 5 of 100 answers take longer than 15 ms while a large body is on a link, and requests of an instance whose own link was busy were refused after 60 ms.

--- a/traffic/quota_claim.h
+++ b/traffic/quota_claim.h
@@ -23,6 +23,7 @@
 	int64_t began_ms;   /* the first holder */
 	struct quota_asked asked;
 	bool stalled;	     /* waited once more, see on_timer() */
+	bool last_wait;	     /* asks no more, but takes answers */
 	unsigned refused;    /* by holders that were asked */
 	uint32_t soonest_ms; /* first turn that one of them named */
 	ev_timer timer;
--- a/traffic/quotas.c
+++ b/traffic/quotas.c
@@ -9,11 +9,14 @@
 enum {
 	/*
 	 * Without an answer for this long another holder is asked. The path
-	 * there and back takes a few ms.
+	 * there and back takes a few ms, but longer while a large body is
+	 * on the link of either.
 	 */
 	ANSWER_MS = 15,
-	/* All asks of a request together. */
+	/* No further holder is asked after this. */
 	ASKING_MAX_MS = 60,
+	/* If none of them has answered, one still may. */
+	ANSWERS_MAX_MS = 150,
 	/* A holder that didn't answer isn't asked for this long. */
 	SILENT_MS = 300,
 	/* Nor one that isn't a holder in its own view. */
@@ -114,12 +117,12 @@
 	return false;
 }
 
-static void start_timer(struct request *r)
+static void start_timer(struct request *r, int64_t ms)
 {
 	struct quota_claim *c = &r->quota;
 
 	ev_timer_stop(r->traffic->loop, &c->timer);
-	ev_timer_set(&c->timer, ANSWER_MS / 1000.0, 0);
+	ev_timer_set(&c->timer, (double)ms / 1000, 0);
 	ev_timer_start(r->traffic->loop, &c->timer);
 }
 
@@ -139,7 +142,7 @@
 	c->asked_ms = now_ms;
 	t->counters.quota_asks++;
 	send_to_holder(t, c, h->id, 0, QUOTA_ASK);
-	start_timer(r);
+	start_timer(r, ANSWER_MS);
 }
 
 /* Goes on with the next holder; returns what is known then. */
@@ -163,6 +166,11 @@
 		if (take_own(r, u, h, now_ms))
 			return QUOTA_GRANTED;
 	}
+	if (c->state == QUOTA_ASKING && !c->refused && !c->last_wait) {
+		c->last_wait = true;
+		start_timer(r, c->began_ms + ANSWERS_MAX_MS - now_ms);
+		return QUOTA_PENDING;
+	}
 	end_ask(r);
 	return QUOTA_REFUSED;
 }
@@ -257,11 +265,11 @@
 
 	if (now_ms - c->asked_ms > ANSWER_MS + STALLED_MS && !c->stalled) {
 		c->stalled = true;
-		start_timer(r);
+		start_timer(r, ANSWER_MS);
 		return;
 	}
 	h = quota_holders_find(&u->holders, c->holder);
-	if (h)
+	if (h && !c->last_wait)
 		h->silent_until_ms = now_ms + SILENT_MS;
 	r->traffic->counters.quota_timeouts++;
 	proceed(r, u);
@@ -368,7 +376,7 @@
 	if (m->op == QUOTA_EMPTY)
 		note_empty(r, h, m->wait_ms, m->turn_ms, now_ms);
 	/* An earlier one's answer doesn't end the wait for the last one. */
-	if (r->quota.holder == m->from)
+	if (r->quota.holder == m->from || r->quota.last_wait)
 		proceed(r, u);
 }
 
