--- a/core/quota.c
+++ b/core/quota.c
@@ -12,6 +12,9 @@
  */
 static const double MIN_DEPTH = 0.01;
 
+/* Part of a bucket that late requests leave to others. */
+static const double KEPT_FROM_LATE = 0.25;
+
 /* Requests per second for which a quota gets one more holder. */
 static const double RATE_PER_HOLDER_S = 10;
 
@@ -19,10 +22,10 @@
 static const double DEPTH_PER_HOLDER = 3;
 
 /*
- * Holders of a small quota: some of them may be lost without the others granting
- * less than most of the quota.
+ * Holders of a small quota. When a fourth of all instances is lost, few quotas
+ * lose more than half of their holders.
  */
-static const double MIN_HOLDERS = 5;
+static const double MIN_HOLDERS = 8;
 
 static double max(double a, double b)
 {
@@ -149,7 +152,7 @@
 	if (b->held)
 		refill(b, now_ms);
 	else
-		b->tokens = full ? part->depth : 0;
+		b->tokens = full ? part->depth : -1;
 	if (same_window && part->max_grants < b->part.max_grants) {
 		b->earlier_max = b->part.max_grants;
 		b->earlier_until_ms = now_ms + part->window_ms;
@@ -180,13 +183,16 @@
 }
 
 /*
- * Grants a request, if there are tokens. `stamp` tells when, for a later
- * quota_bucket_give_back().
+ * Grants a request, if there are tokens. `late`: it can't be on time any more.
+ * `stamp` tells when, for a later quota_bucket_give_back().
  */
-bool quota_bucket_grant(struct quota_bucket *b, int64_t now_ms, uint32_t *stamp)
+bool quota_bucket_grant(struct quota_bucket *b, bool late, int64_t now_ms,
+			uint32_t *stamp)
 {
+	double keep = late ? KEPT_FROM_LATE * b->part.depth : 0;
+
 	refill(b, now_ms);
-	if (b->tokens <= 0 ||
+	if (b->tokens <= keep ||
 	    grants_in_window(b, now_ms) >= max_grants(b, now_ms))
 		return false;
 	b->tokens -= 1;
--- a/core/quota.h
+++ b/core/quota.h
@@ -11,14 +11,18 @@
  * serving, also silent ones. So an instance that is cut off and its peers never
  * both use the same part. Each holder has a token bucket with a rate of R / K
  * and a K-th of the depth, and grants a request while its tokens are positive:
- * a fraction of a token is never lost, and a holder's debt is less than one
+ * a fraction of a token is never lost, and a holder's debt is at most one
  * request. Any instance asks one holder after the other, see core/quota_pick.h.
  *
- * A holder starts with an empty bucket, so that an instance that starts again,
- * or that becomes a holder, doesn't grant a second time what was granted
- * before. The depth is the burst and a part of the overshoot, so that the
+ * A holder starts with an empty bucket, in full debt, so that an instance that
+ * starts again, or that becomes a holder, doesn't grant a second time what was
+ * granted before. The depth is the burst and a part of the overshoot, so that the
  * division among holders doesn't refuse what lies below the quota.
  *
+ * While requests are beyond the quota, those that can still be on time go before
+ * those that come back too late to be: the latter get only tokens that have been
+ * saved for a while.
+ *
  * A grant is valid for QUOTA_GRANT_MS; requests that were granted earlier must
  * be granted again before they are sent. A grant that wasn't used is given
  * back. As it may then be used in another window, the holder also counts the
@@ -60,7 +64,7 @@
 struct quota_bucket {
 	bool held;
 	struct quota_part part;
-	double tokens; /* above -1 */
+	double tokens; /* at least -1 */
 	int64_t updated_ms;
 	/* Grants under a higher quota may be in the window until then. */
 	unsigned earlier_max;
@@ -77,7 +81,7 @@
 void quota_bucket_hold(struct quota_bucket *b, const struct quota_part *part,
 		       bool full, int64_t now_ms);
 void quota_bucket_lose(struct quota_bucket *b);
-bool quota_bucket_grant(struct quota_bucket *b, int64_t now_ms,
+bool quota_bucket_grant(struct quota_bucket *b, bool late, int64_t now_ms,
 			uint32_t *stamp);
 void quota_bucket_give_back(struct quota_bucket *b, uint32_t stamp,
 			    int64_t now_ms);
--- a/core/quota_message.h
+++ b/core/quota_message.h
@@ -7,6 +7,7 @@
 enum quota_op {
 	/* To a holder. */
 	QUOTA_ASK = 1,	     /* requests a grant */
+	QUOTA_ASK_LATE = 6,  /* the same for one that will be late */
 	QUOTA_GIVE_BACK = 2, /* the granted request never ran */
 	/* From a holder. */
 	QUOTA_GRANT = 3,
--- a/core/quota_pick.h
+++ b/core/quota_pick.h
@@ -10,7 +10,7 @@
 #include "core/limit_share.h"
 #include "core/quota.h"
 
-enum { QUOTA_ASKS_MAX = 5 }; /* holders asked for one request */
+enum { QUOTA_ASKS_MAX = 6 }; /* holders asked for one request */
 
 struct quota_holder {
 	uint32_t id; /* peer_id() */
--- a/member/gossip_quota.c
+++ b/member/gossip_quota.c
@@ -7,7 +7,8 @@
 /* Writes a message to or from the holder of a quota. */
 void gossip_write_quota(struct buf *out, const struct quota_message *m)
 {
-	bool to_holder = m->op == QUOTA_ASK || m->op == QUOTA_GIVE_BACK;
+	bool to_holder = m->op == QUOTA_ASK || m->op == QUOTA_ASK_LATE ||
+			 m->op == QUOTA_GIVE_BACK;
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, codec_buf_write);
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -138,6 +138,7 @@
 		{"quota_answers", n->quota_answers},
 		{"quota_timeouts", n->quota_timeouts},
 		{"quota_given_back", n->quota_given_back},
+		{"quota_renewals", n->quota_renewals},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
--- a/traffic/quota_claim.h
+++ b/traffic/quota_claim.h
@@ -22,6 +22,7 @@
 	int64_t asked_ms;   /* the last holder */
 	int64_t began_ms;   /* the first holder */
 	struct quota_asked asked;
+	bool late;	     /* the request can't be on time any more */
 	bool stalled;	     /* waited once more, see on_timer() */
 	bool last_wait;	     /* asks no more, but takes answers */
 	unsigned refused;    /* by holders that were asked */
--- a/traffic/quota_holder.c
+++ b/traffic/quota_holder.c
@@ -30,7 +30,8 @@
 	if (!u || (u->terms.rate_s > 0 && !u->bucket.held)) {
 		m.op = QUOTA_NOT_HELD;
 	} else if (u->terms.rate_s > 0 &&
-		   !quota_bucket_grant(&u->bucket, now_ms, &m.stamp)) {
+		   !quota_bucket_grant(&u->bucket, ask->op == QUOTA_ASK_LATE,
+				       now_ms, &m.stamp)) {
 		m.op = QUOTA_EMPTY;
 		m.wait_ms = quota_bucket_wait_ms(&u->bucket, now_ms);
 		m.turn_ms = quota_bucket_turn_ms(&u->bucket, now_ms);
@@ -42,10 +43,9 @@
 /* Handles a peer's message to this instance as a holder. */
 void quota_holder_receive(struct traffic *t, const struct quota_message *m)
 {
-	struct quota_use *u = g_hash_table_lookup(
-		t->quotas.uses, GUINT_TO_POINTER(m->workspace));
+	struct quota_use *u = quota_use_find(t, m->workspace);
 
-	if (m->op == QUOTA_ASK)
+	if (m->op == QUOTA_ASK || m->op == QUOTA_ASK_LATE)
 		answer(t, u, m);
 	else if (m->op == QUOTA_GIVE_BACK && u && u->bucket.held)
 		quota_bucket_give_back(&u->bucket, m->stamp, clock_ms());
--- a/traffic/quotas.c
+++ b/traffic/quotas.c
@@ -33,18 +33,6 @@
 	TURN_SPREAD_MS = 50,
 };
 
-/* Returns the quota of a workspace, or NULL if there is none. */
-static struct quota_use *find_use(const struct traffic *t, uint32_t workspace)
-{
-	return g_hash_table_lookup(t->quotas.uses, GUINT_TO_POINTER(workspace));
-}
-
-/* Returns what this instance knows of a workspace's quota, or NULL. */
-const struct quota_use *quotas_use(const struct traffic *t, uint32_t workspace)
-{
-	return find_use(t, workspace);
-}
-
 /* Sends a message about the request's claim to a holder. */
 static void send_to_holder(struct traffic *t, const struct quota_claim *c,
 			   uint32_t holder, uint32_t stamp, enum quota_op op)
@@ -108,7 +96,7 @@
 		h->empty_until_ms = now_ms + NOT_HELD_MS;
 		return false;
 	}
-	if (quota_bucket_grant(&u->bucket, now_ms, &stamp)) {
+	if (quota_bucket_grant(&u->bucket, r->quota.late, now_ms, &stamp)) {
 		grant(r, u, h->id, stamp);
 		return true;
 	}
@@ -126,22 +114,28 @@
 	ev_timer_start(r->traffic->loop, &c->timer);
 }
 
+/* From now on answers belong to the request. */
+static void begin_asking(struct request *r)
+{
+	struct quotas *q = &r->traffic->quotas;
+
+	r->quota.state = QUOTA_ASKING;
+	r->quota.serial = ++q->serial;
+	g_hash_table_insert(q->asking, GUINT_TO_POINTER(r->quota.serial), r);
+}
+
 /* Asks another instance. */
 static void ask(struct request *r, const struct quota_holder *h, int64_t now_ms)
 {
 	struct traffic *t = r->traffic;
 	struct quota_claim *c = &r->quota;
 
-	if (c->state != QUOTA_ASKING) {
-		c->state = QUOTA_ASKING;
-		c->serial = ++t->quotas.serial;
-		g_hash_table_insert(t->quotas.asking,
-				    GUINT_TO_POINTER(c->serial), r);
-	}
+	if (c->state != QUOTA_ASKING)
+		begin_asking(r);
 	c->holder = h->id;
 	c->asked_ms = now_ms;
 	t->counters.quota_asks++;
-	send_to_holder(t, c, h->id, 0, QUOTA_ASK);
+	send_to_holder(t, c, h->id, 0, c->late ? QUOTA_ASK_LATE : QUOTA_ASK);
 	start_timer(r, ANSWER_MS);
 }
 
@@ -239,12 +233,32 @@
 	request_refuse_quota(r, empty ? 429 : 503, (double)retry_ms / 1000);
 }
 
+/*
+ * Goes on with a granted request: selects a server, or ends the wait of the
+ * selection that needed a newer grant.
+ */
+static void resume(struct request *r)
+{
+	int64_t now_ms = clock_ms();
+
+	if (r->select_reason == SELECT_NONE) {
+		request_select(r, SELECT_FIRST);
+	} else if (now_ms >= r->deadline_ms) {
+		request_arm_timer(r);
+	} else {
+		if (r->wait_until_ms)
+			r->round_end_ms = now_ms;
+		r->wait_until_ms = 0;
+		request_select_step(r, now_ms);
+	}
+}
+
 /* Goes on after an answer, or without one. */
 static void proceed(struct request *r, struct quota_use *u)
 {
 	switch (next_holder(r, u)) {
 	case QUOTA_GRANTED:
-		request_select(r, SELECT_FIRST);
+		resume(r);
 		break;
 	case QUOTA_REFUSED:
 		refuse(r, u);
@@ -259,11 +273,12 @@
 {
 	struct request *r = timer->data;
 	struct quota_claim *c = &r->quota;
-	struct quota_use *u = find_use(r->traffic, c->workspace);
+	struct quota_use *u = quota_use_find(r->traffic, c->workspace);
 	int64_t now_ms = clock_ms();
 	struct quota_holder *h;
 
-	if (now_ms - c->asked_ms > ANSWER_MS + STALLED_MS && !c->stalled) {
+	if (!c->last_wait && !c->stalled &&
+	    now_ms - c->asked_ms > ANSWER_MS + STALLED_MS) {
 		c->stalled = true;
 		start_timer(r, ANSWER_MS);
 		return;
@@ -275,6 +290,31 @@
 	proceed(r, u);
 }
 
+/* Refuses the request from the event loop, as its caller goes on with it. */
+static void refuse_soon(struct request *r)
+{
+	struct quota_claim *c = &r->quota;
+
+	begin_asking(r);
+	c->asked.n = QUOTA_ASKS_MAX;
+	c->last_wait = true;
+	start_timer(r, 0);
+}
+
+/* Begins to ask for a grant. */
+static void begin(struct request *r, uint32_t workspace)
+{
+	struct quota_claim *c = &r->quota;
+	int64_t now_ms = clock_ms();
+	struct admit_request view = request_admission_view(r, now_ms);
+
+	*c = (struct quota_claim){.workspace = workspace,
+				  .late = !admit_can_be_on_time(&view),
+				  .began_ms = now_ms};
+	ev_init(&c->timer, on_timer);
+	c->timer.data = r;
+}
+
 /*
  * Asks for a grant of the request. If the result isn't known at once, the
  * request goes on with request_select(), or is refused, later. A refused
@@ -284,28 +324,60 @@
 {
 	struct traffic *t = r->traffic;
 	const struct workspace *w = r->workspace;
-	struct quota_claim *c = &r->quota;
-	struct quota_use *u = w && w->rate_s > 0 ? find_use(t, w->id) : NULL;
+	struct quota_use *u =
+		w && w->rate_s > 0 ? quota_use_find(t, w->id) : NULL;
 	enum quota_result result;
 
 	if (!u || u->terms.rate_s <= 0)
 		return QUOTA_GRANTED;
-	*c = (struct quota_claim){.workspace = w->id, .began_ms = clock_ms()};
-	ev_init(&c->timer, on_timer);
-	c->timer.data = r;
+	begin(r, w->id);
 	result = next_holder(r, u);
 	if (result == QUOTA_REFUSED)
 		refuse(r, u);
 	return result;
 }
 
+/* Gives back the grant of a request that never ran. */
+static void give_back(struct request *r)
+{
+	struct traffic *t = r->traffic;
+	struct quota_claim *c = &r->quota;
+	const struct quota_use *own = quota_use_find(t, c->workspace);
+
+	c->state = QUOTA_NONE;
+	t->counters.quota_given_back++;
+	if (!own || c->holder != own->holders.self)
+		send_to_holder(t, c, c->holder, c->stamp, QUOTA_GIVE_BACK);
+	else if (own->bucket.held)
+		quota_bucket_give_back(&quota_use_find(t, c->workspace)->bucket,
+				       c->stamp, clock_ms());
+}
+
 /*
  * Returns whether the request may be sent now as far as its quota is concerned.
+ * An old grant is given back, as its tokens would count in a later window, and
+ * a new one asked for; the selection goes on when it has come.
  */
-bool quotas_is_current(const struct request *r)
+bool quotas_allow_send(struct request *r)
 {
-	return r->quota.state != QUOTA_HELD ||
-	       clock_boot_ms() - r->quota.granted_ms <= QUOTA_GRANT_MS;
+	struct quota_claim *c = &r->quota;
+	struct quota_use *u;
+
+	if (r->maybe_executed || c->state == QUOTA_NONE)
+		return true;
+	if (c->state == QUOTA_ASKING)
+		return false;
+	if (clock_boot_ms() - c->granted_ms <= QUOTA_GRANT_MS)
+		return true;
+	u = quota_use_find(r->traffic, c->workspace);
+	give_back(r);
+	r->traffic->counters.quota_renewals++;
+	if (!u || u->terms.rate_s <= 0)
+		return true;
+	begin(r, u->id);
+	if (next_holder(r, u) == QUOTA_REFUSED)
+		refuse_soon(r);
+	return c->state == QUOTA_HELD;
 }
 
 /*
@@ -313,22 +385,9 @@
  */
 void quotas_release(struct request *r)
 {
-	struct traffic *t = r->traffic;
-	struct quota_claim *c = &r->quota;
-	struct quota_use *u;
-
 	end_ask(r);
-	if (c->state != QUOTA_HELD)
-		return;
-	c->state = QUOTA_NONE;
-	u = find_use(t, c->workspace);
-	if (r->maybe_executed || !u)
-		return;
-	t->counters.quota_given_back++;
-	if (c->holder != u->holders.self)
-		send_to_holder(t, c, c->holder, c->stamp, QUOTA_GIVE_BACK);
-	else if (u->bucket.held)
-		quota_bucket_give_back(&u->bucket, c->stamp, clock_ms());
+	if (r->quota.state == QUOTA_HELD && !r->maybe_executed)
+		give_back(r);
 }
 
 /* Gives back a grant that came too late. */
@@ -350,7 +409,7 @@
 {
 	struct request *r = g_hash_table_lookup(t->quotas.asking,
 						GUINT_TO_POINTER(m->serial));
-	struct quota_use *u = find_use(t, m->workspace);
+	struct quota_use *u = quota_use_find(t, m->workspace);
 	int64_t now_ms = clock_ms();
 	struct quota_holder *h;
 
@@ -364,7 +423,7 @@
 		h->silent_until_ms = now_ms + NOT_HELD_MS;
 	if (m->op == QUOTA_GRANT && r) {
 		grant(r, u, m->from, m->stamp);
-		request_select(r, SELECT_FIRST);
+		resume(r);
 		return;
 	}
 	if (m->op == QUOTA_GRANT) {
@@ -385,6 +444,7 @@
 {
 	switch ((enum quota_op)m->op) {
 	case QUOTA_ASK:
+	case QUOTA_ASK_LATE:
 	case QUOTA_GIVE_BACK:
 		quota_holder_receive(t, m);
 		break;
@@ -395,103 +455,3 @@
 		break;
 	}
 }
-
-/* Returns the state of a quota, created if there is none yet. */
-static struct quota_use *add_use(struct traffic *t, const struct workspace *w)
-{
-	struct quota_use *u = find_use(t, w->id);
-	int64_t window_ms = (int64_t)(t->bounds.quota_window_s * 1000);
-
-	if (u)
-		return u;
-	u = g_new0(struct quota_use, 1);
-	u->id = w->id;
-	u->name = g_strndup(w->name.ptr, w->name.len);
-	/* This process has been there for all that was granted of it. */
-	u->starts_full = t->quotas.configured_ms &&
-			 clock_ms() - t->quotas.configured_ms > window_ms;
-	g_hash_table_insert(t->quotas.uses, GUINT_TO_POINTER(u->id), u);
-	return u;
-}
-
-/*
- * Forgets quotas that have not been configured for two windows. Until then a
- * workspace that comes back finds what it has used.
- */
-static void forget_old(struct traffic *t, int64_t now_ms)
-{
-	int64_t keep_ms = (int64_t)(2 * t->bounds.quota_window_s * 1000);
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, t->quotas.uses);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		const struct quota_use *u = v;
-
-		if (u->gone_ms && now_ms - u->gone_ms > keep_ms)
-			g_hash_table_iter_remove(&it);
-	}
-}
-
-/* Marks all quotas as not configured. */
-static void mark_gone(struct traffic *t, int64_t now_ms)
-{
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, t->quotas.uses);
-	while (g_hash_table_iter_next(&it, NULL, &v)) {
-		struct quota_use *u = v;
-
-		if (!u->gone_ms)
-			u->gone_ms = now_ms;
-	}
-}
-
-/* Applies the quotas of a new configuration. */
-void quotas_configure(struct traffic *t)
-{
-	const struct workspaces *all = &t->config->workspaces;
-	int64_t now_ms = clock_ms();
-
-	mark_gone(t, now_ms);
-	for (size_t i = 0; i < all->n; i++) {
-		struct quota_use *u = add_use(t, &all->list[i]);
-
-		u->gone_ms = 0;
-		u->terms.rate_s = all->list[i].rate_s;
-		u->terms.burst = all->list[i].burst;
-		quota_holder_update(t, u);
-	}
-	forget_old(t, now_ms);
-	if (!t->quotas.configured_ms)
-		t->quotas.configured_ms = now_ms;
-}
-
-/* Determines holders anew after a change of the instances or settings. */
-void quotas_update(struct traffic *t)
-{
-	GHashTableIter it;
-	gpointer v;
-
-	g_hash_table_iter_init(&it, t->quotas.uses);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		quota_holder_update(t, v);
-}
-
-static void free_use(gpointer use)
-{
-	struct quota_use *u = use;
-
-	g_free(u->name);
-	g_free(u);
-}
-
-/* Initializes; there are no quotas before the first configuration. */
-void quotas_init(struct traffic *t)
-{
-	t->quotas.uses = g_hash_table_new_full(NULL, NULL, NULL, free_use);
-	t->quotas.asking = g_hash_table_new(NULL, NULL);
-	/* Not those of this instance's last process. */
-	t->quotas.serial = g_rand_int(t->rand);
-}
--- a/traffic/request_select.c
+++ b/traffic/request_select.c
@@ -9,6 +9,7 @@
 #include "core/policy.h"
 #include "misc/clock.h"
 #include "traffic/probe.h"
+#include "traffic/quotas.h"
 #include "traffic/request_queue.h"
 
 enum {
@@ -25,6 +26,8 @@
 	 * retransmitted after 200 ms, so waiting longer doesn't help.
 	 */
 	PROBE_ROUND_MS = 30,
+	/* Queued requests that get a new grant of their quota at once. */
+	RENEWALS_AT_ONCE = 3,
 };
 
 /*
@@ -198,8 +201,11 @@
 static void send_on_probe(struct request *r, struct probe *p)
 {
 	struct upstream *u = p->upstream;
-	struct backend *b = backend_ref(p->backend);
+	struct backend *b;
 
+	if (!quotas_allow_send(r))
+		return;
+	b = backend_ref(p->backend);
 	p->upstream = NULL;
 	request_select_end(r);
 	request_send(r, b, u);
@@ -290,6 +296,8 @@
 	probes_release(r);
 	b = r->service->policy->probes_load ? pick_without_load(r, now_ms)
 					    : pick_by_policy(r);
+	if (b && !quotas_allow_send(r))
+		return;
 	u = b ? upstream_get(r->traffic, b, idle_since_ms) : NULL;
 	if (!u) {
 		request_queue_wait(r, now_ms);
@@ -415,6 +423,7 @@
 {
 	struct service *s = b->service;
 	int64_t now_ms = clock_ms();
+	unsigned renewing = 0;
 	struct upstream *u;
 
 	if (backend_availability(b, SEND_PRIMARY, now_ms).hold ==
@@ -430,6 +439,11 @@
 		if (has_tried(r, b) || request_is_quarantined(r) ||
 		    !is_eligible(r, b, ms, now_ms))
 			continue;
+		if (!quotas_allow_send(r)) {
+			if (++renewing == RENEWALS_AT_ONCE)
+				return;
+			continue;
+		}
 		u = upstream_get(t, b, 0);
 		if (!u)
 			return;
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -43,9 +43,10 @@
 	/* requests refused: beyond the quota, and as no holder answered */
 	uint64_t quota_refused, quota_unreachable;
 	uint64_t quota_asks, quota_answers, quota_timeouts, quota_given_back;
-	uint64_t backoffs;   /* requested by servers */
-	uint64_t cold_sends; /* charged to a slow start */
-	uint64_t withdrawn;  /* sends cancelled before their first byte */
+	uint64_t quota_renewals; /* of grants that were too old */
+	uint64_t backoffs;	 /* requested by servers */
+	uint64_t cold_sends;	 /* charged to a slow start */
+	uint64_t withdrawn;	 /* sends cancelled before their first byte */
 	uint64_t tunnels_opened, tunnel_failures; /* through peers */
 	uint64_t tunnels_served, tunnels_refused; /* for peers */
 	uint64_t invalid_values; /* other invalid values in responses */
