--- a/tests/bench.h
+++ b/tests/bench.h
@@ -94,6 +94,7 @@
 	GHashTable *executions; /* request id -> number of executions */
 	GPtrArray *callers;
 	unsigned ids;
+	const char *call_headers; /* further lines of callers, or NULL */
 	struct caller *until;
 };
 
--- a/tests/bench_callers.h
+++ b/tests/bench_callers.h
@@ -52,8 +52,9 @@
 		abort();
 	buf_printf(&q,
 		   "%s %s HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: %s\r\n"
-		   "Deadline-Remaining-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-		   method, path, c->id, limit_ms);
+		   "%sDeadline-Remaining-Ms: %d\r\nContent-Length: 0\r\n\r\n",
+		   method, path, c->id, b->call_headers ? b->call_headers : "",
+		   limit_ms);
 	c->open = true;
 	http_client_send(&c->http, buf_lstr(&q), 10, false);
 	buf_free(&q);
