--- a/core/quota.c
+++ b/core/quota.c
@@ -91,6 +91,8 @@
 /* Adds the tokens of the time that has passed. */
 static void refill(struct quota_bucket *b, int64_t now_ms)
 {
+	if (now_ms <= b->updated_ms)
+		return;
 	b->tokens += b->part.rate_s * (double)(now_ms - b->updated_ms) / 1000;
 	if (b->tokens > b->part.depth)
 		b->tokens = b->part.depth;
@@ -142,14 +144,16 @@
  * Makes this instance a holder, or changes its part, which applies at once. A
  * lower one cuts the tokens; a higher one adds none, so that a quota that
  * changes often isn't granted several times. `full`: nothing of this quota can
- * have been granted before, so the bucket starts full.
+ * have been granted before, so the bucket starts full. A new holder gets tokens
+ * from from_ms on.
  */
 void quota_bucket_hold(struct quota_bucket *b, const struct quota_part *part,
-		       bool full, int64_t now_ms)
+		       bool full, int64_t from_ms, int64_t now_ms)
 {
-	bool same_window = b->held && b->part.window_ms == part->window_ms;
+	bool was_held = b->held;
+	bool same_window = was_held && b->part.window_ms == part->window_ms;
 
-	if (b->held)
+	if (was_held)
 		refill(b, now_ms);
 	else
 		b->tokens = full ? part->depth : -1;
@@ -163,7 +167,10 @@
 	}
 	b->held = true;
 	b->part = *part;
-	b->updated_ms = now_ms;
+	if (!was_held && from_ms > now_ms)
+		b->updated_ms = from_ms;
+	else if (b->updated_ms < now_ms)
+		b->updated_ms = now_ms;
 	if (b->tokens > part->depth)
 		b->tokens = part->depth;
 }
@@ -224,6 +231,7 @@
 
 	refill(b, now_ms);
 	ms = b->tokens < 0 ? ceil(-b->tokens / b->part.rate_s * 1000) : 0;
+	ms += (double)(b->updated_ms - now_ms);
 	return (uint32_t)min(ms + 1, QUOTA_TURN_MAX_MS);
 }
 
--- a/core/quota.h
+++ b/core/quota.h
@@ -16,7 +16,8 @@
  *
  * A holder starts with an empty bucket, in full debt, so that an instance that
  * starts again, or that becomes a holder, doesn't grant a second time what was
- * granted before. The depth is the burst and a part of the overshoot, so that the
+ * granted before; a process that has just started gets tokens only when it knows
+ * the other instances. The depth is the burst and a part of the overshoot, so that the
  * division among holders doesn't refuse what lies below the quota.
  *
  * While requests are beyond the quota, those that can still be on time go before
@@ -79,7 +80,7 @@
 struct quota_part quota_part(const struct quota_rule *rule,
 			     const struct quota_terms *q, unsigned holders);
 void quota_bucket_hold(struct quota_bucket *b, const struct quota_part *part,
-		       bool full, int64_t now_ms);
+		       bool full, int64_t from_ms, int64_t now_ms);
 void quota_bucket_lose(struct quota_bucket *b);
 bool quota_bucket_grant(struct quota_bucket *b, bool late, int64_t now_ms,
 			uint32_t *stamp);
--- a/tests/quota_system.h
+++ b/tests/quota_system.h
@@ -90,7 +90,7 @@
 		return;
 	}
 	part = quota_part(&s->rule, &s->terms[w], k);
-	quota_bucket_hold(&self->buckets[w], &part, full, s->now_ms);
+	quota_bucket_hold(&self->buckets[w], &part, full, 0, s->now_ms);
 }
 
 static inline void system_update_all(struct quota_system *s, unsigned w)
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -232,7 +232,7 @@
 	uint32_t stamp;
 	int late = 0, timely = 0;
 
-	quota_bucket_hold(&b, &part, true, 1000);
+	quota_bucket_hold(&b, &part, true, 0, 1000);
 	while (quota_bucket_grant(&b, true, 1000, &stamp))
 		late++;
 	while (quota_bucket_grant(&b, false, 1000, &stamp))
@@ -248,7 +248,7 @@
 	struct quota_bucket b = {0};
 	uint32_t stamp;
 
-	quota_bucket_hold(&b, &part, true, 1000);
+	quota_bucket_hold(&b, &part, true, 0, 1000);
 	assert_true(quota_bucket_grant(&b, false, 1000, &stamp));
 	assert_false(quota_bucket_grant(&b, false, 1000, &stamp));
 	assert_in_range(quota_bucket_turn_ms(&b, 1000), 1, 100);
@@ -259,6 +259,20 @@
 	assert_int_equal(quota_bucket_turn_ms(&b, 1000), QUOTA_TURN_MAX_MS);
 }
 
+/* A process that has just started gets no tokens for a while. */
+static void test_new_process_waits(void **state)
+{
+	struct quota_part part = {10, 8, 1000, 5200};
+	struct quota_bucket b = {0};
+	uint32_t stamp;
+
+	quota_bucket_hold(&b, &part, false, 2000, 1000);
+	quota_bucket_hold(&b, &part, false, 2000, 1500);
+	assert_int_equal(quota_bucket_wait_ms(&b, 1500), 500 + 100 + 1);
+	assert_false(quota_bucket_grant(&b, false, 2099, &stamp));
+	assert_true(quota_bucket_grant(&b, false, 2101, &stamp));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -274,6 +288,7 @@
 		cmocka_unit_test(test_grants_used_late_or_given_back),
 		cmocka_unit_test(test_late_requests_go_last),
 		cmocka_unit_test(test_turns_are_spaced),
+		cmocka_unit_test(test_new_process_waits),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/traffic/quota_holder.c
+++ b/traffic/quota_holder.c
@@ -72,5 +72,6 @@
 		return;
 	}
 	part = quota_part(&rule, &u->terms, k);
-	quota_bucket_hold(&u->bucket, &part, u->starts_full, clock_ms());
+	quota_bucket_hold(&u->bucket, &part, u->starts_full,
+			  t->quotas.hold_from_ms, clock_ms());
 }
