One invalid route or workspace costs only itself; tests of keys and headers

A single field that couldn't be read made the whole version invalid, so that the old one stayed in force for all routes and keys. Now a route with findings is unusable (503), one of an unknown kind runs at most once, and a workspace whose quota or name can't be read gets 503. Where keys or places of routes can't be read, an unknown key or path gets 503 instead of a final 401 or 404. A version without number, routes, services or with workspaces that are no map still keeps the old version, and so does one without any usable route.

The decision is in core/access (values in, values out). A held request that no server was known for got 404 once the configuration was there; now 503. A key with white space after it got 401; it is stripped.

Test that changed: test_invalid_versions expected the whole version to be refused for one bad field of one route. Its variants are now checked by test_invalid_routes: the route is unusable, or never repeated, and the other route serves as before; test_config_entries has more of them, and what a request gets.

--- a/control/config_source.c
+++ b/control/config_source.c
@@ -1,14 +1,14 @@
 #include "common/event.h"
 #include "control/config_source.h"
 
-/* Logs why a record is invalid. */
+/* Logs why a record, or an entry in it, can't be used. */
 static void log_findings(const struct store_record *rec,
-			 const struct findings *f)
+			 const struct findings *f, enum mp_event ev)
 {
 	for (guint i = 0; i < f->list->len; i++) {
 		const struct finding *p = g_ptr_array_index(f->list, i);
 
-		mp_event(EV_CONFIG_INVALID_RECORD, G_LOG_LEVEL_WARNING,
+		mp_event(ev, G_LOG_LEVEL_WARNING,
 			 "record %" G_GUINT64_FORMAT ": %s: %s",
 			 rec->pos.offset, p->key ? p->key : "-", p->message);
 	}
@@ -46,24 +46,19 @@
 	       !lstr_eq(rec->value, current->record);
 }
 
-/*
- * config_source_decode_newer() decodes a record. Returns NULL if it is invalid
- * or not newer. Of two records with the same version number the later one
- * counts: it was confirmed last, and it is the one that instances read that
- * start later.
- */
-struct config *config_source_decode_newer(const struct config_source *s,
-					  const struct store_record *rec,
-					  const struct config_current *current)
+/* Decodes a record; returns NULL if it is invalid or not newer. */
+static struct config *decode_newer(const struct config_source *s,
+				   const struct store_record *rec,
+				   const struct config_current *current,
+				   struct findings *f)
 {
-	struct findings f;
-	struct config *c;
+	struct config *c = s->decode(s->priv, rec->value, f);
 
-	findings_init(&f);
-	c = s->decode(s->priv, rec->value, &f);
-	log_findings(rec, &f);
-	findings_clear(&f);
-	if (!c || c->version > current->version)
+	if (!c) {
+		log_findings(rec, f, EV_CONFIG_INVALID_RECORD);
+		return NULL;
+	}
+	if (c->version > current->version)
 		return c;
 	if (c->version < current->version) {
 		log_older(current, c->version, rec);
@@ -77,3 +72,24 @@
 	config_unref(c);
 	return NULL;
 }
+
+/*
+ * config_source_decode_newer() decodes a record. Returns NULL if it is invalid
+ * or not newer; entries of it that can't be used are logged. Of two records
+ * with the same version number the later one counts: it was confirmed last, and
+ * it is the one that instances read that start later.
+ */
+struct config *config_source_decode_newer(const struct config_source *s,
+					  const struct store_record *rec,
+					  const struct config_current *current)
+{
+	struct findings f;
+	struct config *c;
+
+	findings_init(&f);
+	c = decode_newer(s, rec, current, &f);
+	if (c)
+		log_findings(rec, &f, EV_CONFIG_INVALID_ENTRY);
+	findings_clear(&f);
+	return c;
+}
--- a/core/config.c
+++ b/core/config.c
@@ -58,7 +58,7 @@
 static void check_splits(const struct config *c, const struct route *r,
 			 const char *key, struct findings *f)
 {
-	unsigned sum = 0;
+	uint64_t sum = 0;
 
 	for (size_t i = 0; i < r->nsplits; i++) {
 		sum += r->splits[i].weight;
@@ -68,21 +68,27 @@
 				     (int)r->splits[i].service.len,
 				     r->splits[i].service.ptr);
 	}
-	if (sum == 0)
-		findings_add(f, "config", 0, key,
-			     "has no service with a positive weight");
+	if (sum == 0 || sum > UINT32_MAX)
+		findings_add(
+			f, "config", 0, key,
+			"has no service with a positive weight, or too large "
+			"ones");
 }
 
-/* Checks the fields of a route. */
-static void check_route(const struct config *c, const struct route *r,
-			struct findings *f)
+/* Checks the fields of a route; one with findings is unusable. */
+static void check_route(struct config *c, struct route *r, struct findings *f)
 {
 	char key[80];
 	struct lstr p = r->path_prefix;
+	guint before = f->list->len;
 
 	g_snprintf(key, sizeof(key), "routes.%.*s", (int)r->name.len,
 		   r->name.ptr);
 	check_splits(c, r, key, f);
+	if (!r->host.len) {
+		findings_add(f, "config", 0, key, "has no host");
+		c->routes_incomplete = true;
+	}
 	if (r->max_attempts == 0)
 		findings_add(f, "config", 0, key,
 			     "allows no attempts, at least 1 is needed");
@@ -90,14 +96,18 @@
 		findings_add(f, "config", 0, key,
 			     "timeout is %u ms, must be 1..%d", r->timeout_ms,
 			     TIMEOUT_MAX_MS);
-	if (p.len == 0 || p.ptr[0] != '/' || p.ptr[p.len - 1] != '/')
+	if (p.len == 0 || p.ptr[0] != '/' || p.ptr[p.len - 1] != '/') {
 		findings_add(f, "config", 0, key,
 			     "path prefix must begin and end with '/'");
+		c->routes_incomplete = true;
+	}
+	if (f->list->len > before)
+		r->unusable = true;
 }
 
 /*
  * Adds a route to the index of its host. Two routes with the same host and path
- * prefix are a finding.
+ * prefix are a finding; neither can be used, as either may be meant.
  */
 static void index_route(struct config *c, struct route *r, struct findings *f)
 {
@@ -108,22 +118,24 @@
 		g_hash_table_insert(c->by_host, &r->host, list);
 	}
 	for (guint i = 0; i < list->len; i++) {
-		const struct route *o = g_ptr_array_index(list, i);
-
-		if (lstr_eq(o->path_prefix, r->path_prefix))
-			findings_add(f, "config", 0, "routes",
-				     "'%.*s' and '%.*s' have the same host and "
-				     "path prefix",
-				     (int)o->name.len, o->name.ptr,
-				     (int)r->name.len, r->name.ptr);
+		struct route *o = g_ptr_array_index(list, i);
+
+		if (!lstr_eq(o->path_prefix, r->path_prefix))
+			continue;
+		findings_add(f, "config", 0, "routes",
+			     "'%.*s' and '%.*s' have the same host and path "
+			     "prefix",
+			     (int)o->name.len, o->name.ptr, (int)r->name.len,
+			     r->name.ptr);
+		o->unusable = r->unusable = true;
 	}
 	g_ptr_array_add(list, r);
 }
 
 /*
  * Checks a version whose fields are set and builds its index. Each problem is
- * added to the findings; a version with any must not be used. Returns 0 or
- * -EINVAL.
+ * added to the findings, and the route that has it becomes unusable. Returns 0
+ * or, if there are any, -EINVAL.
  */
 int config_finalize(struct config *c, struct findings *f)
 {
@@ -210,6 +222,16 @@
 	return r->splits[0].service;
 }
 
+/* config_has_usable_route() returns whether any route can be used. */
+bool config_has_usable_route(const struct config *c)
+{
+	for (size_t i = 0; i < c->nroutes; i++) {
+		if (!c->routes[i].unusable)
+			return true;
+	}
+	return false;
+}
+
 /* Takes a reference. */
 struct config *config_ref(struct config *c)
 {
--- a/core/config.h
+++ b/core/config.h
@@ -28,6 +28,7 @@
 	bool idempotent;	 /* may be executed more than once */
 	bool upload;		 /* large bodies; never idempotent */
 	bool auth_exempt;	 /* served without a workspace's key */
+	bool unusable;		 /* exists, but can't be read */
 	unsigned max_attempts;	 /* servers a request may be sent to */
 	unsigned priority;	 /* 0 is the highest */
 	uint32_t timeout_ms;	 /* for the final answer */
@@ -58,6 +59,7 @@
 	uint64_t version;
 	struct route *routes;
 	size_t nroutes;
+	bool routes_incomplete; /* where some route applies is unknown */
 	struct service_config *services;
 	size_t nservices;
 	struct config_limits limits;
@@ -73,6 +75,7 @@
 				 struct lstr path);
 const struct service_config *config_service(const struct config *c,
 					    struct lstr name);
+bool config_has_usable_route(const struct config *c);
 bool config_drains(const struct config *c, const char *backend);
 struct lstr route_pick(const struct route *r, uint32_t random);
 struct config *config_ref(struct config *c);
--- a/core/workspace.c
+++ b/core/workspace.c
@@ -72,6 +72,20 @@
 	return g_hash_table_lookup(w->by_key, digest);
 }
 
+/*
+ * workspaces_key_is_shared() returns whether several workspaces have the key,
+ * so that it identifies none.
+ */
+bool workspaces_key_is_shared(const struct workspaces *w, struct lstr key)
+{
+	guint8 digest[DIGEST_BYTES];
+	gpointer owner;
+
+	compute_digest(key, digest);
+	return g_hash_table_lookup_extended(w->by_key, digest, NULL, &owner) &&
+	       !owner;
+}
+
 /* workspaces_clear() frees the keys. */
 void workspaces_clear(struct workspaces *w)
 {
--- a/core/workspace.h
+++ b/core/workspace.h
@@ -23,10 +23,12 @@
 	double rate_s;	   /* quota, requests per second; 0: no quota */
 	double burst;	   /* requests that the quota allows at once */
 	unsigned nkeys;
+	bool unusable; /* its quota can't be read */
 };
 
 struct workspaces {
-	bool required; /* callers must present a key */
+	bool required;	 /* callers must present a key */
+	bool incomplete; /* some keys can't be read */
 	struct workspace *list;
 	size_t n;
 	GHashTable *by_key; /* digest of a key -> struct workspace * */
@@ -37,6 +39,7 @@
 			struct lstr key);
 const struct workspace *workspaces_find(const struct workspaces *w,
 					struct lstr key);
+bool workspaces_key_is_shared(const struct workspaces *w, struct lstr key);
 void workspaces_clear(struct workspaces *w);
 uint32_t workspace_id(struct lstr name);
 
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -80,6 +80,112 @@
 	http_message_free(m);
 }
 
+/* Returns the request that a server gets, of a caller with a workspace. */
+static char *identified_request(const char *headers, const char *workspace,
+				struct request_info *call)
+{
+	char *request = g_strconcat("GET /x HTTP/1.1\r\nHost: one.example\r\n"
+				    "Attempt-Id: abc\r\n",
+				    headers, "\r\n", NULL);
+	struct http_message *m = message(HTTP_REQUEST, request);
+	struct backend b = {0};
+	struct buf out = {0};
+	char *text;
+
+	exchange_read_request(m, call);
+	call->identified = true;
+	call->workspace = lstr0(workspace);
+	exchange_write_request(&out, m, call, &b, 700, "e1");
+	text = g_strndup(out.ptr, out.len);
+	buf_free(&out);
+	http_message_free(m);
+	g_free(request);
+	return text;
+}
+
+/* Counts the occurrences of a word, in any case. */
+static unsigned count_word(const char *text, const char *word)
+{
+	char *low = g_ascii_strdown(text, -1);
+	unsigned n = 0;
+
+	for (const char *s = low; (s = strstr(s, word)); s++)
+		n++;
+	g_free(low);
+	return n;
+}
+
+/*
+ * A server never gets a key, nor a workspace that the caller claims: not in odd
+ * case, not repeated, and not named as a hop-by-hop header.
+ */
+static void test_key_and_claims_are_not_passed_on(void **state)
+{
+	static const char *const headers[] = {
+		"Api-Key: k-secret\r\n",
+		"aPI-kEY: k-secret\r\nTENANT-name: forged\r\n",
+		"Api-Key: k-secret\r\nApi-Key: k-secret\r\n",
+		"Tenant-Name: forged\r\nTenant-Name: forged\r\n",
+		"Api-Key: k-secret\r\nTenant-Name: forged\r\n"
+		"Connection: Api-Key, Tenant-Name\r\n",
+		"Tenant-Name:\r\napi-key:k-secret\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(headers); i++) {
+		struct request_info call;
+		char *text = identified_request(headers[i], "mine", &call);
+
+		assert_int_equal(count_word(text, "secret"), 0);
+		assert_int_equal(count_word(text, "api-key"), 0);
+		assert_int_equal(count_word(text, "forged"), 0);
+		assert_int_equal(count_word(text, "tenant-name"), 1);
+		assert_int_equal(count_word(text, "tenant-name: mine\r\n"), 1);
+		g_free(text);
+		/* Without a workspace, as on a route for anyone. */
+		text = identified_request(headers[i], "", &call);
+		assert_int_equal(count_word(text, "secret"), 0);
+		assert_int_equal(count_word(text, "tenant-name"), 0);
+		g_free(text);
+	}
+}
+
+static void test_read_key(void **state)
+{
+	struct request_info call;
+
+	g_free(identified_request("api-KEY:  k-1 \r\n", "mine", &call));
+	assert_false(call.key_repeated);
+	assert_int_equal(call.key.len, strlen("k-1"));
+	g_free(identified_request("", "mine", &call));
+	assert_int_equal(call.key.len, 0);
+	g_free(identified_request("Api-Key:\r\n", "mine", &call));
+	assert_int_equal(call.key.len, 0);
+	g_free(identified_request("Api-Key: k-1\r\napi-key: k-1\r\n", "mine",
+				  &call));
+	assert_true(call.key_repeated);
+}
+
+/* In a deployment without workspaces, nothing is changed. */
+static void test_headers_without_workspaces(void **state)
+{
+	struct http_message *m = message(
+		HTTP_REQUEST, "GET /x HTTP/1.1\r\nHost: one.example\r\n"
+			      "Api-Key: k-1\r\nTenant-Name: own\r\n\r\n");
+	struct request_info call;
+	struct backend b = {0};
+	struct buf out = {0};
+	char *text;
+
+	exchange_read_request(m, &call);
+	exchange_write_request(&out, m, &call, &b, 700, NULL);
+	text = g_strndup(out.ptr, out.len);
+	assert_non_null(strstr(text, "\r\nApi-Key: k-1\r\n"));
+	assert_non_null(strstr(text, "\r\nTenant-Name: own\r\n"));
+	g_free(text);
+	buf_free(&out);
+	http_message_free(m);
+}
+
 static void test_read_response(void **state)
 {
 	struct http_message *m = message(
@@ -308,6 +414,9 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_read_request),
 		cmocka_unit_test(test_write_request),
+		cmocka_unit_test(test_key_and_claims_are_not_passed_on),
+		cmocka_unit_test(test_read_key),
+		cmocka_unit_test(test_headers_without_workspaces),
 		cmocka_unit_test(test_read_response),
 		cmocka_unit_test(test_response_without_attempt_id),
 		cmocka_unit_test(test_limit),
--- a/traffic/early.c
+++ b/traffic/early.c
@@ -40,10 +40,16 @@
 	g_free(e);
 }
 
-/* Refuses a request that was held for as long as it may be. */
+/*
+ * Refuses a request that was held for as long as it may be. Its route and key
+ * may exist, so it gets no final refusal.
+ */
 static void refuse(struct traffic *t, struct early_request *e)
 {
-	request_respond_no_route(t, e->conn, e->message, &e->call);
+	static const struct access unknown = {.status = ACCESS_UNCERTAIN,
+					      .reason = "starting"};
+
+	request_respond_denied(t, e->conn, e->message, &e->call, &unknown);
 	g_free(e);
 }
 
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -409,24 +409,17 @@
 void request_dispatch(struct traffic *t, struct http_conn *c,
 		      struct http_message *m, const struct request_info *call)
 {
-	const struct workspace *workspace = NULL;
-	const struct route *route = NULL;
+	struct access a = request_access(t, call);
 	struct request_info identified = *call;
 
-	if (t->config)
-		route = config_match(t->config, call->host, call->path);
-	if (!route) {
-		request_respond_no_route(t, c, m, call);
-		return;
-	}
-	if (!request_authorize(t, route, call, &workspace)) {
-		request_respond_unauthorized(t, c, m, call);
+	if (a.status != ACCESS_GRANTED) {
+		request_respond_denied(t, c, m, call, &a);
 		return;
 	}
 	identified.identified = t->config->workspaces.required;
-	if (workspace)
-		identified.workspace = workspace->name;
-	request_start(t, c, m, &identified, route, workspace,
+	if (a.workspace)
+		identified.workspace = a.workspace->name;
+	request_start(t, c, m, &identified, a.route, a.workspace,
 		      &platform_protocol);
 }
 
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -7,6 +7,7 @@
 #define MP_TRAFFIC_REQUEST_H
 
 #include "common/event.h"
+#include "core/access.h"
 #include "core/place.h"
 #include "platform/exchange.h"
 #include "traffic/traffic.h"
@@ -116,20 +117,17 @@
 
 void request_dispatch(struct traffic *t, struct http_conn *c,
 		      struct http_message *m, const struct request_info *call);
-void request_respond_no_route(struct traffic *t, struct http_conn *c,
-			      struct http_message *m,
-			      const struct request_info *call);
 void request_receive(void *priv, struct http_conn *c, struct http_message *m);
 void request_start(struct traffic *t, struct http_conn *c,
 		   struct http_message *m, const struct request_info *call,
 		   const struct route *route, const struct workspace *workspace,
 		   const struct caller_protocol *protocol);
-bool request_authorize(const struct traffic *t, const struct route *route,
-		       const struct request_info *call,
-		       const struct workspace **workspace);
-void request_respond_unauthorized(struct traffic *t, struct http_conn *c,
-				  struct http_message *m,
-				  const struct request_info *call);
+struct access request_access(const struct traffic *t,
+			     const struct request_info *call);
+void request_respond_denied(struct traffic *t, struct http_conn *c,
+			    struct http_message *m,
+			    const struct request_info *call,
+			    const struct access *a);
 void request_caller_left(void *priv, struct http_conn *c);
 
 /* Internal to the request state machine. */
--- a/traffic/request_reject.c
+++ b/traffic/request_reject.c
@@ -5,14 +5,6 @@
 #include "misc/clock.h"
 #include "traffic/request.h"
 
-enum {
-	/*
-	 * Without updates for this long a route or key unknown here may exist
-	 * by now, and a 404 or 401 would be final for the caller.
-	 */
-	STALE_STATE_MS = 4000,
-};
-
 /* Returns when the state of this instance was last known to be current. */
 static int64_t config_updated_ms(const struct traffic *t)
 {
@@ -22,12 +14,6 @@
 		   (int64_t)ck_pr_load_64((const uint64_t *)&v->config_ms));
 }
 
-/* Returns whether what the configuration lacks doesn't exist. */
-static bool config_is_current(const struct traffic *t)
-{
-	return t->config && clock_ms() - config_updated_ms(t) < STALE_STATE_MS;
-}
-
 /* Responds without a request state; 503 gets a Retry-After. */
 static void respond(struct traffic *t, struct http_conn *c,
 		    struct http_message *m, const struct request_info *call,
@@ -45,66 +31,55 @@
 	http_message_free(m);
 }
 
-/*
- * request_respond_no_route() responds to a request without a matching route:
- * 404 if the configuration is known to be current, else 503.
- */
-void request_respond_no_route(struct traffic *t, struct http_conn *c,
-			      struct http_message *m,
-			      const struct request_info *call)
+/* Returns the HTTP status that tells a caller why a request may not run. */
+static unsigned status_of(enum access_status a)
 {
-	bool is_current = config_is_current(t);
-	unsigned status = is_current ? 404 : 503;
-
-	if (t->config)
-		t->counters.no_route++;
-	else
-		t->counters.no_config++;
-	mp_event(EV_REQUEST_NO_ROUTE, G_LOG_LEVEL_INFO,
-		 "id=%.*s status=%u version=%" G_GUINT64_FORMAT
-		 " news_age_ms=%" G_GINT64_FORMAT,
-		 (int)call->id.len, call->id.ptr, status,
-		 t->config ? t->config->version : 0,
-		 clock_ms() - config_updated_ms(t));
-	respond(t, c, m, call, status);
+	switch (a) {
+	case ACCESS_NO_ROUTE:
+		return 404;
+	case ACCESS_UNKNOWN_KEY:
+		return 401;
+	default:
+		return 503;
+	}
 }
 
-/*
- * request_authorize() identifies the caller's workspace by its key. Returns
- * false if the route needs a key and the caller presents no valid one.
- */
-bool request_authorize(const struct traffic *t, const struct route *route,
-		       const struct request_info *call,
-		       const struct workspace **workspace)
+/* request_access() decides whether a request may run. */
+struct access request_access(const struct traffic *t,
+			     const struct request_info *call)
 {
-	const struct workspaces *w = &t->config->workspaces;
+	struct access_query q = {.host = call->host,
+				 .path = call->path,
+				 .key = call->key,
+				 .key_repeated = call->key_repeated};
 
-	*workspace = NULL;
-	if (!w->required || route->auth_exempt)
-		return true;
-	if (!call->key_repeated)
-		*workspace = workspaces_find(w, call->key);
-	return *workspace != NULL;
+	return access_decide(t->config, &q, clock_ms() - config_updated_ms(t));
 }
 
 /*
- * request_respond_unauthorized() responds to a request without a valid key: 401
- * if the configuration is known to be current, else 503.
+ * request_respond_denied() responds to a request that may not run. The log has
+ * the reason, never the key.
  */
-void request_respond_unauthorized(struct traffic *t, struct http_conn *c,
-				  struct http_message *m,
-				  const struct request_info *call)
+void request_respond_denied(struct traffic *t, struct http_conn *c,
+			    struct http_message *m,
+			    const struct request_info *call,
+			    const struct access *a)
 {
-	unsigned status = config_is_current(t) ? 401 : 503;
+	unsigned status = status_of(a->status);
 
-	t->counters.unauthorized++;
-	mp_event(EV_REQUEST_UNAUTHORIZED, G_LOG_LEVEL_INFO,
+	if (a->by_key)
+		t->counters.unauthorized++;
+	else if (t->config)
+		t->counters.no_route++;
+	else
+		t->counters.no_config++;
+	mp_event(a->by_key ? EV_REQUEST_UNAUTHORIZED : EV_REQUEST_NO_ROUTE,
+		 G_LOG_LEVEL_INFO,
 		 "id=%.*s status=%u version=%" G_GUINT64_FORMAT
-		 " news_age_ms=%" G_GINT64_FORMAT " key=%s",
-		 (int)call->id.len, call->id.ptr, status, t->config->version,
-		 clock_ms() - config_updated_ms(t),
-		 call->key_repeated ? "repeated"
-		 : call->key.len    ? "unknown"
-				    : "missing");
+		 " news_age_ms=%" G_GINT64_FORMAT " %s=%s",
+		 (int)call->id.len, call->id.ptr, status,
+		 t->config ? t->config->version : 0,
+		 clock_ms() - config_updated_ms(t), a->by_key ? "key" : "route",
+		 a->reason);
 	respond(t, c, m, call, status);
 }
