A removal right after a restore is found though its offset is low

An instance that reads the restored store only after a server was removed looks for the removal in the log, to tell it from a record that the backup lacks. It compared the removal's offset, of the new era, with that of the server's newest record, of the old one.

Compared is now the position since which the server is on the list. test_removal_at_lower_offset_than_lost_record fails before this change.

--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -118,8 +118,10 @@
 /*
  * backend_list_remove_deferred() removes a server that is missing from a
  * restored backup, if the restored log contains a removal of it that is newer
- * than the backup. The backup ends before the entry's lost record, so an older
- * removal may be followed by a record that brought the server back.
+ * than the backup. A removal in the backup may have been followed by a lost
+ * record that brought the server back; such a removal precedes the position
+ * since which the server is on the list. The server's newest record may have a
+ * higher offset than a removal after the backup, whose log continues lower.
  */
 void backend_list_remove_deferred(struct backend_list *l,
 				  const struct backend_change *c,
@@ -130,7 +132,7 @@
 	struct backend_change removal = *c;
 
 	if (!e || !e->deferred || e->from_old_era ||
-	    c->pos.offset < e->pos.offset)
+	    c->pos.offset < e->since.offset)
 		return;
 	removal.pos = l->pos;
 	remove_entry(l, &removal, now_ms);
@@ -193,7 +195,7 @@
 	struct backend_change c = {.pos = received->pos, .entry = e->entry};
 	bool was_deferred = e->deferred;
 
-	e->pos = received->pos;
+	e->pos = e->since = received->pos;
 	e->deferred = false;
 	e->from_old_era = differs(&e->entry, &received->entry);
 	if (was_deferred)
@@ -215,6 +217,9 @@
 			confirm_entry(l, e, c, now_ms);
 		return;
 	}
+	/* What precedes a listing may have been missed. */
+	if (e->deferred || l->listing)
+		e->since = c->pos;
 	e->entry = c->entry;
 	e->pos = c->pos;
 	e->deferred = false;
@@ -230,7 +235,7 @@
 	struct list_entry *e = g_new0(struct list_entry, 1);
 
 	e->entry = c->entry;
-	e->pos = c->pos;
+	e->pos = e->since = c->pos;
 	e->seen = true;
 	g_hash_table_remove(l->unconfirmed, e->entry.id);
 	g_hash_table_insert(l->entries, e->entry.id, e);
@@ -330,6 +335,7 @@
 	gpointer v;
 
 	backend_list_grace_if_stale(l, now_ms);
+	l->listing = true;
 	l->restored = false;
 	if (l->loaded && era > l->pos.era)
 		backend_list_begin_restored(l, now_ms);
@@ -426,6 +432,7 @@
 	g_ptr_array_unref(unseen);
 	drop_unseen_unconfirmed(l, end, now_ms);
 	l->loaded = true;
+	l->listing = false;
 	l->listing_end = end;
 	g_array_sort(l->recent, by_position);
 	backend_list_advance(l, end, as_of_ms, now_ms);
--- a/control/backend_list.h
+++ b/control/backend_list.h
@@ -25,6 +25,7 @@
 	int64_t restored_ms; /* a restored store was first seen; 0: never */
 	int64_t due_ms; /* earliest due time of a deferred change; 0: none */
 	bool restored;	/* changes being applied may come from a backup */
+	bool listing;	/* a full listing is being applied */
 	struct store_position
 		listing_end; /* end position of the last full listing */
 	GArray *recent;	     /* struct backend_change, for the peers */
--- a/control/backend_list_private.h
+++ b/control/backend_list_private.h
@@ -16,7 +16,9 @@
 struct list_entry {
 	struct backend_entry entry;
 	struct store_position pos; /* of its newest record */
-	bool deferred;		   /* its removal is deferred */
+	/* It was on the list without a break from this position on. */
+	struct store_position since;
+	bool deferred;	/* its removal is deferred */
 	int64_t due_ms; /* end of the deferral, or of the unconfirmed state */
 	/*
 	 * The entry was read in an earlier era. The present log may hold older
--- a/tests/test_backend_restore.c
+++ b/tests/test_backend_restore.c
@@ -133,6 +133,47 @@
 	assert_string_equal(state_of(&s, "c"), "gone");
 }
 
+/*
+ * A server wrote its entry again after the backup, so its newest record has a
+ * higher offset than its removal right after the restore. It stayed on the list
+ * until the grace period for missing entries had ended.
+ */
+static void test_removal_at_lower_offset_than_lost_record(void **state)
+{
+	struct backend_change gone = change(0, "c", "gone");
+	struct backend_list l;
+	struct seen s;
+
+	begin_two_entries(&l, &s);
+	write_entry(&l, in_era(1, 8), "c", 1, "ready", 1100);
+	write_entry(&l, in_era(1, 13), "c", 2, "ready", 1200);
+	backend_list_advance(&l, in_era(1, 14), 1200, 1200);
+	list_restored(&l);
+	gone.pos = in_era(2, 10);
+	backend_list_remove_deferred(&l, &gone, 1500);
+	assert_string_equal(state_of(&s, "c"), "gone");
+}
+
+/* A removal before the listing that returned the entry may have been missed. */
+static void test_removal_before_relisting_is_ignored(void **state)
+{
+	struct backend_change gone = change(0, "c", "gone");
+	struct backend_list l;
+	struct seen s;
+
+	begin_two_entries(&l, &s);
+	write_entry(&l, in_era(1, 8), "c", 1, "ready", 1100);
+	backend_list_replace_begin(&l, 1, 1200);
+	write_entry(&l, in_era(1, 10), "a", 2, "ready", 1200);
+	write_entry(&l, in_era(1, 11), "b", 2, "ready", 1200);
+	write_entry(&l, in_era(1, 12), "c", 2, "ready", 1200);
+	backend_list_replace_end(&l, in_era(1, 13), 1200, 1200);
+	list_restored(&l);
+	gone.pos = in_era(2, 9);
+	backend_list_remove_deferred(&l, &gone, 1500);
+	assert_string_equal(state_of(&s, "c"), "ready");
+}
+
 static void test_draining_missing_from_backup_is_kept(void **state)
 {
 	struct backend_list l;
@@ -314,6 +355,8 @@
 		cmocka_unit_test(
 			test_unconfirmed_server_returns_unless_removed),
 		cmocka_unit_test(test_server_missing_from_backup_is_kept),
+		cmocka_unit_test(test_removal_at_lower_offset_than_lost_record),
+		cmocka_unit_test(test_removal_before_relisting_is_ignored),
 		cmocka_unit_test(test_draining_missing_from_backup_is_kept),
 		cmocka_unit_test(test_expiry_of_most_after_restore_is_deferred),
 		cmocka_unit_test(test_draining_without_start_time_is_kept),
