--- a/app/main.c
+++ b/app/main.c
@@ -37,7 +37,11 @@
 	"  store                       stand-in: the platform's store\n"
 	"  backend --service S --index I [--seed N]\n"
 	"                              stand-in: a backend server\n"
-	"  operator --version N        stand-in: writes a configuration\n"
+	"  operator --version N [WORKSPACE:RATE:BURST:KEY,..] ..\n"
+	"                              stand-in: writes a configuration\n"
+	"  callers [--seconds N] [--rate N] [--concurrency N] [--seed N] KEY "
+	"..\n"
+	"                              stand-in: callers with keys\n"
 	"  operator --evacuate DC | --restore DC\n"
 	"                              stand-in: evacuates a data centre, or\n"
 	"                              takes that back\n"
@@ -181,13 +185,28 @@
 }
 
 /* Runs the stand-in operator. */
-static int run_operator(const struct deploy *d, const struct cli *o)
+static int run_operator(const struct deploy *d, const struct cli *o,
+			char **workspaces)
 {
 	if (o->evacuate)
 		return stand_evacuate_main(d, o->evacuate, true);
 	if (o->restore)
 		return stand_evacuate_main(d, o->restore, false);
-	return stand_operator_main(d, (uint64_t)o->version);
+	return stand_operator_main(d, (uint64_t)o->version, workspaces);
+}
+
+/* Runs the stand-in callers; 0 stands for an option's default. */
+static int run_callers(const struct deploy *d, const struct cli *o, char **keys)
+{
+	struct callers_args a = {
+		.seconds = o->seconds ? o->seconds : 10,
+		.rate = o->rate ? o->rate : 100,
+		.connections = o->concurrency ? o->concurrency : 64,
+		.seed = (unsigned)o->seed,
+		.keys = keys,
+	};
+
+	return stand_callers_main(d, &a);
 }
 
 /* Runs a role of a local deployment. */
@@ -202,7 +221,9 @@
 	if (!strcmp(role, "store"))
 		return stand_store_main(&d);
 	if (!strcmp(role, "operator"))
-		return run_operator(&d, o);
+		return run_operator(&d, o, rest);
+	if (!strcmp(role, "callers") && rest && rest[0])
+		return run_callers(&d, o, rest);
 	if (!strcmp(role, "fill"))
 		return stand_fill_main(&d, o->index, o->version);
 	if (!strcmp(role, "backend") && o->service)
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -182,6 +182,7 @@
 	key_text = g_strndup(key.ptr, key.len);
 	work_record_run(&s->work, key_text);
 	g_free(key_text);
+	server_log_run(j->message);
 	j->waiting = false;
 	ev_timer_init(&j->timer, is_fatal(j) ? on_fatal_timer : on_work_done,
 		      (is_fatal(j) ? FATAL_DELAY_MS : ms) / 1000, 0);
--- a/stand/server.h
+++ b/stand/server.h
@@ -47,6 +47,7 @@
 void server_add_draining(struct server *s, struct lstr to, struct buf *b);
 void server_add_backoff(struct server *s, struct lstr to, struct buf *b);
 void server_add_cold(struct server *s, struct buf *b);
+void server_log_run(const struct http_message *m);
 void server_write_stats(struct buf *out, const struct server *s);
 void server_register_start(struct server *s);
 void server_register(struct server *s);
--- a/stand/stand.h
+++ b/stand/stand.h
@@ -2,7 +2,8 @@
  * Simulators of the systems that entry instances work with, implemented by
  * this project from the published protocol: the platform's store
  * (stand/store.c), a backend server (stand/backend.c), the operator
- * (stand/operator.c) and a faulty network (stand/proxy.c). Tests and the local
+ * (stand/operator.c), callers with keys (stand/callers.c) and a faulty network
+ * (stand/proxy.c). Tests and the local
  * run use them in place of the real systems.
  */
 #ifndef MP_STAND_STAND_H
@@ -15,10 +16,19 @@
 
 #define STAND_HEALTH_PATH "/health"
 
+/* Callers with keys of workspaces, see stand/callers.c. */
+struct callers_args {
+	int seconds, rate, connections;
+	unsigned seed;
+	char **keys; /* NULL-terminated; a key that is repeated is used more */
+};
+
 int stand_store_main(const struct deploy *d);
 int stand_backend_main(const struct deploy *d, const char *service, int index,
 		       unsigned seed);
-int stand_operator_main(const struct deploy *d, uint64_t version);
+int stand_operator_main(const struct deploy *d, uint64_t version,
+			char **workspaces);
+int stand_callers_main(const struct deploy *d, const struct callers_args *a);
 int stand_evacuate_main(const struct deploy *d, const char *dc, bool evacuate);
 int stand_proxy_main(const struct deploy *d, const char *service,
 		     const char *entry);
--- a/tests/soak-seeds.sh
+++ b/tests/soak-seeds.sh
@@ -18,6 +18,8 @@
 #   4601, 4602: instances lose their links to servers; a peer whose own links
 #               accepted connections and swallowed the answers was used on and on
 #               (4601).
+#   4901, 4902: keys and quotas of workspaces change; more of a workspace ran
+#               than its quota allows, as long as instances didn't keep quotas.
 set -u
 cd "$(dirname "$0")/.."
 for seed in 122 153; do
@@ -38,3 +40,6 @@
 for seed in 4601 4602; do
 	tests/soak.sh $seed 10 0 links || exit 1
 done
+for seed in 4901 4902; do
+	tests/soak.sh $seed 10 0 workspaces || exit 1
+done
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -9,7 +9,7 @@
 # decrease, no process exits on its own, and afterwards a version is in force
 # everywhere and calls are served.
 #
-#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links]]]
+#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links|workspaces]]]
 #
 # A slot is a range of ports between 24000 and 30000. No other test uses these,
 # so a soak may run in parallel with other tests, and with other soaks if the
@@ -26,6 +26,8 @@
 #   links    instances lose their links to servers, see tests/soak_links.sh; last
 #            some lose them under load beside a kill and a silent store, and must
 #            serve first attempts nearly as often as the others
+#   workspaces  callers use keys of workspaces, and keys and quotas change; what
+#            the servers ran is summed up, see tests/soak_workspaces.sh
 #   fatal    a request that crashes each server that runs it is sent to all
 #            instances throughout; after the faults only few servers may crash
 #            under it
@@ -41,6 +43,7 @@
 backoff=$([ "${4:-}" = backoff ] && echo yes)
 drills=$([ "${4:-}" = drills ] && echo yes)
 links=$([ "${4:-}" = links ] && echo yes)
+workspaces=$([ "${4:-}" = workspaces ] && echo yes)
 base=$((24000 + 100 * slot))
 logs=$(mktemp -d)
 ini=$logs/soak.ini
@@ -104,7 +107,7 @@
 	proxy) exec $bin proxy --deployment "$ini" ${rest:+--service "$rest"} ;;
 	link) exec $bin proxy --deployment "$ini" --service "${rest#*/}" --name "${rest%/*}" ;;
 	server) exec $bin backend --deployment "$ini" --service "${rest%-*}" --index "${rest##*-}" --seed "$seed" ;;
-	entry) exec $bin entry --deployment "$ini" --name "$rest" ;;
+	entry) exec $bin entry --deployment "$ini" --name "$rest" ${workspaces:+--from-operator} ;;
 	esac >>"$logs/${name//\//-}.log" 2>&1 &
 	pids[$name]=$!
 }
@@ -368,6 +371,7 @@
 
 . tests/soak_links.sh
 . tests/soak_drills.sh
+. tests/soak_workspaces.sh
 write_ini >"$ini"
 start store:
 sleep 0.2
@@ -382,9 +386,14 @@
 	start server:harta-$i
 	start server:becas-pagos-$i
 done
+[ -z "$workspaces" ] || init_workspaces
 for ((i = 1; i <= entries; i++)); do start "$(printf 'entry:e%02d' "$i")"; done
 sleep 3
-$bin load --deployment "$ini" --seconds "$((seconds + 1))" --rate 150 --seed "$seed" >"$logs/load.txt" 2>&1 &
+if [ -n "$workspaces" ]; then
+	start_callers "$((seconds + 1))" callers.txt &
+else
+	$bin load --deployment "$ini" --seconds "$((seconds + 1))" --rate 150 --seed "$seed" >"$logs/load.txt" 2>&1 &
+fi
 load_pid=$!
 if [ -n "$fatal" ]; then
 	send_fatal 0.4 &
@@ -398,6 +407,8 @@
 		random_restore_fault
 	elif [ -n "$links" ] && ((RANDOM % 2)); then
 		random_link_fault
+	elif [ -n "$workspaces" ] && ((RANDOM % 2)); then
+		random_workspace_fault
 	else
 		random_fault
 	fi
@@ -425,10 +436,14 @@
 check "under faults: no duplicate run, no false 'not run', no mismatched response" test $load_rc -eq 0
 [ -z "$drills" ] || check "afterwards: a restore without other faults loses nothing" final_restore_loses_nothing
 [ -z "$links" ] || check "afterwards: instances without links serve like the others" cut_serves_alike
-check "afterwards: a version is in force everywhere" timeout 10 $bin ctl --deployment "$ini" patch soak.end=true --wait
-$bin load --deployment "$ini" --seconds 2 --rate 150 --seed "$((seed + 1))" >"$logs/after.txt" 2>&1
-check "afterwards: invariants hold" test $? -eq 0
-check "afterwards: calls are served" calls_served
+if [ -n "$workspaces" ]; then
+	check_workspaces
+else
+	check "afterwards: a version is in force everywhere" timeout 10 $bin ctl --deployment "$ini" patch soak.end=true --wait
+	$bin load --deployment "$ini" --seconds 2 --rate 150 --seed "$((seed + 1))" >"$logs/after.txt" 2>&1
+	check "afterwards: invariants hold" test $? -eq 0
+	check "afterwards: calls are served" calls_served
+fi
 check "no server got more than the limit that it announced" limits_respected
 check "servers get nothing during a backoff, nor after they announced that they drain" backoffs_respected
 check "versions never decrease" versions_increase
