Client: a request's body is sent from its message, not from a copy

exchange_write_request() copied head and body of a request into one buffer, http_client_send() into a second one that was kept until all was sent: a body of 360 kB took three times its size at each send. The head is now written alone and both are sent with one sendmsg(); what a full socket leaves unsent isn't moved in memory any more either.

A server that closes its connection with unread bytes resets it; if a send met that before the response was read, the response was lost, also one that says that nothing was executed.

--- a/http/client.c
+++ b/http/client.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include "http/client.h"
@@ -29,6 +30,47 @@
 	ev_io_start(c->loop, &c->io);
 }
 
+/* Returns whether part of the request is still to be sent. */
+static bool is_unsent(const struct http_client *c)
+{
+	return c->out.len || c->body.len;
+}
+
+/* Drops what is still to be sent. */
+static void drop_unsent(struct http_client *c)
+{
+	buf_free(&c->out);
+	c->body = (struct lstr){NULL, 0};
+}
+
+/* Waits for input, and for room if part of the request is still to be sent. */
+static void watch_pending(struct http_client *c)
+{
+	watch(c, is_unsent(c) ? EV_READ | EV_WRITE : EV_READ);
+}
+
+/*
+ * Sends as much of the request as the socket accepts. Returns 0 or a negative
+ * errno.
+ */
+static int send_pending(struct http_client *c)
+{
+	struct iovec parts[] = {{c->out.ptr, c->out.len},
+				{(void *)c->body.ptr, c->body.len}};
+	struct msghdr msg = {.msg_iov = parts, .msg_iovlen = 2};
+	ssize_t n = sendmsg(c->fd, &msg, MSG_NOSIGNAL);
+	size_t head;
+
+	if (n < 0)
+		return errno == EAGAIN || errno == EINTR ? 0 : -errno;
+	head = (size_t)n < c->out.len ? (size_t)n : c->out.len;
+	c->sent = c->sent || n > 0;
+	buf_consume(&c->out, head);
+	c->body.ptr += (size_t)n - head;
+	c->body.len -= (size_t)n - head;
+	return 0;
+}
+
 /* http_client_close() closes the connection without calling ops->failed. */
 void http_client_close(struct http_client *c)
 {
@@ -40,7 +82,7 @@
 	c->fd = -1;
 	c->state = CLIENT_CLOSED;
 	http_reader_free(&c->reader);
-	buf_free(&c->out);
+	drop_unsent(c);
 	buf_free(&c->connect_head);
 }
 
@@ -90,13 +132,13 @@
 	}
 	set_timer(c, 0);
 	/* After an early response the rest of the request stays unsent. */
-	if (!m->keep_alive || c->out.len)
+	if (!m->keep_alive || is_unsent(c))
 		c->reusable = false;
 	c->waiting = false;
 	c->sent = false;
 	c->served++;
 	c->state = CLIENT_IDLE;
-	buf_free(&c->out);
+	drop_unsent(c);
 	watch(c, EV_READ);
 	read_unsolicited(c, p, n);
 	c->ops->response(c->priv, m);
@@ -208,7 +250,7 @@
 		return;
 	}
 	on_connected(c);
-	watch(c, c->out.len ? EV_READ | EV_WRITE : EV_READ);
+	watch_pending(c);
 }
 
 /* Completes a connection attempt and sends pending output. */
@@ -227,23 +269,26 @@
 		}
 		on_connected(c);
 	}
-	if (c->out.len && !may_send(c)) {
+	if (is_unsent(c) && !may_send(c)) {
 		fail(c, -ECANCELED);
 		return;
 	}
-	if (c->out.len) {
-		ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
-
-		if (n < 0 && errno != EAGAIN && errno != EINTR) {
-			fail(c, -errno);
+	if (is_unsent(c)) {
+		int err = send_pending(c);
+
+		/*
+		 * A server that has closed its end may have responded before:
+		 * that is read first.
+		 */
+		if (c->sent && (err == -EPIPE || err == -ECONNRESET)) {
+			drop_unsent(c);
+			c->reusable = false;
+		} else if (err) {
+			fail(c, err);
 			return;
 		}
-		if (n > 0) {
-			c->sent = true;
-			buf_consume(&c->out, (size_t)n);
-		}
 	}
-	watch(c, c->out.len ? EV_READ | EV_WRITE : EV_READ);
+	watch_pending(c);
 }
 
 /* Dispatches socket events. */
@@ -329,27 +374,33 @@
  */
 void http_client_send(struct http_client *c, struct lstr bytes,
 		      double timeout_s, bool head_request)
+{
+	http_client_send_body(c, bytes, LSTR(""), timeout_s, head_request);
+}
+
+/*
+ * http_client_send_body() sends a request whose body isn't copied: it must stay
+ * valid until the response, the failure or the close.
+ */
+void http_client_send_body(struct http_client *c, struct lstr head,
+			   struct lstr body, double timeout_s,
+			   bool head_request)
 {
 	c->waiting = true;
 	c->sent = false;
 	c->timeout_s = timeout_s;
 	c->no_body = head_request;
-	buf_add_lstr(&c->out, bytes);
+	buf_add_lstr(&c->out, head);
+	c->body = body;
 	if (c->state == CLIENT_CONNECTING || c->state == CLIENT_TUNNELING)
 		return;
 	c->reader.no_body = head_request;
 	c->state = CLIENT_BUSY;
 	set_timer(c, timeout_s);
-	if (may_send(c)) {
-		ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
-
-		if (n > 0) {
-			c->sent = true;
-			buf_consume(&c->out, (size_t)n);
-		}
-	}
 	/* Errors are reported from the event loop, not to this caller. */
-	watch(c, c->out.len ? EV_READ | EV_WRITE : EV_READ);
+	if (may_send(c))
+		(void)send_pending(c);
+	watch_pending(c);
 }
 
 /*
@@ -360,7 +411,7 @@
  */
 bool http_client_linger(struct http_client *c, double timeout_s)
 {
-	if (c->state != CLIENT_BUSY || c->out.len || shutdown(c->fd, SHUT_WR))
+	if (c->state != CLIENT_BUSY || is_unsent(c) || shutdown(c->fd, SHUT_WR))
 		return false;
 	c->reusable = false;
 	set_timer(c, timeout_s);
--- a/http/client.h
+++ b/http/client.h
@@ -55,7 +55,8 @@
 	ev_timer timer;
 	enum client_state state;
 	struct http_reader reader;
-	struct buf out;
+	struct buf out;	  /* unsent bytes of the request's head */
+	struct lstr body; /* unsent bytes of its body; the owner's memory */
 	struct buf connect_head; /* of a tunnel; empty: none */
 	bool tunneled;		 /* through a proxy */
 	unsigned tunnel_status;	 /* the proxy's answer; 0: none yet */
@@ -78,6 +79,9 @@
 			    const struct http_client_ops *ops, void *priv);
 void http_client_send(struct http_client *c, struct lstr bytes,
 		      double timeout_s, bool head_request);
+void http_client_send_body(struct http_client *c, struct lstr head,
+			   struct lstr body, double timeout_s,
+			   bool head_request);
 bool http_client_linger(struct http_client *c, double timeout_s);
 void http_client_close(struct http_client *c);
 
--- a/stand/callers.c
+++ b/stand/callers.c
@@ -5,8 +5,8 @@
  * is reported in a line of its own, which tests/workspace_audit.awk compares
  * with what the servers ran.
  *
- * The id of an attempt is KEY.TIME_MS.NUMBER.KIND, so that a server's record of
- * it shows which key it was sent with and when.
+ * The id of an attempt is KEY.TIME_MS.NUMBER.KIND.LENGTH, so that a server's
+ * record of it shows which key and body it was sent with and when.
  */
 #include <errno.h>
 #include <inttypes.h>
@@ -82,10 +82,11 @@
 static bool is_own(const struct caller *c, const struct http_message *m)
 {
 	struct lstr body = buf_lstr(&m->body);
+	struct lstr id = {c->id, strlen(c->id)};
 
 	return http_find_header(m, LSTR("Response-Seal")).ptr &&
-	       lstr_eq(http_find_header(m, LSTR("Attempt-Id")), lstr0(c->id)) &&
-	       memmem(body.ptr, body.len, c->id, strlen(c->id));
+	       lstr_eq(http_find_header(m, LSTR("Attempt-Id")), id) &&
+	       memmem(body.ptr, body.len, id.ptr, id.len);
 }
 
 static void on_response(void *priv, struct http_message *m)
@@ -175,11 +176,12 @@
 		all->args
 			->keys[g_rand_int_range(all->rand, 0, (int)all->nkeys)];
 	c->sent_ms = real_ms();
-	snprintf(c->id, sizeof(c->id), "%s.%" PRId64 ".%u-%" PRIu64 ".%s",
+	snprintf(c->id, sizeof(c->id), "%s.%" PRId64 ".%u-%" PRIu64 ".%s.%zu",
 		 c->key, c->sent_ms, all->args->seed, all->sent++,
 		 upload		       ? "upload"
 		 : s->protected_action ? "once"
-				       : "any");
+				       : "any",
+		 len);
 	write_request(c, upload ? "uploads" : s->name, len, stops, &bytes);
 	c->waiting = true;
 	all->busy++;
@@ -250,14 +252,15 @@
 			      .args = a,
 			      .loop = ev_default_loop(EVFLAG_NOENV),
 			      .rand = g_rand_new_with_seed(a->seed),
-			      .nkeys = g_strv_length(a->keys),
-			      .body = g_malloc0(UPLOAD_MAX_BYTES)};
-	struct caller *list = g_new0(struct caller, a->connections);
+			      .nkeys = g_strv_length(a->keys)};
+	struct caller *list;
 	ev_timer end;
 
 	add_addresses(&all);
 	if (!all.addrs->len)
 		return -ENOENT;
+	all.body = g_malloc0(UPLOAD_MAX_BYTES);
+	list = g_new0(struct caller, a->connections);
 	for (int i = 0; i < a->connections; i++)
 		start_caller(&all, &list[i]);
 	ev_timer_init(&end, on_end, a->seconds, 0);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -61,7 +61,8 @@
 
 	g_strlcpy(b.entry.id, "i-1", sizeof(b.entry.id));
 	exchange_read_request(m, &c);
-	exchange_write_request(&out, m, &c, &b, 700, NULL);
+	exchange_write_request_head(&out, m, &c, &b, 700, NULL);
+	buf_add_lstr(&out, buf_lstr(&m->body));
 	text = g_strndup(out.ptr, out.len);
 	assert_true(g_str_has_prefix(text, "POST /x?q=1 HTTP/1.1\r\n"));
 	assert_true(g_str_has_suffix(text, "\r\n\r\nabc"));
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -50,11 +50,15 @@
 	struct upstream *u =
 		upstream_get(&b->traffic, backend_of(b, 0), clock_ms());
 
-	upstream_exchange(
-		u,
-		LSTR("GET /x HTTP/1.1\r\nHost: x\r\n"
-		     "Attempt-Id: a1\r\nTarget-Instance: i-0\r\n\r\n"),
-		1, false, SEND_COMMITTED, &ops, err);
+	upstream_exchange(u,
+			  &(struct upstream_request){
+				  .head = LSTR("GET /x HTTP/1.1\r\nHost: x\r\n"
+					       "Attempt-Id: a1\r\n"
+					       "Target-Instance: i-0\r\n\r\n"),
+				  .timeout_s = 1,
+				  .kind = SEND_COMMITTED,
+			  },
+			  &ops, err);
 	return u;
 }
 
@@ -151,8 +155,13 @@
 	s->state->draining = true;
 	u = upstream_get(&b->traffic, s, 0);
 	assert_int_equal(u->http.state, CLIENT_IDLE);
-	upstream_exchange(u, LSTR("GET /x HTTP/1.1\r\n\r\n"), 1, false,
-			  SEND_COMMITTED, &ops, &err);
+	upstream_exchange(u,
+			  &(struct upstream_request){
+				  .head = LSTR("GET /x HTTP/1.1\r\n\r\n"),
+				  .timeout_s = 1,
+				  .kind = SEND_COMMITTED,
+			  },
+			  &ops, &err);
 	bench_run_ms(b, 20);
 	assert_int_equal(err, -ECANCELED);
 	assert_int_equal(b->servers[0].received, 1);
--- a/tests/workspace_audit.awk
+++ b/tests/workspace_audit.awk
@@ -75,6 +75,7 @@
 	ran_ws[i] = value("workspace")
 	ran_id[i] = value("id")
 	ran_key[i] = value("key")
+	ran_bytes[i] = value("bytes")
 	times[ran_id[i]]++
 }
 /^call / {
@@ -90,6 +91,7 @@
 		split(ran_id[i], part, ".")
 		sent_ms[i] = part[2] + 0
 		if (ran_key[i] != "absent") bad("a key was passed on: " ran_id[i])
+		if (ran_bytes[i] != part[5]) bad(ran_id[i] " ran with " ran_bytes[i] " bytes")
 		if (!may_be(part[1], ran_ws[i], sent_ms[i], ran_ms[i]))
 			bad(ran_id[i] " ran at " ran_ms[i] " for workspace '" ran_ws[i] "', which didn't hold its key")
 		if (part[4] != "any" && times[ran_id[i]]-- > 1) bad(ran_id[i] " ran more than once")
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -281,7 +281,7 @@
 	enum extra_cause cause = request_extra_cause(r);
 	int64_t now_ms = clock_ms();
 	int64_t left_ms = r->deadline_ms - now_ms;
-	struct buf bytes = {0};
+	struct buf head = {0};
 
 	r->nsends++;
 	count_send(r, cause, now_ms);
@@ -303,14 +303,21 @@
 	/* The load report is older than this request. */
 	if (b->load.at_ms)
 		b->load.running++;
-	exchange_write_request(&bytes, r->message, &r->call, b,
-			       left_ms > 1 ? (uint32_t)left_ms : 1,
-			       r->traffic->via);
+	exchange_write_request_head(&head, r->message, &r->call, b,
+				    left_ms > 1 ? (uint32_t)left_ms : 1,
+				    r->traffic->via);
 	r->hedge_at_ms = hedge_time_ms(r, s, now_ms);
 	/* Backstop; the request's own deadline fires first. */
-	upstream_exchange(u, buf_lstr(&bytes), (double)left_ms / 1000 + 1,
-			  lstr_eq(r->message->method, LSTR("HEAD")),
-			  send_committed_kind(s), &send_ops, s);
-	buf_free(&bytes);
+	upstream_exchange(u,
+			  &(struct upstream_request){
+				  .head = buf_lstr(&head),
+				  .body = buf_lstr(&r->message->body),
+				  .timeout_s = (double)left_ms / 1000 + 1,
+				  .head_request = lstr_eq(r->message->method,
+							  LSTR("HEAD")),
+				  .kind = send_committed_kind(s),
+			  },
+			  &send_ops, s);
+	buf_free(&head);
 	request_arm_timer(r);
 }
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -299,23 +299,17 @@
 	return u;
 }
 
-static void exchange(struct upstream *u, struct lstr bytes, double timeout_s,
-		     bool head_request)
-{
-	u->sent_ms = clock_ms();
-	http_client_send(&u->http, bytes, timeout_s, head_request);
-}
-
 /* Sends a request; the outcome is reported through ops. */
-void upstream_exchange(struct upstream *u, struct lstr bytes, double timeout_s,
-		       bool head_request, enum send_kind kind,
+void upstream_exchange(struct upstream *u, const struct upstream_request *q,
 		       const struct upstream_ops *ops, void *owner)
 {
 	u->ops = ops;
 	u->owner = owner;
 	u->is_probe = false;
-	u->kind = kind;
-	exchange(u, bytes, timeout_s, head_request);
+	u->kind = q->kind;
+	u->sent_ms = clock_ms();
+	http_client_send_body(&u->http, q->head, q->body, q->timeout_s,
+			      q->head_request);
 }
 
 /* Sends a health and load probe; the outcome is reported through ops. */
@@ -326,7 +320,8 @@
 	u->owner = owner;
 	u->is_probe = true;
 	u->kind = SEND_COMMITTED;
-	exchange(u, bytes, timeout_s, false);
+	u->sent_ms = clock_ms();
+	http_client_send(&u->http, bytes, timeout_s, false);
 }
 
 /* Returns a connection to the pool, or closes it if it can't be reused. */
--- a/traffic/upstream.h
+++ b/traffic/upstream.h
@@ -22,6 +22,14 @@
 	void (*failed)(void *owner, int err, bool sent);
 };
 
+/* A request to a server; the body stays valid until the outcome. */
+struct upstream_request {
+	struct lstr head, body;
+	double timeout_s;
+	bool head_request;
+	enum send_kind kind;
+};
+
 struct upstream {
 	struct http_client http;
 	struct traffic *traffic;
@@ -41,8 +49,7 @@
 
 struct upstream *upstream_get(struct traffic *t, struct backend *b,
 			      int64_t idle_since_ms);
-void upstream_exchange(struct upstream *u, struct lstr bytes, double timeout_s,
-		       bool head_request, enum send_kind kind,
+void upstream_exchange(struct upstream *u, const struct upstream_request *q,
 		       const struct upstream_ops *ops, void *owner);
 void upstream_probe(struct upstream *u, struct lstr bytes, double timeout_s,
 		    const struct upstream_ops *ops, void *owner);
