--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -32,6 +32,7 @@
 	{"internalPortRange.1", "7215"},
 	{"platform.address", "10.200.1.7:8384"},
 	{"heartbeatMs", "900"},
+	{"limits.memoryMb", "160"},
 	{"bounds.drainMs", "2000"},
 	{"bounds.configApplyMs", "2500"},
 	{"bounds.graceS", "6"},
@@ -42,6 +43,9 @@
 	{"bounds.probesPerS", "60"},
 	{"bounds.warmupOvershoot", "1.5"},
 	{"bounds.warmupSlack", "8"},
+	{"bounds.quotaWindowS", "5"},
+	{"bounds.quotaOvershoot", "0.1"},
+	{"bounds.quotaSlack", "20"},
 };
 
 /* Returns a variable's value, or "" for the one in `unset`. */
