Uploads: bodies have bounded memory and bounded time

A configuration allows bodies of 64 MB on machines with 160 MB, and nothing bounded their sum: an instance could be ended for its memory with all of its requests. core/body_memory decides whether one more body fits (0.4 of the machine's memory, from the settings' memory_mb); one that doesn't gets 503 with Retry-After before it is received, a chunked one as soon as it has grown too large; bodies to 16 kB always fit. Memory is given back when the message is freed, also when a caller leaves midway.

A caller that trickled kept a connection, and its memory, for ever, since each byte restarted the timer: a body now has to arrive within the caller's own time limit, else 408. The time for which it was received is taken off the time limit that is passed on: servers were handed more than was left.

A refused caller that is still sending gets up to 5 s to read its response; before, the connection was reset after 1 s. recv() takes 16 kB within a body instead of 4 kB.

--- /dev/null
+++ b/core/body_memory.c
@@ -0,0 +1,45 @@
+#include "core/body_memory.h"
+
+enum { SMALL_BODY_BYTES = 16 * 1024 };
+
+/*
+ * The share of a machine's memory for bodies. The rest is for the process
+ * itself, for responses, and for what sockets have received and not delivered.
+ */
+static const double BODY_SHARE = 0.4;
+
+static const double BYTES_PER_MB = 1e6;
+
+/*
+ * body_memory_limit() returns the limit for a machine with this much memory; 0:
+ * unknown, no limit.
+ */
+size_t body_memory_limit(double machine_mb)
+{
+	return (size_t)(machine_mb * BYTES_PER_MB * BODY_SHARE);
+}
+
+/*
+ * body_memory_reserve() lets a body that holds `held` bytes grow to `total`.
+ * Returns false if it doesn't fit; it still holds what it held then.
+ */
+bool body_memory_reserve(struct body_memory *m, size_t held, size_t total)
+{
+	size_t others = m->used - held;
+
+	if (m->limit && total > SMALL_BODY_BYTES &&
+	    (others > m->limit || total > m->limit - others)) {
+		m->refused++;
+		return false;
+	}
+	m->used = others + total;
+	if (m->used > m->peak)
+		m->peak = m->used;
+	return true;
+}
+
+/* body_memory_release() gives back what a body held. */
+void body_memory_release(struct body_memory *m, size_t held)
+{
+	m->used -= held;
+}
--- a/http/conn.c
+++ b/http/conn.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/param.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -10,12 +11,19 @@
 
 enum {
 	READ_CHUNK_BYTES = 4096,	/* per recv() */
+	BODY_CHUNK_BYTES = 16 * 1024,	/* the same within a body */
 	PIPELINE_MAX_BYTES = 64 * 1024, /* buffered while a reply is pending */
 };
 
 /* How long to wait for the peer to close after the last reply. */
 static const double LINGER_S = 1.0;
 
+/* The same for a peer that is still sending the body of a rejected request. */
+static const double LINGER_MAX_S = 5.0;
+
+/* For a body, unless the gate limits it. */
+static const double BODY_TIME_S = 60;
+
 static void conn_event(struct ev_loop *loop, ev_io *io, int revents);
 static void conn_input(struct http_conn *c);
 
@@ -177,6 +185,7 @@
 	shutdown(c->fd, SHUT_WR);
 	c->state = CONN_LINGER;
 	watch(c, EV_READ);
+	c->linger_until = ev_now(c->server->loop) + LINGER_MAX_S;
 	set_timer(c, LINGER_S);
 }
 
@@ -241,6 +250,21 @@
 			&(struct http_reply){.status = status, .close = true});
 }
 
+/* Replies to a request whose body doesn't fit into memory. */
+static void conn_refuse_body(struct http_conn *c)
+{
+	const struct http_body_gate *gate = c->server->body_gate;
+	struct buf headers = {0};
+
+	gate->write_refusal(gate->priv, c->reader.msg, &headers);
+	c->keep_alive = false;
+	c->head_request = false;
+	http_conn_reply(c, &(struct http_reply){.status = 503,
+						.headers = buf_lstr(&headers),
+						.close = true});
+	buf_free(&headers);
+}
+
 /* Maps a reader's error to the status of the reply. */
 static unsigned status_from_error(ssize_t err)
 {
@@ -262,6 +286,8 @@
 	c->had_request = true;
 	c->scanned = 0;
 	c->in_body = false;
+	if (c->in.len == 0)
+		buf_free(&c->in);
 	set_timer(c, 0);
 	c->server->ops->request(c->server->priv, c, m);
 }
@@ -277,11 +303,45 @@
 			    MSG_NOSIGNAL);
 }
 
+/*
+ * http_conn_body_s() returns for how many seconds the body of the current
+ * request has been, or was, received.
+ */
+double http_conn_body_s(const struct http_conn *c)
+{
+	return ev_now(c->server->loop) - c->head_at;
+}
+
+/* Starts the time limits of the body. */
+static void begin_body(struct http_conn *c)
+{
+	const struct http_body_gate *gate = c->server->body_gate;
+	double time_s = BODY_TIME_S;
+
+	if (gate && !c->reader.msg->done)
+		time_s = gate->body_time_s(gate->priv, c->reader.msg);
+	c->in_body = true;
+	c->head_at = ev_now(c->server->loop);
+	c->body_until = c->head_at + time_s;
+}
+
+/* Waits for more of the body: it may neither pause nor trickle for long. */
+static void await_body(struct http_conn *c)
+{
+	double left_s = c->body_until - ev_now(c->server->loop);
+
+	set_timer(c, MAX(MIN(c->server->head_timeout_s, left_s), 0.001));
+}
+
 /* Parses n bytes of input; returns false if the request was rejected. */
 static bool feed(struct http_conn *c, size_t n)
 {
 	ssize_t used = http_reader_feed(&c->reader, c->in.ptr, n);
 
+	if (used == -ENOBUFS) {
+		conn_refuse_body(c);
+		return false;
+	}
 	if (used < 0) {
 		conn_reject(c, status_from_error(used));
 		return false;
@@ -314,7 +374,7 @@
 	}
 	if (!feed(c, (size_t)end))
 		return false;
-	c->in_body = true;
+	begin_body(c);
 	send_continue(c);
 	return true;
 }
@@ -336,7 +396,7 @@
 	if (!c->reader.msg->done && c->in.len) {
 		if (!feed(c, c->in.len))
 			return;
-		set_timer(c, c->server->head_timeout_s);
+		await_body(c);
 	}
 	if (c->reader.msg && c->reader.msg->done)
 		conn_dispatch(c);
@@ -349,8 +409,8 @@
 		watch(c, 0);
 		return;
 	}
-	ssize_t n = recv(c->fd, buf_reserve(&c->in, READ_CHUNK_BYTES),
-			 READ_CHUNK_BYTES, 0);
+	size_t chunk = c->in_body ? BODY_CHUNK_BYTES : READ_CHUNK_BYTES;
+	ssize_t n = recv(c->fd, buf_reserve(&c->in, chunk), chunk, 0);
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
@@ -358,8 +418,11 @@
 		conn_close_and_notify(c);
 		return;
 	}
-	if (c->state == CONN_LINGER)
+	if (c->state == CONN_LINGER) {
+		if (ev_now(c->server->loop) < c->linger_until)
+			set_timer(c, LINGER_S);
 		return;
+	}
 	c->in.len += (size_t)n;
 	if (c->state == CONN_IDLE || c->state == CONN_READING)
 		conn_input(c);
@@ -399,6 +462,7 @@
 	c->fd = fd;
 	c->opened = ev_now(s->loop);
 	http_reader_init(&c->reader, HTTP_REQUEST, s->limits);
+	c->reader.gate = s->body_gate;
 	ev_io_init(&c->io, conn_event, fd, EV_READ);
 	c->io.data = c;
 	ev_init(&c->timer, conn_timeout);
--- a/http/conn.h
+++ b/http/conn.h
@@ -19,6 +19,9 @@
 	ev_io io;
 	ev_timer timer;
 	ev_tstamp opened;
+	ev_tstamp head_at;    /* when the request's head was complete */
+	ev_tstamp body_until; /* when its body must be complete */
+	ev_tstamp linger_until;
 	bool had_request;
 	enum conn_state state;
 	struct http_reader reader;
--- a/http/message.c
+++ b/http/message.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/param.h>
 
 #include "http/message.h"
 
@@ -81,6 +82,27 @@
 	return add_head_bytes(r, &r->value, at, n);
 }
 
+/* Reserves memory for a body; sets the reader's error if it doesn't fit. */
+static bool reserve_body(struct http_reader *r, size_t total)
+{
+	struct http_message *m = r->msg;
+
+	if (!m->gate || total <= m->reserved)
+		return true;
+	if (!m->gate->reserve(m->gate->priv, m->reserved, total)) {
+		r->err = -ENOBUFS;
+		return false;
+	}
+	m->reserved = total;
+	return true;
+}
+
+/* Returns whether the head declares the length of a body. */
+static bool has_length(const http_parser *p)
+{
+	return p->content_length != ULLONG_MAX && p->content_length > 0;
+}
+
 /* Callback at the end of the head; checks the declared body length. */
 static int on_head_done(http_parser *p)
 {
@@ -92,11 +114,13 @@
 	m->status = p->status_code;
 	m->method = lstr0(http_method_str(p->method));
 	m->target = arena_lstr(&m->arena, buf_lstr(&r->target));
-	if (r->limits.body_max && p->content_length != ULLONG_MAX &&
+	if (r->limits.body_max && has_length(p) &&
 	    p->content_length > r->limits.body_max) {
 		r->err = -EFBIG;
 		return -1;
 	}
+	if (has_length(p) && !reserve_body(r, p->content_length))
+		return -1;
 	return r->no_body ? 1 : 0;
 }
 
@@ -110,6 +134,10 @@
 		r->err = -EFBIG;
 		return 1;
 	}
+	/* The buffer grows by doubling. */
+	if (body->len + n > r->msg->reserved &&
+	    !reserve_body(r, MAX(body->len + n, 2 * r->msg->reserved)))
+		return 1;
 	buf_add(body, at, n);
 	return 0;
 }
@@ -148,14 +176,17 @@
  * http_reader_feed() parses up to n bytes of one message. It stops at the end
  * of the message (msg->done) and leaves the bytes that follow to the caller.
  * Returns the number of bytes consumed, -EMSGSIZE or -EFBIG if the head or body
- * exceeds its limit, or -EPROTO for malformed input.
+ * exceeds its limit, -ENOBUFS if the gate has no memory for the body, or -EPROTO
+ * for malformed input.
  */
 ssize_t http_reader_feed(struct http_reader *r, const char *p, size_t n)
 {
-	if (!r->msg)
+	if (!r->msg) {
 		r->msg = calloc(1, sizeof(*r->msg));
-	if (!r->msg)
-		abort();
+		if (!r->msg)
+			abort();
+		r->msg->gate = r->gate;
+	}
 	size_t used = http_parser_execute(&r->parser, &callbacks, p, n);
 
 	if (r->err)
@@ -185,11 +216,13 @@
 {
 	struct http_message *m = r->msg;
 	enum http_parser_type type = r->parser.type;
+	const struct http_body_gate *gate = r->gate;
 	bool no_body = r->no_body;
 
 	r->msg = NULL;
 	http_reader_free(r);
 	http_reader_init(r, type, r->limits);
+	r->gate = gate;
 	r->no_body = no_body;
 	return m;
 }
@@ -209,6 +242,8 @@
 {
 	if (!m)
 		return;
+	if (m->reserved)
+		m->gate->release(m->gate->priv, m->reserved);
 	arena_free(&m->arena);
 	buf_free(&m->body);
 	free(m);
--- a/http/message.h
+++ b/http/message.h
@@ -19,6 +19,21 @@
 	struct lstr name, value;
 };
 
+struct http_message;
+
+/* Limits the memory that the bodies of messages take together, and their time. */
+struct http_body_gate {
+	/* A body that holds `held` bytes needs `total`; false: doesn't fit. */
+	bool (*reserve)(void *priv, size_t held, size_t total);
+	void (*release)(void *priv, size_t held);
+	/* Writes headers of the 503 to a request whose body doesn't fit. */
+	void (*write_refusal)(void *priv, const struct http_message *head,
+			      struct buf *headers);
+	/* Returns the seconds in which the body after a head must arrive. */
+	double (*body_time_s)(void *priv, const struct http_message *head);
+	void *priv;
+};
+
 struct http_message {
 	struct arena arena;
 	struct lstr method, target; /* of a request */
@@ -26,6 +41,8 @@
 	struct http_header *headers;
 	size_t nheaders, cap_headers;
 	struct buf body;
+	const struct http_body_gate *gate; /* NULL: none */
+	size_t reserved;		   /* from the gate */
 	bool keep_alive;
 	bool head_done, done;
 };
@@ -37,6 +54,7 @@
 struct http_reader {
 	http_parser parser;
 	struct http_limits limits;
+	const struct http_body_gate *gate; /* of the next messages, or NULL */
 	struct http_message *msg;
 	struct buf name, value; /* the header line being read */
 	struct buf target;
--- a/http/server.h
+++ b/http/server.h
@@ -28,7 +28,9 @@
 	const struct http_server_ops *ops;
 	void *priv;
 	struct http_limits limits;
-	double head_timeout_s;	 /* to receive a whole request */
+	const struct http_body_gate
+		*body_gate;	 /* of new connections, or NULL */
+	double head_timeout_s;	 /* for a head, and between parts of a body */
 	double idle_timeout_s;	 /* of a keep-alive connection */
 	bool disable_keep_alive; /* every reply closes its connection */
 	ev_io accept;
@@ -56,6 +58,7 @@
 void http_conn_reply_raw(struct http_conn *c, struct lstr bytes, bool close);
 void *http_conn_user(const struct http_conn *c);
 void http_conn_set_user(struct http_conn *c, void *user);
+double http_conn_body_s(const struct http_conn *c);
 void http_conn_abort(struct http_conn *c);
 int http_conn_detach(struct http_conn *c, struct buf *input);
 
--- a/options/instance.c
+++ b/options/instance.c
@@ -15,6 +15,7 @@
 	{"ip", OPT_STR, FIELD(ip), NULL, 0, 0},
 	{"seeds", OPT_STR, FIELD(seeds), "", 0, 0},
 	{"first_start", OPT_BOOL, FIELD(first_start), "false", 0, 0},
+	{"memory_mb", OPT_REAL, FIELD(memory_mb), "0", 0, 0},
 	OPT_END,
 };
 
--- a/options/instance.h
+++ b/options/instance.h
@@ -36,6 +36,7 @@
 	char *name, *dc, *region, *ip;
 	char *seeds; /* HOST:PORT, separated by commas; only the hosts count */
 	bool first_start; /* of the whole system: startup may take longer */
+	double memory_mb; /* of the machine; 0: unknown */
 	bool via;	  /* adds a Via header with name and lifetime */
 	/* Replaces the hosts of servers; NULL: as listed. Local only. */
 	char *server_host;
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -6,6 +6,7 @@
 #include "core/retry_after.h"
 #include "misc/clock.h"
 #include "traffic/request.h"
+#include "traffic/uploads.h"
 
 enum {
 	/* For callers that name no time limit. */
@@ -444,6 +445,7 @@
 		http_conn_reply(c, &(struct http_reply){.status = 400});
 		return;
 	}
+	uploads_deduct_receive_time(c, &call);
 	if (!early_hold(t, c, m, &call))
 		request_dispatch(t, c, m, &call);
 }
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -21,6 +21,7 @@
 #include "traffic/path_check.h"
 #include "traffic/traffic.h"
 #include "traffic/tunnels.h"
+#include "traffic/uploads.h"
 #include "traffic/upstream.h"
 
 enum {
@@ -453,6 +454,7 @@
 	drain_gossip_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
+	uploads_init(t);
 	backend_set_init(&t->backends, on_backend_gone, t);
 	mailbox_init(&t->inbox, t->loop, on_mail, t);
 	return open_servers(t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -11,6 +11,7 @@
 #include "core/admit.h"
 #include "core/probe_budget.h"
 #include "core/backend.h"
+#include "core/body_memory.h"
 #include "core/config.h"
 #include "core/dedup.h"
 #include "core/limit_gossip.h"
@@ -81,6 +82,8 @@
 	struct traffic_counters counters;
 	unsigned open_requests;
 	struct early_requests early;
+	struct body_memory bodies; /* of callers' requests */
+	struct http_body_gate body_gate;
 	uint64_t policy_picks; /* servers picked by policies so far */
 	struct dedup dedup;
 	struct quarantine quarantine;
