Operators: workspaces in ctl, metrics and explain

'ctl workspaces' adds up all instances: number of keys, quota, use in the window, served, beyond the quota, refused, failed; versions applied. The metrics have the ten largest workspaces of an instance and the rest, and the memory of bodies. 'explain' names missing keys, refused bodies, and the lines of the quota and the shortage that concern a request (370..379 by workspace, 380..389 by service); outcomes name service and workspace.

--- a/app/main.c
+++ b/app/main.c
@@ -31,7 +31,7 @@
 	"on a local deployment (--deployment FILE; default: the embedded "
 	"one):\n"
 	"  entry --name NAME           an entry instance\n"
-	"  ctl show | log | status\n"
+	"  ctl show | log | status | workspaces\n"
 	"  ctl patch [--base N] [--unset K,..] [--wait] K=V ..\n"
 	"                              the operator's command line\n"
 	"  store                       stand-in: the platform's store\n"
@@ -121,8 +121,8 @@
 /* Checks the arguments of ctl and runs it. */
 static int run_ctl(const struct deploy *d, struct cli *o, char **rest)
 {
-	static const char *const commands[] = {"show", "log", "patch", "status",
-					       NULL};
+	static const char *const commands[] = {"show",	 "log",	       "patch",
+					       "status", "workspaces", NULL};
 	struct ctl_args a = {.base = o->base,
 			     .last = o->last ? o->last : 10,
 			     .wait = o->wait};
--- a/caller/native_api.c
+++ b/caller/native_api.c
@@ -7,6 +7,7 @@
 #include "misc/clock.h"
 #include "traffic/metrics.h"
 #include "traffic/request.h"
+#include "traffic/workspace_metrics.h"
 
 /* Retry-After of an unknown outcome; callers retry with the same key. */
 static const double UNKNOWN_RETRY_AFTER_S = 2;
@@ -137,6 +138,16 @@
 	buf_free(&body);
 }
 
+/* GET /admin/workspaces: returns what callers of each workspace got. */
+static void handle_workspaces(struct traffic *t, struct http_conn *c)
+{
+	struct buf body = {0};
+
+	workspace_metrics_write_table(&body, t);
+	reply(c, 200, LSTR("Content-Type: text/plain\r\n"), buf_lstr(&body));
+	buf_free(&body);
+}
+
 /* Parses a call's headers. Returns the reason to reject it, or NULL. */
 static const char *parse_headers(const struct http_message *m,
 				 const struct service_opts *s,
@@ -271,6 +282,8 @@
 		handle_entries(t, c);
 	else if (lstr_eq(m->target, LSTR("/admin/metrics")))
 		handle_metrics(t, c);
+	else if (lstr_eq(m->target, LSTR("/admin/workspaces")))
+		handle_workspaces(t, c);
 	else
 		reject_call(c, 404, LSTR("-"), "no such path");
 	http_message_free(m);
--- a/tools/explain.c
+++ b/tools/explain.c
@@ -47,6 +47,8 @@
 	{EV_LIMIT_CHARGED, "sent within the rate limit of the server"},
 	{EV_REQUEST_CALLER_LEFT, "the caller disconnected"},
 	{EV_REQUEST_NO_ROUTE, "no route matches"},
+	{EV_REQUEST_UNAUTHORIZED, "the caller's key is missing or unknown"},
+	{EV_BODY_REFUSED, "refused: no memory for its body"},
 	{EV_RESPONSE_MISMATCHED, "a server's response was for another request"},
 	{EV_CONFIG_APPLIED, "a configuration version was applied"},
 	{EV_PLATFORM_UNREACHABLE, "the store stopped responding"},
@@ -67,6 +69,16 @@
 	{EV_STARTED, "the instance started"},
 };
 
+/* Numbers of the events about one part of the system. */
+static const struct {
+	int first, last;
+	const char *field; /* names what such an event is about */
+	const char *text;
+} event_groups[] = {
+	{370, 379, "workspace", "the quota of the workspace"},
+	{380, 389, "service", "the shortage of the service"},
+};
+
 /* Returns the description of an event, or NULL if it has none. */
 static const char *describe_event(int ev)
 {
@@ -74,6 +86,10 @@
 		if (event_texts[i].ev == ev)
 			return event_texts[i].text;
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(event_groups); i++) {
+		if (ev >= event_groups[i].first && ev <= event_groups[i].last)
+			return event_groups[i].text;
+	}
 	return NULL;
 }
 
@@ -116,6 +132,56 @@
 	return found;
 }
 
+/* Returns the value of a field, to be freed, or NULL. */
+static char *field_value(const struct log_line *l, const char *name)
+{
+	char *key = g_strdup_printf(" %s=", name);
+	const char *p = strstr(l->text, key);
+	size_t skip = strlen(key);
+
+	g_free(key);
+	return p ? g_strndup(p + skip, strcspn(p + skip, " ")) : NULL;
+}
+
+/* Adds the workspace and the service that a request's line names. */
+static void add_subjects(GHashTable *subjects, const struct log_line *l)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(event_groups); i++) {
+		char *value = field_value(l, event_groups[i].field);
+
+		if (value)
+			g_hash_table_add(subjects,
+					 g_strdup_printf("%s=%s",
+							 event_groups[i].field,
+							 value));
+		g_free(value);
+	}
+}
+
+/*
+ * Whether a line tells the state of a quota or a shortage that concerns the
+ * request, and isn't a step of another request.
+ */
+static bool is_of_subjects(const struct log_line *l, GHashTable *subjects)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(event_groups); i++) {
+		char *value, *subject;
+		bool found;
+
+		if (l->ev < event_groups[i].first ||
+		    l->ev > event_groups[i].last || strstr(l->text, " id="))
+			continue;
+		value = field_value(l, event_groups[i].field);
+		subject = g_strdup_printf("%s=%s", event_groups[i].field,
+					  value ? value : "");
+		found = g_hash_table_contains(subjects, subject);
+		g_free(subject);
+		g_free(value);
+		return found;
+	}
+	return false;
+}
+
 /* Adds the tunnel that a request's line names, unless it is none. */
 static void add_tunnel(GHashTable *tunnels, const struct log_line *l)
 {
@@ -151,6 +217,10 @@
 /* Whether an event reports a state change rather than a step of a request. */
 static bool is_state_event(int ev)
 {
+	for (size_t i = 0; i < G_N_ELEMENTS(event_groups); i++) {
+		if (ev >= event_groups[i].first && ev <= event_groups[i].last)
+			return false;
+	}
 	return ev < EV_RESPONSE_MISMATCHED && ev != EV_MEMBER_JOINED &&
 	       !(ev >= EV_TUNNEL_OPENED && ev <= EV_TUNNEL_CLOSED) &&
 	       describe_event(ev);
@@ -185,6 +255,7 @@
 	double first = 0, last = 0;
 	GHashTable *sources = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTable *tunnels = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *subjects = g_hash_table_new(g_str_hash, g_str_equal);
 
 	g_array_sort(lines, compare_ts);
 	for (guint i = 0; i < lines->len; i++) {
@@ -196,6 +267,7 @@
 		last = l->ts;
 		g_hash_table_add(sources, l->source);
 		add_tunnel(tunnels, l);
+		add_subjects(subjects, l);
 	}
 	if (!last) {
 		fprintf(stderr, "explain: no log line has id=%s\n", id);
@@ -203,9 +275,11 @@
 	}
 	for (guint i = 0; i < lines->len; i++) {
 		struct log_line *l = &g_array_index(lines, struct log_line, i);
-		bool context = l->ts >= first - CONTEXT_S && l->ts <= last &&
-			       is_state_event(l->ev) &&
-			       g_hash_table_contains(sources, l->source);
+		bool recent = l->ts >= first - CONTEXT_S && l->ts <= last;
+		bool context = recent &&
+			       ((is_state_event(l->ev) &&
+				 g_hash_table_contains(sources, l->source)) ||
+				is_of_subjects(l, subjects));
 
 		if (context || has_id(l, id) || is_of_tunnels(l, tunnels))
 			print_line(l, first);
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -6,6 +6,8 @@
 #include "misc/clock.h"
 #include "traffic/metrics.h"
 #include "traffic/upstream.h"
+#include "traffic/uploads.h"
+#include "traffic/workspace_metrics.h"
 
 static void write_class(struct buf *out, const struct class_stats *c)
 {
@@ -202,6 +204,8 @@
 	buf_printf(out, "no_route %" G_GUINT64_FORMAT "\n", n->no_route);
 	buf_printf(out, "directory_answers %" G_GUINT64_FORMAT "\n",
 		   n->directory_answers);
+	uploads_write_metrics(out, &t->bodies);
+	workspace_metrics_write(out, t);
 	g_hash_table_iter_init(&it, t->classes);
 	while (g_hash_table_iter_next(&it, NULL, &item))
 		write_class(out, item);
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -7,6 +7,7 @@
 #include "misc/clock.h"
 #include "traffic/request.h"
 #include "traffic/uploads.h"
+#include "traffic/workspace_metrics.h"
 
 enum {
 	/* For callers that name no time limit. */
@@ -44,6 +45,7 @@
 
 	if (r->protocol->completed)
 		r->protocol->completed(r, status, body);
+	workspace_metrics_ended(r, status);
 	request_free(r);
 	if (!c)
 		return;
@@ -468,5 +470,6 @@
 	if (r->protocol->completed)
 		r->protocol->completed(r, r->maybe_executed ? 504 : 503,
 				       LSTR(""));
+	workspace_metrics_ended(r, 0);
 	request_free(r);
 }
--- a/traffic/request_log.c
+++ b/traffic/request_log.c
@@ -166,6 +166,7 @@
 			 const char *why, double retry_s)
 {
 	const struct send *last = r->nsends ? &r->sends[r->nsends - 1] : NULL;
+	struct lstr name = r->workspace ? r->workspace->name : LSTR("-");
 	int64_t now_ms = clock_ms();
 
 	if (r->log_deferred && served_on_time(r, ev, status, now_ms)) {
@@ -175,17 +176,18 @@
 	flush_deferred(r, now_ms);
 	mp_event(ev, G_LOG_LEVEL_INFO,
 		 "id=%.*s digest=%016" PRIx64
-		 " route=%.*s version=%" G_GUINT64_FORMAT
+		 " route=%.*s service=%s workspace=%.*s"
+		 " version=%" G_GUINT64_FORMAT
 		 " status=%u why=%s sends=%u last=%s ms=%" G_GINT64_FORMAT
 		 " at_server_ms=%" G_GINT64_FORMAT
 		 " asked=%u answered=%u spent_before_ms=%.0f limit_ms=%u "
 		 "retry_after_ms=%.0f waiting=%u retries_left=%.1f",
 		 (int)r->call.id.len, r->call.id.ptr, r->digest,
-		 (int)r->route->name.len, r->route->name.ptr,
-		 r->config->version, status, why, r->nsends,
-		 last ? last->backend->entry.id : "-", now_ms - r->start_ms,
-		 last ? now_ms - last->sent_ms : 0, r->probes_sent,
-		 r->probes_answered, r->spent_before_ms,
+		 (int)r->route->name.len, r->route->name.ptr, r->service->name,
+		 (int)name.len, name.ptr, r->config->version, status, why,
+		 r->nsends, last ? last->backend->entry.id : "-",
+		 now_ms - r->start_ms, last ? now_ms - last->sent_ms : 0,
+		 r->probes_sent, r->probes_answered, r->spent_before_ms,
 		 r->stats->caller_timeout.timeout_ms, retry_s * 1000,
 		 r->service->waiting.length, request_retries_left(r));
 }
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -23,6 +23,7 @@
 #include "traffic/tunnels.h"
 #include "traffic/uploads.h"
 #include "traffic/upstream.h"
+#include "traffic/workspace_metrics.h"
 
 enum {
 	/* Used until the first configuration sets the callers' limits. */
@@ -207,6 +208,7 @@
 	apply_policies(t);
 	apply_drained(t);
 	slow_starts_configure(t);
+	workspace_metrics_configured(t);
 }
 
 /* Updates whether a server's data centre is evacuated. */
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -81,6 +81,7 @@
 	GHashTable *classes;	 /* name -> struct class_stats * */
 	struct traffic_counters counters;
 	unsigned open_requests;
+	GHashTable *workspace_stats; /* by name; NULL: none yet */
 	struct early_requests early;
 	struct body_memory bodies; /* of callers' requests */
 	struct http_body_gate body_gate;
--- a/traffic/uploads.c
+++ b/traffic/uploads.c
@@ -82,3 +82,12 @@
 	if (call->has_time_left)
 		call->time_left_ms -= MIN(ms, call->time_left_ms);
 }
+
+/* uploads_write_metrics() writes the memory that bodies take. */
+void uploads_write_metrics(struct buf *out, const struct body_memory *m)
+{
+	buf_printf(out,
+		   "body_bytes %zu\nbody_bytes_peak %zu\nbody_bytes_limit "
+		   "%zu\nbodies_refused %" G_GUINT64_FORMAT "\n",
+		   m->used, m->peak, m->limit, m->refused);
+}
--- a/traffic/uploads.h
+++ b/traffic/uploads.h
@@ -7,6 +7,7 @@
 #include "traffic/traffic.h"
 
 void uploads_init(struct traffic *t);
+void uploads_write_metrics(struct buf *out, const struct body_memory *m);
 void uploads_deduct_receive_time(const struct http_conn *c,
 				 struct request_info *call);
 
