--- a/traffic/request.c
+++ b/traffic/request.c
@@ -7,6 +7,8 @@
 #include "misc/clock.h"
 #include "traffic/quotas.h"
 #include "traffic/request.h"
+#include "traffic/uploads.h"
+#include "traffic/workspace_metrics.h"
 
 enum {
 	/* For callers that name no time limit. */
@@ -45,6 +47,7 @@
 
 	if (r->protocol->completed)
 		r->protocol->completed(r, status, body);
+	workspace_metrics_ended(r, status);
 	request_free(r);
 	if (!c)
 		return;
@@ -451,6 +454,7 @@
 		http_conn_reply(c, &(struct http_reply){.status = 400});
 		return;
 	}
+	uploads_deduct_receive_time(c, &call);
 	if (!early_hold(t, c, m, &call))
 		request_dispatch(t, c, m, &call);
 }
@@ -473,5 +477,6 @@
 	if (r->protocol->completed)
 		r->protocol->completed(r, r->maybe_executed ? 504 : 503,
 				       LSTR(""));
+	workspace_metrics_ended(r, 0);
 	request_free(r);
 }
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -21,7 +21,9 @@
 #include "traffic/path_check.h"
 #include "traffic/traffic.h"
 #include "traffic/tunnels.h"
+#include "traffic/uploads.h"
 #include "traffic/upstream.h"
+#include "traffic/workspace_metrics.h"
 
 enum {
 	/* Used until the first configuration sets the callers' limits. */
@@ -207,6 +209,7 @@
 	apply_drained(t);
 	slow_starts_configure(t);
 	quotas_configure(t);
+	workspace_metrics_configured(t);
 }
 
 /* Updates whether a server's data centre is evacuated. */
@@ -462,6 +465,7 @@
 	drain_gossip_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
+	uploads_init(t);
 	backend_set_init(&t->backends, on_backend_gone, t);
 	mailbox_init(&t->inbox, t->loop, on_mail, t);
 	return open_servers(t);
