--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -96,7 +96,7 @@
 	exchange_read_request(m, call);
 	call->identified = true;
 	call->workspace = lstr0(workspace);
-	exchange_write_request(&out, m, call, &b, 700, "e1");
+	exchange_write_request_head(&out, m, call, &b, 700, "e1");
 	text = g_strndup(out.ptr, out.len);
 	buf_free(&out);
 	http_message_free(m);
