--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -178,7 +178,7 @@
 	char *text;
 
 	exchange_read_request(m, &call);
-	exchange_write_request(&out, m, &call, &b, 700, NULL);
+	exchange_write_request_head(&out, m, &call, &b, 700, NULL);
 	text = g_strndup(out.ptr, out.len);
 	assert_non_null(strstr(text, "\r\nApi-Key: k-1\r\n"));
 	assert_non_null(strstr(text, "\r\nTenant-Name: own\r\n"));
