--- a/tests/bench.h
+++ b/tests/bench.h
@@ -61,6 +61,7 @@
 	int tail_ms;		   /* their delay; 0: sent with the response */
 	const char *probe_headers; /* further lines of probe responses */
 	unsigned probes;	   /* probes received */
+	struct buf heads;	   /* headers of all requests received */
 };
 
 /* A request being executed by a server. */
@@ -254,6 +255,9 @@
 		return;
 	}
 	s->received++;
+	for (size_t i = 0; i < m->nheaders; i++)
+		buf_printf(&s->heads, "%s: %s\n", m->headers[i].name.ptr,
+			   m->headers[i].value.ptr);
 	if (s->http.nconns > s->connections)
 		s->connections = s->http.nconns;
 	if (s->script == SCRIPT_REFUSE || !lstr_eq(wanted_id, lstr0(s->id))) {
@@ -469,6 +473,7 @@
 	}
 	bench_run_ms(b, 100);
 	for (int i = 0; i < b->n; i++) {
+		buf_free(&b->servers[i].heads);
 		if (!b->servers[i].dead)
 			http_server_close(&b->servers[i].http);
 	}
--- a/tests/test_config_entries.c
+++ b/tests/test_config_entries.c
@@ -34,6 +34,12 @@
 	json_write(&b, json);
 	c = records_decode_config(buf_lstr(&b), &f);
 	*nfindings = f.list->len;
+	/* They are logged, so they must not have keys, which begin with k-. */
+	for (guint i = 0; i < f.list->len; i++) {
+		const struct finding *x = g_ptr_array_index(f.list, i);
+
+		assert_null(strstr(x->message, "k-"));
+	}
 	findings_clear(&f);
 	buf_free(&b);
 	return c;
