--- a/control/control.h
+++ b/control/control.h
@@ -57,6 +57,16 @@
 	GArray *participants;
 };
 
+/* What the store is called for. */
+enum store_user {
+	STORE_USER_CONFIG,
+	STORE_USER_BACKENDS,
+	STORE_USER_JOIN,
+	STORE_USER_VERDICTS,
+	STORE_USER_RECORDS,
+	STORE_USERS
+};
+
 /* Values that the traffic thread reads by atomic loads. */
 struct control_view {
 	int64_t fresh_ms; /* the backend list is complete as of then */
@@ -64,6 +74,7 @@
 	uint64_t bytes_in,
 		bytes_out; /* to and from store and peers, bodies only */
 	uint64_t store_calls;
+	uint64_t store_calls_by[STORE_USERS];
 	uint64_t store_era;	/* 0: the store named none */
 	uint64_t config_offset; /* records before it are applied */
 	uint64_t config_era;	/* era of that position */
--- a/control/publish.c
+++ b/control/publish.c
@@ -58,9 +58,13 @@
  */
 void control_publish_usage(struct control *c)
 {
-	const struct store_channel *channels[] = {
-		&c->config.store, &c->backends.store, &c->join.store,
-		&c->crashes.record.store, &c->records.store};
+	const struct store_channel *channels[STORE_USERS] = {
+		[STORE_USER_CONFIG] = &c->config.store,
+		[STORE_USER_BACKENDS] = &c->backends.store,
+		[STORE_USER_JOIN] = &c->join.store,
+		[STORE_USER_VERDICTS] = &c->crashes.record.store,
+		[STORE_USER_RECORDS] = &c->records.store,
+	};
 	uint64_t in = c->peers.bytes_in, out = c->peers.bytes_out;
 	uint64_t calls = 0;
 	struct timespec cpu;
@@ -69,6 +73,7 @@
 		in += channels[i]->bytes_in;
 		out += channels[i]->bytes_out;
 		calls += channels[i]->calls;
+		ck_pr_store_64(&c->view.store_calls_by[i], channels[i]->calls);
 	}
 	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &cpu);
 	ck_pr_store_64(&c->view.cpu_us, (uint64_t)cpu.tv_sec * 1000000 +
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -125,6 +125,24 @@
 		buf_printf(out, "evacuated_dc{dc=\"%s\"} 1\n", e->list[i].dc);
 }
 
+/* Writes what the calls to the store were for. */
+static void write_store_calls(struct buf *out, const struct control_view *v)
+{
+	static const char *const users[STORE_USERS] = {
+		[STORE_USER_CONFIG] = "config",
+		[STORE_USER_BACKENDS] = "backends",
+		[STORE_USER_JOIN] = "join",
+		[STORE_USER_VERDICTS] = "verdicts",
+		[STORE_USER_RECORDS] = "records",
+	};
+
+	for (unsigned i = 0; i < STORE_USERS; i++)
+		buf_printf(out,
+			   "store_calls_by{what=\"%s\"} %" G_GUINT64_FORMAT
+			   "\n",
+			   users[i], ck_pr_load_64(&v->store_calls_by[i]));
+}
+
 /* Writes all metrics of the traffic thread. */
 void metrics_write(struct buf *out, const struct traffic *t)
 {
@@ -156,6 +174,7 @@
 		   ck_pr_load_64(&v->bytes_out));
 	buf_printf(out, "store_calls %" G_GUINT64_FORMAT "\n",
 		   ck_pr_load_64(&v->store_calls));
+	write_store_calls(out, v);
 	buf_printf(out, "log_lines_lost %" G_GUINT64_FORMAT "\n",
 		   mp_log_lines_lost());
 	buf_printf(out, "lifetime{id=\"%08x\"} %" G_GINT64_FORMAT "\n",
