--- a/control/sources.c
+++ b/control/sources.c
@@ -73,16 +73,17 @@
 static void get_stored_config(struct control *c, const struct peer_info *peer,
 			      int64_t now_ms)
 {
-	if (!hubs_enabled(&c->peers.peers)) {
-		config_watch_read(&c->config);
-	} else if (c->config.record.len > CONFIG_DIRECT_MAX) {
-		if (!c->spread.since_ms) {
-			c->reporter = *peer;
-			spread_config(c, now_ms);
-		}
-	} else if (peer_fetch_config(&c->peer_fetch, peer, false, true)) {
-		config_watch_read(&c->config);
+	bool by_peers = hubs_enabled(&c->peers.peers);
+
+	if (by_peers && c->config.record.len > CONFIG_DIRECT_MAX) {
+		if (c->spread.since_ms)
+			return;
+		c->reporter = *peer;
+		spread_config(c, now_ms);
+		return;
 	}
+	if (!by_peers || peer_fetch_config(&c->peer_fetch, peer, false, true))
+		config_watch_read(&c->config);
 }
 
 /*
