--- a/control/peer_fetch.c
+++ b/control/peer_fetch.c
@@ -269,7 +269,8 @@
 	mp_event(EV_PEER_FETCH_FAILED, G_LOG_LEVEL_MESSAGE,
 		 "peer=%s what=%s status=%u err=%s", in->target.name,
 		 what_names[in->what], status, err ? err : "-");
-	if (in->what == FETCH_CONFIG && in->read_on_failure)
+	/* No peer gives a record that is too large. */
+	if (in->what == FETCH_CONFIG && (in->read_on_failure || status == 404))
 		config_watch_read(in->config);
 }
 
