A silent store doesn't keep a reported version from an instance that polls

Its pending poll, and the repeated one, wait for an answer for up to 3.7 s. After 0.9 s the version is fetched from peers as well, in a large system.

--- a/control/sources.c
+++ b/control/sources.c
@@ -61,12 +61,15 @@
 /* sources_tick() continues the spreading of a version, about every 0.1 s. */
 void sources_tick(struct control *c, int64_t now_ms)
 {
-	if (!c->spread.since_ms)
-		return;
-	if (config_watch_is_behind(&c->config))
-		spread_config(c, now_ms);
-	else
+	const struct config_watch *w = &c->config;
+
+	if (!config_watch_is_behind(w))
 		config_spread_end(&c->spread);
+	else if (c->spread.since_ms ||
+		 (hubs_enabled(&c->peers.peers) && w->listed &&
+		  w->store.call != STORE_IDLE &&
+		  config_spread_replaces_call(w->behind_ms, now_ms)))
+		spread_config(c, now_ms);
 }
 
 /* Gets a version that a peer has reported and that the store has as well. */
@@ -76,10 +79,8 @@
 	bool by_peers = hubs_enabled(&c->peers.peers);
 
 	if (by_peers && c->config.record.len > CONFIG_DIRECT_MAX) {
-		if (c->spread.since_ms)
-			return;
-		c->reporter = *peer;
-		spread_config(c, now_ms);
+		if (!c->spread.since_ms)
+			spread_config(c, now_ms);
 		return;
 	}
 	if (!by_peers || peer_fetch_config(&c->peer_fetch, peer, false, true))
@@ -93,6 +94,9 @@
 void sources_get_config(struct control *c, const struct peer_info *peer,
 			enum config_action need, int64_t now_ms)
 {
+	if (!c->spread.since_ms &&
+	    peer->config.version == c->config.newest_progress.version)
+		c->reporter = *peer;
 	/* If another fetch is pending, the next heartbeat tries again. */
 	if (need == CONFIG_FETCH_FROM_PEER)
 		(void)peer_fetch_config(&c->peer_fetch, peer, true, true);
--- a/core/config_spread.c
+++ b/core/config_spread.c
@@ -10,6 +10,11 @@
 	 * reported up to a second after it.
 	 */
 	LIMIT_MS = 700,
+	/*
+	 * The answer to a call of this instance that the store has sent, or is
+	 * about to send, arrives by then.
+	 */
+	IN_TRANSIT_MS = 900,
 };
 
 /*
@@ -38,6 +43,17 @@
 	return forwards ? SPREAD_FROM_REPORTER : SPREAD_FROM_FORWARDER;
 }
 
+/*
+ * config_spread_replaces_call() returns whether to get a version from peers
+ * although a call to the store is pending that should return it: a store that
+ * is silent towards this instance lets the call wait for seconds. `behind_ms`:
+ * when the version was reported.
+ */
+bool config_spread_replaces_call(int64_t behind_ms, int64_t now_ms)
+{
+	return behind_ms && now_ms - behind_ms > IN_TRANSIT_MS;
+}
+
 /* config_spread_end() is called once no newer version is reported. */
 void config_spread_end(struct config_spread *s)
 {
--- a/core/config_spread.h
+++ b/core/config_spread.h
@@ -29,6 +29,7 @@
 enum config_spread_step config_spread_next(struct config_spread *s,
 					   unsigned dc_rank, double random,
 					   int64_t now_ms);
+bool config_spread_replaces_call(int64_t behind_ms, int64_t now_ms);
 void config_spread_end(struct config_spread *s);
 
 #endif
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -42,6 +42,14 @@
 			 SPREAD_FROM_FORWARDER);
 }
 
+/* A call to a store that is silent isn't waited for. */
+static void test_silent_store(void **state)
+{
+	assert_false(config_spread_replaces_call(0, 5000));
+	assert_false(config_spread_replaces_call(1000, 1700));
+	assert_true(config_spread_replaces_call(1000, 2000));
+}
+
 /* If neither the reporter nor a forwarder answers, the store is read in time. */
 static void test_store_in_time(void **state)
 {
@@ -96,6 +104,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_forwarder),
 		cmocka_unit_test(test_others),
+		cmocka_unit_test(test_silent_store),
 		cmocka_unit_test(test_store_in_time),
 		cmocka_unit_test(test_data_centre),
 	};
