--- a/control/control.h
+++ b/control/control.h
@@ -6,6 +6,7 @@
 #ifndef MP_CONTROL_CONTROL_H
 #define MP_CONTROL_CONTROL_H
 
+#include "core/config_spread.h"
 #include "control/backend_watch.h"
 #include "control/config_watch.h"
 #include "control/crash_watch.h"
@@ -60,6 +61,16 @@
 	GArray *participants;
 };
 
+/* What the store is called for. */
+enum store_user {
+	STORE_USER_CONFIG,
+	STORE_USER_BACKENDS,
+	STORE_USER_JOIN,
+	STORE_USER_VERDICTS,
+	STORE_USER_RECORDS,
+	STORE_USERS
+};
+
 /* Values that the traffic thread reads by atomic loads. */
 struct control_view {
 	int64_t fresh_ms; /* the backend list is complete as of then */
@@ -67,6 +78,7 @@
 	uint64_t bytes_in,
 		bytes_out; /* to and from store and peers, bodies only */
 	uint64_t store_calls;
+	uint64_t store_calls_by[STORE_USERS];
 	uint64_t store_era;	/* 0: the store named none */
 	uint64_t config_offset; /* records before it are applied */
 	uint64_t config_era;	/* era of that position */
@@ -95,8 +107,10 @@
 	struct crash_watch crashes;
 	struct record_check records;
 	int64_t started_ms;
-	bool seen_peer;	     /* a peer sent something since startup */
-	bool list_logged;    /* the first list of backend servers was */
+	struct config_spread spread;
+	struct peer_info reporter; /* of the version that is being spread */
+	bool seen_peer;		   /* a peer sent something since startup */
+	bool list_logged;	   /* the first list of backend servers was */
 	bool can_serve;	     /* configuration and list were complete once */
 	int64_t stopping_ms; /* when stopping began; 0: not stopping */
 	struct control_view view;
