--- a/core/quota.c
+++ b/core/quota.c
@@ -208,6 +208,12 @@
 	return true;
 }
 
+/* Returns the grants in the window that ends now. */
+unsigned quota_bucket_used(struct quota_bucket *b, int64_t now_ms)
+{
+	return b->held ? grants_in_window(b, now_ms) : 0;
+}
+
 /* Takes back a grant whose request never ran. */
 void quota_bucket_give_back(struct quota_bucket *b, uint32_t stamp,
 			    int64_t now_ms)
--- a/core/quota.h
+++ b/core/quota.h
@@ -86,6 +86,7 @@
 			uint32_t *stamp);
 void quota_bucket_give_back(struct quota_bucket *b, uint32_t stamp,
 			    int64_t now_ms);
+unsigned quota_bucket_used(struct quota_bucket *b, int64_t now_ms);
 uint32_t quota_bucket_wait_ms(struct quota_bucket *b, int64_t now_ms);
 uint32_t quota_bucket_turn_ms(struct quota_bucket *b, int64_t now_ms);
 
--- a/core/quota_pick.c
+++ b/core/quota_pick.c
@@ -44,6 +44,7 @@
 	struct quota_holders next = {.n = 0};
 	uint64_t weights[QUOTA_HOLDERS_MAX];
 
+	next.refused_ms = h->refused_ms;
 	next.self = instances->n ? instances->list[0].id : 0;
 	for (unsigned i = 0; i < instances->n && k; i++)
 		insert(next.list, weights, &next.n, k, &instances->list[i],
@@ -60,6 +61,21 @@
 	*h = next;
 }
 
+/* Notes that a request was refused by all holders that it asked. */
+void quota_holders_refused(struct quota_holders *h, int64_t now_ms)
+{
+	h->refused_ms = now_ms;
+}
+
+/* Returns how many holders a request may ask. */
+static unsigned asks_max(const struct quota_holders *h, int64_t now_ms)
+{
+	bool pressed =
+		h->refused_ms && now_ms - h->refused_ms < QUOTA_PRESSED_MS;
+
+	return pressed ? QUOTA_ASKS_PRESSED : QUOTA_ASKS_MAX;
+}
+
 static bool was_asked(const struct quota_asked *asked, uint32_t id)
 {
 	for (unsigned i = 0; i < asked->n; i++) {
@@ -81,7 +97,7 @@
 	struct quota_holder *good[QUOTA_HOLDERS_MAX], *silent = NULL;
 	unsigned n = 0;
 
-	if (asked->n >= QUOTA_ASKS_MAX)
+	if (asked->n >= asks_max(h, now_ms))
 		return NULL;
 	for (unsigned i = 0; i < h->n; i++) {
 		struct quota_holder *it = &h->list[i];
--- a/core/quota_pick.h
+++ b/core/quota_pick.h
@@ -10,7 +10,15 @@
 #include "core/limit_share.h"
 #include "core/quota.h"
 
-enum { QUOTA_ASKS_MAX = 6 }; /* holders asked for one request */
+enum {
+	QUOTA_ASKS_MAX = 6, /* holders asked for one request */
+	/*
+	 * The same while requests of the workspace are refused: its tokens are
+	 * found by some of the many requests anyway.
+	 */
+	QUOTA_ASKS_PRESSED = 2,
+	QUOTA_PRESSED_MS = 500, /* how long that holds after a refusal */
+};
 
 struct quota_holder {
 	uint32_t id; /* peer_id() */
@@ -23,7 +31,8 @@
 struct quota_holders {
 	struct quota_holder list[QUOTA_HOLDERS_MAX];
 	unsigned n;
-	uint32_t self; /* peer_id() of this instance */
+	uint32_t self;	    /* peer_id() of this instance */
+	int64_t refused_ms; /* last refusal by all that were asked; 0: none */
 };
 
 /* The holders asked for one request. */
@@ -38,6 +47,7 @@
 struct quota_holder *quota_holders_pick(struct quota_holders *h,
 					const struct quota_asked *asked,
 					int64_t now_ms, uint32_t random);
+void quota_holders_refused(struct quota_holders *h, int64_t now_ms);
 int64_t quota_holders_empty_ms(const struct quota_holders *h, int64_t now_ms);
 
 #endif
--- a/traffic/quota_uses.c
+++ b/traffic/quota_uses.c
@@ -22,6 +22,14 @@
 	return quota_use_find(t, workspace);
 }
 
+/* Returns the requests that this instance granted in the current window. */
+unsigned quotas_used_here(struct traffic *t, uint32_t workspace)
+{
+	struct quota_use *u = quota_use_find(t, workspace);
+
+	return u ? quota_bucket_used(&u->bucket, clock_ms()) : 0;
+}
+
 /* Returns the state of a quota, created if there is none yet. */
 static struct quota_use *add_use(struct traffic *t, const struct workspace *w)
 {
--- a/traffic/quotas.c
+++ b/traffic/quotas.c
@@ -222,6 +222,7 @@
 	if (empty) {
 		retry_ms = turn_ms(r, u);
 		u->refused++;
+		quota_holders_refused(&u->holders, clock_ms());
 		t->counters.quota_refused++;
 	} else {
 		retry_ms = g_rand_int_range(t->rand, UNREACHABLE_RETURN_MIN_MS,
--- a/traffic/quotas.h
+++ b/traffic/quotas.h
@@ -42,6 +42,7 @@
 void quotas_configure(struct traffic *t);
 void quotas_update(struct traffic *t);
 const struct quota_use *quotas_use(const struct traffic *t, uint32_t workspace);
+unsigned quotas_used_here(struct traffic *t, uint32_t workspace);
 enum quota_result quotas_acquire(struct request *r);
 bool quotas_allow_send(struct request *r);
 void quotas_release(struct request *r);
