Quotas: a new process has tokens for the time since it started

The last process of an instance had ended when the new one started, so its time counts; it grants nothing for 0.5 s after it knows the first others.

--- a/core/quota.c
+++ b/core/quota.c
@@ -91,8 +91,6 @@
 /* Adds the tokens of the time that has passed. */
 static void refill(struct quota_bucket *b, int64_t now_ms)
 {
-	if (now_ms <= b->updated_ms)
-		return;
 	b->tokens += b->part.rate_s * (double)(now_ms - b->updated_ms) / 1000;
 	if (b->tokens > b->part.depth)
 		b->tokens = b->part.depth;
@@ -140,37 +138,39 @@
 	return n;
 }
 
+/* Begins the holding. */
+static void begin(struct quota_bucket *b, const struct quota_part *part,
+		  const struct quota_start *start, int64_t now_ms)
+{
+	memset(b, 0, sizeof(*b));
+	b->held = true;
+	b->part = *part;
+	b->tokens = start->full ? part->depth : -1;
+	b->updated_ms = start->from_ms < now_ms ? start->from_ms : now_ms;
+	b->open_ms = start->open_ms;
+}
+
 /*
  * Makes this instance a holder, or changes its part, which applies at once. A
  * lower one cuts the tokens; a higher one adds none, so that a quota that
- * changes often isn't granted several times. `full`: nothing of this quota can
- * have been granted before, so the bucket starts full. A new holder gets tokens
- * from from_ms on.
+ * changes often isn't granted several times. `start` is of a new holder.
  */
 void quota_bucket_hold(struct quota_bucket *b, const struct quota_part *part,
-		       bool full, int64_t from_ms, int64_t now_ms)
+		       const struct quota_start *start, int64_t now_ms)
 {
-	bool was_held = b->held;
-	bool same_window = was_held && b->part.window_ms == part->window_ms;
-
-	if (was_held)
-		refill(b, now_ms);
-	else
-		b->tokens = full ? part->depth : -1;
-	if (same_window && part->max_grants < b->part.max_grants) {
-		b->earlier_max = b->part.max_grants;
-		b->earlier_until_ms = now_ms + part->window_ms;
+	if (!b->held) {
+		begin(b, part, start, now_ms);
+		return;
 	}
-	if (!same_window) {
+	refill(b, now_ms);
+	if (b->part.window_ms != part->window_ms) {
 		memset(b->granted, 0, sizeof(b->granted));
 		b->newest = 0;
+	} else if (part->max_grants < b->part.max_grants) {
+		b->earlier_max = b->part.max_grants;
+		b->earlier_until_ms = now_ms + part->window_ms;
 	}
-	b->held = true;
 	b->part = *part;
-	if (!was_held && from_ms > now_ms)
-		b->updated_ms = from_ms;
-	else if (b->updated_ms < now_ms)
-		b->updated_ms = now_ms;
 	if (b->tokens > part->depth)
 		b->tokens = part->depth;
 }
@@ -199,7 +199,7 @@
 	double keep = late ? KEPT_FROM_LATE * b->part.depth : 0;
 
 	refill(b, now_ms);
-	if (b->tokens <= keep ||
+	if (now_ms < b->open_ms || b->tokens <= keep ||
 	    grants_in_window(b, now_ms) >= max_grants(b, now_ms))
 		return false;
 	b->tokens -= 1;
@@ -237,7 +237,7 @@
 
 	refill(b, now_ms);
 	ms = b->tokens < 0 ? ceil(-b->tokens / b->part.rate_s * 1000) : 0;
-	ms += (double)(b->updated_ms - now_ms);
+	ms = max(ms, (double)(b->open_ms - now_ms));
 	return (uint32_t)min(ms + 1, QUOTA_TURN_MAX_MS);
 }
 
--- a/core/quota.h
+++ b/core/quota.h
@@ -16,8 +16,9 @@
  *
  * A holder starts with an empty bucket, in full debt, so that an instance that
  * starts again, or that becomes a holder, doesn't grant a second time what was
- * granted before; a process that has just started gets tokens only when it knows
- * the other instances. The depth is the burst and a part of the overshoot, so that the
+ * granted before. A process that has just started has tokens for the time since,
+ * as its last process had ended by then, but grants nothing until it knows the
+ * other instances. The depth is the burst and a part of the overshoot, so that the
  * division among holders doesn't refuse what lies below the quota.
  *
  * While requests are beyond the quota, those that can still be on time go before
@@ -61,12 +62,20 @@
 	unsigned window_ms;  /* that window */
 };
 
+/* How a new holder starts. */
+struct quota_start {
+	bool full; /* nothing of this quota can have been granted before */
+	int64_t from_ms; /* else tokens are added for the time since then */
+	int64_t open_ms; /* nothing is granted before */
+};
+
 /* A holder's state of one quota. Times are of one monotonic clock. */
 struct quota_bucket {
 	bool held;
 	struct quota_part part;
 	double tokens; /* at least -1 */
 	int64_t updated_ms;
+	int64_t open_ms; /* grants nothing before */
 	/* Grants under a higher quota may be in the window until then. */
 	unsigned earlier_max;
 	int64_t earlier_until_ms;
@@ -80,7 +89,7 @@
 struct quota_part quota_part(const struct quota_rule *rule,
 			     const struct quota_terms *q, unsigned holders);
 void quota_bucket_hold(struct quota_bucket *b, const struct quota_part *part,
-		       bool full, int64_t from_ms, int64_t now_ms);
+		       const struct quota_start *start, int64_t now_ms);
 void quota_bucket_lose(struct quota_bucket *b);
 bool quota_bucket_grant(struct quota_bucket *b, bool late, int64_t now_ms,
 			uint32_t *stamp);
--- a/tests/test_quotas.c
+++ b/tests/test_quotas.c
@@ -126,6 +126,8 @@
 	b->traffic.bounds.quota_window_s = WINDOW_MS / 1000.0;
 	b->traffic.bounds.quota_slack = 20;
 	set_instances(b, others);
+	/* All instances are known. */
+	b->traffic.quotas.open_ms = clock_ms();
 	configure(b, "another", 0, 0);
 	bench_run_ms(b, 2 * WINDOW_MS);
 	configure(b, workspace_name(others, held), rate_s, burst);
--- a/traffic/quota_holder.c
+++ b/traffic/quota_holder.c
@@ -62,6 +62,8 @@
 				  t->bounds.quota_overshoot,
 				  t->bounds.quota_slack};
 	unsigned k = 0;
+	int64_t now_ms = clock_ms();
+	struct quota_start start;
 	struct quota_part part;
 
 	if (u->terms.rate_s > 0 && instances.n)
@@ -72,6 +74,11 @@
 		return;
 	}
 	part = quota_part(&rule, &u->terms, k);
-	quota_bucket_hold(&u->bucket, &part, u->starts_full,
-			  t->quotas.hold_from_ms, clock_ms());
+	start = (struct quota_start){.full = u->starts_full,
+				     .from_ms = now_ms,
+				     .open_ms = t->quotas.open_ms};
+	/* This instance's last process had ended before this one started. */
+	if (now_ms < t->quotas.open_ms)
+		start.from_ms = t->started_ms;
+	quota_bucket_hold(&u->bucket, &part, &start, now_ms);
 }
--- a/traffic/quota_uses.c
+++ b/traffic/quota_uses.c
@@ -8,7 +8,7 @@
  * How long after the first instances are known this process may know only some
  * of them, and take parts of quotas that others hold.
  */
-enum { SETTLE_MS = 1000 };
+enum { SETTLE_MS = 500 };
 
 /* Returns the quota of a workspace, or NULL if there is none. */
 struct quota_use *quota_use_find(const struct traffic *t, uint32_t workspace)
@@ -108,8 +108,8 @@
 	GHashTableIter it;
 	gpointer v;
 
-	if (!t->quotas.hold_from_ms && limits_participants(t).n)
-		t->quotas.hold_from_ms = clock_ms() + SETTLE_MS;
+	if (!t->quotas.open_ms && limits_participants(t).n)
+		t->quotas.open_ms = clock_ms() + SETTLE_MS;
 	g_hash_table_iter_init(&it, t->quotas.uses);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		quota_holder_update(t, v);
--- a/traffic/quotas.c
+++ b/traffic/quotas.c
@@ -278,6 +278,12 @@
 	int64_t now_ms = clock_ms();
 	struct quota_holder *h;
 
+	if (!u) {
+		/* There is no quota any more. */
+		end_ask(r);
+		resume(r);
+		return;
+	}
 	if (!c->last_wait && !c->stalled &&
 	    now_ms - c->asked_ms > ANSWER_MS + STALLED_MS) {
 		c->stalled = true;
@@ -414,7 +420,7 @@
 	int64_t now_ms = clock_ms();
 	struct quota_holder *h;
 
-	if (r && r->quota.workspace != m->workspace)
+	if (!u || (r && r->quota.workspace != m->workspace))
 		r = NULL;
 	h = u ? quota_holders_find(&u->holders, m->from) : NULL;
 	if (h)
--- a/traffic/quotas.h
+++ b/traffic/quotas.h
@@ -31,10 +31,10 @@
 };
 
 struct quotas {
-	GHashTable *uses;      /* workspace id -> struct quota_use * */
-	GHashTable *asking;    /* serial -> struct request * */
-	uint32_t serial;       /* of the last ask */
-	int64_t hold_from_ms;  /* no tokens before; 0: no instances known */
+	GHashTable *uses;   /* workspace id -> struct quota_use * */
+	GHashTable *asking; /* serial -> struct request * */
+	uint32_t serial;    /* of the last ask */
+	int64_t open_ms; /* nothing is granted before; 0: no instances known */
 	int64_t configured_ms; /* the first configuration; 0: none yet */
 };
 
