--- a/tests/test_quotas.c
+++ b/tests/test_quotas.c
@@ -268,6 +268,20 @@
 	end(b);
 }
 
+/* A quota that is taken away while a request asks for it. */
+static void test_quota_ends_while_asking(void **state)
+{
+	struct bench *b = quota_bench(OTHERS, false, 10, 10);
+	struct caller *c = bench_call(b, "POST", 1000);
+
+	bench_run_ms(b, 3);
+	assert_int_equal(b->servers[0].received, 0);
+	configure(b, workspace_name(OTHERS, false), 0, 0);
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 200);
+	end(b);
+}
+
 /* A grant that comes after its caller left goes back. */
 static void test_late_grant_goes_back(void **state)
 {
@@ -431,6 +445,7 @@
 		cmocka_unit_test(test_all_holders_empty),
 		cmocka_unit_test(test_no_holder_answers),
 		cmocka_unit_test(test_instances_unknown),
+		cmocka_unit_test(test_quota_ends_while_asking),
 		cmocka_unit_test(test_late_grant_goes_back),
 		cmocka_unit_test(test_not_executed_goes_back),
 		cmocka_unit_test(test_old_grant_is_renewed),
--- a/traffic/quotas.c
+++ b/traffic/quotas.c
@@ -257,6 +257,12 @@
 /* Goes on after an answer, or without one. */
 static void proceed(struct request *r, struct quota_use *u)
 {
+	if (!u || u->terms.rate_s <= 0) {
+		/* There is no quota any more. */
+		end_ask(r);
+		resume(r);
+		return;
+	}
 	switch (next_holder(r, u)) {
 	case QUOTA_GRANTED:
 		resume(r);
@@ -279,9 +285,7 @@
 	struct quota_holder *h;
 
 	if (!u) {
-		/* There is no quota any more. */
-		end_ask(r);
-		resume(r);
+		proceed(r, NULL);
 		return;
 	}
 	if (!c->last_wait && !c->stalled &&
