--- a/traffic/quota_uses.c
+++ b/traffic/quota_uses.c
@@ -8,7 +8,7 @@
  * How long after the first instances are known this process may know only some
  * of them, and take parts of quotas that others hold.
  */
-enum { SETTLE_MS = 1000 };
+enum { SETTLE_MS = 500 };
 
 /* Returns the quota of a workspace, or NULL if there is none. */
 struct quota_use *quota_use_find(const struct traffic *t, uint32_t workspace)
@@ -22,6 +22,14 @@
 	return quota_use_find(t, workspace);
 }
 
+/* Returns the requests that this instance granted in the current window. */
+unsigned quotas_used_here(struct traffic *t, uint32_t workspace)
+{
+	struct quota_use *u = quota_use_find(t, workspace);
+
+	return u ? quota_bucket_used(&u->bucket, clock_ms()) : 0;
+}
+
 /* Returns the state of a quota, created if there is none yet. */
 static struct quota_use *add_use(struct traffic *t, const struct workspace *w)
 {
@@ -100,8 +108,8 @@
 	GHashTableIter it;
 	gpointer v;
 
-	if (!t->quotas.hold_from_ms && limits_participants(t).n)
-		t->quotas.hold_from_ms = clock_ms() + SETTLE_MS;
+	if (!t->quotas.open_ms && limits_participants(t).n)
+		t->quotas.open_ms = clock_ms() + SETTLE_MS;
 	g_hash_table_iter_init(&it, t->quotas.uses);
 	while (g_hash_table_iter_next(&it, NULL, &v))
 		quota_holder_update(t, v);
--- a/traffic/quotas.c
+++ b/traffic/quotas.c
@@ -222,6 +222,7 @@
 	if (empty) {
 		retry_ms = turn_ms(r, u);
 		u->refused++;
+		quota_holders_refused(&u->holders, clock_ms());
 		t->counters.quota_refused++;
 	} else {
 		retry_ms = g_rand_int_range(t->rand, UNREACHABLE_RETURN_MIN_MS,
@@ -256,6 +257,12 @@
 /* Goes on after an answer, or without one. */
 static void proceed(struct request *r, struct quota_use *u)
 {
+	if (!u || u->terms.rate_s <= 0) {
+		/* There is no quota any more. */
+		end_ask(r);
+		resume(r);
+		return;
+	}
 	switch (next_holder(r, u)) {
 	case QUOTA_GRANTED:
 		resume(r);
@@ -277,6 +284,10 @@
 	int64_t now_ms = clock_ms();
 	struct quota_holder *h;
 
+	if (!u) {
+		proceed(r, NULL);
+		return;
+	}
 	if (!c->last_wait && !c->stalled &&
 	    now_ms - c->asked_ms > ANSWER_MS + STALLED_MS) {
 		c->stalled = true;
@@ -413,7 +424,7 @@
 	int64_t now_ms = clock_ms();
 	struct quota_holder *h;
 
-	if (r && r->quota.workspace != m->workspace)
+	if (!u || (r && r->quota.workspace != m->workspace))
 		r = NULL;
 	h = u ? quota_holders_find(&u->holders, m->from) : NULL;
 	if (h)
