Shortage known to all instances: waits end where many find no room

Cause: in a burst of twice the room each request waits until there is only just time left to serve it, so half of what is served is late; where only a few find no room the same wait helps. An instance sees a handful of requests a second, too few to tell the two apart.

Change: instances count the new requests that find no server with room and tell 16 random peers of their data centre (kind 22; every 150 ms while short, 500 ms otherwise, at most 107 datagrams a second, whatever the number of instances). core/shortage keeps the share of all, forgotten within a second, and cuts waits from a quarter to half of the requests. An instance that hears nothing counts its own alone, with a prior of four requests that found room.

The message also has room for what instances learn of servers; switched off.

--- a/control/control.c
+++ b/control/control.c
@@ -365,6 +365,7 @@
 	case FROM_TRAFFIC_LIMIT_CALL:
 	case FROM_TRAFFIC_LIMITS:
 	case FROM_TRAFFIC_DRAIN:
+	case FROM_TRAFFIC_SHORTAGE:
 		relay_from_traffic(c, (enum from_traffic)m->kind, m->data);
 		break;
 	}
--- a/control/control.h
+++ b/control/control.h
@@ -32,6 +32,7 @@
 	TO_TRAFFIC_DRAIN = 10,	     /* struct drain_gossip * */
 	TO_TRAFFIC_BOUNDS = 6,	     /* struct bounds *, of changed settings */
 	TO_TRAFFIC_EVACUATIONS = 11, /* struct evacuations * */
+	TO_TRAFFIC_SHORTAGE = 22,    /* struct shortage_gossip * */
 };
 
 /* Messages from the traffic thread; the receiver owns the data. */
@@ -41,6 +42,8 @@
 	FROM_TRAFFIC_LOAD = 2,	  /* struct peer_load *, sender not set */
 	FROM_TRAFFIC_LIMITS = 4,  /* struct limit_gossip *, sender not set */
 	FROM_TRAFFIC_DRAIN = 6,	  /* struct drain_gossip *, sender not set */
+	FROM_TRAFFIC_SHORTAGE =
+		22, /* struct shortage_gossip *, sender not set */
 	FROM_TRAFFIC_LIMIT_CALL =
 		5, /* struct limit_borrow_msg *, `from` not set */
 };
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -47,6 +47,38 @@
 	}
 }
 
+/* Returns whether a live peer is in the own data centre. */
+static bool is_near(const struct peer_channel *ch, const struct peer *p,
+		    int64_t now_ms)
+{
+	return peer_alive(p, now_ms) && !strcmp(p->info.dc, ch->peers.self.dc);
+}
+
+/*
+ * peer_channel_send_sample() sends at most `max` random live peers of the own
+ * data centre a datagram that does not count as a heartbeat. So a peer receives
+ * about as many as it sends, however many there are.
+ */
+void peer_channel_send_sample(struct peer_channel *ch, const struct buf *b,
+			      unsigned max, int64_t now_ms)
+{
+	unsigned near = 0;
+
+	for (guint i = 0; i < ch->peers.peers->len; i++)
+		near += is_near(ch, g_ptr_array_index(ch->peers.peers, i),
+				now_ms);
+	for (guint i = 0; i < ch->peers.peers->len && max; i++) {
+		const struct peer *p = g_ptr_array_index(ch->peers.peers, i);
+
+		if (!is_near(ch, p, now_ms))
+			continue;
+		if (g_random_double() * near-- >= max)
+			continue;
+		send_plain(ch, b, p);
+		max--;
+	}
+}
+
 /*
  * peer_channel_send_live() sends all live peers a datagram, which also serves
  * as a heartbeat.
--- a/control/peer_channel.h
+++ b/control/peer_channel.h
@@ -42,6 +42,8 @@
 			     unsigned turn, bool new_direct, int64_t now_ms);
 void peer_channel_send_plain(struct peer_channel *ch, const struct buf *b,
 			     const char *dc, int64_t now_ms);
+void peer_channel_send_sample(struct peer_channel *ch, const struct buf *b,
+			      unsigned max, int64_t now_ms);
 void peer_channel_send_hubs(struct peer_channel *ch, const struct buf *b,
 			    int64_t now_ms);
 void peer_channel_send_limit_call(struct peer_channel *ch,
--- a/control/relay.c
+++ b/control/relay.c
@@ -1,6 +1,9 @@
 #include "control/relay.h"
 #include "misc/clock.h"
 
+/* Peers that a report of GOSSIP_SHORTAGE goes to. */
+enum { SHORTAGE_FANOUT = 16 };
+
 /*
  * relay_from_peer() forwards a message to the traffic thread. Returns false if
  * it isn't meant for it.
@@ -25,6 +28,11 @@
 		control_send_traffic(c, TO_TRAFFIC_DRAIN,
 				     g_memdup2(&m->drain, sizeof(m->drain)));
 		return true;
+	case GOSSIP_SHORTAGE:
+		control_send_traffic(
+			c, TO_TRAFFIC_SHORTAGE,
+			g_memdup2(&m->shortage, sizeof(m->shortage)));
+		return true;
 	default:
 		return false;
 	}
@@ -40,6 +48,7 @@
 	const char *dc = NULL;
 	struct drain_gossip *drain = data;
 	struct limit_gossip *limits = data;
+	struct shortage_gossip *shortage = data;
 	struct peer_load *load = data;
 	struct buf b = {0};
 
@@ -57,6 +66,12 @@
 	} else if (kind == FROM_TRAFFIC_DRAIN) {
 		drain->peer = self;
 		gossip_write_drain(&b, drain);
+	} else if (kind == FROM_TRAFFIC_SHORTAGE) {
+		shortage->peer = self;
+		gossip_write_shortage(&b, shortage);
+		peer_channel_send_sample(&c->peers, &b, SHORTAGE_FANOUT,
+					 clock_ms());
+		buf_free(&b);
 	}
 	if (b.len)
 		peer_channel_send_plain(&c->peers, &b, dc, clock_ms());
--- a/core/admit.c
+++ b/core/admit.c
@@ -32,9 +32,9 @@
 
 	if (!mechanisms.wait)
 		return 0;
-	return slack > r->target_ms * MIN_WAIT_SHARE
-		       ? slack
-		       : r->target_ms * MIN_WAIT_SHARE;
+	if (slack < r->target_ms * MIN_WAIT_SHARE)
+		slack = r->target_ms * MIN_WAIT_SHARE;
+	return slack * (1 - r->wait_cut);
 }
 
 /* Returns whether the request would use the capacity of several elsewhere. */
--- a/core/admit.h
+++ b/core/admit.h
@@ -19,6 +19,7 @@
 	double median_ms; /* service time at the servers' typical speed */
 	double p75_ms;	  /* 75th percentile of it */
 	double waited_ms; /* part of spent_ms, queued here for a server */
+	double wait_cut;  /* share of the wait that a shortage takes away */
 	bool capacity_short; /* many servers of the service are full */
 };
 
--- a/core/backend.h
+++ b/core/backend.h
@@ -19,6 +19,7 @@
 #include "core/probe_times.h"
 #include "core/reach.h"
 #include "core/server_state.h"
+#include "core/shortage.h"
 #include "misc/lstr.h"
 
 /* An entry of the platform's list of backend servers. */
@@ -96,6 +97,7 @@
 	struct service_model model; /* learned from the servers' answers */
 	/* When a request that could meet its target last found no capacity. */
 	int64_t capacity_missed_ms;
+	struct shortage shortage;
 	GQueue waiting; /* requests without a server, highest priority first */
 	struct limit_borrow borrow; /* sends requested from peers */
 	int64_t last_turn_ms; /* latest turn given out, see retry_after.h */
--- a/core/mechanisms.c
+++ b/core/mechanisms.c
@@ -3,6 +3,8 @@
 struct mechanisms mechanisms = {
 	.ask = true,
 	.learn = true,
+	.share = false,
+	.shortage = true,
 	.wait = true,
 	.quick_only = true,
 	.late_yield = true,
--- /dev/null
+++ b/core/shortage.c
@@ -0,0 +1,77 @@
+#include <math.h>
+
+#include "core/shortage.h"
+
+/* Old counts lose half of their weight in this time; bursts take seconds. */
+static const double HALF_LIFE_MS = 300;
+
+/*
+ * Requests without a lack of room that are added to the counts. Instances that
+ * hear nothing count few requests, so a few of them don't make a shortage.
+ */
+static const double PRIOR_REQUESTS = 4;
+
+/*
+ * Waits are as long as usual up to the first share, and get shorter until there
+ * are none from the second. Under full load without a lack of room up to a
+ * fifth of the requests doesn't find it with the first questions.
+ */
+static const double SHARE_WAIT_FULL = 0.25;
+static const double SHARE_WAIT_NONE = 0.5;
+
+/* Returns the remaining weight of the counts. */
+static double decay(const struct shortage *s, int64_t now_ms)
+{
+	double age_ms = (double)(now_ms - s->at_ms);
+
+	return age_ms > 0 ? exp2(-age_ms / HALF_LIFE_MS) : 1;
+}
+
+/* shortage_record_told() adds what a peer counted. */
+void shortage_record_told(struct shortage *s, struct shortage_counts told,
+			  int64_t now_ms)
+{
+	double left = decay(s, now_ms);
+
+	s->asked = s->asked * left + told.asked;
+	s->missed = s->missed * left + told.missed;
+	s->at_ms = now_ms;
+}
+
+/* shortage_record() adds requests of this instance. */
+void shortage_record(struct shortage *s, struct shortage_counts own,
+		     int64_t now_ms)
+{
+	shortage_record_told(s, own, now_ms);
+	s->untold.asked += own.asked;
+	s->untold.missed += own.missed;
+}
+
+/* shortage_take_untold() returns what was recorded since the last call. */
+struct shortage_counts shortage_take_untold(struct shortage *s)
+{
+	struct shortage_counts untold = s->untold;
+
+	s->untold = (struct shortage_counts){0};
+	return untold;
+}
+
+/* shortage_share() returns the share of requests that found no room. */
+double shortage_share(const struct shortage *s, int64_t now_ms)
+{
+	double left = decay(s, now_ms);
+
+	return s->missed * left / (s->asked * left + PRIOR_REQUESTS);
+}
+
+/*
+ * shortage_wait_cut() returns by how much the time that requests wait for room
+ * is shortened, from 0 to 1.
+ */
+double shortage_wait_cut(double share)
+{
+	double cut =
+		(share - SHARE_WAIT_FULL) / (SHARE_WAIT_NONE - SHARE_WAIT_FULL);
+
+	return fmin(fmax(cut, 0), 1);
+}
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -15,6 +15,7 @@
 #include "core/limit_gossip.h"
 #include "core/limit_borrow.h"
 #include "core/peer_load.h"
+#include "core/shortage_gossip.h"
 #include "member/hubs.h"
 #include "member/peers.h"
 #include "misc/buf.h"
@@ -35,6 +36,7 @@
 	GOSSIP_DRAINING = 15,	   /* draining backends; sender is an id only */
 	GOSSIP_RELAY = 19,	   /* a message to forward in the data centre */
 	GOSSIP_LIMITS = 12,	   /* backends' limits; sender is an id only */
+	GOSSIP_SHORTAGE = 22,	   /* learned of services; sender is an id */
 };
 
 /* Values of a change's kind field on the wire. */
@@ -95,15 +97,16 @@
 struct gossip_message {
 	enum gossip_kind kind;
 	struct peer_info sender;
-	struct backend_feed feed;   /* of GOSSIP_FEED */
-	struct peer_load load;	    /* of GOSSIP_LOAD */
-	struct roster roster;	    /* of GOSSIP_ROSTER */
-	GArray *ids;		    /* of GOSSIP_INFO_REQUEST: uint32_t */
-	uint32_t digest;	    /* of GOSSIP_ROSTER_DIGEST */
-	GArray *infos;		    /* of GOSSIP_INFO: struct peer_info */
-	struct buf relayed;	    /* of GOSSIP_RELAY: the message */
-	struct limit_gossip limits; /* of GOSSIP_LIMITS */
-	struct drain_gossip drain;  /* of GOSSIP_DRAINING */
+	struct backend_feed feed;	 /* of GOSSIP_FEED */
+	struct peer_load load;		 /* of GOSSIP_LOAD */
+	struct roster roster;		 /* of GOSSIP_ROSTER */
+	GArray *ids;			 /* of GOSSIP_INFO_REQUEST: uint32_t */
+	uint32_t digest;		 /* of GOSSIP_ROSTER_DIGEST */
+	GArray *infos;			 /* of GOSSIP_INFO: struct peer_info */
+	struct buf relayed;		 /* of GOSSIP_RELAY: the message */
+	struct limit_gossip limits;	 /* of GOSSIP_LIMITS */
+	struct drain_gossip drain;	 /* of GOSSIP_DRAINING */
+	struct shortage_gossip shortage; /* of GOSSIP_SHORTAGE */
 	struct limit_borrow_msg
 		call;	 /* of GOSSIP_GRANT_REQUEST and GOSSIP_GRANT */
 	GArray *crashes; /* of GOSSIP_CRASHES: struct crash_notice */
@@ -141,6 +144,8 @@
 			  const struct crash_notice *notices, unsigned n);
 void gossip_write_limits(struct buf *out, const struct limit_gossip *update);
 void gossip_write_drain(struct buf *out, const struct drain_gossip *update);
+void gossip_write_shortage(struct buf *out,
+			   const struct shortage_gossip *update);
 void gossip_write_grant(struct buf *out, const struct limit_borrow_msg *call);
 bool gossip_has_sender_info(const struct gossip_message *m);
 int gossip_read(struct lstr bytes, struct gossip_message *m);
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -289,6 +289,46 @@
 	return !c.bad;
 }
 
+/* Reads the samples of one service. Returns false if one can't be valid. */
+static bool read_shortage_item(const msgpack_object *o,
+			       struct shortage_item *it)
+{
+	struct cursor c = cursor_of(o);
+
+	it->service = (uint32_t)next_uint(&c);
+	it->counts.asked = (unsigned)next_uint(&c);
+	it->counts.missed = (unsigned)next_uint(&c);
+	if (it->counts.asked > SHORTAGE_COUNT_MAX ||
+	    it->counts.missed > SHORTAGE_COUNT_MAX)
+		return false;
+	while (!c.bad && c.at < c.end) {
+		struct shortage_sample s = {
+			.factor = (unsigned)next_uint(&c),
+			.count = (unsigned)next_uint(&c),
+			.mean = (double)next_uint(&c) / 1000,
+		};
+
+		if (s.factor >= LATENCY_FACTORS || it->n == LATENCY_FACTORS ||
+		    s.count > SHORTAGE_SAMPLES_MAX || s.mean <= 0)
+			return false;
+		it->samples[it->n++] = s;
+	}
+	return !c.bad;
+}
+
+static bool read_shortage(const msgpack_object *o,
+			  struct shortage_gossip *update)
+{
+	struct cursor c = cursor_of(o);
+
+	while (!c.bad && c.at < c.end && update->n < SHORTAGE_GOSSIP_MAX) {
+		if (!read_shortage_item(next(&c), &update->items[update->n]))
+			return false;
+		update->n++;
+	}
+	return !c.bad;
+}
+
 static bool read_grant(struct cursor *c, struct gossip_message *m)
 {
 	m->call.grant = m->kind == GOSSIP_GRANT;
@@ -308,6 +348,7 @@
 	case GOSSIP_LOAD:
 	case GOSSIP_LIMITS:
 	case GOSSIP_DRAINING:
+	case GOSSIP_SHORTAGE:
 	case GOSSIP_GRANT_REQUEST:
 	case GOSSIP_GRANT:
 		return false;
@@ -338,6 +379,9 @@
 	case GOSSIP_DRAINING:
 		m->drain.peer = (uint32_t)next_uint(c);
 		return read_draining(next(c), &m->drain) && !c->bad;
+	case GOSSIP_SHORTAGE:
+		m->shortage.peer = (uint32_t)next_uint(c);
+		return read_shortage(next(c), &m->shortage) && !c->bad;
 	case GOSSIP_GRANT_REQUEST:
 	case GOSSIP_GRANT:
 		return read_grant(c, m);
--- /dev/null
+++ b/tests/test_shortage.c
@@ -0,0 +1,149 @@
+/*
+ * Tests of core/shortage, and of the decisions in a shortage with a load: many
+ * instances with few callers each, servers with a knee of which some are slow
+ * at any moment, and a burst of more requests than they can run.
+ */
+#include "tests/unit.h"
+
+#include "tests/shortage_play.h"
+
+enum { SEEDS = 3 };
+
+/* Services: short work with two slots a server, long work with four. */
+static const struct play_load two_slots = {
+	.slots = 2,
+	.work_ms = 160,
+	.target_ms = 400,
+	.noise_share = 0.3,
+	.noise_factor = 4,
+	.rate_s = 144, /* 0.7 of what the quick servers can run */
+};
+
+static const struct play_load four_slots = {
+	.slots = 4,
+	.work_ms = 350,
+	.target_ms = 1000,
+	.noise_share = 0.3,
+	.noise_factor = 4,
+	.rate_s = 168,
+};
+
+/* Plays a load with several seeds. `burst`: in multiples of the room. */
+static struct play_result play_seeds(const struct play_load *load, double burst,
+				     bool all)
+{
+	struct play_result sum = {0};
+
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		struct play_load l = *load;
+		struct play_result r;
+
+		l.burst_factor = burst / 0.7;
+		l.shortage = all;
+		l.seed = seed;
+		r = play(&l);
+		sum.asked += r.asked;
+		sum.on_time += r.on_time;
+		sum.late += r.late;
+		sum.refused += r.refused;
+	}
+	return sum;
+}
+
+/* Where servers have room nothing is refused or late. */
+static void assert_room(const struct play_load *load)
+{
+	struct play_result r = play_seeds(load, 0.7, true);
+
+	assert_int_equal(r.refused, 0);
+	assert_true(r.late <= r.asked / 200);
+	assert_int_equal(r.on_time + r.late, r.asked);
+}
+
+static void test_room(void **state)
+{
+	assert_room(&two_slots);
+	assert_room(&four_slots);
+}
+
+/*
+ * In a burst of twice the room more are served on time than with the oldest
+ * first and usual waits.
+ */
+static void assert_overload(const struct play_load *load)
+{
+	struct play_result before = play_seeds(load, 2, false);
+	struct play_result r = play_seeds(load, 2, true);
+
+	print_message("on time %u late %u refused %u; before %u %u %u\n",
+		      r.on_time, r.late, r.refused, before.on_time, before.late,
+		      before.refused);
+	assert_true(1.0 * r.on_time * before.asked >
+		    1.02 * before.on_time * r.asked);
+	assert_true(3 * r.late < before.late);
+}
+
+static void test_overload(void **state)
+{
+	assert_overload(&two_slots);
+	assert_overload(&four_slots);
+}
+
+/* Waits keep their length at a usual load and end in a shortage. */
+static void test_wait_cut(void **state)
+{
+	assert_true(shortage_wait_cut(0) == 0);
+	assert_true(shortage_wait_cut(0.2) == 0);
+	assert_true(shortage_wait_cut(0.4) > 0);
+	assert_true(shortage_wait_cut(0.4) < 1);
+	assert_true(shortage_wait_cut(0.6) == 1);
+}
+
+/* A few requests of one instance without news are no shortage. */
+static void test_few_requests(void **state)
+{
+	struct shortage s = {0};
+
+	shortage_record(&s, (struct shortage_counts){2, 2}, 1000);
+	assert_true(shortage_wait_cut(shortage_share(&s, 1000)) < 0.5);
+}
+
+/* What all instances counted together is; it is forgotten within seconds. */
+static void test_peers_and_age(void **state)
+{
+	struct shortage s = {0};
+
+	for (int i = 0; i < 16; i++)
+		shortage_record_told(&s, (struct shortage_counts){3, 2}, 1000);
+	assert_true(shortage_wait_cut(shortage_share(&s, 1000)) == 1);
+	assert_true(shortage_wait_cut(shortage_share(&s, 3000)) == 0);
+}
+
+/* Only what this instance counted itself is told, and only once. */
+static void test_told_once(void **state)
+{
+	struct shortage s = {0};
+	struct shortage_counts c;
+
+	shortage_record(&s, (struct shortage_counts){1, 0}, 1000);
+	shortage_record(&s, (struct shortage_counts){0, 1}, 1000);
+	shortage_record_told(&s, (struct shortage_counts){9, 9}, 1000);
+	c = shortage_take_untold(&s);
+	assert_int_equal(c.asked, 1);
+	assert_int_equal(c.missed, 1);
+	assert_int_equal(shortage_take_untold(&s).asked, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_room),
+		cmocka_unit_test(test_overload),
+		cmocka_unit_test(test_wait_cut),
+		cmocka_unit_test(test_few_requests),
+		cmocka_unit_test(test_peers_and_age),
+		cmocka_unit_test(test_told_once),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -2,6 +2,7 @@
 
 #include "common/event.h"
 #include "core/availability.h"
+#include "core/mechanisms.h"
 #include "core/request_digest.h"
 #include "core/retry_after.h"
 #include "misc/clock.h"
@@ -78,6 +79,10 @@
 		.median_ms = work->median_ms * factor,
 		.p75_ms = work->p75_ms * factor,
 		.waited_ms = (double)selecting_ms,
+		.wait_cut = mechanisms.shortage
+				    ? shortage_wait_cut(shortage_share(
+					      &r->service->shortage, now_ms))
+				    : 0,
 		.capacity_short = latency_capacity_short(&r->service->model),
 	};
 }
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -98,7 +98,9 @@
 	int64_t wait_until_ms;	 /* checks capacity then; 0: no wait */
 	unsigned probes_sent;	 /* in all selections so far */
 	unsigned probes_answered;
-	unsigned wait_count;	/* waits in the current selection */
+	unsigned wait_count; /* waits in the current selection */
+	bool counted_asked;  /* in the service's shortage */
+	bool counted_missed;
 	bool queued;		/* in the service's queue */
 	int64_t grant_until_ms; /* waits for a peer's grant; 0: never did */
 	bool yielded;		/* has let the head of the queue go first */
--- a/traffic/request_queue.c
+++ b/traffic/request_queue.c
@@ -8,6 +8,7 @@
 #include "traffic/limit_sends.h"
 #include "traffic/probe.h"
 #include "traffic/request_queue.h"
+#include "traffic/shortage_gossip.h"
 
 enum {
 	/*
@@ -243,6 +244,8 @@
 
 	if (admit_can_be_on_time(&view) && r->select_reason != SELECT_HEDGE)
 		r->service->capacity_missed_ms = now_ms;
+	if (r->select_reason == SELECT_FIRST)
+		shortage_gossip_count(r, true, now_ms);
 	probes_release(r);
 	if (r->select_reason == SELECT_HEDGE) {
 		request_select_end(r);
--- a/traffic/request_select.c
+++ b/traffic/request_select.c
@@ -10,6 +10,7 @@
 #include "misc/clock.h"
 #include "traffic/probe.h"
 #include "traffic/request_queue.h"
+#include "traffic/shortage_gossip.h"
 
 enum {
 	PROBES_FIRST_ROUND = 2, /* servers of the own data centre */
@@ -455,6 +456,8 @@
 	r->wait_count = 0;
 	r->select_start_ms = now_ms;
 	r->round_end_ms = now_ms;
+	if (why == SELECT_FIRST)
+		shortage_gossip_count(r, false, now_ms);
 	if (why != SELECT_HEDGE && !request_is_quarantined(r) &&
 	    request_queue_is_behind(r, now_ms))
 		request_queue_wait(r, now_ms);
--- /dev/null
+++ b/traffic/shortage_gossip.c
@@ -0,0 +1,139 @@
+#include "core/mechanisms.h"
+#include "misc/clock.h"
+#include "traffic/shortage_gossip.h"
+
+enum {
+	/* Between two reports; factors are learned over tens of seconds. */
+	PERIOD_MS = 500,
+	/* While requests find no room. */
+	SHORT_PERIOD_MS = 150,
+};
+
+/* Moves what a service has learned into a report; false if it is nothing. */
+static bool take_item(struct service *s, struct shortage_item *it)
+{
+	it->service = g_str_hash(s->name);
+	it->counts = shortage_take_untold(&s->shortage);
+	it->counts.asked = MIN(it->counts.asked, SHORTAGE_COUNT_MAX);
+	it->counts.missed = MIN(it->counts.missed, SHORTAGE_COUNT_MAX);
+	it->n = 0;
+	for (unsigned f = 0; f < LATENCY_FACTORS && mechanisms.share; f++) {
+		struct shortage_sample *sample = &it->samples[it->n];
+		unsigned count =
+			latency_take_untold(&s->model, f, &sample->mean);
+
+		if (!count)
+			continue;
+		sample->factor = f;
+		sample->count = MIN(count, SHORTAGE_SAMPLES_MAX);
+		it->n++;
+	}
+	return it->n || it->counts.asked || it->counts.missed;
+}
+
+/*
+ * Fills a report. It begins with another service each time, so that all get
+ * their turn if there are more than fit.
+ */
+static void collect(struct traffic *t, struct shortage_gossip *update)
+{
+	guint services = g_hash_table_size(t->backends.services);
+	guint first = services ? t->shortage_turn++ % services : 0, i = 0;
+	GHashTableIter it;
+	gpointer v;
+
+	update->n = 0;
+	g_hash_table_iter_init(&it, t->backends.services);
+	while (g_hash_table_iter_next(&it, NULL, &v) &&
+	       update->n < SHORTAGE_GOSSIP_MAX) {
+		if (i++ >= first && take_item(v, &update->items[update->n]))
+			update->n++;
+	}
+}
+
+static void on_period(struct ev_loop *loop, ev_timer *timer, int revents)
+{
+	struct traffic *t = timer->data;
+	struct shortage_gossip *update = g_new(struct shortage_gossip, 1);
+
+	collect(t, update);
+	/* With a full queue it is lost like a datagram. */
+	if (!update->n ||
+	    mailbox_send(t->control_inbox, FROM_TRAFFIC_SHORTAGE, update))
+		g_free(update);
+}
+
+/* Initializes the timer. */
+void shortage_gossip_init(struct traffic *t)
+{
+	ev_init(&t->shortage_timer, on_period);
+	t->shortage_timer.data = t;
+}
+
+/* Schedules a report after `period_ms`, unless one is due sooner. */
+static void schedule(struct traffic *t, unsigned period_ms)
+{
+	double s = period_ms / 1000.0 * (0.75 + 0.5 * g_rand_double(t->rand));
+
+	if (ev_is_active(&t->shortage_timer) &&
+	    ev_timer_remaining(t->loop, &t->shortage_timer) <= s)
+		return;
+	ev_timer_stop(t->loop, &t->shortage_timer);
+	ev_timer_set(&t->shortage_timer, s, 0);
+	ev_timer_start(t->loop, &t->shortage_timer);
+}
+
+/* Schedules a report after a server has answered. */
+void shortage_gossip_changed(struct traffic *t)
+{
+	if (mechanisms.share)
+		schedule(t, PERIOD_MS);
+}
+
+/* Counts a new request, or that it found no room. */
+void shortage_gossip_count(struct request *r, bool missed, int64_t now_ms)
+{
+	struct admit_request view = request_admission_view(r, now_ms);
+	struct shortage_counts own = {.asked = !missed, .missed = missed};
+
+	if (!mechanisms.shortage ||
+	    (missed ? !r->counted_asked || r->counted_missed
+		    : !admit_can_be_on_time(&view)))
+		return;
+	r->counted_asked = true;
+	r->counted_missed = missed;
+	shortage_record(&r->service->shortage, own, now_ms);
+	schedule(r->traffic, missed ? SHORT_PERIOD_MS : PERIOD_MS);
+}
+
+/* Adds what a peer has counted and learned of a service. */
+static void receive_item(struct service *s, const struct shortage_item *it,
+			 int64_t now_ms)
+{
+	if (mechanisms.shortage)
+		shortage_record_told(&s->shortage, it->counts, now_ms);
+	for (unsigned i = 0; mechanisms.share && i < it->n; i++)
+		latency_record_told(&s->model, it->samples[i].factor,
+				    it->samples[i].count, it->samples[i].mean,
+				    now_ms);
+}
+
+/* Adds what a peer tells. */
+void shortage_gossip_received(struct traffic *t,
+			      const struct shortage_gossip *update)
+{
+	int64_t now_ms = clock_ms();
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, t->backends.services);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct service *s = v;
+		uint32_t id = g_str_hash(s->name);
+
+		for (unsigned i = 0; i < update->n; i++) {
+			if (update->items[i].service == id)
+				receive_item(s, &update->items[i], now_ms);
+		}
+	}
+}
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -17,6 +17,7 @@
 #include "traffic/limits.h"
 #include "traffic/metrics.h"
 #include "traffic/request.h"
+#include "traffic/shortage_gossip.h"
 #include "traffic/slow_starts.h"
 #include "traffic/path_check.h"
 #include "traffic/traffic.h"
@@ -353,6 +354,10 @@
 		drain_gossip_received(t, m->data);
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_SHORTAGE:
+		shortage_gossip_received(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_LIMIT_CALL:
 		limit_sends_peer_message(t, m->data);
 		g_free(m->data);
@@ -451,6 +456,7 @@
 	inflight_report_init(t);
 	limits_init(t);
 	drain_gossip_init(t);
+	shortage_gossip_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
 	backend_set_init(&t->backends, on_backend_gone, t);
