Shortage reports hold counts only

Instances could also learn from each other's answers how long requests take on loaded and slow servers.

--- a/core/latency_model.c
+++ b/core/latency_model.c
@@ -44,12 +44,6 @@
 static const double STEP_INITIAL = 0.1;
 static const double STEP_DECAY = 0.1; /* per answer */
 
-/*
- * Answers of a class that come first aren't told to peers: they are compared
- * with a mean that has yet to be learned.
- */
-enum { TOLD_SAMPLES_MIN = 30 };
-
 /*
  * The typical factor is a lower quantile, since a request probes several
  * servers before it starts. If all servers become slow at once, it follows
@@ -82,45 +76,17 @@
 	return age > 0 ? exp2(-age / HALF_LIFE_MS) : 1;
 }
 
-/* Adds `count` samples with this geometric mean. */
-static void add_samples(struct decayed_mean *m, unsigned count, double ratio,
-			int64_t now_ms)
+/* Adds a sample. */
+static void add_sample(struct decayed_mean *m, double ratio, int64_t now_ms)
 {
 	double left = decay(m, now_ms);
+	double bounded = fmin(fmax(ratio, 1 / RATIO_MAX), RATIO_MAX);
 
-	m->log_sum = m->log_sum * left + count * log(ratio);
-	m->weight = m->weight * left + count;
+	m->log_sum = m->log_sum * left + log(bounded);
+	m->weight = m->weight * left + 1;
 	m->at_ms = now_ms;
 }
 
-static double bounded_ratio(double ratio)
-{
-	return fmin(fmax(ratio, 1 / RATIO_MAX), RATIO_MAX);
-}
-
-/* Returns a factor by its index, see LATENCY_FACTORS. */
-static struct decayed_mean *factor_at(struct service_model *m, unsigned factor)
-{
-	if (factor < LATENCY_LOAD_STEPS)
-		return &m->by_load[factor];
-	factor -= LATENCY_LOAD_STEPS;
-	return factor < LATENCY_SLOWDOWN_STEPS ? &m->by_slowdown[factor]
-					       : &m->warm_up;
-}
-
-/* Adds a sample of this instance to a factor. */
-static void add_sample(struct service_model *m, const struct work_model *w,
-		       unsigned factor, double ratio, int64_t now_ms)
-{
-	double bounded = bounded_ratio(ratio);
-
-	add_samples(factor_at(m, factor), 1, bounded, now_ms);
-	if (w->samples < TOLD_SAMPLES_MIN)
-		return;
-	m->untold[factor].log_sum += log(bounded);
-	m->untold[factor].count++;
-}
-
 /* Returns the mean, with a prior of 1. */
 static double mean_value(const struct decayed_mean *m, int64_t now_ms)
 {
@@ -235,40 +201,15 @@
 	ms = fmax(ms, 1);
 	ratio = ms / (w->mean_ms * all);
 	if (load)
-		add_sample(m, w, load, ratio * by_load, now_ms);
+		add_sample(&m->by_load[load], ratio * by_load, now_ms);
 	if (slowdown)
-		add_sample(m, w, LATENCY_LOAD_STEPS + slowdown,
+		add_sample(&m->by_slowdown[slowdown],
 			   ratio * by_slowdown * 100 / v->slowdown_pct, now_ms);
 	if (v->warming_up)
-		add_sample(m, w, LATENCY_FACTORS - 1, ratio * by_warm_up,
-			   now_ms);
+		add_sample(&m->warm_up, ratio * by_warm_up, now_ms);
 	update_work_model(w, ms / all, !load && !slowdown && !v->warming_up);
 }
 
-/*
- * latency_take_untold() returns how many samples of a factor this instance has
- * recorded since the last call, with their geometric mean.
- */
-unsigned latency_take_untold(struct service_model *m, unsigned factor,
-			     double *mean)
-{
-	struct untold_samples *u = &m->untold[factor];
-	unsigned count = u->count;
-
-	*mean = count ? exp(u->log_sum / count) : 1;
-	*u = (struct untold_samples){0};
-	return count;
-}
-
-/* latency_record_told() adds samples that another instance has recorded. */
-void latency_record_told(struct service_model *m, unsigned factor,
-			 unsigned count, double mean, int64_t now_ms)
-{
-	if (factor < LATENCY_FACTORS)
-		add_samples(factor_at(m, factor), count, bounded_ratio(mean),
-			    now_ms);
-}
-
 /*
  * latency_factor() returns the expected service time of a request that starts
  * on a server in state v, as a multiple of the normal service time of its
--- a/core/latency_model.h
+++ b/core/latency_model.h
@@ -18,8 +18,6 @@
 enum {
 	LATENCY_LOAD_STEPS = 16,    /* load steps from idle to full */
 	LATENCY_SLOWDOWN_STEPS = 4, /* steps of reported slowdown */
-	/* All learned factors: by load, then by slowdown, then the warm-up. */
-	LATENCY_FACTORS = LATENCY_LOAD_STEPS + LATENCY_SLOWDOWN_STEPS + 1,
 };
 
 /* A geometric mean whose samples decay exponentially. */
@@ -28,19 +26,12 @@
 	int64_t at_ms; /* when both were computed */
 };
 
-/* Samples of a factor that the other instances haven't been told yet. */
-struct untold_samples {
-	double log_sum;
-	unsigned count;
-};
-
 /* Learned factors of the servers of one service. */
 struct service_model {
 	struct decayed_mean by_load[LATENCY_LOAD_STEPS];
 	/* Actual slowdown as a multiple of the reported one. */
 	struct decayed_mean by_slowdown[LATENCY_SLOWDOWN_STEPS];
 	struct decayed_mean warm_up; /* of new servers, beyond their report */
-	struct untold_samples untold[LATENCY_FACTORS];
 	/* Lower quartile of the factors of recently seen servers; 0: none. */
 	double typical_factor;
 	double full_share; /* share of recently seen servers without capacity */
@@ -65,10 +56,6 @@
 void work_model_init(struct work_model *w, uint32_t target_ms);
 void latency_record(struct service_model *m, struct work_model *w,
 		    const struct server_view *v, double ms, int64_t now_ms);
-unsigned latency_take_untold(struct service_model *m, unsigned factor,
-			     double *mean);
-void latency_record_told(struct service_model *m, unsigned factor,
-			 unsigned count, double mean, int64_t now_ms);
 double latency_factor(const struct service_model *m,
 		      const struct server_view *v, int64_t now_ms);
 void latency_record_server(struct service_model *m, double factor,
--- a/core/mechanisms.c
+++ b/core/mechanisms.c
@@ -3,7 +3,6 @@
 struct mechanisms mechanisms = {
 	.ask = true,
 	.learn = true,
-	.share = false,
 	.shortage = true,
 	.wait = true,
 	.quick_only = true,
--- a/core/mechanisms.h
+++ b/core/mechanisms.h
@@ -11,7 +11,6 @@
 struct mechanisms {
 	bool ask;	  /* probe servers for their load before a send */
 	bool learn;	  /* correct reported load by observed latency */
-	bool share;	  /* learn from the answers of other instances */
 	bool shortage;	  /* shorter waits while many requests find no room */
 	bool wait;	  /* queue requests until a server has capacity */
 	bool quick_only;  /* avoid servers that are too slow for the request */
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -1,5 +1,3 @@
-#include <math.h>
-
 #include <msgpack.h>
 
 #include "member/gossip.h"
@@ -17,7 +15,7 @@
 	LIMIT_FIELDS = 5,
 	DRAIN_FIELDS = 2,
 	CALL_FIELDS = 4,
-	SAMPLE_FIELDS = 3,
+	SHORTAGE_FIELDS = 3,
 };
 
 enum {
@@ -426,10 +424,7 @@
 	}
 }
 
-/*
- * Writes what this instance has learned of services, in thousandths: an array
- * per service of its id, the counts of requests and the samples.
- */
+/* Writes how many new requests of services found no room. */
 void gossip_write_shortage(struct buf *out,
 			   const struct shortage_gossip *update)
 {
@@ -439,21 +434,13 @@
 	msgpack_pack_array(&pk, 3);
 	msgpack_pack_int(&pk, GOSSIP_SHORTAGE);
 	msgpack_pack_uint32(&pk, update->peer);
-	msgpack_pack_array(&pk, update->n);
+	msgpack_pack_array(&pk, SHORTAGE_FIELDS * (size_t)update->n);
 	for (unsigned i = 0; i < update->n; i++) {
 		const struct shortage_item *it = &update->items[i];
 
-		msgpack_pack_array(&pk, 3 + SAMPLE_FIELDS * (size_t)it->n);
 		msgpack_pack_uint32(&pk, it->service);
-		msgpack_pack_unsigned_int(&pk, it->counts.asked);
-		msgpack_pack_unsigned_int(&pk, it->counts.missed);
-		for (unsigned k = 0; k < it->n; k++) {
-			msgpack_pack_unsigned_int(&pk, it->samples[k].factor);
-			msgpack_pack_unsigned_int(&pk, it->samples[k].count);
-			msgpack_pack_unsigned_int(
-				&pk,
-				(unsigned)lround(1000 * it->samples[k].mean));
-		}
+		msgpack_pack_uint32(&pk, it->counts.asked);
+		msgpack_pack_uint32(&pk, it->counts.missed);
 	}
 }
 
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -36,7 +36,7 @@
 	GOSSIP_DRAINING = 15,	   /* draining backends; sender is an id only */
 	GOSSIP_RELAY = 19,	   /* a message to forward in the data centre */
 	GOSSIP_LIMITS = 12,	   /* backends' limits; sender is an id only */
-	GOSSIP_SHORTAGE = 22,	   /* learned of services; sender is an id */
+	GOSSIP_SHORTAGE = 22,	   /* who found no room; sender is an id */
 };
 
 /* Values of a change's kind field on the wire. */
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -289,42 +289,21 @@
 	return !c.bad;
 }
 
-/* Reads the samples of one service. Returns false if one can't be valid. */
-static bool read_shortage_item(const msgpack_object *o,
-			       struct shortage_item *it)
-{
-	struct cursor c = cursor_of(o);
-
-	it->service = (uint32_t)next_uint(&c);
-	it->counts.asked = (unsigned)next_uint(&c);
-	it->counts.missed = (unsigned)next_uint(&c);
-	if (it->counts.asked > SHORTAGE_COUNT_MAX ||
-	    it->counts.missed > SHORTAGE_COUNT_MAX)
-		return false;
-	while (!c.bad && c.at < c.end) {
-		struct shortage_sample s = {
-			.factor = (unsigned)next_uint(&c),
-			.count = (unsigned)next_uint(&c),
-			.mean = (double)next_uint(&c) / 1000,
-		};
-
-		if (s.factor >= LATENCY_FACTORS || it->n == LATENCY_FACTORS ||
-		    s.count > SHORTAGE_SAMPLES_MAX || s.mean <= 0)
-			return false;
-		it->samples[it->n++] = s;
-	}
-	return !c.bad;
-}
-
+/* Returns false also if a count is larger than any instance's. */
 static bool read_shortage(const msgpack_object *o,
 			  struct shortage_gossip *update)
 {
 	struct cursor c = cursor_of(o);
 
 	while (!c.bad && c.at < c.end && update->n < SHORTAGE_GOSSIP_MAX) {
-		if (!read_shortage_item(next(&c), &update->items[update->n]))
+		struct shortage_item *it = &update->items[update->n++];
+
+		it->service = (uint32_t)next_uint(&c);
+		it->counts.asked = (unsigned)next_uint(&c);
+		it->counts.missed = (unsigned)next_uint(&c);
+		if (it->counts.asked > SHORTAGE_COUNT_MAX ||
+		    it->counts.missed > SHORTAGE_COUNT_MAX)
 			return false;
-		update->n++;
 	}
 	return !c.bad;
 }
--- a/options/instance.c
+++ b/options/instance.c
@@ -66,7 +66,6 @@
 static const struct opt_def policy_opts[] = {
 	{"ask", OPT_BOOL, FIELD(policy.ask), "true", 0, 0},
 	{"learn", OPT_BOOL, FIELD(policy.learn), "true", 0, 0},
-	{"share", OPT_BOOL, FIELD(policy.share), "false", 0, 0},
 	{"shortage", OPT_BOOL, FIELD(policy.shortage), "true", 0, 0},
 	{"wait", OPT_BOOL, FIELD(policy.wait), "true", 0, 0},
 	{"quick_only", OPT_BOOL, FIELD(policy.quick_only), "true", 0, 0},
--- a/tests/test_shortage.c
+++ b/tests/test_shortage.c
@@ -5,6 +5,7 @@
  */
 #include "tests/unit.h"
 
+#include "member/gossip.h"
 #include "tests/shortage_play.h"
 
 enum { SEEDS = 3 };
@@ -134,6 +135,46 @@
 	assert_int_equal(shortage_take_untold(&s).asked, 0);
 }
 
+/* A full report fits one datagram, survives a round trip, and no part does. */
+static void test_report(void **state)
+{
+	struct shortage_gossip g = {.peer = 77, .n = SHORTAGE_GOSSIP_MAX};
+	struct gossip_message m;
+	struct buf b = {0};
+
+	for (unsigned i = 0; i < g.n; i++)
+		g.items[i] = (struct shortage_item){0xfffffff0 + i,
+						    {SHORTAGE_COUNT_MAX, i}};
+	gossip_write_shortage(&b, &g);
+	assert_true(b.len <= GOSSIP_MAX);
+	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
+	assert_int_equal(m.kind, GOSSIP_SHORTAGE);
+	assert_int_equal(m.shortage.peer, 77);
+	assert_int_equal(m.shortage.n, SHORTAGE_GOSSIP_MAX);
+	assert_memory_equal(m.shortage.items, g.items, sizeof(g.items));
+	gossip_message_clear(&m);
+	for (size_t n = 0; n < b.len; n++) {
+		assert_int_not_equal(gossip_read((struct lstr){b.ptr, n}, &m),
+				     0);
+		gossip_message_clear(&m);
+	}
+	buf_free(&b);
+}
+
+/* A report with a count beyond any instance's is rejected. */
+static void test_report_out_of_range(void **state)
+{
+	struct shortage_gossip g = {
+		.n = 1, .items = {{1, {SHORTAGE_COUNT_MAX + 1, 0}}}};
+	struct gossip_message m;
+	struct buf b = {0};
+
+	gossip_write_shortage(&b, &g);
+	assert_int_not_equal(gossip_read(buf_lstr(&b), &m), 0);
+	gossip_message_clear(&m);
+	buf_free(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -143,6 +184,8 @@
 		cmocka_unit_test(test_few_requests),
 		cmocka_unit_test(test_peers_and_age),
 		cmocka_unit_test(test_told_once),
+		cmocka_unit_test(test_report),
+		cmocka_unit_test(test_report_out_of_range),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -9,7 +9,6 @@
 #include "traffic/inflight_report.h"
 #include "traffic/limit_sends.h"
 #include "traffic/request.h"
-#include "traffic/shortage_gossip.h"
 #include "traffic/slow_starts.h"
 
 /* Weights of outcomes in a server's failure score. */
@@ -67,7 +66,6 @@
 {
 	latency_record(&s->backend->service->model, &r->stats->work, &s->server,
 		       (double)(now_ms - s->sent_ms), now_ms);
-	shortage_gossip_changed(r->traffic);
 }
 
 /*
--- a/traffic/shortage_gossip.c
+++ b/traffic/shortage_gossip.c
@@ -3,50 +3,34 @@
 #include "traffic/shortage_gossip.h"
 
 enum {
-	/* Between two reports; factors are learned over tens of seconds. */
+	/* Between two reports. */
 	PERIOD_MS = 500,
 	/* While requests find no room. */
 	SHORT_PERIOD_MS = 150,
 };
 
-/* Moves what a service has learned into a report; false if it is nothing. */
+/* Moves a service's counts into a report; false if there are none. */
 static bool take_item(struct service *s, struct shortage_item *it)
 {
-	it->service = g_str_hash(s->name);
-	it->counts = shortage_take_untold(&s->shortage);
-	it->counts.asked = MIN(it->counts.asked, SHORTAGE_COUNT_MAX);
-	it->counts.missed = MIN(it->counts.missed, SHORTAGE_COUNT_MAX);
-	it->n = 0;
-	for (unsigned f = 0; f < LATENCY_FACTORS && mechanisms.share; f++) {
-		struct shortage_sample *sample = &it->samples[it->n];
-		unsigned count =
-			latency_take_untold(&s->model, f, &sample->mean);
+	struct shortage_counts c = shortage_take_untold(&s->shortage);
 
-		if (!count)
-			continue;
-		sample->factor = f;
-		sample->count = MIN(count, SHORTAGE_SAMPLES_MAX);
-		it->n++;
-	}
-	return it->n || it->counts.asked || it->counts.missed;
+	it->service = g_str_hash(s->name);
+	it->counts.asked = MIN(c.asked, SHORTAGE_COUNT_MAX);
+	it->counts.missed = MIN(c.missed, SHORTAGE_COUNT_MAX);
+	return c.asked || c.missed;
 }
 
-/*
- * Fills a report. It begins with another service each time, so that all get
- * their turn if there are more than fit.
- */
+/* Fills a report; counts that don't fit are told with the next one. */
 static void collect(struct traffic *t, struct shortage_gossip *update)
 {
-	guint services = g_hash_table_size(t->backends.services);
-	guint first = services ? t->shortage_turn++ % services : 0, i = 0;
 	GHashTableIter it;
 	gpointer v;
 
 	update->n = 0;
 	g_hash_table_iter_init(&it, t->backends.services);
-	while (g_hash_table_iter_next(&it, NULL, &v) &&
-	       update->n < SHORTAGE_GOSSIP_MAX) {
-		if (i++ >= first && take_item(v, &update->items[update->n]))
+	while (update->n < SHORTAGE_GOSSIP_MAX &&
+	       g_hash_table_iter_next(&it, NULL, &v)) {
+		if (take_item(v, &update->items[update->n]))
 			update->n++;
 	}
 }
@@ -83,13 +67,6 @@
 	ev_timer_start(t->loop, &t->shortage_timer);
 }
 
-/* Schedules a report after a server has answered. */
-void shortage_gossip_changed(struct traffic *t)
-{
-	if (mechanisms.share)
-		schedule(t, PERIOD_MS);
-}
-
 /* Counts a new request, or that it found no room. */
 void shortage_gossip_count(struct request *r, bool missed, int64_t now_ms)
 {
@@ -106,19 +83,7 @@
 	schedule(r->traffic, missed ? SHORT_PERIOD_MS : PERIOD_MS);
 }
 
-/* Adds what a peer has counted and learned of a service. */
-static void receive_item(struct service *s, const struct shortage_item *it,
-			 int64_t now_ms)
-{
-	if (mechanisms.shortage)
-		shortage_record_told(&s->shortage, it->counts, now_ms);
-	for (unsigned i = 0; mechanisms.share && i < it->n; i++)
-		latency_record_told(&s->model, it->samples[i].factor,
-				    it->samples[i].count, it->samples[i].mean,
-				    now_ms);
-}
-
-/* Adds what a peer tells. */
+/* Adds what a peer has counted. */
 void shortage_gossip_received(struct traffic *t,
 			      const struct shortage_gossip *update)
 {
@@ -126,6 +91,8 @@
 	GHashTableIter it;
 	gpointer v;
 
+	if (!mechanisms.shortage)
+		return;
 	g_hash_table_iter_init(&it, t->backends.services);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct service *s = v;
@@ -133,7 +100,9 @@
 
 		for (unsigned i = 0; i < update->n; i++) {
 			if (update->items[i].service == id)
-				receive_item(s, &update->items[i], now_ms);
+				shortage_record_told(&s->shortage,
+						     update->items[i].counts,
+						     now_ms);
 		}
 	}
 }
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -61,8 +61,7 @@
 	struct backend_set backends;
 	struct peer_loads peer_loads;
 	ev_timer limits_timer, drain_timer;
-	ev_timer shortage_timer; /* while there is news for the peers */
-	unsigned shortage_turn;	 /* service that the next news begin with */
+	ev_timer shortage_timer; /* the next report, see shortage_gossip.h */
 	ev_timer inflight_report_timer;
 	bool inflight_report_pending;
 	struct peer_view peers;
