Callers refused in a shortage return over a longer time

Cause: without waits, callers that can still be on time return within a fifth of the target and find the same lack of room; they were refused a second and third time.

Change: in a shortage they are spread over up to half of the target, by the same share that cuts the waits.

--- a/core/retry_after.c
+++ b/core/retry_after.c
@@ -10,6 +10,12 @@
 static const double SOON_BASE = 0.08;
 static const double SOON_SPREAD = 0.12;
 
+/*
+ * In a shortage those that return so soon find the same lack of room, without a
+ * wait in between; they are spread over this much more of the target.
+ */
+static const double SHORTAGE_SPREAD = 0.3;
+
 /*
  * The others retry as late as they will wait, a third of their remaining time,
  * which leaves the servers to other requests in between.
@@ -26,7 +32,8 @@
 {
 	double left = left_ms > 0 ? (double)left_ms : 0;
 	double late = left * (LATE_BASE + LATE_SPREAD * random);
-	double soon = r->target_ms * (SOON_BASE + SOON_SPREAD * random);
+	double spread = SOON_SPREAD + SHORTAGE_SPREAD * r->wait_cut;
+	double soon = r->target_ms * (SOON_BASE + spread * random);
 	struct admit_request retried = *r;
 
 	if (!mechanisms.return_time)
--- a/tests/shortage_play.h
+++ b/tests/shortage_play.h
@@ -33,6 +33,7 @@
 	double rate_s;	      /* requests a second of all instances */
 	double burst_factor;  /* from 2 to 5 s */
 	bool shortage;	      /* waits follow the shortage */
+	bool spread;	      /* and the times to return */
 	bool newest_first;
 	guint32 seed;
 };
@@ -142,6 +143,8 @@
 	struct admit_request view = play_view(p, r);
 	double left = PLAY_LIMIT_MS - view.spent_ms;
 
+	if (!p->load.spread)
+		view.wait_cut = 0;
 	if (++r->attempts > PLAY_RETRIES) {
 		r->state = PLAY_DONE;
 		p->result.refused++;
--- a/tests/test_shortage.c
+++ b/tests/test_shortage.c
@@ -31,7 +31,7 @@
 
 /* Plays a load with several seeds. `burst`: in multiples of the room. */
 static struct play_result play_seeds(const struct play_load *load, double burst,
-				     bool all)
+				     bool shortage, bool spread)
 {
 	struct play_result sum = {0};
 
@@ -40,7 +40,8 @@
 		struct play_result r;
 
 		l.burst_factor = burst / 0.7;
-		l.shortage = all;
+		l.shortage = shortage;
+		l.spread = spread;
 		l.seed = seed;
 		r = play(&l);
 		sum.asked += r.asked;
@@ -54,7 +55,7 @@
 /* Where servers have room nothing is refused or late. */
 static void assert_room(const struct play_load *load)
 {
-	struct play_result r = play_seeds(load, 0.7, true);
+	struct play_result r = play_seeds(load, 0.7, true, true);
 
 	assert_int_equal(r.refused, 0);
 	assert_true(r.late <= r.asked / 200);
@@ -73,8 +74,8 @@
  */
 static void assert_overload(const struct play_load *load)
 {
-	struct play_result before = play_seeds(load, 2, false);
-	struct play_result r = play_seeds(load, 2, true);
+	struct play_result before = play_seeds(load, 2, false, false);
+	struct play_result r = play_seeds(load, 2, true, false);
 
 	print_message("on time %u late %u refused %u; before %u %u %u\n",
 		      r.on_time, r.late, r.refused, before.on_time, before.late,
@@ -90,6 +91,28 @@
 	assert_overload(&four_slots);
 }
 
+/*
+ * Callers that are refused at once return over a longer time: fewer are refused
+ * in the end, of which most are served, if late.
+ */
+static void assert_return(const struct play_load *load)
+{
+	struct play_result soon = play_seeds(load, 2, true, false);
+	struct play_result r = play_seeds(load, 2, true, true);
+
+	print_message("on time %u late %u refused %u; soon %u %u %u\n",
+		      r.on_time, r.late, r.refused, soon.on_time, soon.late,
+		      soon.refused);
+	assert_true(r.refused < 0.9 * soon.refused);
+	assert_true(r.on_time > 0.94 * soon.on_time);
+}
+
+static void test_return(void **state)
+{
+	assert_return(&two_slots);
+	assert_return(&four_slots);
+}
+
 /* Waits keep their length at a usual load and end in a shortage. */
 static void test_wait_cut(void **state)
 {
@@ -180,6 +203,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_room),
 		cmocka_unit_test(test_overload),
+		cmocka_unit_test(test_return),
 		cmocka_unit_test(test_wait_cut),
 		cmocka_unit_test(test_few_requests),
 		cmocka_unit_test(test_peers_and_age),
