--- a/control/control.h
+++ b/control/control.h
@@ -35,6 +35,7 @@
 	TO_TRAFFIC_QUOTA_ASK = 20,    /* struct quota_message * */
 	TO_TRAFFIC_QUOTA_ANSWER = 21, /* struct quota_message * */
 	TO_TRAFFIC_EVACUATIONS = 11,  /* struct evacuations * */
+	TO_TRAFFIC_SHORTAGE = 22,     /* struct shortage_gossip * */
 };
 
 /* Messages from the traffic thread; the receiver owns the data. */
@@ -46,6 +47,7 @@
 	FROM_TRAFFIC_DRAIN = 6,	     /* struct drain_gossip *, sender not set */
 	FROM_TRAFFIC_QUOTA_ASK = 20, /* struct quota_message *, no sender */
 	FROM_TRAFFIC_QUOTA_ANSWER = 21, /* struct quota_message *, no sender */
+	FROM_TRAFFIC_SHORTAGE = 22, /* struct shortage_gossip *, no sender */
 	FROM_TRAFFIC_LIMIT_CALL =
 		5, /* struct limit_borrow_msg *, `from` not set */
 };
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -15,6 +15,7 @@
 	LIMIT_FIELDS = 5,
 	DRAIN_FIELDS = 2,
 	CALL_FIELDS = 4,
+	SHORTAGE_FIELDS = 3,
 };
 
 enum {
@@ -423,6 +424,26 @@
 	}
 }
 
+/* Writes how many new requests of services found no room. */
+void gossip_write_shortage(struct buf *out,
+			   const struct shortage_gossip *update)
+{
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	msgpack_pack_array(&pk, 3);
+	msgpack_pack_int(&pk, GOSSIP_SHORTAGE);
+	msgpack_pack_uint32(&pk, update->peer);
+	msgpack_pack_array(&pk, SHORTAGE_FIELDS * (size_t)update->n);
+	for (unsigned i = 0; i < update->n; i++) {
+		const struct shortage_item *it = &update->items[i];
+
+		msgpack_pack_uint32(&pk, it->service);
+		msgpack_pack_uint32(&pk, it->counts.asked);
+		msgpack_pack_uint32(&pk, it->counts.missed);
+	}
+}
+
 /* Writes a request for a send, or the grant of one. */
 void gossip_write_grant(struct buf *out, const struct limit_borrow_msg *call)
 {
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -289,6 +289,25 @@
 	return !c.bad;
 }
 
+/* Returns false also if a count is larger than any instance's. */
+static bool read_shortage(const msgpack_object *o,
+			  struct shortage_gossip *update)
+{
+	struct cursor c = cursor_of(o);
+
+	while (!c.bad && c.at < c.end && update->n < SHORTAGE_GOSSIP_MAX) {
+		struct shortage_item *it = &update->items[update->n++];
+
+		it->service = (uint32_t)next_uint(&c);
+		it->counts.asked = (unsigned)next_uint(&c);
+		it->counts.missed = (unsigned)next_uint(&c);
+		if (it->counts.asked > SHORTAGE_COUNT_MAX ||
+		    it->counts.missed > SHORTAGE_COUNT_MAX)
+			return false;
+	}
+	return !c.bad;
+}
+
 static bool read_grant(struct cursor *c, struct gossip_message *m)
 {
 	m->call.grant = m->kind == GOSSIP_GRANT;
@@ -308,6 +327,7 @@
 	case GOSSIP_LOAD:
 	case GOSSIP_LIMITS:
 	case GOSSIP_DRAINING:
+	case GOSSIP_SHORTAGE:
 	case GOSSIP_GRANT_REQUEST:
 	case GOSSIP_GRANT:
 	case GOSSIP_QUOTA_ASK:
@@ -340,6 +360,9 @@
 	case GOSSIP_DRAINING:
 		m->drain.peer = (uint32_t)next_uint(c);
 		return read_draining(next(c), &m->drain) && !c->bad;
+	case GOSSIP_SHORTAGE:
+		m->shortage.peer = (uint32_t)next_uint(c);
+		return read_shortage(next(c), &m->shortage) && !c->bad;
 	case GOSSIP_GRANT_REQUEST:
 	case GOSSIP_GRANT:
 		return read_grant(c, m);
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -17,6 +17,7 @@
 #include "traffic/limits.h"
 #include "traffic/metrics.h"
 #include "traffic/request.h"
+#include "traffic/shortage_gossip.h"
 #include "traffic/slow_starts.h"
 #include "traffic/path_check.h"
 #include "traffic/traffic.h"
@@ -358,6 +359,10 @@
 		drain_gossip_received(t, m->data);
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_SHORTAGE:
+		shortage_gossip_received(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_LIMIT_CALL:
 		limit_sends_peer_message(t, m->data);
 		g_free(m->data);
@@ -463,6 +468,7 @@
 	limits_init(t);
 	quotas_init(t);
 	drain_gossip_init(t);
+	shortage_gossip_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
 	uploads_init(t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -67,6 +67,7 @@
 	struct backend_set backends;
 	struct peer_loads peer_loads;
 	ev_timer limits_timer, drain_timer;
+	ev_timer shortage_timer; /* the next report, see shortage_gossip.h */
 	ev_timer inflight_report_timer;
 	bool inflight_report_pending;
 	struct peer_view peers;
