Operators: evacuations and cold servers in ctl

'ctl evacuations' shows each evacuated data centre and each cold server, how many instances know of it, and the longest rest of a slow start.

--- a/app/main.c
+++ b/app/main.c
@@ -31,7 +31,7 @@
 	"on a local deployment (--deployment FILE; default: the embedded "
 	"one):\n"
 	"  entry --name NAME           an entry instance\n"
-	"  ctl show | log | status | workspaces\n"
+	"  ctl show | log | status | workspaces | evacuations\n"
 	"  ctl patch [--base N] [--unset K,..] [--wait] K=V ..\n"
 	"                              the operator's command line\n"
 	"  store                       stand-in: the platform's store\n"
@@ -121,8 +121,9 @@
 /* Checks the arguments of ctl and runs it. */
 static int run_ctl(const struct deploy *d, struct cli *o, char **rest)
 {
-	static const char *const commands[] = {"show",	 "log",	       "patch",
-					       "status", "workspaces", NULL};
+	static const char *const commands[] = {
+		"show",	      "log",	     "patch", "status",
+		"workspaces", "evacuations", NULL};
 	struct ctl_args a = {.base = o->base,
 			     .last = o->last ? o->last : 10,
 			     .wait = o->wait};
--- a/tools/ctl.c
+++ b/tools/ctl.c
@@ -8,6 +8,7 @@
 #include "http/socket.h"
 #include "misc/clock.h"
 #include "platform/store.h"
+#include "tools/ctl_evacuations.h"
 #include "tools/ctl_workspaces.h"
 #include "tools/fetch.h"
 #include "tools/tools.h"
@@ -298,6 +299,8 @@
 		return print_status(c->deploy);
 	if (!strcmp(a->cmd, "workspaces"))
 		return ctl_print_workspaces(c->deploy) ? EXIT_UNREACHABLE : 0;
+	if (!strcmp(a->cmd, "evacuations"))
+		return ctl_print_evacuations(c->deploy) ? EXIT_UNREACHABLE : 0;
 	if (read_live(c)) {
 		printf("not sent: cannot read the store: %s\n",
 		       g_strerror(-c->err));
--- a/tools/tools.h
+++ b/tools/tools.h
@@ -10,7 +10,7 @@
 
 /* Command line of ctl. */
 struct ctl_args {
-	const char *cmd; /* show, patch, log, status, workspaces */
+	const char *cmd; /* show, patch, log, status, workspaces, ... */
 	int64_t base;	 /* base version of a patch; -1: the live one */
 	char **set_kv;	 /* key=value items to set */
 	char **unset;	 /* keys to remove */
