--- a/traffic/request.h
+++ b/traffic/request.h
@@ -7,8 +7,10 @@
 #define MP_TRAFFIC_REQUEST_H
 
 #include "common/event.h"
+#include "core/access.h"
 #include "core/place.h"
 #include "platform/exchange.h"
+#include "traffic/quota_claim.h"
 #include "traffic/traffic.h"
 #include "traffic/upstream.h"
 
@@ -85,6 +87,7 @@
 	const struct route *route;
 	const struct workspace *workspace; /* of the caller; NULL: none */
 	struct request_priority priority;
+	struct quota_claim quota;
 	struct service *service;
 	struct class_stats *stats;
 	int64_t start_ms;
@@ -116,20 +119,17 @@
 
 void request_dispatch(struct traffic *t, struct http_conn *c,
 		      struct http_message *m, const struct request_info *call);
-void request_respond_no_route(struct traffic *t, struct http_conn *c,
-			      struct http_message *m,
-			      const struct request_info *call);
 void request_receive(void *priv, struct http_conn *c, struct http_message *m);
 void request_start(struct traffic *t, struct http_conn *c,
 		   struct http_message *m, const struct request_info *call,
 		   const struct route *route, const struct workspace *workspace,
 		   const struct caller_protocol *protocol);
-bool request_authorize(const struct traffic *t, const struct route *route,
-		       const struct request_info *call,
-		       const struct workspace **workspace);
-void request_respond_unauthorized(struct traffic *t, struct http_conn *c,
-				  struct http_message *m,
-				  const struct request_info *call);
+struct access request_access(const struct traffic *t,
+			     const struct request_info *call);
+void request_respond_denied(struct traffic *t, struct http_conn *c,
+			    struct http_message *m,
+			    const struct request_info *call,
+			    const struct access *a);
 void request_caller_left(void *priv, struct http_conn *c);
 
 /* Internal to the request state machine. */
@@ -151,6 +151,7 @@
 void request_reject_quarantined(struct request *r);
 void request_arm_timer(struct request *r);
 void request_refuse(struct request *r, const char *why);
+void request_refuse_quota(struct request *r, unsigned status, double retry_s);
 void request_fail(struct request *r, unsigned status, const char *why);
 void request_forward_response(struct request *r, struct http_message *answer);
 double request_retries_left(const struct request *r);
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -208,6 +208,7 @@
 	apply_policies(t);
 	apply_drained(t);
 	slow_starts_configure(t);
+	quotas_configure(t);
 	workspace_metrics_configured(t);
 }
 
@@ -325,6 +326,7 @@
 	path_check_peers_changed(t);
 	limits_peers_changed(t);
 	slow_starts_peers_changed(t);
+	quotas_update(t);
 	drain_gossip_peers_changed(t);
 }
 
@@ -360,9 +362,15 @@
 		limit_sends_peer_message(t, m->data);
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_QUOTA_ASK:
+	case TO_TRAFFIC_QUOTA_ANSWER:
+		quotas_peer_message(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_BOUNDS:
 		apply_bounds(t, m->data);
 		slow_starts_configure(t);
+		quotas_update(t);
 		g_free(m->data);
 		break;
 	case TO_TRAFFIC_EVACUATIONS:
@@ -453,6 +461,7 @@
 	path_check_init(t);
 	inflight_report_init(t);
 	limits_init(t);
+	quotas_init(t);
 	drain_gossip_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
