--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -127,8 +127,8 @@
 		"aPI-kEY: k-secret\r\nTENANT-name: forged\r\n",
 		"Api-Key: k-secret\r\nApi-Key: k-secret\r\n",
 		"Tenant-Name: forged\r\nTenant-Name: forged\r\n",
-		"Api-Key: k-secret\r\nTenant-Name: forged\r\n"
-		"Connection: Api-Key, Tenant-Name\r\n",
+		("Api-Key: k-secret\r\nTenant-Name: forged\r\n"
+		 "Connection: Api-Key, Tenant-Name\r\n"),
 		"Tenant-Name:\r\napi-key:k-secret\r\n",
 	};
 
