--- a/tests/quota_system.h
+++ b/tests/quota_system.h
@@ -46,6 +46,7 @@
 	GArray *runs[WORKSPACES]; /* int64_t, when requests were sent */
 	unsigned sent[WORKSPACES], refused[WORKSPACES], unreachable[WORKSPACES];
 	GArray *asking;	   /* struct asking */
+	unsigned asks;	   /* sent to other instances */
 	double loss;	   /* of messages */
 	int send_delay_ms; /* longest between grant and send */
 	double never_ran;  /* part of the grants that are given back */
@@ -75,6 +76,7 @@
 	struct instance *self = &s->instances[i];
 	struct limit_instance list[INSTANCES] = {{i + 1, 1}};
 	struct limit_instances all = {list, 1};
+	struct quota_start start = {0};
 	struct quota_part part;
 	unsigned k = 0;
 
@@ -90,7 +92,9 @@
 		return;
 	}
 	part = quota_part(&s->rule, &s->terms[w], k);
-	quota_bucket_hold(&self->buckets[w], &part, full, s->now_ms);
+	start.full = full;
+	start.from_ms = s->now_ms;
+	quota_bucket_hold(&self->buckets[w], &part, &start, s->now_ms);
 }
 
 static inline void system_update_all(struct quota_system *s, unsigned w)
@@ -188,7 +192,8 @@
 	if (!h) {
 		if (a->refused ||
 		    quota_holders_empty_ms(&self->holders[w], s->now_ms) >= 0)
-			s->refused[w]++;
+			s->refused[w]++, quota_holders_refused(
+						 &self->holders[w], s->now_ms);
 		else
 			s->unreachable[w]++;
 		return true;
@@ -196,6 +201,7 @@
 	a->asked.ids[a->asked.n++] = h->id;
 	other = &s->instances[h->id - 1];
 	a->next_ms = s->now_ms + (other == self ? 0 : 2 * PATH_MS);
+	s->asks += other != self;
 	if (other != self && (!other->up || other->frozen || is_lost(s))) {
 		h->silent_until_ms = s->now_ms + SILENT_FOR_MS;
 		a->next_ms = s->now_ms + SILENCE_MS;
--- a/traffic/quotas.h
+++ b/traffic/quotas.h
@@ -31,9 +31,10 @@
 };
 
 struct quotas {
-	GHashTable *uses;      /* workspace id -> struct quota_use * */
-	GHashTable *asking;    /* serial -> struct request * */
-	uint32_t serial;       /* of the last ask */
+	GHashTable *uses;   /* workspace id -> struct quota_use * */
+	GHashTable *asking; /* serial -> struct request * */
+	uint32_t serial;    /* of the last ask */
+	int64_t open_ms; /* nothing is granted before; 0: no instances known */
 	int64_t configured_ms; /* the first configuration; 0: none yet */
 };
 
@@ -41,6 +42,7 @@
 void quotas_configure(struct traffic *t);
 void quotas_update(struct traffic *t);
 const struct quota_use *quotas_use(const struct traffic *t, uint32_t workspace);
+unsigned quotas_used_here(struct traffic *t, uint32_t workspace);
 enum quota_result quotas_acquire(struct request *r);
 bool quotas_allow_send(struct request *r);
 void quotas_release(struct request *r);
