Quotas: after a start of all, small quotas grant within two seconds

Each holder started in debt of a whole request. Now the debt is such that a start of all holders uses a quarter of the rule's slack at most. tests/test_quota: test_small_quota_after_a_start_of_all.

--- a/core/quota.c
+++ b/core/quota.c
@@ -6,6 +6,9 @@
 /* Part of the overshoot that is distributed as bucket depth. */
 static const double DEPTH_OF_OVERSHOOT = 0.4;
 
+/* Part of the slack that a start of all holders may use. */
+static const double START_OF_SLACK = 0.25;
+
 /*
  * Depth of a bucket whose quota has no burst: it saves nothing but grants one
  * request as soon as the last one is paid for.
@@ -74,6 +77,16 @@
 	return (unsigned)max(min(k, floor(most_in_window(rule, q))), 1);
 }
 
+/*
+ * Returns the debt in which a holder starts. Without any, a process that is
+ * restarted again and again could grant one request each time; in full debt, a
+ * small quota grants nothing for seconds after all were restarted.
+ */
+static double start_debt(const struct quota_rule *rule, unsigned holders)
+{
+	return max(1 - START_OF_SLACK * rule->slack / holders, 0);
+}
+
 /* Returns the part of each of the holders. */
 struct quota_part quota_part(const struct quota_rule *rule,
 			     const struct quota_terms *q, unsigned holders)
@@ -83,6 +96,7 @@
 	return (struct quota_part){
 		.rate_s = q->rate_s / holders,
 		.depth = max(total_depth(rule, q) / holders, MIN_DEPTH),
+		.start_debt = start_debt(rule, holders),
 		.max_grants = (unsigned)min(most, UINT16_MAX),
 		.window_ms = (unsigned)(rule->window_s * 1000) + QUOTA_GRANT_MS,
 	};
@@ -145,7 +159,7 @@
 	memset(b, 0, sizeof(*b));
 	b->held = true;
 	b->part = *part;
-	b->tokens = start->full ? part->depth : -1;
+	b->tokens = start->full ? part->depth : -part->start_debt;
 	b->updated_ms = start->from_ms < now_ms ? start->from_ms : now_ms;
 	b->open_ms = start->open_ms;
 }
--- a/core/quota.h
+++ b/core/quota.h
@@ -14,7 +14,7 @@
  * a fraction of a token is never lost, and a holder's debt is at most one
  * request. Any instance asks one holder after the other, see core/quota_pick.h.
  *
- * A holder starts with an empty bucket, in full debt, so that an instance that
+ * A holder starts with an empty bucket, in debt, so that an instance that
  * starts again, or that becomes a holder, doesn't grant a second time what was
  * granted before. A process that has just started has tokens for the time since,
  * as its last process had ended by then, but grants nothing until it knows the
@@ -58,6 +58,7 @@
 struct quota_part {
 	double rate_s;	     /* refill, requests per second */
 	double depth;	     /* requests that the bucket holds */
+	double start_debt;   /* requests, of a process that starts */
 	unsigned max_grants; /* in the longer window */
 	unsigned window_ms;  /* that window */
 };
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -256,7 +256,7 @@
 /* Late requests leave the last tokens to others. */
 static void test_late_requests_go_last(void **state)
 {
-	struct quota_part part = {10, 8, 1000, 5200};
+	struct quota_part part = {10, 8, 1, 1000, 5200};
 	struct quota_start full = {.full = true};
 	struct quota_bucket b = {0};
 	uint32_t stamp;
@@ -271,10 +271,29 @@
 	assert_int_equal(timely, 2);
 }
 
+/*
+ * All holders of a small quota that start again grant no more than a part of
+ * the slack, and something within two seconds.
+ */
+static void test_small_quota_after_a_start_of_all(void **state)
+{
+	struct quota_rule rule = {5, 0.1, 20};
+	struct quota_terms terms = {1.6, 1.6};
+	struct quota_part part = quota_part(&rule, &terms, 8);
+	struct quota_start start = {.from_ms = 1000, .open_ms = 1500};
+	struct quota_bucket b = {0};
+	uint32_t stamp;
+
+	quota_bucket_hold(&b, &part, &start, 1000);
+	assert_false(quota_bucket_grant(&b, false, 1500, &stamp));
+	assert_true(quota_bucket_grant(&b, false, 3000, &stamp));
+	assert_true(8 * (1 - part.start_debt) <= rule.slack / 4);
+}
+
 /* Refused callers get turns one after the other, at the quota's rate. */
 static void test_turns_are_spaced(void **state)
 {
-	struct quota_part part = {10, 1, 1000, 5200};
+	struct quota_part part = {10, 1, 1, 1000, 5200};
 	struct quota_start full = {.full = true};
 	struct quota_bucket b = {0};
 	uint32_t stamp;
@@ -296,7 +315,7 @@
  */
 static void test_new_process_waits(void **state)
 {
-	struct quota_part part = {10, 8, 1000, 5200};
+	struct quota_part part = {10, 8, 1, 1000, 5200};
 	struct quota_start start = {.from_ms = 700, .open_ms = 2000};
 	struct quota_bucket b = {0};
 	uint32_t stamp;
@@ -326,6 +345,7 @@
 		cmocka_unit_test(test_silent_workspace_comes_at_one_instance),
 		cmocka_unit_test(test_grants_used_late_or_given_back),
 		cmocka_unit_test(test_late_requests_go_last),
+		cmocka_unit_test(test_small_quota_after_a_start_of_all),
 		cmocka_unit_test(test_turns_are_spaced),
 		cmocka_unit_test(test_new_process_waits),
 	};
