A version that peers and the store withhold is asked for in turn, not every tick

Now the store is called at most once in 0.7 s, with peers in between, and the last instance that reported the version counts as reporter.

--- a/control/sources.c
+++ b/control/sources.c
@@ -94,8 +94,7 @@
 void sources_get_config(struct control *c, const struct peer_info *peer,
 			enum config_action need, int64_t now_ms)
 {
-	if (!c->spread.since_ms &&
-	    peer->config.version == c->config.newest_progress.version)
+	if (peer->config.version == c->config.newest_progress.version)
 		c->reporter = *peer;
 	/* If another fetch is pending, the next heartbeat tries again. */
 	if (need == CONFIG_FETCH_FROM_PEER)
--- a/core/config_spread.c
+++ b/core/config_spread.c
@@ -35,8 +35,12 @@
 			s->next_ms += FORWARD_DELAY_MS +
 				      (int64_t)(FORWARD_SPREAD_MS * random);
 	}
-	if (now_ms - s->since_ms >= LIMIT_MS)
+	/* The store may refuse; peers are then tried again, for as long. */
+	if (now_ms - s->since_ms >= LIMIT_MS) {
+		s->since_ms = now_ms;
+		s->next_ms = now_ms + RETRY_MS;
 		return SPREAD_FROM_STORE;
+	}
 	if (now_ms < s->next_ms)
 		return SPREAD_WAIT;
 	s->next_ms = now_ms + RETRY_MS;
--- a/tests/test_config_spread.c
+++ b/tests/test_config_spread.c
@@ -64,6 +64,26 @@
 	}
 }
 
+/*
+ * While the store refuses and the forwarders are gone, the store is called at
+ * most once in 0.7 s, and peers are tried in between.
+ */
+static void test_store_refuses(void **state)
+{
+	struct config_spread s = {0};
+	unsigned store = 0, peers = 0;
+
+	for (int64_t now = 1000; now < 8000; now += TICK_MS) {
+		enum config_spread_step step =
+			config_spread_next(&s, 9, 0.5, now);
+
+		store += step == SPREAD_FROM_STORE;
+		peers += step == SPREAD_FROM_FORWARDER;
+	}
+	assert_in_range(store, 5, 10);
+	assert_in_range(peers, 15, 35);
+}
+
 /*
  * A data centre's instances hear of a version at once. Forwarders have it after
  * one transfer; all others get it from them, and few do so in the same 100 ms.
@@ -106,6 +126,7 @@
 		cmocka_unit_test(test_others),
 		cmocka_unit_test(test_silent_store),
 		cmocka_unit_test(test_store_in_time),
+		cmocka_unit_test(test_store_refuses),
 		cmocka_unit_test(test_data_centre),
 	};
 
