Placement: later probe rounds draw data centres by idle servers

Cause: the later rounds added 0.4 to the rank of another data centre beside a random number below 1.

Change: data centres are drawn by their servers and by how many more of them are idle than here, less the way's part of the request's spare time. Requests with time for a busy server stay. Switch: spill.

Ruled out: old reports, as collisions don't grow with their age.

--- a/core/backend.c
+++ b/core/backend.c
@@ -170,6 +170,7 @@
 	b->id_hash = peer_load_hash(e->id);
 	b->state = server_state_get(&s->states, e->id, e->server_start_ms);
 	b->service = backend_set_service(s, lstr0(e->service));
+	b->dc_index = spill_index(&b->service->spill, e->dc);
 	g_ptr_array_add(b->service->backends, b);
 	g_hash_table_insert(s->by_id, b->entry.id, b);
 	return b;
--- a/core/backend.h
+++ b/core/backend.h
@@ -19,6 +19,7 @@
 #include "core/probe_times.h"
 #include "core/reach.h"
 #include "core/server_state.h"
+#include "core/spill.h"
 #include "misc/lstr.h"
 
 /* An entry of the platform's list of backend servers. */
@@ -57,6 +58,7 @@
 	struct service *service;
 	uint32_t start_hash;	    /* backend_start_hash() of entry */
 	uint32_t id_hash;	    /* peer_load_hash() of entry.id */
+	unsigned dc_index;	    /* of its data centre in service->spill */
 	struct server_state *state; /* announced by this start of the server */
 	unsigned refs;
 	bool gone; /* no longer listed: gets no new requests */
@@ -94,6 +96,7 @@
 	struct budget_stats retry_stats; /* since this process started */
 	const struct place_policy *policy;
 	struct service_model model; /* learned from the servers' answers */
+	struct spill spill;	    /* state of its data centres */
 	/* When a request that could meet its target last found no capacity. */
 	int64_t capacity_missed_ms;
 	GQueue waiting; /* requests without a server, highest priority first */
--- a/core/mechanisms.c
+++ b/core/mechanisms.c
@@ -11,6 +11,7 @@
 	.outliers = true,
 	.idle_first = true,
 	.own_dc = true,
+	.spill = true,
 	.spent = true,
 	.return_time = true,
 	.quarantine = true,
--- a/core/place.c
+++ b/core/place.c
@@ -155,6 +155,13 @@
 	return fit;
 }
 
+/* Returns whether the data centres are drawn by their idle servers. */
+static bool spill_applies(const struct place_query *q)
+{
+	return mechanisms.spill && mechanisms.own_dc && !q->own_dc_only &&
+	       q->spare_ms > 0 && q->service->spill.n > 1;
+}
+
 /* Returns a candidate's rank; the lowest ones are probed first. */
 static double probe_rank(const struct place_query *q, const struct backend *b,
 			 bool explore)
@@ -166,7 +173,8 @@
 		rank += RANK_DEPRIORITIZED + score;
 	else if (score > 0)
 		rank += score;
-	if (mechanisms.own_dc && strcmp(b->entry.dc, q->dc))
+	if (mechanisms.own_dc && !spill_applies(q) &&
+	    strcmp(b->entry.dc, q->dc))
 		rank += RANK_OTHER_DC;
 	if (b->warm_up_until_ms > q->now_ms)
 		rank += RANK_WARMING_UP;
@@ -176,20 +184,15 @@
 	return rank + report_rank(q, b, explore);
 }
 
-/*
- * place_select_probes() selects up to `want` servers to probe next and stores
- * them in `out`, lowest rank first. Returns their number.
- */
-unsigned place_select_probes(const struct place_query *q, unsigned want,
-			     struct backend **out)
+/* Selects the candidates with the lowest ranks. */
+static unsigned select_by_rank(const struct place_query *q, unsigned want,
+			       struct backend **out)
 {
 	double ranks[PLACE_PROBE_MAX];
 	unsigned n = 0;
 	const GPtrArray *all = q->service->backends;
 	bool explore = g_rand_double(q->rand) < EXPLORE_SHARE;
 
-	if (want > PLACE_PROBE_MAX)
-		want = PLACE_PROBE_MAX;
 	for (guint i = 0; i < all->len; i++) {
 		struct backend *b = g_ptr_array_index(all, i);
 
@@ -214,9 +217,112 @@
 	return n;
 }
 
+/* Fills `weights` with each data centre's part of the probes. */
+static void weigh_dcs(const struct place_query *q, double *weights)
+{
+	const struct spill *s = &q->service->spill;
+	const GPtrArray *all = q->service->backends;
+	unsigned servers[SPILL_DCS_MAX] = {0};
+	const struct spill_dc *own = NULL;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct backend *b = g_ptr_array_index(all, i);
+
+		servers[b->dc_index] += is_candidate(q, b, true) &&
+					!outlier_is_deprioritized(b, q->now_ms);
+	}
+	for (unsigned i = 0; i < s->n; i++) {
+		if (!strcmp(s->dcs[i].name, q->dc))
+			own = &s->dcs[i];
+	}
+	for (unsigned i = 0; i < s->n; i++)
+		weights[i] = spill_weight(&s->dcs[i], own, servers[i],
+					  q->spare_ms, q->now_ms);
+}
+
+/* Returns whether b is one of the n servers in list. */
+static bool is_listed(struct backend *const *list, unsigned n,
+		      const struct backend *b)
+{
+	for (unsigned i = 0; i < n; i++) {
+		if (list[i] == b)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns the candidate with the lowest rank in a data centre that isn't one of
+ * the n in `chosen`, or NULL.
+ */
+static struct backend *best_in_dc(const struct place_query *q, unsigned dc,
+				  struct backend *const *chosen, unsigned n,
+				  bool explore)
+{
+	const GPtrArray *all = q->service->backends;
+	struct backend *best = NULL;
+	double best_rank = 0;
+
+	for (guint i = 0; i < all->len; i++) {
+		struct backend *b = g_ptr_array_index(all, i);
+		double rank;
+
+		if (b->dc_index != dc || is_listed(chosen, n, b) ||
+		    !is_candidate(q, b, true))
+			continue;
+		rank = probe_rank(q, b, explore);
+		if (best && rank >= best_rank)
+			continue;
+		best = b;
+		best_rank = rank;
+	}
+	return best;
+}
+
+/*
+ * Selects servers of data centres that are drawn, see core/spill.h. Selects
+ * fewer than `want` if healthy ones run out.
+ */
+static unsigned select_spilled(const struct place_query *q, unsigned want,
+			       struct backend **out)
+{
+	double weights[SPILL_DCS_MAX] = {0};
+	unsigned dcs = q->service->spill.n, n = 0;
+	bool explore = g_rand_double(q->rand) < EXPLORE_SHARE;
+
+	weigh_dcs(q, weights);
+	while (n < want) {
+		unsigned dc = spill_draw(weights, dcs, g_rand_double(q->rand));
+
+		if (dc == dcs)
+			return n;
+		out[n] = best_in_dc(q, dc, out, n, explore);
+		if (out[n])
+			n++;
+		else
+			weights[dc] = 0;
+	}
+	return n;
+}
+
+/*
+ * place_select_probes() selects up to `want` servers to probe next and stores
+ * them in `out`. Returns their number.
+ */
+unsigned place_select_probes(const struct place_query *q, unsigned want,
+			     struct backend **out)
+{
+	unsigned n;
+
+	if (want > PLACE_PROBE_MAX)
+		want = PLACE_PROBE_MAX;
+	n = spill_applies(q) ? select_spilled(q, want, out) : 0;
+	return n ? n : select_by_rank(q, want, out);
+}
 /* place_record_rtt() adds the round-trip time of a load probe. */
 void place_record_rtt(struct backend *b, double ms)
 {
+	spill_record_rtt(&b->service->spill.dcs[b->dc_index], ms);
 	b->rtt_ms += RTT_EWMA_WEIGHT * (ms - b->rtt_ms);
 }
 
@@ -245,6 +351,8 @@
 	latency_record_server(&b->service->model,
 			      latency_factor(&b->service->model, &v, now_ms),
 			      place_has_capacity(b, now_ms));
+	spill_record_report(&b->service->spill.dcs[b->dc_index],
+			    place_is_good_enough(b, now_ms), now_ms);
 }
 
 /*
--- a/core/place.h
+++ b/core/place.h
@@ -22,6 +22,8 @@
 	struct backend *const *avoid; /* already probed or sent to */
 	unsigned navoid;
 	bool own_dc_only;
+	/* spill_spare_ms(); 0: ranks decide alone. */
+	double spare_ms;
 	bool hedge; /* another copy is outstanding: not to limited servers */
 	int64_t now_ms;
 	GRand *rand;
--- a/traffic/probe.c
+++ b/traffic/probe.c
@@ -168,6 +168,10 @@
 	p->upstream = NULL;
 	p->pending = false;
 	p->traffic->counters.probe_failures += err != -ECANCELED;
+	if (err == -ETIMEDOUT)
+		spill_record_timeout(
+			&p->backend->service->spill.dcs[p->backend->dc_index],
+			PROBE_TIMEOUT_S * 1000);
 	/*
 	 * A kept connection may be closed at any time, and a probe may be
 	 * cancelled before it is sent: neither is a failure of the server.
--- a/traffic/request_select.c
+++ b/traffic/request_select.c
@@ -81,6 +81,14 @@
 	return n;
 }
 
+/* Returns what the request can lose on its way to another data centre. */
+static double spare_ms(const struct request *r, int64_t now_ms)
+{
+	struct admit_request view = request_admission_view(r, now_ms);
+
+	return spill_spare_ms(view.target_ms, view.spent_ms, view.median_ms);
+}
+
 /* Starts the next probe round; returns false if no server is left to probe. */
 static bool start_probe_round(struct request *r, int64_t now_ms)
 {
@@ -92,6 +100,7 @@
 		.avoid = excluded,
 		.navoid = excluded_backends(r, excluded),
 		.own_dc_only = r->probe_round == 0,
+		.spare_ms = spare_ms(r, now_ms),
 		.hedge = r->select_reason == SELECT_HEDGE,
 		.now_ms = now_ms,
 		.rand = r->traffic->rand,
