Retry budget: a part is kept for more urgent requests

Change: a fifth of a window's retries is kept for each more urgent route priority that wanted one lately. Switch: reserve.

--- a/core/backend.h
+++ b/core/backend.h
@@ -18,6 +18,7 @@
 #include "core/path.h"
 #include "core/probe_times.h"
 #include "core/reach.h"
+#include "core/retry_reserve.h"
 #include "core/server_state.h"
 #include "core/spill.h"
 #include "misc/lstr.h"
@@ -93,6 +94,7 @@
 	struct service_paths paths;
 	struct slow_start_bound slow_start;
 	struct retry_budget budget;
+	struct retry_wants retry_wants;
 	struct budget_stats retry_stats; /* since this process started */
 	const struct place_policy *policy;
 	struct service_model model; /* learned from the servers' answers */
--- a/core/mechanisms.c
+++ b/core/mechanisms.c
@@ -12,6 +12,7 @@
 	.idle_first = true,
 	.own_dc = true,
 	.spill = true,
+	.reserve = true,
 	.spent = true,
 	.return_time = true,
 	.quarantine = true,
--- a/core/mechanisms.h
+++ b/core/mechanisms.h
@@ -20,6 +20,7 @@
 	bool idle_first;  /* prefer servers with an idle connection */
 	bool own_dc;	  /* prefer servers in the own data centre */
 	bool spill;	  /* look for idle servers where there are most */
+	bool reserve;	  /* keep retries for more urgent requests */
 	bool spent;	  /* count the time of a caller's earlier attempts */
 	bool return_time; /* derive Retry-After from the caller's time left */
 	bool quarantine;  /* refuse requests that crash servers */
