--- a/core/backend.h
+++ b/core/backend.h
@@ -20,6 +20,7 @@
 #include "core/reach.h"
 #include "core/retry_reserve.h"
 #include "core/server_state.h"
+#include "core/shortage.h"
 #include "core/spill.h"
 #include "misc/lstr.h"
 
@@ -101,6 +102,7 @@
 	struct spill spill;	    /* state of its data centres */
 	/* When a request that could meet its target last found no capacity. */
 	int64_t capacity_missed_ms;
+	struct shortage shortage;
 	GQueue waiting; /* requests without a server, highest priority first */
 	struct limit_borrow borrow; /* sends requested from peers */
 	int64_t last_turn_ms; /* latest turn given out, see retry_after.h */
--- a/core/mechanisms.c
+++ b/core/mechanisms.c
@@ -3,6 +3,7 @@
 struct mechanisms mechanisms = {
 	.ask = true,
 	.learn = true,
+	.shortage = true,
 	.wait = true,
 	.quick_only = true,
 	.late_yield = true,
--- a/options/instance.c
+++ b/options/instance.c
@@ -15,6 +15,7 @@
 	{"ip", OPT_STR, FIELD(ip), NULL, 0, 0},
 	{"seeds", OPT_STR, FIELD(seeds), "", 0, 0},
 	{"first_start", OPT_BOOL, FIELD(first_start), "false", 0, 0},
+	{"memory_mb", OPT_REAL, FIELD(memory_mb), "0", 0, 0},
 	OPT_END,
 };
 
@@ -66,6 +67,7 @@
 static const struct opt_def policy_opts[] = {
 	{"ask", OPT_BOOL, FIELD(policy.ask), "true", 0, 0},
 	{"learn", OPT_BOOL, FIELD(policy.learn), "true", 0, 0},
+	{"shortage", OPT_BOOL, FIELD(policy.shortage), "true", 0, 0},
 	{"wait", OPT_BOOL, FIELD(policy.wait), "true", 0, 0},
 	{"quick_only", OPT_BOOL, FIELD(policy.quick_only), "true", 0, 0},
 	{"late_yield", OPT_BOOL, FIELD(policy.late_yield), "true", 0, 0},
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -6,6 +6,8 @@
 #include "misc/clock.h"
 #include "traffic/metrics.h"
 #include "traffic/upstream.h"
+#include "traffic/uploads.h"
+#include "traffic/workspace_metrics.h"
 
 static void write_class(struct buf *out, const struct class_stats *c)
 {
@@ -125,6 +127,45 @@
 		buf_printf(out, "evacuated_dc{dc=\"%s\"} 1\n", e->list[i].dc);
 }
 
+/* Writes what was refused because of quotas, and what that cost. */
+static void write_quotas(struct buf *out, const struct traffic_counters *n)
+{
+	const struct {
+		const char *name;
+		uint64_t value;
+	} lines[] = {
+		{"quota_refused", n->quota_refused},
+		{"quota_unreachable", n->quota_unreachable},
+		{"quota_asks", n->quota_asks},
+		{"quota_answers", n->quota_answers},
+		{"quota_timeouts", n->quota_timeouts},
+		{"quota_given_back", n->quota_given_back},
+		{"quota_renewals", n->quota_renewals},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
+		buf_printf(out, "%s %" G_GUINT64_FORMAT "\n", lines[i].name,
+			   lines[i].value);
+}
+
+/* Writes what the calls to the store were for. */
+static void write_store_calls(struct buf *out, const struct control_view *v)
+{
+	static const char *const users[STORE_USERS] = {
+		[STORE_USER_CONFIG] = "config",
+		[STORE_USER_BACKENDS] = "backends",
+		[STORE_USER_JOIN] = "join",
+		[STORE_USER_VERDICTS] = "verdicts",
+		[STORE_USER_RECORDS] = "records",
+	};
+
+	for (unsigned i = 0; i < STORE_USERS; i++)
+		buf_printf(out,
+			   "store_calls_by{what=\"%s\"} %" G_GUINT64_FORMAT
+			   "\n",
+			   users[i], ck_pr_load_64(&v->store_calls_by[i]));
+}
+
 /* Writes all metrics of the traffic thread. */
 void metrics_write(struct buf *out, const struct traffic *t)
 {
@@ -156,6 +197,7 @@
 		   ck_pr_load_64(&v->bytes_out));
 	buf_printf(out, "store_calls %" G_GUINT64_FORMAT "\n",
 		   ck_pr_load_64(&v->store_calls));
+	write_store_calls(out, v);
 	buf_printf(out, "log_lines_lost %" G_GUINT64_FORMAT "\n",
 		   mp_log_lines_lost());
 	buf_printf(out, "lifetime{id=\"%08x\"} %" G_GINT64_FORMAT "\n",
@@ -180,6 +222,7 @@
 		   n->limits_given);
 	buf_printf(out, "limits_granted %" G_GUINT64_FORMAT "\n",
 		   n->limits_granted);
+	write_quotas(out, n);
 	buf_printf(out, "backoffs %" G_GUINT64_FORMAT "\n", n->backoffs);
 	buf_printf(out, "sends_withdrawn %" G_GUINT64_FORMAT "\n",
 		   n->withdrawn);
@@ -202,6 +245,8 @@
 	buf_printf(out, "no_route %" G_GUINT64_FORMAT "\n", n->no_route);
 	buf_printf(out, "directory_answers %" G_GUINT64_FORMAT "\n",
 		   n->directory_answers);
+	uploads_write_metrics(out, &t->bodies);
+	workspace_metrics_write(out, t);
 	g_hash_table_iter_init(&it, t->classes);
 	while (g_hash_table_iter_next(&it, NULL, &item))
 		write_class(out, item);
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -2,10 +2,14 @@
 
 #include "common/event.h"
 #include "core/availability.h"
+#include "core/mechanisms.h"
 #include "core/request_digest.h"
 #include "core/retry_after.h"
 #include "misc/clock.h"
+#include "traffic/quotas.h"
 #include "traffic/request.h"
+#include "traffic/uploads.h"
+#include "traffic/workspace_metrics.h"
 
 enum {
 	/* For callers that name no time limit. */
@@ -26,6 +30,7 @@
 
 	request_select_end(r);
 	request_sends_end(r);
+	quotas_release(r);
 	for (unsigned i = 0; i < r->nsends; i++)
 		backend_unref(r->sends[i].backend);
 	ev_timer_stop(t->loop, &r->timer);
@@ -43,6 +48,7 @@
 
 	if (r->protocol->completed)
 		r->protocol->completed(r, status, body);
+	workspace_metrics_ended(r, status);
 	request_free(r);
 	if (!c)
 		return;
@@ -78,6 +84,10 @@
 		.median_ms = work->median_ms * factor,
 		.p75_ms = work->p75_ms * factor,
 		.waited_ms = (double)selecting_ms,
+		.wait_cut = mechanisms.shortage
+				    ? shortage_wait_cut(shortage_share(
+					      &r->service->shortage, now_ms))
+				    : 0,
 		.capacity_short = latency_capacity_short(&r->service->model),
 	};
 }
@@ -128,6 +138,17 @@
 	       MAX(retry_s, queue_s));
 }
 
+/*
+ * Refuses a request that its workspace's quota doesn't cover, or of which that
+ * isn't known; it is logged by the caller.
+ */
+void request_refuse_quota(struct request *r, unsigned status, double retry_s)
+{
+	r->traffic->last_failure_ms = clock_ms();
+	r->stats->refused++;
+	respond_local(r, status, retry_s);
+}
+
 /*
  * Returns whether the request must not be sent to any server: it has crashed
  * servers repeatedly, and each further send would cost another one with all its
@@ -395,9 +416,14 @@
 	r->start_ms = clock_ms();
 	r->log_deferred = !mp_log_allow_routine();
 	if (call->has_time_left) {
-		record_time_limit(r, left_ms);
-		r->spent_before_ms = caller_timeout_spent_ms(
-			&r->stats->caller_timeout, &t->spread, left_ms);
+		/* What the caller named; the body's time is known exactly. */
+		uint32_t named_ms = left_ms + call->body_ms;
+
+		record_time_limit(r, named_ms);
+		r->spent_before_ms =
+			call->body_ms +
+			caller_timeout_spent_ms(&r->stats->caller_timeout,
+						&t->spread, named_ms);
 	}
 	left_ms -= reserve_ms;
 	r->deadline_ms =
@@ -411,7 +437,8 @@
 			   clock_boot_ms());
 	r->service->retry_stats.requests++;
 	http_conn_set_user(c, r);
-	request_select(r, SELECT_FIRST);
+	if (quotas_acquire(r) == QUOTA_GRANTED)
+		request_select(r, SELECT_FIRST);
 }
 
 /*
@@ -421,24 +448,17 @@
 void request_dispatch(struct traffic *t, struct http_conn *c,
 		      struct http_message *m, const struct request_info *call)
 {
-	const struct workspace *workspace = NULL;
-	const struct route *route = NULL;
+	struct access a = request_access(t, call);
 	struct request_info identified = *call;
 
-	if (t->config)
-		route = config_match(t->config, call->host, call->path);
-	if (!route) {
-		request_respond_no_route(t, c, m, call);
-		return;
-	}
-	if (!request_authorize(t, route, call, &workspace)) {
-		request_respond_unauthorized(t, c, m, call);
+	if (a.status != ACCESS_GRANTED) {
+		request_respond_denied(t, c, m, call, &a);
 		return;
 	}
 	identified.identified = t->config->workspaces.required;
-	if (workspace)
-		identified.workspace = workspace->name;
-	request_start(t, c, m, &identified, route, workspace,
+	if (a.workspace)
+		identified.workspace = a.workspace->name;
+	request_start(t, c, m, &identified, a.route, a.workspace,
 		      &platform_protocol);
 }
 
@@ -456,6 +476,7 @@
 		http_conn_reply(c, &(struct http_reply){.status = 400});
 		return;
 	}
+	uploads_deduct_receive_time(c, &call);
 	if (!early_hold(t, c, m, &call))
 		request_dispatch(t, c, m, &call);
 }
@@ -478,5 +499,6 @@
 	if (r->protocol->completed)
 		r->protocol->completed(r, r->maybe_executed ? 504 : 503,
 				       LSTR(""));
+	workspace_metrics_ended(r, 0);
 	request_free(r);
 }
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -17,11 +17,14 @@
 #include "traffic/limits.h"
 #include "traffic/metrics.h"
 #include "traffic/request.h"
+#include "traffic/shortage_gossip.h"
 #include "traffic/slow_starts.h"
 #include "traffic/path_check.h"
 #include "traffic/traffic.h"
 #include "traffic/tunnels.h"
+#include "traffic/uploads.h"
 #include "traffic/upstream.h"
+#include "traffic/workspace_metrics.h"
 
 enum {
 	/* Used until the first configuration sets the callers' limits. */
@@ -206,6 +209,8 @@
 	apply_policies(t);
 	apply_drained(t);
 	slow_starts_configure(t);
+	quotas_configure(t);
+	workspace_metrics_configured(t);
 }
 
 /* Updates whether a server's data centre is evacuated. */
@@ -322,6 +327,7 @@
 	path_check_peers_changed(t);
 	limits_peers_changed(t);
 	slow_starts_peers_changed(t);
+	quotas_update(t);
 	drain_gossip_peers_changed(t);
 }
 
@@ -353,13 +359,23 @@
 		drain_gossip_received(t, m->data);
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_SHORTAGE:
+		shortage_gossip_received(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_LIMIT_CALL:
 		limit_sends_peer_message(t, m->data);
 		g_free(m->data);
 		break;
+	case TO_TRAFFIC_QUOTA_ASK:
+	case TO_TRAFFIC_QUOTA_ANSWER:
+		quotas_peer_message(t, m->data);
+		g_free(m->data);
+		break;
 	case TO_TRAFFIC_BOUNDS:
 		apply_bounds(t, m->data);
 		slow_starts_configure(t);
+		quotas_update(t);
 		g_free(m->data);
 		break;
 	case TO_TRAFFIC_EVACUATIONS:
@@ -450,9 +466,12 @@
 	path_check_init(t);
 	inflight_report_init(t);
 	limits_init(t);
+	quotas_init(t);
 	drain_gossip_init(t);
+	shortage_gossip_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
+	uploads_init(t);
 	backend_set_init(&t->backends, on_backend_gone, t);
 	mailbox_init(&t->inbox, t->loop, on_mail, t);
 	return open_servers(t);
