--- a/core/backend.h
+++ b/core/backend.h
@@ -18,8 +18,10 @@
 #include "core/path.h"
 #include "core/probe_times.h"
 #include "core/reach.h"
+#include "core/retry_reserve.h"
 #include "core/server_state.h"
 #include "core/shortage.h"
+#include "core/spill.h"
 #include "misc/lstr.h"
 
 /* An entry of the platform's list of backend servers. */
@@ -58,6 +60,7 @@
 	struct service *service;
 	uint32_t start_hash;	    /* backend_start_hash() of entry */
 	uint32_t id_hash;	    /* peer_load_hash() of entry.id */
+	unsigned dc_index;	    /* of its data centre in service->spill */
 	struct server_state *state; /* announced by this start of the server */
 	unsigned refs;
 	bool gone; /* no longer listed: gets no new requests */
@@ -92,9 +95,11 @@
 	struct service_paths paths;
 	struct slow_start_bound slow_start;
 	struct retry_budget budget;
+	struct retry_wants retry_wants;
 	struct budget_stats retry_stats; /* since this process started */
 	const struct place_policy *policy;
 	struct service_model model; /* learned from the servers' answers */
+	struct spill spill;	    /* state of its data centres */
 	/* When a request that could meet its target last found no capacity. */
 	int64_t capacity_missed_ms;
 	struct shortage shortage;
