--- a/core/backend.h
+++ b/core/backend.h
@@ -98,6 +98,7 @@
 	/* When a request that could meet its target last found no capacity. */
 	int64_t capacity_missed_ms;
 	struct shortage shortage;
+	int64_t shortage_ms; /* when it was logged to begin; 0: none */
 	GQueue waiting; /* requests without a server, highest priority first */
 	struct limit_borrow borrow; /* sends requested from peers */
 	int64_t last_turn_ms; /* latest turn given out, see retry_after.h */
--- a/traffic/shortage_gossip.c
+++ b/traffic/shortage_gossip.c
@@ -1,3 +1,4 @@
+#include "common/event.h"
 #include "core/mechanisms.h"
 #include "misc/clock.h"
 #include "traffic/shortage_gossip.h"
@@ -67,6 +68,25 @@
 	ev_timer_start(t->loop, &t->shortage_timer);
 }
 
+/* Logs that waits end, or that they have their usual length again. */
+static void log_change(struct service *s, int64_t now_ms)
+{
+	double share = shortage_share(&s->shortage, now_ms);
+	double cut = shortage_wait_cut(share);
+
+	if (!s->shortage_ms && cut >= 1) {
+		s->shortage_ms = now_ms;
+		mp_event(EV_SHORTAGE_BEGUN, G_LOG_LEVEL_MESSAGE,
+			 "service=%s share=%.2f waiting=%u", s->name, share,
+			 s->waiting.length);
+	} else if (s->shortage_ms && cut <= 0) {
+		mp_event(EV_SHORTAGE_ENDED, G_LOG_LEVEL_MESSAGE,
+			 "service=%s share=%.2f ms=%" G_GINT64_FORMAT, s->name,
+			 share, now_ms - s->shortage_ms);
+		s->shortage_ms = 0;
+	}
+}
+
 /* Counts a new request, or that it found no room. */
 void shortage_gossip_count(struct request *r, bool missed, int64_t now_ms)
 {
@@ -80,6 +100,7 @@
 	r->counted_asked = true;
 	r->counted_missed = missed;
 	shortage_record(&r->service->shortage, own, now_ms);
+	log_change(r->service, now_ms);
 	schedule(r->traffic, missed ? SHORT_PERIOD_MS : PERIOD_MS);
 }
 
