--- a/core/admit.c
+++ b/core/admit.c
@@ -11,12 +11,6 @@
 /* A retry may wait for capacity for at least this share of the target. */
 static const double MIN_WAIT_SHARE = 0.1;
 
-/*
- * A request with more than this many times its work left can wait also in a
- * shortage: it is served long before there is only just time for it.
- */
-static const double AMPLE_TIME_FACTOR = 4;
-
 /*
  * admit_can_be_on_time() returns whether the request would meet its target if
  * it started now on a server of typical speed.
@@ -35,14 +29,12 @@
 double admit_max_wait_ms(const struct admit_request *r)
 {
 	double slack = r->target_ms - r->p75_ms;
-	double ample = r->target_ms - AMPLE_TIME_FACTOR * r->p75_ms;
 
 	if (!mechanisms.wait)
 		return 0;
 	if (slack < r->target_ms * MIN_WAIT_SHARE)
 		slack = r->target_ms * MIN_WAIT_SHARE;
-	slack *= 1 - r->wait_cut;
-	return slack > ample ? slack : ample;
+	return slack * (1 - r->wait_cut);
 }
 
 /* Returns whether the request would use the capacity of several elsewhere. */
--- a/tests/test_shortage.c
+++ b/tests/test_shortage.c
@@ -113,23 +113,6 @@
 	assert_return(&four_slots);
 }
 
-/*
- * A request with time for several times its work waits in a shortage, too; one
- * with little more time than that is refused at once.
- */
-static void test_ample_time(void **state)
-{
-	struct admit_request r = {
-		.target_ms = 400, .median_ms = 160, .p75_ms = 200};
-
-	assert_true(admit_max_wait_ms(&r) == 200);
-	r.wait_cut = 1;
-	assert_true(admit_max_wait_ms(&r) == 0);
-	r.target_ms = 3000;
-	assert_true(admit_max_wait_ms(&r) > 2000);
-	assert_true(admit_max_wait_ms(&r) < 2800);
-}
-
 /* Waits keep their length at a usual load and end in a shortage. */
 static void test_wait_cut(void **state)
 {
@@ -221,7 +204,6 @@
 		cmocka_unit_test(test_room),
 		cmocka_unit_test(test_overload),
 		cmocka_unit_test(test_return),
-		cmocka_unit_test(test_ample_time),
 		cmocka_unit_test(test_wait_cut),
 		cmocka_unit_test(test_few_requests),
 		cmocka_unit_test(test_peers_and_age),
