Shortage: a crowd at one instance isn't one

An instance took its own counts alone for a shortage. Nothing is cut now unless peers have told of requests. tests/test_shortage: one more.

--- a/core/shortage.c
+++ b/core/shortage.c
@@ -5,11 +5,15 @@
 /* Old counts lose half of their weight in this time; bursts take seconds. */
 static const double HALF_LIFE_MS = 300;
 
+/* Requests without a lack of room that are added to the counts. */
+static const double PRIOR_REQUESTS = 4;
+
 /*
- * Requests without a lack of room that are added to the counts. Instances that
- * hear nothing count few requests, so a few of them don't make a shortage.
+ * With fewer requests of peers nothing is known of a shortage: what one
+ * instance counts may be a crowd that comes at it alone, for which waiting is
+ * right.
  */
-static const double PRIOR_REQUESTS = 4;
+static const double HEARD_MIN = 4;
 
 /*
  * Waits are as long as usual up to the first share, and get shorter until there
@@ -36,22 +40,30 @@
 	return age_ms > 0 ? exp2(-age_ms / HALF_LIFE_MS) : 1;
 }
 
-/* shortage_record_told() adds what a peer counted. */
-void shortage_record_told(struct shortage *s, struct shortage_counts told,
-			  int64_t now_ms)
+/* Adds counts; the earlier ones have lost weight meanwhile. */
+static void add(struct shortage *s, struct shortage_counts c, double heard,
+		int64_t now_ms)
 {
 	double left = decay(s, now_ms);
 
-	s->asked = s->asked * left + told.asked;
-	s->missed = s->missed * left + told.missed;
+	s->asked = s->asked * left + c.asked;
+	s->missed = s->missed * left + c.missed;
+	s->heard = s->heard * left + heard;
 	s->at_ms = now_ms;
 }
 
+/* shortage_record_told() adds what a peer counted. */
+void shortage_record_told(struct shortage *s, struct shortage_counts told,
+			  int64_t now_ms)
+{
+	add(s, told, told.asked, now_ms);
+}
+
 /* shortage_record() adds requests of this instance. */
 void shortage_record(struct shortage *s, struct shortage_counts own,
 		     int64_t now_ms)
 {
-	shortage_record_told(s, own, now_ms);
+	add(s, own, 0, now_ms);
 	if ((!s->untold.asked && !s->untold.missed) ||
 	    now_ms - s->untold_ms > UNTOLD_MAX_MS) {
 		s->untold = (struct shortage_counts){0};
@@ -79,11 +91,16 @@
 	return s->missed * decay(s, now_ms) >= FELT_MISSES;
 }
 
-/* shortage_share() returns the share of requests that found no room. */
+/*
+ * shortage_share() returns the share of requests that found no room; 0 if too
+ * little was heard of other instances.
+ */
 double shortage_share(const struct shortage *s, int64_t now_ms)
 {
 	double left = decay(s, now_ms);
 
+	if (s->heard * left < HEARD_MIN)
+		return 0;
 	return s->missed * left / (s->asked * left + PRIOR_REQUESTS);
 }
 
--- a/core/shortage.h
+++ b/core/shortage.h
@@ -22,8 +22,9 @@
 };
 
 struct shortage {
-	double asked, missed;	       /* of all instances, decaying */
-	int64_t at_ms;		       /* when both were computed */
+	double asked, missed; /* of all instances, decaying */
+	double heard;	      /* those of `asked` that peers told, decaying */
+	int64_t at_ms;	      /* when these were computed */
 	struct shortage_counts untold; /* counted since untold_ms */
 	int64_t untold_ms;
 };
--- a/core/spill.c
+++ b/core/spill.c
@@ -25,7 +25,7 @@
 
 /*
  * By how much more of a data centre's servers must be idle than of the own
- * one's, since traffic between data centres is paid for.
+ * one's; a smaller difference is within the error of a mean of twenty reports.
  */
 static const double GAIN_MIN = 0.1;
 
@@ -113,9 +113,9 @@
 
 /*
  * spill_weight() returns the part of the probes that a data centre should get,
- * relative to others: by its servers,
- * and by how many more of them are idle than there. spare_ms: what remains of
- * the request's target after its usual service time.
+ * relative to others: by its servers, and by how many more of them are idle
+ * than in the own one. spare_ms: what remains of the request's target after its
+ * usual service time.
  */
 double spill_weight(const struct spill_dc *d, const struct spill_dc *own,
 		    unsigned servers, double spare_ms, int64_t now_ms)
--- a/tests/test_shortage.c
+++ b/tests/test_shortage.c
@@ -132,6 +132,15 @@
 	assert_true(shortage_wait_cut(shortage_share(&s, 1000)) < 0.5);
 }
 
+/* A crowd that comes at an instance which hears of no other one may wait. */
+static void test_crowd_at_one_instance_waits(void **state)
+{
+	struct shortage s = {0};
+
+	shortage_record(&s, (struct shortage_counts){30, 25}, 1000);
+	assert_true(shortage_share(&s, 1000) == 0);
+}
+
 /* What all instances counted together is; it is forgotten within seconds. */
 static void test_peers_and_age(void **state)
 {
@@ -220,6 +229,7 @@
 		cmocka_unit_test(test_return),
 		cmocka_unit_test(test_wait_cut),
 		cmocka_unit_test(test_few_requests),
+		cmocka_unit_test(test_crowd_at_one_instance_waits),
 		cmocka_unit_test(test_peers_and_age),
 		cmocka_unit_test(test_silent_without_shortage),
 		cmocka_unit_test(test_told_once),
