--- a/core/mechanisms.h
+++ b/core/mechanisms.h
@@ -1,5 +1,5 @@
 /*
- * Switches for the mechanisms that handle requests, all on by default.
+ * Switches for the mechanisms that handle requests, on by default unless noted.
  * Operators switch one off to see its effect on their traffic;
  * scripts/ablate.sh does so to measure its benefit.
  */
@@ -20,7 +20,7 @@
 	bool outliers;	  /* deprioritize servers that failed recently */
 	bool idle_first;  /* prefer servers with an idle connection */
 	bool own_dc;	  /* prefer servers in the own data centre */
-	bool spill;	  /* look for idle servers where there are most */
+	bool spill;	  /* look for idle servers where there are most; off */
 	bool reserve;	  /* keep retries for more urgent requests */
 	bool spent;	  /* count the time of a caller's earlier attempts */
 	bool return_time; /* derive Retry-After from the caller's time left */
--- a/options/instance.c
+++ b/options/instance.c
@@ -76,7 +76,7 @@
 	{"outliers", OPT_BOOL, FIELD(policy.outliers), "true", 0, 0},
 	{"idle_first", OPT_BOOL, FIELD(policy.idle_first), "true", 0, 0},
 	{"own_dc", OPT_BOOL, FIELD(policy.own_dc), "true", 0, 0},
-	{"spill", OPT_BOOL, FIELD(policy.spill), "true", 0, 0},
+	{"spill", OPT_BOOL, FIELD(policy.spill), "false", 0, 0},
 	{"reserve", OPT_BOOL, FIELD(policy.reserve), "true", 0, 0},
 	{"spent", OPT_BOOL, FIELD(policy.spent), "true", 0, 0},
 	{"return_time", OPT_BOOL, FIELD(policy.return_time), "true", 0, 0},
--- a/tests/test_spill.c
+++ b/tests/test_spill.c
@@ -334,6 +334,13 @@
 	assert_true(elsewhere(&now, 1) < 0.05);
 }
 
+/* Switches the mechanism on, as an operator may. */
+static int setup(void **state)
+{
+	mechanisms.spill = true;
+	return 0;
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -347,5 +354,5 @@
 		cmocka_unit_test(test_far),
 	};
 
-	return cmocka_run_group_tests(tests, NULL, NULL);
+	return cmocka_run_group_tests(tests, setup, NULL);
 }
