--- a/control/peer_fetch.c
+++ b/control/peer_fetch.c
@@ -14,10 +14,8 @@
 	HEAD_MAX = 4096,
 	/*
 	 * Configuration records that are larger are read from the store: a
-	 * forwarder sends one to the instances of its data centre, and on a
-	 * link of 10 Mbit/s 16 answers of this size take 0.4 s of the 2 s in
-	 * which a version must be in force. Twenty routes take 4 KB, a hundred
-	 * workspaces 15 KB.
+	 * forwarder, whose link may be slow, sends one to the instances of its
+	 * data centre within the time in which it must be in force.
 	 */
 	CONFIG_MAX = 32 * 1024,
 	/*
--- a/control/peer_fetch.h
+++ b/control/peer_fetch.h
@@ -16,7 +16,7 @@
 
 /*
  * A configuration record up to this size is fetched from its reporter by all
- * instances at once: 132 answers take 0.9 s on a link of 10 Mbit/s.
+ * instances at once; larger ones would fill the reporter's link for too long.
  */
 enum { CONFIG_DIRECT_MAX = 8 * 1024 };
 
--- a/core/quota.h
+++ b/core/quota.h
@@ -6,30 +6,10 @@
  * requests run in any window of W seconds; O and S are the rule's overshoot and
  * slack. What lies below R and B is granted.
  *
- * The quota is divided among K instances, its holders: the first in an order
- * specific to the workspace (core/rendezvous.h) among all instances that may be
- * serving, also silent ones. So an instance that is cut off and its peers never
- * both use the same part. Each holder has a token bucket with a rate of R / K
- * and a K-th of the depth, and grants a request while its tokens are positive:
- * a fraction of a token is never lost, and a holder's debt is at most one
- * request. Any instance asks one holder after the other, see core/quota_pick.h.
- *
- * A holder starts with an empty bucket, in debt, so that an instance that
- * starts again, or that becomes a holder, doesn't grant a second time what was
- * granted before. A process that has just started has tokens for the time since,
- * as its last process had ended by then, but grants nothing until it knows the
- * other instances. The depth is the burst and a part of the overshoot, so that the
- * division among holders doesn't refuse what lies below the quota.
- *
- * While requests are beyond the quota, those that can still be on time go before
- * those that come back too late to be: the latter get only tokens that have been
- * saved for a while.
- *
- * A grant is valid for QUOTA_GRANT_MS; requests that were granted earlier must
- * be granted again before they are sent. A grant that wasn't used is given
- * back. As it may then be used in another window, the holder also counts the
- * grants in a window that is longer by QUOTA_GRANT_MS and keeps these to its
- * part of the rule.
+ * It is divided among K holders, the first instances in an order specific to
+ * the workspace; silent ones stay, so that no part is used twice. A holder's
+ * token bucket grants while its tokens are positive; it starts in debt.
+ * docs/design/quotas.md has the reasons.
  */
 #ifndef MP_CORE_QUOTA_H
 #define MP_CORE_QUOTA_H
