--- a/caller/native_api.c
+++ b/caller/native_api.c
@@ -228,7 +228,7 @@
 		http_message_free(m);
 		return;
 	}
-	request_start(t, c, m, call, route, &native_protocol);
+	request_start(t, c, m, call, route, NULL, &native_protocol);
 }
 
 /* Finds the service of a call. */
--- a/core/config.c
+++ b/core/config.c
@@ -223,6 +223,7 @@
 	if (!c || --c->refs)
 		return;
 	g_hash_table_unref(c->by_host);
+	workspaces_clear(&c->workspaces);
 	arena_free(&c->arena);
 	g_free(c);
 }
--- a/core/config.h
+++ b/core/config.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "misc/arena.h"
+#include "core/workspace.h"
 #include "misc/findings.h"
 
 /* Weight of one service in a route's traffic. */
@@ -25,6 +26,8 @@
 	struct lstr host;	 /* compared without case or port */
 	struct lstr path_prefix; /* begins and ends with a slash */
 	bool idempotent;	 /* may be executed more than once */
+	bool upload;		 /* large bodies; never idempotent */
+	bool auth_exempt;	 /* served without a workspace's key */
 	unsigned max_attempts;	 /* servers a request may be sent to */
 	unsigned priority;	 /* 0 is the highest */
 	uint32_t timeout_ms;	 /* for the final answer */
@@ -58,6 +61,7 @@
 	struct service_config *services;
 	size_t nservices;
 	struct config_limits limits;
+	struct workspaces workspaces;
 	struct lstr *drained; /* backend servers without new requests */
 	size_t ndrained;
 	GHashTable *by_host; /* struct lstr * -> GPtrArray of struct route * */
--- a/http/conn.c
+++ b/http/conn.c
@@ -27,6 +27,8 @@
 		return "OK";
 	case 400:
 		return "Bad Request";
+	case 401:
+		return "Unauthorized";
 	case 404:
 		return "Not Found";
 	case 405:
@@ -35,6 +37,8 @@
 		return "Request Timeout";
 	case 413:
 		return "Content Too Large";
+	case 429:
+		return "Too Many Requests";
 	case 431:
 		return "Request Header Fields Too Large";
 	case 502:
--- a/options/instance.c
+++ b/options/instance.c
@@ -56,6 +56,9 @@
 	 0},
 	{"slow_start_slack", OPT_REAL, FIELD(bounds.slow_start_slack), "0", 0,
 	 0},
+	{"quota_window_s", OPT_REAL, FIELD(bounds.quota_window_s), "5", 0, 0},
+	{"quota_overshoot", OPT_REAL, FIELD(bounds.quota_overshoot), "0", 0, 0},
+	{"quota_slack", OPT_REAL, FIELD(bounds.quota_slack), "0", 0, 0},
 	OPT_END,
 };
 
@@ -284,6 +287,9 @@
 		.questions_per_s = 200,
 		.slow_start_factor = 1.5,
 		.slow_start_slack = 8,
+		.quota_window_s = 5,
+		.quota_overshoot = 0.1,
+		.quota_slack = 20,
 	};
 	return 0;
 }
--- a/options/instance.h
+++ b/options/instance.h
@@ -24,6 +24,11 @@
 	/* Requests per second to a cold server: the rate times the factor, plus
 	   the slack. */
 	double slow_start_factor, slow_start_slack;
+	/*
+	 * Requests of a workspace that are executed in a window: what its quota
+	 * allows in it times the factor, plus the slack.
+	 */
+	double quota_window_s, quota_overshoot, quota_slack;
 };
 
 struct instance_settings {
--- a/scripts/check-words.sh
+++ b/scripts/check-words.sh
@@ -8,6 +8,7 @@
 names+='|endOffset|startRevision|log-(append|read|newest|join|commit|trim)'
 names+='|keyed\.(op|servers|status)|ttlS|[^_]resolution\?|probesPerS|drainMs'
 names+='|configApplyMs|retryBudgetRatio|fleetbench|warmup(S|PerS|Overshoot|Slack)'
+names+='|Api-Key|Tenant-Name|apiKeys|authExempt|ratePerS|burstSize|quota(WindowS|Overshoot)'
 names+='|Warmup-Remaining|evacuate/|evacuationMs|allowedRegions'
 found=$(git grep -nE "$names" -- '*.c' '*.h' ':!platform' ':!tests' ':!stand')
 if [ -n "$found" ]; then
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -1,7 +1,5 @@
 #include <string.h>
 
-#include <ck_pr.h>
-
 #include "common/event.h"
 #include "core/availability.h"
 #include "core/request_digest.h"
@@ -18,11 +16,6 @@
 	 * already.
 	 */
 	RESPONSE_RESERVE_MS = 20,
-	/*
-	 * Without updates for this long a route unknown here may exist by now,
-	 * and a 404 would be final for the caller.
-	 */
-	STALE_STATE_MS = 4000,
 	/* Most refused callers have retried after this time. */
 	REFUSED_RETURN_MS = 3000,
 };
@@ -309,40 +302,6 @@
 	ev_timer_start(r->traffic->loop, &r->timer);
 }
 
-/*
- * request_respond_no_route() responds to a request without a matching route:
- * 404 if the configuration is known to be current, else 503.
- */
-void request_respond_no_route(struct traffic *t, struct http_conn *c,
-			      struct http_message *m,
-			      const struct request_info *call)
-{
-	const struct control_view *v = t->control_view;
-	int64_t updated_ms =
-		MIN((int64_t)ck_pr_load_64((const uint64_t *)&v->fresh_ms),
-		    (int64_t)ck_pr_load_64((const uint64_t *)&v->config_ms));
-	bool is_current = t->config && clock_ms() - updated_ms < STALE_STATE_MS;
-	unsigned status = is_current ? 404 : 503;
-	struct buf headers = {0};
-
-	if (t->config)
-		t->counters.no_route++;
-	else
-		t->counters.no_config++;
-	mp_event(EV_REQUEST_NO_ROUTE, G_LOG_LEVEL_INFO,
-		 "id=%.*s status=%u version=%" G_GUINT64_FORMAT
-		 " news_age_ms=%" G_GINT64_FORMAT,
-		 (int)call->id.len, call->id.ptr, status,
-		 t->config ? t->config->version : 0, clock_ms() - updated_ms);
-	exchange_write_error_headers(
-		&headers, call->id,
-		is_current ? 0 : retry_after_default_s(g_rand_double(t->rand)));
-	http_conn_reply(c, &(struct http_reply){.status = status,
-						.headers = buf_lstr(&headers)});
-	buf_free(&headers);
-	http_message_free(m);
-}
-
 static void write_local_headers(struct buf *out, struct lstr call_id,
 				unsigned status, double retry_after_s)
 {
@@ -373,19 +332,32 @@
 static uint64_t compute_digest(const struct http_message *m,
 			       const struct request_info *call)
 {
-	const struct lstr parts[] = {m->method, call->host, call->caller,
-				     m->target, buf_lstr(&m->body)};
+	struct lstr caller =
+		call->identified ? call->workspace : call->caller;
+	const struct lstr parts[] = {m->method, call->host, caller, m->target,
+				     buf_lstr(&m->body)};
 
 	return request_digest(parts, G_N_ELEMENTS(parts));
 }
 
+/* Returns the rank of a request: the workspace's priority goes first. */
+static struct request_priority request_priority(const struct route *route,
+						const struct workspace *w)
+{
+	return (struct request_priority){
+		.workspace = w && w->has_priority ? w->priority
+						  : route->priority,
+		.route = route->priority,
+	};
+}
+
 /*
  * Creates the state of a matched request and starts the server selection; takes
- * ownership of the message.
+ * ownership of the message. `workspace` is the caller's; NULL: none.
  */
 void request_start(struct traffic *t, struct http_conn *c,
 		   struct http_message *m, const struct request_info *call,
-		   const struct route *route,
+		   const struct route *route, const struct workspace *workspace,
 		   const struct caller_protocol *protocol)
 {
 	struct request *r = g_new0(struct request, 1);
@@ -404,6 +376,8 @@
 	r->protocol = protocol;
 	r->config = config_ref(t->config);
 	r->route = route;
+	r->workspace = workspace;
+	r->priority = request_priority(route, workspace);
 	r->service = backend_set_service(
 		&t->backends, route_pick(route, g_rand_int(t->rand)));
 	r->stats = traffic_class_stats(t, r->service->name, route->target_ms);
@@ -430,20 +404,31 @@
 }
 
 /*
- * request_dispatch() starts a request, or responds if no route matches; takes
- * ownership of the message.
+ * request_dispatch() starts a request, or responds if no route matches or the
+ * caller isn't known; takes ownership of the message.
  */
 void request_dispatch(struct traffic *t, struct http_conn *c,
 		      struct http_message *m, const struct request_info *call)
 {
+	const struct workspace *workspace = NULL;
 	const struct route *route = NULL;
+	struct request_info identified = *call;
 
 	if (t->config)
 		route = config_match(t->config, call->host, call->path);
-	if (route)
-		request_start(t, c, m, call, route, &platform_protocol);
-	else
+	if (!route) {
 		request_respond_no_route(t, c, m, call);
+		return;
+	}
+	if (!request_authorize(t, route, call, &workspace)) {
+		request_respond_unauthorized(t, c, m, call);
+		return;
+	}
+	identified.identified = t->config->workspaces.required;
+	if (workspace)
+		identified.workspace = workspace->name;
+	request_start(t, c, m, &identified, route, workspace,
+		      &platform_protocol);
 }
 
 /* Handles a complete request from a caller. */
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -69,6 +69,11 @@
 /* Why a server is being selected; SELECT_NONE if no selection is running. */
 enum select_reason { SELECT_NONE, SELECT_FIRST, SELECT_RETRY, SELECT_HEDGE };
 
+/* Rank of a request; the first difference decides, lower goes first. */
+struct request_priority {
+	unsigned workspace, route;
+};
+
 struct request {
 	struct traffic *traffic;
 	struct http_conn *conn; /* NULL after the caller disconnected */
@@ -78,6 +83,8 @@
 	uint64_t digest; /* equal for all attempts, see request_digest() */
 	struct config *config;
 	const struct route *route;
+	const struct workspace *workspace; /* of the caller; NULL: none */
+	struct request_priority priority;
 	struct service *service;
 	struct class_stats *stats;
 	int64_t start_ms;
@@ -115,8 +122,14 @@
 void request_receive(void *priv, struct http_conn *c, struct http_message *m);
 void request_start(struct traffic *t, struct http_conn *c,
 		   struct http_message *m, const struct request_info *call,
-		   const struct route *route,
+		   const struct route *route, const struct workspace *workspace,
 		   const struct caller_protocol *protocol);
+bool request_authorize(const struct traffic *t, const struct route *route,
+		       const struct request_info *call,
+		       const struct workspace **workspace);
+void request_respond_unauthorized(struct traffic *t, struct http_conn *c,
+				  struct http_message *m,
+				  const struct request_info *call);
 void request_caller_left(void *priv, struct http_conn *c);
 
 /* Internal to the request state machine. */
--- a/traffic/request_queue.c
+++ b/traffic/request_queue.c
@@ -30,8 +30,10 @@
 {
 	const struct request *x = a, *y = b;
 
-	if (x->route->priority != y->route->priority)
-		return x->route->priority < y->route->priority ? -1 : 1;
+	if (x->priority.workspace != y->priority.workspace)
+		return x->priority.workspace < y->priority.workspace ? -1 : 1;
+	if (x->priority.route != y->priority.route)
+		return x->priority.route < y->priority.route ? -1 : 1;
 	if (x->spent_before_ms != y->spent_before_ms)
 		return x->spent_before_ms < y->spent_before_ms ? -1 : 1;
 	return x->start_ms < y->start_ms ? -1 : x->start_ms > y->start_ms;
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -34,6 +34,7 @@
 
 struct traffic_counters {
 	uint64_t probes, probe_failures, foreign_answers, no_config, no_route;
+	uint64_t unauthorized; /* without a valid key */
 	uint64_t no_capacity, directory_answers;
 	uint64_t process_checks, process_ends, quarantined;
 	uint64_t limits_bad;		       /* invalid limit values */
