--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,8 @@
 . review/lib.sh
 trouble=${TROUBLE:-1}
 rounds=4
-whole=2000 # bytes of the server's body
+whole=2000  # bytes of the server's body
+find_ms=3000 # for the way around a cut, which lasts less than 5 s
 review_begin "$PWD/review/1"
 review_deployment "[service.harta]
 tenant = strada
@@ -25,8 +26,8 @@
 for i in 0 1 2 3; do review_backend rezervari $i; done
 # The one server of harta. Its answers have no length and end with their
 # connection; their second half follows 0.4 s after the first.
-touch "$work/pids"
-review_worker 1 i-harta-1 halves_ms=400 pids="$work/pids" cut=$((trouble ? 1 : 0))
+touch "$work/pids" "$work/cut"
+review_worker 1 i-harta-1 halves_ms=400 pids="$work/pids" cut="$work/cut"
 review_list harta i-harta-1 "$(review_ip 101)"
 review_configure
 write_pids() { for i in 1 2 3 4; do echo "${pids[e$i]}"; done >"$work/pids"; }
@@ -34,7 +35,6 @@
 write_pids
 for i in 1 2 3 4; do review_wait_ready $i; done
 sleep 1
-((trouble)) && review_note "instance 1 is cut off from the server of harta: its connections are reset"
 
 # Sends a request to instance 1 in the background.
 send() { # attempt
@@ -52,50 +52,69 @@
 	length=$(tr -d '\r' <"$work/answer-$1" | sed -n 's/^Content-Length: //p')
 	body=$(tr -d '\r' <"$work/answer-$1" | sed '1,/^$/d' | wc -c)
 	review_note "answered: id=$1 status=${status:--} Content-Length=${length:--} body=$body of $whole bytes"
+	[ "$status" = 200 ] || return 0
+	served=$((served + 1))
+	((body == whole)) || broken=$((broken + 1))
 }
 
-# The first requests find the way around the cut.
-for ((i = 1; i <= 100; i++)); do
-	send "first-$i"
-	read_answer "first-$i"
-	[ "$status" = 200 ] && break
-	sleep 0.1
-done
-[ "$status" = 200 ] && ((body == whole)) || review_end 2
+# Waits until the server runs an attempt; sets the instance that it came from.
+find_carrier() { # attempt
+	local i
+	for ((i = 0; i < 60; i++)); do
+		carrier=$(sed -n "s/.* run $1 GET .* from //p" "$work/worker-1.log")
+		[ "$carrier" ] && return
+		sleep 0.01
+	done
+}
+
+# Sends requests until one is served, for so long; fails if none is.
+send_until_served() { # name, ms
+	local i end=$(($(date +%s%3N) + $2))
+	for ((i = 1; $(date +%s%3N) < end; i++)); do
+		send "$1-$i"
+		read_answer "$1-$i"
+		[ "$status" = 200 ] && return
+		sleep 0.1
+	done
+	return 1
+}
 
 broken=0
 served=0
 kills=0
+send_until_served start 10000 || review_end 2
 for ((round = 1; round <= rounds; round++)); do
 	id=round-$round
-	send "$id"
-	for ((i = 0; i < 100; i++)); do
-		carrier=$(sed -n "s/.* run $id GET .* from //p" "$work/worker-1.log")
-		[ "$carrier" ] && break
-		sleep 0.01
-	done
-	if [ -z "$carrier" ]; then
+	if ((trouble)); then
+		echo 1 >"$work/cut"
+		review_note "instance 1 is cut off from the server of harta: its connections are reset"
+	fi
+	if send_until_served "way-$round" $find_ms; then
+		send "$id"
+		find_carrier "$id"
+		review_note "the server runs id=$id, from instance ${carrier:--}"
+		if ((trouble && ${carrier:-0} > 1)); then
+			sleep 0.1
+			kill -KILL "${pids[e$carrier]}"
+			wait "${pids[e$carrier]}" 2>/dev/null
+			kills=$((kills + 1))
+			review_note "instance $carrier is killed, while half of the answer is out"
+		fi
 		read_answer "$id"
-		continue
 	fi
-	review_note "the server runs id=$id, from instance $carrier"
-	if ((trouble && carrier > 1)); then
-		sleep 0.1
-		kill -KILL "${pids[e$carrier]}"
-		wait "${pids[e$carrier]}" 2>/dev/null
-		kills=$((kills + 1))
-		review_note "instance $carrier is killed, while half of the answer is out"
+	if ((trouble)); then
+		: >"$work/cut"
+		review_note "the cut is over"
+	fi
+	if ((trouble && ${carrier:-0} > 1)); then
+		review_instance "$carrier" false
+		write_pids
+		review_wait_ready "$carrier"
 	fi
-	read_answer "$id"
-	[ "$status" = 200 ] && served=$((served + 1))
-	[ "$status" = 200 ] && ((body != whole)) && broken=$((broken + 1))
-	((trouble && carrier > 1)) || continue
-	review_instance "$carrier" false
-	write_pids
-	review_wait_ready "$carrier"
 	sleep 1
+	send_until_served "after-$round" 5000 || review_end 2
 done
-review_note "successes: $served, with a part of the server's body: $broken"
-((trouble ? kills : served == rounds)) || review_end 2
+review_note "successes: $served, with a part of the server's body: $broken, instances killed: $kills"
+((trouble ? kills : served == 3 * rounds + 1)) || review_end 2
 ((broken == 0)) || review_end 1
 review_end 0
--- a/review/worker.c
+++ b/review/worker.c
@@ -11,7 +11,7 @@
  *   halves_ms=N  answers have no length and end with their connection; the
  *                second half of the body follows the first after this time
  *   pids=FILE    pids of the instances, one a line, to name them in the log
- *   cut=N        resets connections from the N-th of them
+ *   cut=FILE     resets connections from the N-th of them while the file holds N
  *
  * After SIGUSR1 the server is leaving: probes get 503, and answers end their
  * connection.
@@ -56,9 +56,9 @@
 
 static struct wire_name names[NAMES_MAX];
 static unsigned nnames;
-static const char *server_id, *pids_file = "";
+static const char *server_id, *pids_file = "", *cut_file = "";
 static bool reports_load = true;
-static long work_ms, halves_ms, cut;
+static long work_ms, halves_ms;
 static uint16_t own_port;
 static uint32_t own_ip; /* network byte order */
 static volatile sig_atomic_t leaving;
@@ -392,21 +392,42 @@
 	return more;
 }
 
+/* Returns whether the connection's instance is cut off now. */
+static bool is_cut(const struct peer *p)
+{
+	FILE *f = *cut_file ? fopen(cut_file, "r") : NULL;
+	char line[32] = "";
+	bool cut;
+
+	if (f && !fgets(line, sizeof(line), f))
+		line[0] = '\0';
+	cut = p->instance && strtoul(line, NULL, 10) == p->instance;
+	if (f)
+		fclose(f);
+	return cut;
+}
+
+/* Closes the connection with a reset if its instance is cut off. */
+static bool reset_if_cut(struct peer *p)
+{
+	struct linger reset = {1, 0};
+
+	if (!is_cut(p))
+		return false;
+	setsockopt(p->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	return true;
+}
+
 /* Serves the requests of a connection. */
 static void *serve(void *arg)
 {
 	struct peer *p = arg;
-	struct linger reset = {1, 0};
 	struct timeval idle = {IDLE_S, 0};
-	bool more = true;
+	bool more = !reset_if_cut(p);
 	size_t head;
 
 	setsockopt(p->fd, SOL_SOCKET, SO_RCVTIMEO, &idle, sizeof(idle));
-	if (cut && p->instance == (unsigned)cut) {
-		setsockopt(p->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-		more = false;
-	}
-	while (more && (head = read_head(p))) {
+	while (more && (head = read_head(p)) && !reset_if_cut(p)) {
 		char length[VALUE_MAX_BYTES];
 
 		find_header(p, "Content-Length", length);
@@ -458,7 +479,7 @@
 	else if (!strncmp(text, "halves_ms=", 10))
 		halves_ms = n;
 	else if (!strncmp(text, "cut=", 4))
-		cut = n;
+		cut_file = value + 1;
 	else if (!strncmp(text, "pids=", 5))
 		pids_file = value + 1;
 	else
