--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -48,11 +48,10 @@
 done
 wait "${waiting[@]}"
 : >"$work/requests"
+((trouble)) && kill -TERM "${pids[e1]}"
+# Not before the signal, so that no request is taken for later than it is.
 stop_ms=$(date +%s%3N)
-if ((trouble)); then
-	kill -TERM "${pids[e1]}"
-	review_note "instance 1 gets SIGTERM"
-fi
+((trouble)) && review_note "instance 1 has got SIGTERM"
 sleep 2.7
 waiting=()
 for ((n = 1; n <= 16; n++)); do
