--- a/review/lib.sh
+++ b/review/lib.sh
@@ -103,13 +103,14 @@
 # Prints text as escapes of a msgpack string.
 review_pack() { printf '\\xd9\\x%02x%s' ${#1} "$1"; }
 
-# Appends the record of a key to the list of servers; no value removes it.
-review_append() { # id, value as escapes
+# Appends the record of a key, by default to the list of servers; no value
+# removes it.
+review_append() { # key, value as escapes, topic
 	local value size
 	printf '%b' "$2" >"$work/value"
 	size=$((1 + ${#1} + $(wc -c <"$work/value")))
 	{
-		printf 'POST /stand/append?topic=keyed.servers&part=0 HTTP/1.1\r\n'
+		printf 'POST /stand/append?topic=%s&part=0 HTTP/1.1\r\n' "${3:-keyed.servers}"
 		printf 'Host: store\r\nConnection: close\r\nContent-Length: %d\r\n\r\n' $((4 + size))
 		printf "$(printf '\\x00\\x00\\x%02x\\x%02x\\x%02x' $((size / 256)) $((size % 256)) ${#1})"
 		printf '%s' "$1"
@@ -194,3 +195,17 @@
 	done
 	review_end 2
 }
+
+# Prints a number below 65536 as escapes of msgpack.
+review_number() { printf '\\xcd\\x%02x\\x%02x' $(($1 / 256)) $(($1 % 256)); }
+
+# Writes the first configuration: one route, /work/ of the host SERVICE.example.
+review_route() { # service, kind, timeout in ms, target in ms
+	local v p=review_pack n=review_number
+	v="\\x83$($p configVersion)$($p 00000005)$($p routes)\\x81$($p "$1")\\x88"
+	v+="$($p host)$($p "$1.example")$($p pathPrefix)$($p /work/)$($p kind)$($p "$2")"
+	v+="$($p timeoutMs)$($n "$3")$($p targetLatencyMs)$($n "$4")$($p priority)\\x01"
+	v+="$($p service)$($p "$1")$($p maxAttempts)\\x02"
+	v+="$($p services)\\x81$($p "$1")\\x82$($p healthPath)$($p /health)$($p maxConnections)$($n 220)"
+	review_append config "$v" keyed.op
+}
