--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -6,7 +6,7 @@
 rounds=4
 whole=2000  # bytes of the server's body
 find_ms=3000 # for the way around a cut, which lasts less than 5 s
-review_begin "$PWD/review/1"
+review_begin "$PWD/review/1/record.txt"
 review_deployment "[service.harta]
 tenant = strada
 workers = 1
@@ -29,7 +29,7 @@
 touch "$work/pids" "$work/cut"
 review_worker 1 i-harta-1 halves_ms=400 pids="$work/pids" cut="$work/cut"
 review_list harta i-harta-1 "$(review_ip 101)"
-review_configure
+review_route harta idempotent 1000 200
 write_pids() { for i in 1 2 3 4; do echo "${pids[e$i]}"; done >"$work/pids"; }
 for i in 1 2 3 4; do review_instance $i true; done
 write_pids
@@ -38,9 +38,9 @@
 
 # Sends a request to instance 1 in the background.
 send() { # attempt
-	printf 'GET /work/%s HTTP/1.1\r\nHost: harta.example\r\nAttempt-Id: %s\r\nDeadline-Remaining-Ms: 1200\r\nConnection: close\r\n\r\n' \
+	printf 'GET /book/%s HTTP/1.1\r\nHost: harta.example\r\nAttempt-Id: %s\r\nDeadline-Remaining-Ms: 1200\r\nConnection: close\r\n\r\n' \
 		"$1" "$1" >"$work/request-$1"
-	review_note "sent: GET /work/$1 id=$1 to instance 1"
+	review_note "sent: GET /book/$1 id=$1 to instance 1"
 	review_exchange "$(review_ip 1)" 8381 3 "$work/request-$1" >"$work/answer-$1" &
 	sender=$!
 }
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,7 +5,7 @@
 . review/lib.sh
 trouble=${TROUBLE:-1}
 late_ms=3000 # requests sent later than this after the SIGTERM have no excuse
-review_begin "$PWD/review/3"
+review_begin "$PWD/review/3/record.txt"
 review_deployment "[service.becas-pagos]
 tenant = semillero
 workers = 4
@@ -32,7 +32,7 @@
 		exec 3<>"/dev/tcp/$(review_ip 1)/8381" || exit 1
 		sleep 0.1
 		sent=$(($(date +%s%3N) - stop_ms))
-		printf 'POST /work/1 HTTP/1.1\r\nHost: becas-pagos.example\r\nAttempt-Id: r-%s\r\nDeadline-Remaining-Ms: 6000\r\nContent-Length: 0\r\n\r\n' \
+		printf 'POST /book/1 HTTP/1.1\r\nHost: becas-pagos.example\r\nAttempt-Id: r-%s\r\nDeadline-Remaining-Ms: 6000\r\nContent-Length: 0\r\n\r\n' \
 			"$1" >&3
 		status=$(timeout 8 head -1 <&3 | cut -d' ' -f2)
 		echo "r-$1 $sent ${status:--} $(($(date +%s%3N) - stop_ms))" >>"$work/requests"
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -2,25 +2,25 @@
 # backend servers and entry instances, each a process of its own. The instances
 # are started with the command of the deploy file and settings as its template
 # has them.
-#   review_begin CASE_DIR    creates the temporary folder $work
+#   review_begin RECORD      creates the temporary folder $work; notes go to RECORD
 #   review_deployment INI    writes the deployment of the project's stand-ins
 #   review_store             starts the store
 #   review_backend S N       starts server N of service S, the project's stand-in
 #   review_worker N ARGS     starts a server of the review's own, see worker.c
 #   review_list S ID IP      writes the entry of such a server
 #   review_unlist ID         removes it
-#   review_configure         writes the first configuration
+#   review_route S KIND ..   writes the first configuration, see below
 #   review_instance N FIRST  starts instance N
 #   review_wait_ready N      waits until it is ready
-#   review_note TEXT         adds a line to record.txt, with the time in seconds
+#   review_note TEXT         adds a line to the record, with the time in seconds
 #   review_end STATUS        ends everything that was started, and exits
 bin=$PWD/target/mimosapitch
 worker=$PWD/target/review/worker
 wire=$PWD/review/wire.txt
 declare -A pids # name -> pid of each process that was started
 
-review_begin() { # folder of the case
-	record=$1/record.txt
+review_begin() { # file of the record
+	record=$1
 	: >"$record"
 	work=$(mktemp -d) || exit 2
 	trap review_stop EXIT
@@ -131,10 +131,6 @@
 
 review_unlist() { review_append "$1" ''; }
 
-review_configure() {
-	"$bin" operator --deployment "$work/deployment.ini" --version 5 || review_end 2
-}
-
 review_settings() { # instance, first start
 	local ip
 	ip=$(review_ip "$1")
@@ -199,11 +195,11 @@
 # Prints a number below 65536 as escapes of msgpack.
 review_number() { printf '\\xcd\\x%02x\\x%02x' $(($1 / 256)) $(($1 % 256)); }
 
-# Writes the first configuration: one route, /work/ of the host SERVICE.example.
+# Writes the first configuration: one route, /book/ of the host SERVICE.example.
 review_route() { # service, kind, timeout in ms, target in ms
 	local v p=review_pack n=review_number
 	v="\\x83$($p configVersion)$($p 00000005)$($p routes)\\x81$($p "$1")\\x88"
-	v+="$($p host)$($p "$1.example")$($p pathPrefix)$($p /work/)$($p kind)$($p "$2")"
+	v+="$($p host)$($p "$1.example")$($p pathPrefix)$($p /book/)$($p kind)$($p "$2")"
 	v+="$($p timeoutMs)$($n "$3")$($p targetLatencyMs)$($n "$4")$($p priority)\\x01"
 	v+="$($p service)$($p "$1")$($p maxAttempts)\\x02"
 	v+="$($p services)\\x81$($p "$1")\\x82$($p healthPath)$($p /health)$($p maxConnections)$($n 220)"
