Mark the end of a tunneled stream, so that a killed peer can't end a response

What callers saw: 200 with the server's receipt and a part of its body, with a Content-Length that fits the part.

Cause: a tunnel forwards bytes as they are, so the end of the connection was the only sign of the end of such a response. The kernel closes the sockets of a killed process in the same orderly way as a server that has sent all, and http_client took any end for the server's.

Evidence: the new half_a_response_of_a_killed_peer_is_not_complete closes the peer's sockets in order while half of the body is out; before the fix the caller got 200 (expected 502). A response without a length that no one cuts passed before and passes now.

Now the peer sends the server's bytes in frames (msgpack, http/frames) and marks the server's own end with a frame of its own; a reset of the server or the death of the peer leaves no such frame. A response without a length is complete only after it. Both heads of the CONNECT exchange name the frames, so instances of both versions work together: through an older peer such a response fails with 502 (a retry, if it may be repeated), all others pass as before.

Event 362 says whether a tunnel marks its end.

--- a/http/client.c
+++ b/http/client.c
@@ -84,6 +84,7 @@
 	http_reader_free(&c->reader);
 	drop_unsent(c);
 	buf_free(&c->connect_head);
+	frame_reader_free(&c->frames);
 }
 
 /* Closes the connection and reports err to the owner. */
@@ -145,29 +146,66 @@
 	return true;
 }
 
-/* Parses responses from n bytes at p. */
-static void read_responses(struct http_client *c, const char *p, size_t n)
+/*
+ * Parses responses from n bytes at p. Returns whether the request still waits
+ * for its response; else the owner may have freed c.
+ */
+static bool read_responses(struct http_client *c, const char *p, size_t n)
 {
 	while (n) {
 		ssize_t used = http_reader_feed(&c->reader, p, n);
 
 		if (used < 0) {
 			fail(c, (int)used);
-			return;
+			return false;
 		}
 		p += used;
 		n -= (size_t)used;
 		if (!c->reader.msg->done)
-			return;
+			return true;
 		/* Bytes after a response belong to no request. */
 		if (n)
 			c->reusable = false;
 		if (deliver(c, p, n))
-			return;
+			return false;
 	}
+	return true;
 }
 
-/* Reads from the socket; input while idle ends the connection. */
+/*
+ * Handles n bytes of the server, and the end of its stream after them if it has
+ * ended. Input while idle ends the connection.
+ */
+static void on_stream(struct http_client *c, const char *p, size_t n,
+		      bool ended)
+{
+	if (c->state == CLIENT_IDLE) {
+		read_unsolicited(c, p, n);
+		fail(c, n ? -EPROTO : -EPIPE);
+		return;
+	}
+	if (ended)
+		c->reusable = false;
+	if (!read_responses(c, p, n) || !ended)
+		return;
+	if (http_reader_eof(&c->reader) || !deliver(c, NULL, 0))
+		fail(c, -EPIPE);
+}
+
+/* Handles n bytes of a proxy that sends frames. */
+static void on_frames(struct http_client *c, const char *p, size_t n)
+{
+	struct buf stream = {0};
+	int rc = frame_read(&c->frames, (struct lstr){p, n}, &stream);
+
+	if (rc)
+		fail(c, rc);
+	else if (stream.len || c->frames.ended)
+		on_stream(c, stream.ptr, stream.len, c->frames.ended);
+	buf_free(&stream);
+}
+
+/* Reads from the socket. */
 static void on_readable(struct http_client *c)
 {
 	char chunk[READ_CHUNK_BYTES];
@@ -175,22 +213,15 @@
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
-	if (n < 0) {
+	if (n < 0)
 		fail(c, -errno);
-		return;
-	}
-	if (c->state == CLIENT_IDLE) {
-		read_unsolicited(c, chunk, (size_t)n);
-		fail(c, n ? -EPROTO : -EPIPE);
-		return;
-	}
-	if (n > 0) {
-		read_responses(c, chunk, (size_t)n);
-		return;
-	}
-	c->reusable = false;
-	if (http_reader_eof(&c->reader) || !deliver(c, NULL, 0))
+	else if (n == 0 && c->tunneled)
+		/* The proxy may have died; frames mark the server's end. */
 		fail(c, -EPIPE);
+	else if (c->framed)
+		on_frames(c, chunk, (size_t)n);
+	else
+		on_stream(c, chunk, (size_t)n, n == 0);
 }
 
 /* Returns whether the owner still allows the request to be sent. */
@@ -244,6 +275,8 @@
 	if (!c->reader.msg->done)
 		return;
 	c->tunnel_status = c->reader.msg->status;
+	c->framed =
+		c->ops->is_framed && c->ops->is_framed(c->priv, c->reader.msg);
 	http_message_free(http_reader_take(&c->reader));
 	if (c->tunnel_status != 200) {
 		fail(c, -EHOSTUNREACH);
--- a/http/client.h
+++ b/http/client.h
@@ -9,6 +9,7 @@
 #include <ev.h>
 #include <netinet/in.h>
 
+#include "http/frames.h"
 #include "http/message.h"
 
 struct http_client;
@@ -36,6 +37,12 @@
 	bool (*may_send)(void *priv);
 	/* Optional: a complete response without a pending request. */
 	void (*unsolicited)(void *priv, const struct http_message *m);
+	/*
+	 * Optional: returns whether the proxy that has answered so sends the
+	 * server's bytes in frames. If not, a response through it is complete
+	 * only if its head tells its length.
+	 */
+	bool (*is_framed)(void *priv, const struct http_message *m);
 };
 
 enum client_state {
@@ -60,7 +67,9 @@
 	struct buf connect_head; /* of a tunnel; empty: none */
 	bool tunneled;		 /* through a proxy */
 	unsigned tunnel_status;	 /* the proxy's answer; 0: none yet */
-	bool no_body;		 /* the current request is a HEAD */
+	bool framed;		 /* the proxy sends frames */
+	struct frame_reader frames;
+	bool no_body; /* the current request is a HEAD */
 	double connect_timeout_s, timeout_s;
 	bool waiting;	/* a request is queued or sent */
 	bool connected; /* the connection has been established */
--- a/http/splice.c
+++ b/http/splice.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "http/frames.h"
 #include "http/splice.h"
 
 enum {
@@ -87,6 +88,34 @@
 	return 0;
 }
 
+/* Returns whether the bytes of an end are forwarded in frames. */
+static bool is_framed(const struct splice_end *e)
+{
+	return e->splice->framed && e == &e->splice->ends[1];
+}
+
+/* Handles the last byte of an end. */
+static void receive_end(struct splice_end *e)
+{
+	e->ended = true;
+	if (is_framed(e))
+		frame_write_end(&e->other->out);
+}
+
+/* Handles n bytes of an end. Returns 0 or -errno. */
+static int receive_bytes(struct splice_end *e, const char *bytes, size_t n)
+{
+	struct splice *s = e->splice;
+
+	if (!e->received && s->first_byte)
+		s->first_byte(s->priv, e);
+	e->received += n;
+	if (!is_framed(e))
+		return forward(e->other, bytes, n);
+	frame_write(&e->other->out, (struct lstr){bytes, n});
+	return 0;
+}
+
 /* Forwards what an end has sent. Returns 0 or -errno. */
 static int receive(struct splice_end *e)
 {
@@ -97,14 +126,10 @@
 
 	if (n < 0)
 		return errno == EAGAIN || errno == EINTR ? 0 : -errno;
-	if (n == 0) {
-		e->ended = true;
-	} else {
-		if (!e->received && s->first_byte)
-			s->first_byte(s->priv, e);
-		e->received += (uint64_t)n;
-		err = forward(e->other, chunk, (size_t)n);
-	}
+	if (n == 0)
+		receive_end(e);
+	else
+		err = receive_bytes(e, chunk, (size_t)n);
 	if (e->ended || e->other->ended) {
 		ev_timer_stop(s->loop, &s->linger);
 		ev_timer_set(&s->linger, LINGER_S, 0);
--- a/http/splice.h
+++ b/http/splice.h
@@ -1,7 +1,8 @@
 /*
  * Forwards bytes between two connected sockets in both directions until both
  * have ended. What one side can't take yet is buffered up to a limit, beyond
- * which the other one isn't read. An end of stream is passed on as such.
+ * which the other one isn't read. An end of stream is passed on as such; towards
+ * the first socket it can be marked by frames as well.
  */
 #ifndef MP_HTTP_SPLICE_H
 #define MP_HTTP_SPLICE_H
@@ -28,6 +29,7 @@
 	struct ev_loop *loop;
 	struct splice_end ends[2];
 	ev_timer linger;
+	bool framed; /* ends[0] gets the bytes of ends[1] in frames */
 	/* Optional: called with each first byte of an end. */
 	void (*first_byte)(void *priv, const struct splice_end *end);
 	/* Called when both sockets have been closed; err is 0 or -errno. */
--- a/tests/test_splice.c
+++ b/tests/test_splice.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "http/frames.h"
 #include "http/splice.h"
 
 enum { BULK_BYTES = 3 << 20, CHUNK = 1 << 16 };
@@ -133,6 +134,33 @@
 	finish(&p);
 }
 
+static void an_end_of_stream_is_marked_by_a_frame(void **state)
+{
+	struct frame_reader r = {0};
+	struct buf out = {0};
+	char in[64] = "";
+	struct pair p;
+	ssize_t n;
+
+	start(&p, LSTR(""));
+	p.splice.framed = true;
+	assert_int_equal(send(p.ends[0], "ask", 3, 0), 3);
+	assert_int_equal(send(p.ends[1], "told", 4, 0), 4);
+	run(&p);
+	assert_int_equal(recv(p.ends[1], in, sizeof(in), 0), 3);
+	shutdown(p.ends[1], SHUT_WR);
+	run(&p);
+	n = recv(p.ends[0], in, sizeof(in), 0);
+	assert_true(n > 0);
+	assert_int_equal(frame_read(&r, (struct lstr){in, (size_t)n}, &out), 0);
+	assert_true(lstr_eq(buf_lstr(&out), LSTR("told")));
+	assert_true(r.ended);
+	assert_int_equal(recv(p.ends[0], in, sizeof(in), 0), 0);
+	frame_reader_free(&r);
+	buf_free(&out);
+	finish(&p);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -140,6 +168,7 @@
 		cmocka_unit_test(first_bytes_go_before_all_others),
 		cmocka_unit_test(an_end_of_stream_is_passed_on_and_answered),
 		cmocka_unit_test(an_end_that_stays_open_is_closed_after_a_time),
+		cmocka_unit_test(an_end_of_stream_is_marked_by_a_frame),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_tunnels.c
+++ b/tests/test_tunnels.c
@@ -149,8 +149,15 @@
 	c->done = true;
 }
 
-static const struct http_client_ops client_ops = {
-	.match = take, .response = on_response, .failed = on_failed};
+static bool is_framed(void *priv, const struct http_message *m)
+{
+	return tunnel_answer_is_framed(m);
+}
+
+static const struct http_client_ops client_ops = {.match = take,
+						  .response = on_response,
+						  .failed = on_failed,
+						  .is_framed = is_framed};
 
 /* Sends a request to a server through the bench's tunnels. */
 static void ask_through(struct bench *b, struct tunnel_client *c,
@@ -162,8 +169,11 @@
 
 	memset(c, 0, sizeof(*c));
 	socket_parse_addr(b->settings.tunnels, &sa);
-	tunnel_request_write(
-		&head, &(struct tunnel_request){lstr0(backend), LSTR("e9"), 7});
+	tunnel_request_write(&head,
+			     &(struct tunnel_request){.backend = lstr0(backend),
+						      .from = LSTR("e9"),
+						      .id = 7,
+						      .framed = true});
 	assert_int_equal(http_client_open_tunnel(&c->http, b->loop, &sa,
 						 buf_lstr(&head), 1, none,
 						 &client_ops, c),
@@ -247,6 +257,82 @@
 	bench_free(b);
 }
 
+/* A peer that dies within a response without a length ends it early. */
+static void half_a_response_of_a_killed_peer_is_not_complete(void **state)
+{
+	struct bench *b = bench_new(SERVERS);
+	struct scripted_peer *p = bench_add_peer(b, "e2");
+	struct caller *c;
+
+	bench_break_links(b);
+	assert_int_equal(count_served(b, "GET", 3), 3);
+	for (int i = 0; i < SERVERS; i++) {
+		bench_script(b, i, SCRIPT_UNFRAMED);
+		b->servers[i].pause_ms = 100;
+	}
+	c = bench_call(b, "POST", 500);
+	bench_run_ms(b, 60);
+	assert_int_equal(bench_runs(b, c), 1);
+	peer_kill(p);
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 502);
+	bench_free(b);
+}
+
+static void a_response_without_length_passes_a_tunnel_whole(void **state)
+{
+	struct bench *b = bench_new(SERVERS);
+	struct scripted_peer *p = bench_add_peer(b, "e2");
+
+	bench_break_links(b);
+	for (int i = 0; i < SERVERS; i++)
+		bench_script(b, i, SCRIPT_UNFRAMED);
+	assert_int_equal(count_served(b, "GET", 5), 5);
+	assert_int_equal(count_served(b, "POST", 5), 5);
+	assert_in_range(p->asked, 10, 20);
+	http_server_close(&p->http);
+	bench_free(b);
+}
+
+/* Only a length shows the end of a response through an older version. */
+static void responses_through_a_peer_without_frames_need_a_length(void **state)
+{
+	struct bench *b = bench_new(SERVERS);
+	struct scripted_peer *p = bench_add_peer(b, "e2");
+	struct caller *c;
+
+	p->unframed = true;
+	bench_break_links(b);
+	assert_int_equal(count_served(b, "GET", 5), 5);
+	assert_int_equal(count_served(b, "POST", 5), 5);
+	for (int i = 0; i < SERVERS; i++)
+		bench_script(b, i, SCRIPT_UNFRAMED);
+	c = bench_call(b, "POST", 500);
+	bench_run_until(b, c);
+	assert_int_equal(c->status, 502);
+	assert_int_equal(bench_runs(b, c), 1);
+	http_server_close(&p->http);
+	bench_free(b);
+}
+
+static void a_served_tunnel_marks_only_an_orderly_end(void **state)
+{
+	struct bench *b = bench_new(SERVERS);
+	struct tunnel_client c;
+
+	bench_script(b, 0, SCRIPT_UNFRAMED);
+	b->servers[0].pause_ms = 20;
+	ask_through(b, &c, "i-0");
+	assert_int_equal(c.status, 200);
+	assert_string_equal(c.body, "body of a1");
+	http_client_close(&c.http);
+	b->servers[0].breaks_off = true;
+	ask_through(b, &c, "i-0");
+	assert_true(c.done);
+	assert_int_equal(c.status, 0);
+	bench_free(b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -263,6 +349,13 @@
 		cmocka_unit_test(
 			a_peer_without_links_says_so_and_tunnels_no_further),
 		cmocka_unit_test(the_server_hears_of_a_caller_that_leaves),
+		cmocka_unit_test(
+			half_a_response_of_a_killed_peer_is_not_complete),
+		cmocka_unit_test(
+			a_response_without_length_passes_a_tunnel_whole),
+		cmocka_unit_test(
+			responses_through_a_peer_without_frames_need_a_length),
+		cmocka_unit_test(a_served_tunnel_marks_only_an_orderly_end),
 	};
 
 	mp_log_critical_only();
--- a/tests/tunnel_peer.h
+++ b/tests/tunnel_peer.h
@@ -16,12 +16,39 @@
 	struct http_server http;
 	unsigned status; /* of its answers; 200: forward */
 	bool mute;	 /* forwards nothing */
+	bool unframed;	 /* of a version without frames */
 	unsigned asked;
+	GPtrArray *open; /* struct peer_tunnel * */
 };
 
-static inline void free_splice(void *priv, int err)
+struct peer_tunnel {
+	struct scripted_peer *peer;
+	struct splice splice;
+};
+
+static inline void peer_tunnel_closed(void *priv, int err)
 {
-	g_free(priv);
+	struct peer_tunnel *n = priv;
+
+	g_ptr_array_remove(n->peer->open, n);
+	g_free(n);
+}
+
+/* Closes a peer's sockets as the kernel does for a process that is killed. */
+static inline void peer_kill(struct scripted_peer *p)
+{
+	http_server_close(&p->http);
+	while (p->open->len) {
+		struct peer_tunnel *n = p->open->pdata[0];
+
+		for (int i = 0; i < 2; i++) {
+			ev_io_stop(p->bench->loop, &n->splice.ends[i].io);
+			close(n->splice.ends[i].fd);
+			buf_free(&n->splice.ends[i].out);
+		}
+		ev_timer_stop(p->bench->loop, &n->splice.linger);
+		peer_tunnel_closed(n, 0);
+	}
 }
 
 static inline void peer_request(void *priv, struct http_conn *c,
@@ -30,8 +57,8 @@
 	struct scripted_peer *p = priv;
 	struct tunnel_request r;
 	struct sockaddr_in sa;
-	struct buf input = {0};
-	struct splice *s;
+	struct buf input = {0}, answer = {0};
+	struct peer_tunnel *n;
 	char addr[32];
 	int fd;
 
@@ -48,13 +75,19 @@
 	}
 	socket_parse_addr(addr, &sa);
 	fd = http_conn_detach(c, &input);
-	(void)!send(fd, "HTTP/1.1 200 OK\r\n\r\n", 19, MSG_NOSIGNAL);
+	r.framed = r.framed && !p->unframed;
+	tunnel_answer_write(&answer, &r);
+	(void)!send(fd, answer.ptr, answer.len, MSG_NOSIGNAL);
+	buf_free(&answer);
 	if (p->mute)
 		return;
-	s = g_new0(struct splice, 1);
-	s->closed = free_splice;
-	s->priv = s;
-	splice_start(s, p->bench->loop, fd, socket_connect(&sa),
+	n = g_new0(struct peer_tunnel, 1);
+	n->peer = p;
+	n->splice.framed = r.framed;
+	n->splice.closed = peer_tunnel_closed;
+	n->splice.priv = n;
+	g_ptr_array_add(p->open, n);
+	splice_start(&n->splice, p->bench->loop, fd, socket_connect(&sa),
 		     buf_lstr(&input));
 	buf_free(&input);
 }
@@ -72,6 +105,7 @@
 	g_strlcpy(e.name, name, sizeof(e.name));
 	p->bench = b;
 	p->status = 200;
+	p->open = g_ptr_array_new();
 	p->http.limits = (struct http_limits){4096, 4096};
 	p->http.head_timeout_s = p->http.idle_timeout_s = 10;
 	if (http_server_open(&p->http, b->loop, addr, &peer_ops, p))
--- a/traffic/tunnels.c
+++ b/traffic/tunnels.c
@@ -33,6 +33,7 @@
 	uint64_t id;
 	char from[PEER_NAME_MAX];
 	int64_t since_ms;
+	bool framed;		/* the peer reads frames */
 	struct http_conn *conn; /* while connecting */
 	int fd;			/* to the server, while connecting */
 	ev_io connected;
@@ -83,8 +84,9 @@
 /* Ends the connection attempt and refuses the tunnel. */
 static void give_up(struct tunnel *t, unsigned status, const char *why)
 {
-	struct tunnel_request r = {lstr0(t->backend->entry.id), lstr0(t->from),
-				   t->id};
+	struct tunnel_request r = {.backend = lstr0(t->backend->entry.id),
+				   .from = lstr0(t->from),
+				   .id = t->id};
 
 	stop_connecting(t);
 	close(t->fd);
@@ -132,8 +134,8 @@
 /* Connected: answers the peer and begins to forward. */
 static void start_forwarding(struct tunnel *t)
 {
-	static const char ok[] = "HTTP/1.1 200 OK\r\n\r\n";
-	struct buf input = {0};
+	struct tunnel_request r = {.framed = t->framed};
+	struct buf input = {0}, ok = {0};
 	int fd;
 
 	stop_connecting(t);
@@ -150,8 +152,11 @@
 	t->splice.first_byte = on_first_byte;
 	t->splice.closed = on_closed;
 	t->splice.priv = t;
+	t->splice.framed = t->framed;
+	tunnel_answer_write(&ok, &r);
 	/* If this fails the first read reports it. */
-	(void)!send(fd, ok, sizeof(ok) - 1, MSG_NOSIGNAL);
+	(void)!send(fd, ok.ptr, ok.len, MSG_NOSIGNAL);
+	buf_free(&ok);
 	splice_start(&t->splice, t->traffic->loop, fd, t->fd, buf_lstr(&input));
 	buf_free(&input);
 }
@@ -188,6 +193,7 @@
 	n->traffic = t;
 	n->backend = backend_ref(b);
 	n->id = r->id;
+	n->framed = r->framed;
 	g_snprintf(n->from, sizeof(n->from), "%.*s", (int)r->from.len,
 		   r->from.ptr);
 	n->since_ms = clock_ms();
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -69,9 +69,10 @@
 	u->answered = true;
 	if (u->peer && first) {
 		mp_event(EV_TUNNEL_OPENED, G_LOG_LEVEL_MESSAGE,
-			 "tunnel=%016" PRIx64 " peer=%s backend=%s service=%s",
+			 "tunnel=%016" PRIx64 " peer=%s backend=%s service=%s "
+			 "framed=%d",
 			 u->tunnel, u->peer->name, u->backend->entry.id,
-			 u->backend->service->name);
+			 u->backend->service->name, u->http.framed);
 		tunnel_peer_worked(u->peer, u->backend->service, now_ms);
 		path_tunnel_opened(u->backend, now_ms);
 	}
@@ -171,6 +172,11 @@
 	return backend_is_available(u->backend, u->kind, clock_ms());
 }
 
+static bool is_framed(void *priv, const struct http_message *m)
+{
+	return tunnel_answer_is_framed(m);
+}
+
 /* Frees a closed connection and notifies its owner. */
 static void on_failed(void *priv, int err, bool sent)
 {
@@ -185,7 +191,8 @@
 }
 
 static const struct http_client_ops client_ops = {
-	classify_response, on_response, on_failed, may_send, on_unsolicited};
+	classify_response, on_response,	   on_failed,
+	may_send,	   on_unsolicited, is_framed};
 
 static struct upstream *new_upstream(struct traffic *t, struct backend *b)
 {
@@ -240,7 +247,8 @@
 	tunnel_request_write(&head, &(struct tunnel_request){
 					    .backend = lstr0(b->entry.id),
 					    .from = lstr0(t->settings->name),
-					    .id = u->tunnel});
+					    .id = u->tunnel,
+					    .framed = true});
 	rc = http_client_open_tunnel(&u->http, t->loop, &peer->addr,
 				     buf_lstr(&head), TUNNEL_TIMEOUT_S,
 				     response_limits, &client_ops, u);
