A reset that a write meets no longer ends a response without a length

What callers could see: 200 with the receipt and a part of the server's body, when a server resets a connection on which a request body is still being sent and its response has no length.

Cause: the kernel reports a reset once. If send() gets it, recv() returns what has arrived and then 0, as after an orderly end, and http_client completed the response there.

Evidence: test_reset_met_by_a_write_ends_no_response makes the write come between the reset and the read; before the fix the response was complete with status 200.

Now a failed write is remembered, and an end of stream after it completes no response. Responses with a length or in chunks that arrived before the reset are read as before (test_response_before_reset). This client serves connections to servers, peers and the store; a splice resets its other end when a write fails.

--- a/http/client.c
+++ b/http/client.c
@@ -61,8 +61,12 @@
 	ssize_t n = sendmsg(c->fd, &msg, MSG_NOSIGNAL);
 	size_t head;
 
-	if (n < 0)
-		return errno == EAGAIN || errno == EINTR ? 0 : -errno;
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return 0;
+	if (n < 0) {
+		c->write_failed = true;
+		return -errno;
+	}
 	head = (size_t)n < c->out.len ? (size_t)n : c->out.len;
 	c->sent = c->sent || n > 0;
 	buf_consume(&c->out, head);
@@ -188,7 +192,8 @@
 		c->reusable = false;
 	if (!read_responses(c, p, n) || !ended)
 		return;
-	if (http_reader_eof(&c->reader) || !deliver(c, NULL, 0))
+	if (c->write_failed || http_reader_eof(&c->reader) ||
+	    !deliver(c, NULL, 0))
 		fail(c, -EPIPE);
 }
 
--- a/http/client.h
+++ b/http/client.h
@@ -75,6 +75,11 @@
 	bool connected; /* the connection has been established */
 	bool sent;	/* some of its bytes may have been sent */
 	bool reusable;	/* may be used for another request */
+	/*
+	 * The kernel has reported the end of the connection to a write, so
+	 * reads can't tell a reset from an orderly end.
+	 */
+	bool write_failed;
 	unsigned served;
 };
 
--- a/tests/test_client_body.c
+++ b/tests/test_client_body.c
@@ -179,6 +179,23 @@
 	fixture_free(f);
 }
 
+/* The kernel reports a reset once: a write that meets it hides it from reads. */
+static void test_reset_met_by_a_write_ends_no_response(void **state)
+{
+	struct fixture *f = fixture_new(LONG_MS);
+
+	respond(f, "HTTP/1.1 200 OK\r\n\r\na part of the body");
+	run_ms(f, 5);
+	/* With unread bytes this resets the connection. */
+	close(f->server);
+	f->server = -1;
+	ev_invoke(f->loop, &f->client.io, EV_WRITE);
+	run_ms(f, 20);
+	assert_int_equal(f->status, 0);
+	assert_int_equal(f->err, -EPIPE);
+	fixture_free(f);
+}
+
 static void test_server_breaks_off(void **state)
 {
 	struct fixture *f = fixture_new(LONG_MS);
@@ -209,6 +226,7 @@
 		cmocka_unit_test(test_body_arrives_whole),
 		cmocka_unit_test(test_early_response_ends_connection),
 		cmocka_unit_test(test_response_before_reset),
+		cmocka_unit_test(test_reset_met_by_a_write_ends_no_response),
 		cmocka_unit_test(test_server_breaks_off),
 		cmocka_unit_test(test_server_stops_reading),
 	};
