A stopping instance takes only requests that it answers before it ends

Cause: the stop knew a time until which connections are taken (3 s) and one at which the process ends (0.4 s before the grace time is over), but nothing compared a request with what was left. Whatever was open at the end, at a server, waiting for one or half received, was dropped with its connection.

All others get 503 at once with a short Retry-After, also those that wait in a queue, for load answers or for a quota. Second sends follow the same rule. 0.4 s before the grace time is over each open request gets a response: 503 if it was sent to no server, 504 if it was, 408 if it hasn't arrived whole; the process exits once peers have closed.

--- a/core/retry_after.c
+++ b/core/retry_after.c
@@ -23,6 +23,9 @@
 static const double LATE_BASE = 0.2;
 static const double LATE_SPREAD = 0.13;
 
+/* Range of the delay if another instance can serve the request. */
+enum { ELSEWHERE_MIN_MS = 10, ELSEWHERE_SPREAD_MS = 40 };
+
 /*
  * retry_after_s() returns the delay for a request whose caller has left_ms of
  * its time left. `random` is in 0..1.
@@ -78,6 +81,16 @@
 	return (double)(at - now_ms) / 1000;
 }
 
+/*
+ * retry_after_elsewhere_s() returns the delay if other instances can serve the
+ * request now. The spread keeps the callers of a stopping instance from reaching
+ * another one at the same moment.
+ */
+double retry_after_elsewhere_s(double random)
+{
+	return (ELSEWHERE_MIN_MS + ELSEWHERE_SPREAD_MS * random) / 1000;
+}
+
 /*
  * retry_after_default_s() returns the delay if nothing is known of the request.
  */
--- a/core/retry_after.h
+++ b/core/retry_after.h
@@ -17,6 +17,7 @@
 double retry_after_turn_s(int64_t *last_turn_ms,
 			  const struct limit_capacity *capacity,
 			  unsigned waiting, int64_t left_ms, int64_t now_ms);
+double retry_after_elsewhere_s(double random);
 double retry_after_default_s(double random);
 
 #endif
--- a/http/conn.c
+++ b/http/conn.c
@@ -439,17 +439,23 @@
 		conn_read(c);
 }
 
-/* Replies 408 to an incomplete request; else closes the connection. */
-static void conn_timeout(struct ev_loop *loop, ev_timer *t, int revents)
+/*
+ * http_conn_time_out() replies 408 to an incomplete request; otherwise it closes
+ * the connection.
+ */
+void http_conn_time_out(struct http_conn *c)
 {
-	struct http_conn *c = t->data;
-
 	if (c->state == CONN_READING)
 		conn_reject(c, 408);
 	else
 		conn_close_and_notify(c);
 }
 
+static void on_timeout(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	http_conn_time_out(t->data);
+}
+
 /* http_conn_new() adds an accepted socket to the server. */
 void http_conn_new(struct http_server *s, int fd)
 {
@@ -465,7 +471,7 @@
 	c->reader.gate = s->body_gate;
 	ev_io_init(&c->io, conn_event, fd, EV_READ);
 	c->io.data = c;
-	ev_init(&c->timer, conn_timeout);
+	ev_init(&c->timer, on_timeout);
 	c->timer.data = c;
 	c->next = s->conns;
 	if (s->conns)
--- a/http/conn.h
+++ b/http/conn.h
@@ -34,5 +34,6 @@
 
 void http_conn_new(struct http_server *s, int fd);
 void http_conn_free(struct http_conn *c);
+void http_conn_time_out(struct http_conn *c);
 
 #endif
--- a/http/server.c
+++ b/http/server.c
@@ -78,19 +78,47 @@
 	       ev_now(c->server->loop) - c->opened < FIRST_REQUEST_GRACE_S;
 }
 
+/* Returns whether bytes have arrived that haven't been read yet. */
+static bool has_input(const struct http_conn *c)
+{
+	char byte;
+
+	return recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+/* Returns whether no request is open, and none is about to come. */
+static bool is_idle(const struct http_conn *c)
+{
+	return c->state == CONN_IDLE && !is_awaiting_first_request(c) &&
+	       !has_input(c);
+}
+
 /*
  * http_server_close_idle() closes idle connections, except new ones whose first
- * request may be in transit.
+ * request may be in transit and those whose next request has arrived.
  */
 void http_server_close_idle(struct http_server *s)
 {
 	for (struct http_conn *c = s->conns, *next; c; c = next) {
 		next = c->next;
-		if (c->state == CONN_IDLE && !is_awaiting_first_request(c))
+		if (is_idle(c))
 			http_conn_free(c);
 	}
 }
 
+/*
+ * http_server_time_out_partial() responds to the requests that haven't been
+ * received completely, and closes their connections.
+ */
+void http_server_time_out_partial(struct http_server *s)
+{
+	for (struct http_conn *c = s->conns, *next; c; c = next) {
+		next = c->next;
+		if (c->state == CONN_READING)
+			http_conn_time_out(c);
+	}
+}
+
 /* http_server_count_sending() counts the replies that are being sent. */
 unsigned http_server_count_sending(const struct http_server *s)
 {
@@ -101,13 +129,14 @@
 	return n;
 }
 
-/* http_server_busy() returns whether any request or reply is unfinished. */
+/*
+ * http_server_busy() returns whether any request or reply is unfinished. A reply
+ * is until its peer has closed, which shows that it has arrived.
+ */
 bool http_server_busy(const struct http_server *s)
 {
 	for (const struct http_conn *c = s->conns; c; c = c->next) {
-		if (c->state != CONN_IDLE && c->state != CONN_LINGER)
-			return true;
-		if (c->state == CONN_IDLE && is_awaiting_first_request(c))
+		if (!is_idle(c))
 			return true;
 	}
 	return false;
--- a/http/server.h
+++ b/http/server.h
@@ -50,6 +50,7 @@
 		     void *priv);
 void http_server_stop_listening(struct http_server *s);
 void http_server_close_idle(struct http_server *s);
+void http_server_time_out_partial(struct http_server *s);
 unsigned http_server_count_sending(const struct http_server *s);
 bool http_server_busy(const struct http_server *s);
 void http_server_close(struct http_server *s);
--- a/tests/test_quotas.c
+++ b/tests/test_quotas.c
@@ -292,7 +292,7 @@
 	bench_run_ms(b, 5);
 	caller_disconnect(c);
 	bench_run_ms(b, 10);
-	assert_int_equal(b->traffic.open_requests, 0);
+	assert_int_equal(b->traffic.requests.length, 0);
 	asks = nsent;
 	answer(b, &sent[0], QUOTA_GRANT);
 	bench_run_ms(b, 10);
@@ -358,7 +358,7 @@
 	bench_run_until(b, c);
 	assert_int_equal(c->status, 429);
 	assert_int_equal(b->servers[0].received, 0);
-	assert_int_equal(b->traffic.open_requests, 0);
+	assert_int_equal(b->traffic.requests.length, 0);
 	end(b);
 }
 
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -182,7 +182,7 @@
 	caller_disconnect(c);
 	bench_run_ms(b, 50);
 	assert_int_equal(b->servers[0].running, 0);
-	assert_int_equal(b->traffic.open_requests, 0);
+	assert_int_equal(b->traffic.requests.length, 0);
 	/* A non-idempotent one runs to its end there. */
 	c = bench_call(b, "POST", 1000);
 	bench_run_ms(b, 50);
@@ -191,7 +191,7 @@
 	assert_int_equal(b->servers[0].running, 1);
 	bench_run_ms(b, 350);
 	assert_int_equal(b->servers[0].running, 0);
-	assert_int_equal(b->traffic.open_requests, 0);
+	assert_int_equal(b->traffic.requests.length, 0);
 	bench_free(b);
 }
 
@@ -216,7 +216,7 @@
 
 	b->servers[0].busy_slots = 2;
 	c = bench_call(b, "POST", 1000);
-	for (int i = 0; i < 20 && b->traffic.open_requests == 0; i++)
+	for (int i = 0; i < 20 && b->traffic.requests.length == 0; i++)
 		bench_run_ms(b, 1);
 	r = http_conn_user(b->traffic.caller_server.conns);
 	assert_non_null(r);
@@ -228,7 +228,7 @@
 	bench_run_ms(b, 10);
 	assert_int_equal(completed_count, 1);
 	assert_int_equal(completed_status, 503);
-	assert_int_equal(b->traffic.open_requests, 0);
+	assert_int_equal(b->traffic.requests.length, 0);
 	bench_free(b);
 }
 
@@ -248,7 +248,7 @@
 	caller_disconnect(c);
 	bench_run_ms(b, 150);
 	assert_int_equal(b->servers[0].received + b->servers[1].received, 1);
-	assert_int_equal(b->traffic.open_requests, 0);
+	assert_int_equal(b->traffic.requests.length, 0);
 	bench_free(b);
 }
 
@@ -380,7 +380,7 @@
 	bench_run_ms(b, 300);
 	assert_int_equal(a->requests, REQUESTS);
 	assert_true(budget_spent(a) <= REQUESTS / 2);
-	assert_int_equal(b->traffic.open_requests, 0);
+	assert_int_equal(b->traffic.requests.length, 0);
 	bench_free(b);
 }
 
@@ -452,7 +452,7 @@
 		if (!c->disconnected && !c->status)
 			fail_msg("seed %u: %s got no response", seed, c->id);
 	}
-	assert_int_equal(b->traffic.open_requests, 0);
+	assert_int_equal(b->traffic.requests.length, 0);
 	bench_free(b);
 	g_rand_free(rand);
 }
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -348,6 +348,27 @@
 	fixture_free(f);
 }
 
+/* A request that crosses the close of its idle connection isn't lost. */
+static void test_shutdown_answers_what_has_arrived(void **state)
+{
+	struct fixture *f = fixture_new();
+	int fd = connect_client();
+
+	send_text(fd, "GET /a HTTP/1.1\r\n\r\n");
+	run_ms(f, 10);
+	assert_non_null(strstr(receive_text(fd), "200 OK"));
+	run_ms(f, 250);
+	send_text(fd, "GET /b HTTP/1.1\r\n\r\n");
+	http_server_stop_listening(&f->server);
+	http_server_close_idle(&f->server);
+	assert_true(http_server_busy(&f->server));
+	run_ms(f, 10);
+	assert_string_equal(f->last_target, "/b");
+	assert_non_null(strstr(receive_text(fd), "200 OK"));
+	close(fd);
+	fixture_free(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -359,6 +380,7 @@
 		cmocka_unit_test(test_head_and_continue),
 		cmocka_unit_test(test_shutdown_serves_connected),
 		cmocka_unit_test(test_shutdown_closes_silent),
+		cmocka_unit_test(test_shutdown_answers_what_has_arrived),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -205,7 +205,7 @@
 	buf_printf(out, "instances %u\n", t->peers.instances);
 	write_evacuations(out, &t->evacuations);
 	buf_printf(out, "cold_sends %" G_GUINT64_FORMAT "\n", n->cold_sends);
-	buf_printf(out, "open_requests %u\n", t->open_requests);
+	buf_printf(out, "open_requests %u\n", t->requests.length);
 	buf_printf(out, "caller_connections %u\n", t->caller_server.nconns);
 	buf_printf(out, "backend_connections_opened %u\n", upstream_opened());
 	buf_printf(out, "asks %" G_GUINT64_FORMAT "\n", n->probes);
--- a/traffic/request.c
+++ b/traffic/request.c
@@ -8,6 +8,7 @@
 #include "misc/clock.h"
 #include "traffic/quotas.h"
 #include "traffic/request.h"
+#include "traffic/stop.h"
 #include "traffic/uploads.h"
 #include "traffic/workspace_metrics.h"
 
@@ -36,7 +37,7 @@
 	ev_timer_stop(t->loop, &r->timer);
 	config_unref(r->config);
 	http_message_free(r->message);
-	t->open_requests--;
+	g_queue_unlink(&t->requests, &r->link);
 	g_free(r);
 }
 
@@ -191,6 +192,20 @@
 	respond_local(r, status, 0);
 }
 
+/*
+ * Ends a request that can't be answered before this instance ends: the caller
+ * retries at another one, unless the request may have been executed.
+ */
+void request_end_stopping(struct request *r)
+{
+	if (r->maybe_executed)
+		request_fail(r, 504, "stopping");
+	else
+		refuse(r, "stopping",
+		       retry_after_elsewhere_s(
+			       g_rand_double(r->traffic->rand)));
+}
+
 static void count_response(struct request *r, unsigned status, int64_t ms)
 {
 	struct class_stats *s = r->stats;
@@ -376,13 +391,16 @@
 		(left_ms < route->timeout_ms ? left_ms : route->timeout_ms);
 	ev_init(&r->timer, on_timer);
 	r->timer.data = r;
-	t->open_requests++;
+	r->link.data = r;
+	g_queue_push_tail_link(&t->requests, &r->link);
 	r->stats->requests++;
 	budget_add_request(&r->service->budget, &t->budget_params,
 			   clock_boot_ms());
 	r->service->retry_stats.requests++;
 	http_conn_set_user(c, r);
-	if (quotas_acquire(r) == QUOTA_GRANTED)
+	if (!stop_has_time(r))
+		request_end_stopping(r);
+	else if (quotas_acquire(r) == QUOTA_GRANTED)
 		request_select(r, SELECT_FIRST);
 }
 
--- a/traffic/request.h
+++ b/traffic/request.h
@@ -78,6 +78,7 @@
 
 struct request {
 	struct traffic *traffic;
+	GList link;		/* in the open requests of `traffic` */
 	struct http_conn *conn; /* NULL after the caller disconnected */
 	struct http_message *message;
 	const struct caller_protocol *protocol;
@@ -155,6 +156,7 @@
 void request_refuse(struct request *r, const char *why);
 void request_refuse_quota(struct request *r, unsigned status, double retry_s);
 void request_fail(struct request *r, unsigned status, const char *why);
+void request_end_stopping(struct request *r);
 void request_forward_response(struct request *r, struct http_message *answer);
 double request_retries_left(const struct request *r);
 
--- a/traffic/request_retry.c
+++ b/traffic/request_retry.c
@@ -1,5 +1,6 @@
 #include "misc/clock.h"
 #include "traffic/request.h"
+#include "traffic/stop.h"
 
 /* Returns how many extra sends the service's retry budget still allows. */
 double request_retries_left(const struct request *r)
@@ -44,7 +45,8 @@
 		return false;
 	if (r->maybe_executed && !r->route->idempotent)
 		return false;
-	if (now_ms >= r->deadline_ms || request_is_quarantined(r))
+	if (now_ms >= r->deadline_ms || request_is_quarantined(r) ||
+	    !stop_has_time(r))
 		return false;
 	/* No second copy while the first may be crashing its server. */
 	if (request_is_in_flight(r) &&
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -19,6 +19,7 @@
 #include "traffic/request.h"
 #include "traffic/shortage_gossip.h"
 #include "traffic/slow_starts.h"
+#include "traffic/stop.h"
 #include "traffic/path_check.h"
 #include "traffic/traffic.h"
 #include "traffic/tunnels.h"
@@ -30,16 +31,8 @@
 	/* Used until the first configuration sets the callers' limits. */
 	DEFAULT_HEAD_MAX = 16 * 1024,
 	DEFAULT_BODY_MAX = 64 << 20,
-	/*
-	 * How long a stopping instance still accepts connections: callers keep
-	 * an address for some seconds after the directory names another.
-	 */
-	STOP_ACCEPT_MS = 3000,
-	STOP_CHECK_MS = 50,
 	/* Idempotency keys remembered, about 100 bytes each. */
 	DEDUP_KEYS_MAX = 50 * 1000,
-	/* Part of the grace time kept for the exit itself. */
-	STOP_RESERVE_MS = 400,
 };
 
 static const double DEFAULT_HEAD_TIMEOUT_S = 3;
@@ -259,45 +252,6 @@
 	g_free(c);
 }
 
-/*
- * Stops listening after a while and exits when no request is open, or when the
- * grace time ends.
- */
-static void on_shutdown_timer(struct ev_loop *loop, ev_timer *timer,
-			      int revents)
-{
-	struct traffic *t = timer->data;
-	int64_t elapsed_ms = clock_ms() - t->stopping_ms;
-	int64_t grace_ms = (int64_t)(t->bounds.grace_s * 1000);
-
-	if (elapsed_ms < STOP_ACCEPT_MS && elapsed_ms < grace_ms / 2)
-		return;
-	http_server_stop_listening(&t->caller_server);
-	http_server_stop_listening(&t->own_server);
-	http_server_close_idle(&t->caller_server);
-	http_server_close_idle(&t->own_server);
-	if ((http_server_busy(&t->caller_server) ||
-	     http_server_busy(&t->own_server) || tunnels_busy(t)) &&
-	    elapsed_ms < grace_ms - STOP_RESERVE_MS)
-		return;
-	mp_event(EV_STOPPED, G_LOG_LEVEL_MESSAGE, "open_requests=%u",
-		 t->open_requests);
-	ev_break(loop, EVBREAK_ALL);
-}
-
-static void begin_shutdown(struct traffic *t)
-{
-	t->stopping = true;
-	early_refuse_all(t);
-	t->stopping_ms = clock_ms();
-	t->caller_server.disable_keep_alive = true;
-	t->own_server.disable_keep_alive = true;
-	ev_timer_init(&t->stop_timer, on_shutdown_timer, STOP_CHECK_MS / 1000.0,
-		      STOP_CHECK_MS / 1000.0);
-	t->stop_timer.data = t;
-	ev_timer_start(t->loop, &t->stop_timer);
-}
-
 /* Applies the limits that all instances share. */
 static void apply_bounds(struct traffic *t, const struct bounds *b)
 {
@@ -387,7 +341,7 @@
 		g_free(m->data);
 		break;
 	case TO_TRAFFIC_STOP:
-		begin_shutdown(t);
+		stop_begin(t);
 		break;
 	}
 }
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -86,7 +86,7 @@
 	int64_t last_failure_ms; /* last refused or failed request */
 	GHashTable *classes;	 /* name -> struct class_stats * */
 	struct traffic_counters counters;
-	unsigned open_requests;
+	GQueue requests; /* open ones: struct request *, by their `link` */
 	GHashTable *workspace_stats; /* by name; NULL: none yet */
 	struct early_requests early;
 	struct body_memory bodies; /* of callers' requests */
