A stopping instance refuses a body that it can't use at its head

What callers saw: an upload that began after the SIGTERM was received whole, or until the end of the grace time, and then refused, though the head already tells that its deadline lies beyond the instance's end. Found by asking of each state of a request during a stop when its refusal is known.

Cause: a request is compared with the stop when it starts, which is after its body.

Evidence: a_body_that_comes_too_late_is_refused_at_its_head sends a head and a part of the body; before this change it got no response within 20 ms.

Now the gate that limits the memory of bodies is asked at the head as well. A request that may not run at all is answered as before, when it is complete.

--- a/core/stop_window.c
+++ b/core/stop_window.c
@@ -8,7 +8,7 @@
 	 * these and the exit itself take the rest.
 	 */
 	RESPONSES_MS = 400,
-	EXIT_MS = 100,
+	EXIT_MS = 200,
 	/* Between the last connection and the responses to its request. */
 	LAST_CONNECTION_MS = 300,
 	/*
--- a/http/conn.c
+++ b/http/conn.c
@@ -250,7 +250,7 @@
 			&(struct http_reply){.status = status, .close = true});
 }
 
-/* Replies to a request whose body doesn't fit into memory. */
+/* Replies to a request whose body isn't received. */
 static void conn_refuse_body(struct http_conn *c)
 {
 	const struct http_body_gate *gate = c->server->body_gate;
@@ -350,6 +350,15 @@
 	return true;
 }
 
+/* Returns whether the body of the current request, if any, is received. */
+static bool accepts_body(const struct http_conn *c)
+{
+	const struct http_body_gate *gate = c->server->body_gate;
+
+	return !gate || !gate->accept || c->reader.msg->done ||
+	       gate->accept(gate->priv, c->reader.msg);
+}
+
 /* Parses the head if it is complete and valid; returns whether it was. */
 static bool read_head(struct http_conn *c)
 {
@@ -374,6 +383,10 @@
 	}
 	if (!feed(c, (size_t)end))
 		return false;
+	if (!accepts_body(c)) {
+		conn_refuse_body(c);
+		return false;
+	}
 	begin_body(c);
 	send_continue(c);
 	return true;
--- a/http/message.h
+++ b/http/message.h
@@ -26,7 +26,9 @@
 	/* A body that holds `held` bytes needs `total`; false: doesn't fit. */
 	bool (*reserve)(void *priv, size_t held, size_t total);
 	void (*release)(void *priv, size_t held);
-	/* Writes headers of the 503 to a request whose body doesn't fit. */
+	/* Optional: returns whether the body after a head is received. */
+	bool (*accept)(void *priv, const struct http_message *head);
+	/* Writes headers of the 503 to a request whose body isn't received. */
 	void (*write_refusal)(void *priv, const struct http_message *head,
 			      struct buf *headers);
 	/* Returns the seconds in which the body after a head must arrive. */
--- a/tests/test_server_body.c
+++ b/tests/test_server_body.c
@@ -101,8 +101,11 @@
 	f->loop = ev_loop_new(EVFLAG_NOENV);
 	f->data = g_malloc0(BODY + CHUNK);
 	f->memory.limit = LIMIT;
-	f->gate = (struct http_body_gate){reserve, release, write_refusal,
-					  body_time_s, &f->memory};
+	f->gate = (struct http_body_gate){.reserve = reserve,
+					  .release = release,
+					  .write_refusal = write_refusal,
+					  .body_time_s = body_time_s,
+					  .priv = &f->memory};
 	f->server.body_gate = &f->gate;
 	f->server.head_timeout_s = PAUSE_MS / 1000.0;
 	f->server.idle_timeout_s = 10;
--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -8,6 +8,10 @@
 
 #include "common/event.h"
 
+#define UPLOAD                                           \
+	"POST /POST/x HTTP/1.1\r\nHost: one.example\r\n" \
+	"Attempt-Id: a\r\nContent-Length: 10\r\n\r\nbody"
+
 enum {
 	GRACE_S = 2,
 	LISTEN_MS = 1300, /* new connections are accepted until then */
@@ -134,28 +138,52 @@
 	bench_free(b);
 }
 
-/* A body that trickles in is cut by a response, not by a bare close. */
-static void a_request_that_never_arrives_whole_is_timed_out(void **state)
+/* Connects as a caller and sends a part of a request. */
+static int begin_upload(struct bench *b)
 {
-	struct bench *b = begin(1);
 	struct sockaddr_in sa;
-	char text[256] = "";
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	b->traffic.caller_server.head_timeout_s = LONG_MS;
 	socket_parse_addr(b->settings.callers, &sa);
 	assert_int_equal(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
-	assert_true(send(fd,
-			 "POST /POST/x HTTP/1.1\r\nHost: one.example\r\n"
-			 "Attempt-Id: a\r\nContent-Length: 10\r\n\r\nbody",
-			 92, MSG_NOSIGNAL) > 0);
+	assert_true(send(fd, UPLOAD, strlen(UPLOAD), MSG_NOSIGNAL) > 0);
 	bench_run_ms(b, 20);
-	stop(b);
-	run_to(b, GRACE_S * 1000);
+	return fd;
+}
+
+/* Checks the response to a part of a request, and closes the connection. */
+static void assert_answered(int fd, const char *status)
+{
+	char text[256] = "";
+
 	assert_true(recv(fd, text, sizeof(text) - 1, MSG_DONTWAIT) > 0);
-	assert_non_null(strstr(text, "HTTP/1.1 408"));
+	assert_non_null(strstr(text, status));
 	assert_non_null(strstr(text, "Connection: close"));
 	close(fd);
+}
+
+/* A body that trickles in is cut by a response, not by a bare close. */
+static void a_request_that_never_arrives_whole_is_timed_out(void **state)
+{
+	struct bench *b = begin(1);
+	int fd = begin_upload(b);
+
+	stop(b);
+	run_to(b, GRACE_S * 1000);
+	assert_answered(fd, "HTTP/1.1 408");
+	bench_free(b);
+}
+
+/* A caller needn't send a body that can't be used. */
+static void a_body_that_comes_too_late_is_refused_at_its_head(void **state)
+{
+	struct bench *b = begin(1);
+	int fd;
+
+	stop(b);
+	fd = begin_upload(b);
+	assert_answered(fd, "HTTP/1.1 503");
 	bench_free(b);
 }
 
@@ -169,6 +197,8 @@
 		cmocka_unit_test(no_request_is_left_without_a_response),
 		cmocka_unit_test(
 			a_request_that_never_arrives_whole_is_timed_out),
+		cmocka_unit_test(
+			a_body_that_comes_too_late_is_refused_at_its_head),
 	};
 
 	mp_log_init("test");
--- a/traffic/stop.c
+++ b/traffic/stop.c
@@ -28,18 +28,52 @@
 				: 0;
 }
 
+/* Returns whether a request can be answered before the instance ends. */
+static bool has_time(const struct traffic *t, int64_t deadline_ms,
+		     const struct class_stats *stats)
+{
+	struct stop_window w = window(t);
+	struct stop_request r = {.deadline_ms = deadline_ms,
+				 .usual_ms = usual_ms(stats)};
+
+	return stop_window_has_time(&w, &r, clock_ms());
+}
+
 /*
  * stop_has_time() returns whether a request can be answered before the instance
  * ends; true if it isn't stopping.
  */
 bool stop_has_time(const struct request *r)
 {
-	struct stop_window w = window(r->traffic);
-	struct stop_request q = {.deadline_ms = r->deadline_ms,
-				 .usual_ms = usual_ms(r->stats)};
+	const struct traffic *t = r->traffic;
 
-	return !r->traffic->stopping ||
-	       stop_window_has_time(&w, &q, clock_ms());
+	return !t->stopping || has_time(t, r->deadline_ms, r->stats);
+}
+
+/*
+ * stop_has_time_for_body() returns whether a request whose body follows its head
+ * can be answered before the instance ends. Of a request that may not run at all
+ * this isn't known; it gets its response when it is complete.
+ */
+bool stop_has_time_for_body(struct traffic *t, const struct http_message *head)
+{
+	struct request_info call;
+	struct service *s;
+	struct access a;
+	int64_t left_ms;
+
+	if (!t->stopping)
+		return true;
+	exchange_read_request(head, &call);
+	a = request_access(t, &call);
+	if (a.status != ACCESS_GRANTED)
+		return true;
+	left_ms = a.route->timeout_ms;
+	if (call.has_time_left)
+		left_ms = MIN(left_ms, call.time_left_ms);
+	s = backend_set_service(&t->backends, a.route->splits[0].service);
+	return has_time(t, clock_ms() + left_ms,
+			traffic_class_stats(t, s->name, a.route->target_ms));
 }
 
 /* Returns whether no server has a request that can't be answered in time. */
--- a/traffic/stop.h
+++ b/traffic/stop.h
@@ -9,5 +9,6 @@
 
 void stop_begin(struct traffic *t);
 bool stop_has_time(const struct request *r);
+bool stop_has_time_for_body(struct traffic *t, const struct http_message *head);
 
 #endif
--- a/traffic/uploads.c
+++ b/traffic/uploads.c
@@ -2,6 +2,7 @@
 
 #include "common/event.h"
 #include "core/retry_after.h"
+#include "traffic/stop.h"
 #include "traffic/uploads.h"
 
 /* For callers that name no time limit. */
@@ -22,24 +23,33 @@
 	body_memory_release(&t->bodies, held);
 }
 
+/* Returns whether a body can be used: not by an instance that ends before. */
+static bool accept_body(void *priv, const struct http_message *m)
+{
+	return stop_has_time_for_body(priv, m);
+}
+
 /*
- * Writes the headers of the 503 to a request whose body doesn't fit into memory;
- * it isn't received and never sent.
+ * Writes the headers of the 503 to a request whose body doesn't fit into memory
+ * or comes too late; it isn't received and never sent.
  */
 static void write_refusal(void *priv, const struct http_message *m,
 			  struct buf *headers)
 {
 	struct traffic *t = priv;
+	bool too_late = !stop_has_time_for_body(t, m);
+	double random = g_rand_double(t->rand);
 	struct request_info call;
 
 	exchange_read_request(m, &call);
 	mp_event(EV_BODY_REFUSED, G_LOG_LEVEL_INFO,
-		 "id=%.*s status=503 used=%zu limit=%zu", (int)call.id.len,
-		 call.id.ptr ? call.id.ptr : "", t->bodies.used,
+		 "id=%.*s status=503 why=%s used=%zu limit=%zu",
+		 (int)call.id.len, call.id.ptr ? call.id.ptr : "",
+		 too_late ? "stopping" : "memory", t->bodies.used,
 		 t->bodies.limit);
-	exchange_write_error_headers(
-		headers, call.id,
-		retry_after_default_s(g_rand_double(t->rand)));
+	exchange_write_error_headers(headers, call.id,
+				     too_late ? retry_after_elsewhere_s(random)
+					      : retry_after_default_s(random));
 }
 
 /*
@@ -62,6 +72,7 @@
 	t->body_gate = (struct http_body_gate){
 		.reserve = reserve,
 		.release = release,
+		.accept = accept_body,
 		.write_refusal = write_refusal,
 		.body_time_s = body_time_s,
 		.priv = t,
