Soak: responses without a length, long work, patient callers, stops that overlap

Neither fault of the review could come up in the soak: its servers always gave a length, worked for some ms, and callers waited for a second at most; a stop was waited for, so that nothing else happened meanwhile.

Now servers respond without a length for part of the requests (in the mode links throughout) or work on some for 3 s; 5 in 100 calls have a time limit of 8 s; the load generator takes a 200 only with its whole body; an instance that is stopped ends in the background, beside further signals and faults; and a new check finds an instance that ended with open requests (event 102).

The relay now resets a connection that has lost bytes, the server's kernel resets its own.

--- a/app/main.c
+++ b/app/main.c
@@ -60,7 +60,8 @@
 struct cli {
 	char *settings, *deployment, *name, *service, *unset, *tenant;
 	char *evacuate, *restore;
-	int index, seed, base, last, wait, seconds, rate, concurrency, direct;
+	int index, seed, base, last, wait, seconds, rate, concurrency, direct,
+		patient;
 	int entries;
 	int version, from_operator;
 };
@@ -99,6 +100,8 @@
 		 "maximum concurrent calls", "N"},
 		{"entries", 0, POPT_ARG_INT, &o->entries, 0,
 		 "call only the first N listed entries", "N"},
+		{"patient", 0, POPT_ARG_INT, &o->patient, 0,
+		 "load: calls with a time limit of 8 s", "PCT"},
 		{"direct", 0, POPT_ARG_NONE, &o->direct, 0,
 		 "load: call the servers directly (baseline)", NULL},
 		{"tenant", 0, POPT_ARG_STRING, &o->tenant, 0,
@@ -155,6 +158,7 @@
 		.direct = o->direct,
 		.entry = o->name,
 		.entries = o->entries,
+		.patient_pct = o->patient,
 	};
 
 	return load_main(d, &a);
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -17,6 +17,7 @@
 #include "misc/clock.h"
 #include "stand/query.h"
 #include "stand/server.h"
+#include "stand/unframed.h"
 
 enum {
 	DRAIN_MS = 5000,       /* time from SIGTERM to the stop, at least */
@@ -25,6 +26,7 @@
 	BODY_MAX = 1 << 20,
 	FATAL_DELAY_MS = 40, /* run time of a fatal request before the crash */
 	EXIT_FATAL = 70,
+	LONG_WORK_MS = 3000,
 };
 
 /* The users' rules for servers with a limit, and for cold ones. */
@@ -114,6 +116,8 @@
 		buf_reserve(&raw, n);
 		buf_add(&raw, raw.ptr, n);
 		http_conn_reply_raw(c, buf_lstr(&raw), false);
+	} else if (fault_occurs(s, s->faults.unframed_pct)) {
+		unframed_reply(c, s->loop, buf_lstr(&headers), buf_lstr(&body));
 	} else {
 		reply(s, c, 200, &headers, buf_lstr(&body));
 	}
@@ -177,6 +181,9 @@
 	double ms = work_duration_ms(&s->work, clock_ms());
 	char *key_text;
 
+	if (fault_occurs(s, s->faults.long_pct))
+		ms += LONG_WORK_MS;
+
 	if (!key.ptr)
 		key = http_find_header(j->message, LSTR("Attempt-Id"));
 	key_text = g_strndup(key.ptr, key.len);
--- a/stand/faults.c
+++ b/stand/faults.c
@@ -27,6 +27,8 @@
 		{"lost_pct", offsetof(struct faults, lost_pct)},
 		{"cut_pct", offsetof(struct faults, cut_pct)},
 		{"extra_pct", offsetof(struct faults, extra_pct)},
+		{"unframed_pct", offsetof(struct faults, unframed_pct)},
+		{"long_pct", offsetof(struct faults, long_pct)},
 		{"limit_milli", offsetof(struct faults, limit_milli)},
 		{"limit_odd", offsetof(struct faults, limit_odd)},
 		{"limit_asked", offsetof(struct faults, limit_asked)},
--- a/stand/faults.h
+++ b/stand/faults.h
@@ -13,6 +13,8 @@
  *   lost_pct=N       run the request, then close the connection
  *   cut_pct=N        truncate the response
  *   extra_pct=N      send the response twice
+ *   unframed_pct=N   respond without a length, in two halves
+ *   long_pct=N       run the request for some seconds
  *   limit_milli=N    set a rate limit of N requests in 1,000 s; -1: none
  *   limit_odd=0|1    set a rate limit that is no number
  *   limit_asked=0|1  set the limit in responses to probes too
@@ -30,7 +32,7 @@
 /* Values of the parameters; the percentages are chances per request. */
 struct faults {
 	int shed_pct, backoff_milli, backoff_odd, late_ms, draining, unlisted;
-	int hang_pct, lost_pct, cut_pct, extra_pct;
+	int hang_pct, lost_pct, cut_pct, extra_pct, unframed_pct, long_pct;
 	int limit_milli, limit_odd, limit_asked;
 	int quiet, cold_ms;
 };
--- a/stand/proxy.c
+++ b/stand/proxy.c
@@ -69,6 +69,7 @@
 	struct proxy *proxy;
 	struct side caller, server;
 	bool closing; /* one end was closed: flush, then close the other */
+	bool lossy;   /* dropped bytes, so it can't end in order any more */
 };
 
 /* Closes one end, with a TCP reset if asked for. */
@@ -89,6 +90,7 @@
 /* Closes both ends of a connection and frees it. */
 static void link_close(struct link *l, bool reset)
 {
+	reset = reset || l->lossy;
 	side_close(l->proxy->loop, &l->caller, reset);
 	side_close(l->proxy->loop, &l->server, reset);
 	g_ptr_array_remove_fast(l->proxy->links, l);
@@ -122,12 +124,22 @@
 	ev_io_start(loop, &s->writable);
 }
 
+/* Returns whether nothing reaches one end now; then the connection is lossy. */
+static bool is_silent(struct side *to)
+{
+	const struct proxy *p = to->link->proxy;
+	bool silent = to->up ? p->silent_up : p->silent_down;
+
+	to->link->lossy = to->link->lossy || silent;
+	return silent;
+}
+
 /* Forwards bytes to one end: at once, delayed, or not at all. */
 static void forward_bytes(struct side *to, const char *bytes, size_t n)
 {
 	struct proxy *p = to->link->proxy;
 
-	if (to->up ? p->silent_up : p->silent_down)
+	if (is_silent(to))
 		return;
 	buf_add(&to->out, bytes, n);
 	if (p->delay_ms == 0) {
@@ -152,6 +164,8 @@
 	if (n < 0 && errno == EAGAIN)
 		return;
 	ev_io_stop(loop, &s->readable);
+	if (n == 0 && is_silent(s->other))
+		return;
 	s->link->closing = true;
 	if (n < 0 || s->other->out.len == 0)
 		link_close(s->link, n < 0);
--- /dev/null
+++ b/stand/unframed.c
@@ -0,0 +1,67 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "stand/unframed.h"
+
+/* Between the two halves of a body. */
+static const double PAUSE_S = 0.1;
+
+/* The second half of a body, and the connection that it goes to. */
+struct rest {
+	int fd;
+	ev_timer timer;
+	struct buf bytes;
+};
+
+/*
+ * Sets whether the kernel resets the connection when it is closed. Without a
+ * reset the death of this process would look like the end of the body.
+ */
+static void set_reset(int fd, bool reset)
+{
+	struct linger l = {reset, 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
+/* Sends the second half and ends the connection. */
+static void on_pause_over(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct rest *r = t->data;
+
+	ev_timer_stop(loop, t);
+	/* A peer that has closed needs no response. */
+	(void)!send(r->fd, r->bytes.ptr, r->bytes.len, MSG_NOSIGNAL);
+	set_reset(r->fd, false);
+	close(r->fd);
+	buf_free(&r->bytes);
+	g_free(r);
+}
+
+/*
+ * unframed_reply() responds without a length: the first half of the body follows
+ * the head at once, the second half after a pause, then the connection ends.
+ * Frees the connection.
+ */
+void unframed_reply(struct http_conn *c, struct ev_loop *loop,
+		    struct lstr headers, struct lstr body)
+{
+	struct rest *r = g_new0(struct rest, 1);
+	struct buf unread = {0}, first = {0};
+	size_t half = body.len / 2;
+
+	buf_printf(&first, "HTTP/1.1 200 OK\r\n%.*sConnection: close\r\n\r\n",
+		   (int)headers.len, headers.ptr);
+	buf_add(&first, body.ptr, half);
+	buf_add(&r->bytes, body.ptr + half, body.len - half);
+	r->fd = http_conn_detach(c, &unread);
+	set_reset(r->fd, true);
+	(void)!send(r->fd, first.ptr, first.len, MSG_NOSIGNAL);
+	ev_timer_init(&r->timer, on_pause_over, PAUSE_S, 0);
+	r->timer.data = r;
+	ev_timer_start(loop, &r->timer);
+	buf_free(&unread);
+	buf_free(&first);
+}
--- /dev/null
+++ b/stand/unframed.h
@@ -0,0 +1,10 @@
+/* A response of a simulated server whose body ends with its connection. */
+#ifndef MP_STAND_UNFRAMED_H
+#define MP_STAND_UNFRAMED_H
+
+#include "http/server.h"
+
+void unframed_reply(struct http_conn *c, struct ev_loop *loop,
+		    struct lstr headers, struct lstr body);
+
+#endif
--- a/tests/soak-seeds.sh
+++ b/tests/soak-seeds.sh
@@ -20,9 +20,13 @@
 #               (4601).
 #   4901, 4902: keys and quotas of workspaces change; more of a workspace ran
 #               than its quota allows, as long as instances didn't keep quotas.
+#   7202: calls with long time limits and long work beside stops; instances
+#   ended without a response to them.
+#   7105: peers die while they tunnel responses without a length; a part of one
+#   looked complete.
 set -u
 cd "$(dirname "$0")/.."
-for seed in 122 153; do
+for seed in 122 153 7202; do
 	tests/soak.sh $seed 10 || exit 1
 done
 for seed in 903 904 1023 1032; do
@@ -37,7 +41,7 @@
 for seed in 601 602; do
 	tests/soak.sh $seed 10 0 fatal || exit 1
 done
-for seed in 4601 4602; do
+for seed in 4601 4602 7105; do
 	tests/soak.sh $seed 10 0 links || exit 1
 done
 for seed in 4901 4902; do
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -71,6 +71,7 @@
 		member_ttl_ms = 3000
 		[entry]
 		platform = 127.0.0.1:$((base + 2))
+		deadline_ms = 8000
 		[service.harta]
 		tenant = strada
 		workers = 3
@@ -227,8 +228,14 @@
 	set_faults "$1" "$2"
 	(sleep_ms "$4"; set_faults "$1" "$3") &
 }
-stopping=() # servers that drain and are killed in the background, as NAME=PID
-# Starts the servers again that have been killed after draining.
+stopping=() # processes that end in the background, as NAME=PID
+# Stops an instance in the background.
+stop_entry() { # name
+	log_fault "TERM $1"
+	kill -TERM "${pids[$1]}" 2>/dev/null
+	stopping+=("$1=${pids[$1]}")
+}
+# Starts the processes again that have ended in the background.
 restart_stopped() {
 	local left=() e
 	for e in "${stopping[@]}"; do
@@ -242,11 +249,16 @@
 	done
 	stopping=("${left[@]}")
 }
+# Prints how a server responds for a while.
+random_response_fault() {
+	local all=(hang_pct=20 cut_pct=20 unframed_pct=50 long_pct=20)
+	echo "${all[$((RANDOM % 4))]}"
+}
 # Injects one random fault.
 random_fault() {
 	local ms=$((200 + RANDOM % 1800)) s
 	case $(random_below $fault_kinds) in
-	0) restart_process TERM "$(random_entry)" 100 ;;
+	0) stop_entry "$(random_entry)" ;;
 	1) restart_process KILL "$(random_entry)" $((RANDOM % 500)) ;;
 	2) restart_process KILL "$(random_entry)" 0; restart_process KILL "$(random_entry)" 0 ;;
 	3) pause_process "$(random_entry)" $ms ;;
@@ -261,7 +273,7 @@
 	12) s=$(random_proxy); log_fault "reset $s"; set_faults "$s" reset=1
 		[ -z "$backoff" ] || set_faults_at 'audit_off=1&audit_on=1' $(affected_ports "$s") ;;
 	13) inject_fault "$(random_proxy)" refuse=1 refuse=0 $ms ;;
-	14) inject_fault "$(server_port "$(random_server)")" "$( ((RANDOM % 2)) && echo hang_pct=20 || echo cut_pct=20)" 'hang_pct=0&cut_pct=0' $ms ;;
+	14) inject_fault "$(server_port "$(random_server)")" "$(random_response_fault)" 'hang_pct=0&cut_pct=0&unframed_pct=0&long_pct=0' $ms ;;
 	16 | 17 | 18) inject_fault "$(server_port "$(random_server)")" "limit_milli=$(random_limit)" "limit_milli=-1" $((3000 + RANDOM % 8000)) ;;
 	19) set_faults "$(server_port "$(random_server)")" "limit_asked=$((RANDOM % 2))&limit_odd=$((RANDOM % 2))" ;;
 	15) log_fault patch; patch "soak.k$RANDOM=true" &
@@ -299,7 +311,7 @@
 	echo "$(($(count_crashes) - $1)) servers crashed after the faults"
 	(($(count_crashes) - $1 <= CRASHES_MAX))
 }
-no_server_faults='hang_pct=0&cut_pct=0&limit_milli=-1&limit_odd=0&shed_pct=0&backoff_milli=-1&backoff_odd=0&late_ms=0&unlisted=0'
+no_server_faults='hang_pct=0&cut_pct=0&unframed_pct=0&long_pct=0&limit_milli=-1&limit_odd=0&shed_pct=0&backoff_milli=-1&backoff_odd=0&late_ms=0&unlisted=0'
 # Clears all faults and resumes all processes.
 clear_faults() {
 	set_faults $base 'down=no&lost_pct=0&era_named=ok'
@@ -354,6 +366,10 @@
 			if (n < v || (n == v && !again)) {print FILENAME ": " $0; bad = 1}; v = n}
 		END {exit bad}' "$logs"/entry:*.log
 }
+# Succeeds if each instance that was stopped has answered all its requests.
+stops_answer_all() {
+	! grep -h ' ev=102 .*open_requests=[1-9]' "$logs"/entry:*.log
+}
 # Succeeds if every process that no fault has ended is still running.
 processes_running() {
 	for name in "${!pids[@]}"; do
@@ -389,10 +405,11 @@
 [ -z "$workspaces" ] || init_workspaces
 for ((i = 1; i <= entries; i++)); do start "$(printf 'entry:e%02d' "$i")"; done
 sleep 3
+[ -z "$links" ] || respond_unframed
 if [ -n "$workspaces" ]; then
 	start_callers "$((seconds + 1))" callers.txt &
 else
-	$bin load --deployment "$ini" --seconds "$((seconds + 1))" --rate 150 --seed "$seed" >"$logs/load.txt" 2>&1 &
+	$bin load --deployment "$ini" --seconds "$((seconds + 1))" --rate 150 --patient 5 --seed "$seed" >"$logs/load.txt" 2>&1 &
 fi
 load_pid=$!
 if [ -n "$fatal" ]; then
@@ -414,7 +431,7 @@
 	fi
 	sleep_ms $((RANDOM % 600))
 	[ -z "$fatal" ] || restart_crashed_servers
-	[ -z "$backoff" ] || restart_stopped
+	restart_stopped
 done
 wait $load_pid
 load_rc=$?
@@ -447,6 +464,7 @@
 check "no server got more than the limit that it announced" limits_respected
 check "servers get nothing during a backoff, nor after they announced that they drain" backoffs_respected
 check "versions never decrease" versions_increase
+check "a stopped instance leaves no request without a response" stops_answer_all
 check "no process exited on its own" processes_running
 check "no invariant violated" sh -c "! grep -l ' ev=900 ' '$logs'/*.log"
 if ((fails)); then
--- a/tests/soak_links.sh
+++ b/tests/soak_links.sh
@@ -57,6 +57,8 @@
 	set_links "$query" "$services" $instances
 	(sleep_ms $ms; set_links "$LINK_HEAL" "$services" $instances) &
 }
+# Lets part of the responses end with their connection, which tunnels pass on.
+respond_unframed() { set_faults_at unframed_pct=30 $(all_server_ports); }
 heal_links() { set_links "$LINK_HEAL&reset=1" "${LINK_SERVICES[*]}" $(seq 1 "$entries"); }
 # Prints the calls and the served ones of some instances.
 calls_at() { # instances...
@@ -75,6 +77,7 @@
 	killed=$((1 + RANDOM % entries))
 	[[ "$cut" != *" $killed "* ]] || killed=
 	echo "links $query to $services at$cut; killed: $killed"
+	respond_unframed
 	set_links "$query" "$services" $cut
 	for ((i = 1; i <= entries; i++)); do
 		$bin load --deployment "$ini" --name "$(printf 'e%02d' "$i")" --seconds $CUT_S --rate $CUT_RATE \
--- a/tools/load.c
+++ b/tools/load.c
@@ -12,7 +12,8 @@
 
 enum {
 	DEADLINE_MS = 1000,
-	DEADLINE_SLACK_MS = 500, /* wait this much longer for a response */
+	PATIENT_DEADLINE_MS = 8000, /* of patient calls */
+	DEADLINE_SLACK_MS = 500,    /* wait this much longer for a response */
 	TICK_MS = 1,
 };
 
@@ -23,6 +24,7 @@
 	struct service_load *service;
 	char id[48], key[48];
 	int64_t start_us;
+	int deadline_ms;
 	bool busy;
 };
 
@@ -42,11 +44,12 @@
 	bool direct = c->load->args->direct;
 
 	hist_record(&s->hist, (uint64_t)(clock_us() - c->start_us));
+	bool whole = m->body.len && m->body.ptr[m->body.len - 1] == '}';
 	bool foreign = (!direct && !lstr_eq(id, lstr0(c->id))) ||
 		       (m->status == 200 && !c->key[0] && !strstr(body, c->id));
 
-	if (foreign)
-		s->foreign++; /* response to another call: a fault */
+	if (foreign || (m->status == 200 && !whole))
+		s->foreign++; /* of another call, or a part: a fault */
 	else if (m->status == 200)
 		s->done++;
 	else if (lstr_eq(outcome, LSTR("not-run")) && m->status >= 500) {
@@ -117,7 +120,7 @@
 	buf_printf(b,
 		   "POST /v1/call/%s HTTP/1.1\r\nHost: calls\r\n"
 		   "X-Request-Id: %s\r\nX-Tenant: %s\r\nX-Deadline-Ms: %d\r\n",
-		   o->name, c->id, o->tenant, DEADLINE_MS);
+		   o->name, c->id, o->tenant, c->deadline_ms);
 	if (c->load->args->direct)
 		exchange_write_attempt_id(b, lstr0(c->id));
 	if (c->key[0])
@@ -138,16 +141,25 @@
 	return socket_parse_addr(addr, sa);
 }
 
+/* Chooses whether a call has a long time limit. */
+static bool is_patient(struct load *l)
+{
+	return l->args->patient_pct &&
+	       g_rand_int_range(l->rand, 0, 100) < l->args->patient_pct;
+}
+
 /* Starts a call to a random service. */
 static void start_call(struct load *l, struct call *c)
 {
 	struct http_limits limits = {.head_max = 65536, .body_max = 1 << 20};
-	double timeout_s = (DEADLINE_MS + DEADLINE_SLACK_MS) / 1000.0;
 	struct buf b = {0};
 	struct sockaddr_in sa;
+	double timeout_s;
 
 	c->load = l;
 	c->service = pick_service(l);
+	c->deadline_ms = is_patient(l) ? PATIENT_DEADLINE_MS : DEADLINE_MS;
+	timeout_s = (c->deadline_ms + DEADLINE_SLACK_MS) / 1000.0;
 	snprintf(c->id, sizeof(c->id), "L%u-%" PRIx64 "-%" PRIu64,
 		 l->args->seed, l->run_id, l->seq);
 	c->key[0] = '\0';
--- a/tools/tools.h
+++ b/tools/tools.h
@@ -32,7 +32,8 @@
 	const char *only_service; /* NULL: all */
 	int direct;	   /* call the backend servers, bypassing the entries */
 	const char *entry; /* call only this entry; NULL: any */
-	int entries; /* use only the first N entries of the list; 0: all */
+	int entries;	 /* use only the first N entries of the list; 0: all */
+	int patient_pct; /* share of calls with a long time limit */
 };
 
 int load_main(const struct deploy *d, const struct load_args *a);
