What follows the head of a CONNECT request is no request of its own

A filter before an instance sees one request, the instance two. And a request with a body and an Upgrade header, which asks for another protocol, got 400.

Cause: http-parser ends a CONNECT request, and a request for an upgrade, at its head and leaves the rest to its user, who has to take or refuse the other protocol. The reader looked at that for messages only that weren't complete, and went on with the bytes behind the head.

Evidence: test_body_of_a_request_is_no_request (ten heads, both framings, in pieces) stopped at the head of CONNECT; test_connect_hides_no_request and test_upgrade_is_not_taken in test_server failed likewise.

Now Content-Length and Transfer-Encoding alone delimit a body, whatever the method and the upgrade. A server that doesn't serve CONNECT, which is all but that of the tunnels, answers 501 at the head and closes the connection after it, so that nothing behind it is read, with or without a length. The tunnels refuse a CONNECT with a body.

--- a/http/conn.c
+++ b/http/conn.c
@@ -27,39 +27,6 @@
 static void conn_event(struct ev_loop *loop, ev_io *io, int revents);
 static void conn_input(struct http_conn *c);
 
-/* http_reason() returns the reason phrase of a status that instances send. */
-const char *http_reason(unsigned status)
-{
-	switch (status) {
-	case 200:
-		return "OK";
-	case 400:
-		return "Bad Request";
-	case 401:
-		return "Unauthorized";
-	case 404:
-		return "Not Found";
-	case 405:
-		return "Method Not Allowed";
-	case 408:
-		return "Request Timeout";
-	case 413:
-		return "Content Too Large";
-	case 429:
-		return "Too Many Requests";
-	case 431:
-		return "Request Header Fields Too Large";
-	case 502:
-		return "Bad Gateway";
-	case 503:
-		return "Service Unavailable";
-	case 504:
-		return "Gateway Timeout";
-	default:
-		return "Status";
-	}
-}
-
 /* http_conn_user() returns the pointer set by http_conn_set_user(). */
 void *http_conn_user(const struct http_conn *c)
 {
@@ -359,6 +326,13 @@
 	       gate->accept(gate->priv, c->reader.msg);
 }
 
+/* Returns whether the method of the current request is served at all. */
+static bool serves_method(const struct http_conn *c)
+{
+	return c->server->serves_connect ||
+	       !lstr_eq(c->reader.msg->method, LSTR("CONNECT"));
+}
+
 /* Parses the head if it is complete and valid; returns whether it was. */
 static bool read_head(struct http_conn *c)
 {
@@ -383,6 +357,10 @@
 	}
 	if (!feed(c, (size_t)end))
 		return false;
+	if (!serves_method(c)) {
+		conn_reject(c, 501);
+		return false;
+	}
 	if (!accepts_body(c)) {
 		conn_refuse_body(c);
 		return false;
--- a/http/message.c
+++ b/http/message.c
@@ -110,6 +110,12 @@
 	struct http_message *m = r->msg;
 
 	finish_header(r);
+	/*
+	 * The body is framed by Content-Length and Transfer-Encoding alone: the
+	 * parser would leave out that of a CONNECT request, and that of a
+	 * request for an upgrade, which isn't taken here.
+	 */
+	p->upgrade = 0;
 	m->head_done = true;
 	m->status = p->status_code;
 	m->method = lstr0(http_method_str(p->method));
@@ -193,7 +199,7 @@
 		return r->err;
 	if (r->msg->done)
 		return (ssize_t)used;
-	return used == n && !r->parser.upgrade ? (ssize_t)n : -EPROTO;
+	return used == n ? (ssize_t)n : -EPROTO;
 }
 
 /*
--- a/http/server.h
+++ b/http/server.h
@@ -33,6 +33,7 @@
 	double head_timeout_s;	 /* for a head, and between parts of a body */
 	double idle_timeout_s;	 /* of a keep-alive connection */
 	bool disable_keep_alive; /* every reply closes its connection */
+	bool serves_connect;	 /* else CONNECT requests get 501 */
 	ev_io accept;
 	struct http_conn *conns;
 	unsigned nconns;
--- a/member/tunnel_request.c
+++ b/member/tunnel_request.c
@@ -46,7 +46,7 @@
 	char text[17] = "";
 
 	if (!lstr_eq(m->method, LSTR("CONNECT")) || !m->target.len ||
-	    id.len != sizeof(text) - 1)
+	    m->body.len || id.len != sizeof(text) - 1)
 		return -EINVAL;
 	memcpy(text, id.ptr, id.len);
 	out->backend = m->target;
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -140,6 +140,44 @@
 	http_reader_free(&r);
 }
 
+#define SIZED	"Content-Length: 5\r\n\r\nhello"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+#define UPGRADE "Connection: Upgrade\r\nUpgrade: h2c\r\n"
+#define NEXT	"GET /next HTTP/1.1\r\n\r\n"
+
+/* The head's framing alone says where a body ends, whatever the method. */
+static void test_body_of_a_request_is_no_request(void **state)
+{
+	static const char *const requests[] = {
+		"POST / HTTP/1.1\r\n" SIZED,
+		"POST / HTTP/1.1\r\n" CHUNKED,
+		"GET / HTTP/1.1\r\n" SIZED,
+		"GET / HTTP/1.1\r\n" CHUNKED,
+		"HEAD / HTTP/1.1\r\n" SIZED,
+		"CONNECT a:1 HTTP/1.1\r\n" SIZED,
+		"CONNECT a:1 HTTP/1.1\r\n" CHUNKED,
+		"CONNECT a:1 HTTP/1.1\r\n" UPGRADE SIZED,
+		"POST / HTTP/1.1\r\n" UPGRADE SIZED,
+		"POST / HTTP/1.1\r\n" UPGRADE CHUNKED,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(requests); i++) {
+		char *text = g_strconcat(requests[i], NEXT, NULL);
+
+		for (size_t step = 1; step < 200; step += 7) {
+			struct http_reader r;
+
+			http_reader_init(&r, HTTP_REQUEST, no_limits);
+			assert_int_equal(feed(&r, text, step),
+					 strlen(requests[i]));
+			assert_true(
+				lstr_eq(buf_lstr(&r.msg->body), LSTR("hello")));
+			http_reader_free(&r);
+		}
+		g_free(text);
+	}
+}
+
 static void test_hop_by_hop(void **state)
 {
 	const char *text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\n"
@@ -204,6 +242,7 @@
 		cmocka_unit_test(test_not_a_message),
 		cmocka_unit_test(test_limits),
 		cmocka_unit_test(test_hop_by_hop),
+		cmocka_unit_test(test_body_of_a_request_is_no_request),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_server.c
+++ b/tests/test_server.c
@@ -235,6 +235,41 @@
 	g_free(open);
 }
 
+/* What follows the head of a CONNECT request is never taken for a request. */
+static void test_connect_hides_no_request(void **state)
+{
+	static const char *const heads[] = {
+		"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n",
+		"CONNECT /x HTTP/1.1\r\nContent-Length: 28\r\n\r\n",
+		"CONNECT a:1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+		"1c\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		char *text = g_strconcat(heads[i], GET, GET, NULL);
+
+		expect_rejected(text, " 501 ");
+		g_free(text);
+	}
+}
+
+/* An upgrade that isn't taken leaves an ordinary request with its body. */
+static void test_upgrade_is_not_taken(void **state)
+{
+	struct fixture *f = fixture_new();
+	int fd = connect_client();
+
+	send_text(fd, "POST /x HTTP/1.1\r\nHost: a\r\nUpgrade: h2c\r\n"
+		      "Connection: Upgrade\r\nContent-Length: 3\r\n\r\na");
+	run_ms(f, 10);
+	send_text(fd, "bc" GET);
+	run_ms(f, 10);
+	assert_int_equal(count(receive_text(fd), "200 OK"), 2);
+	assert_int_equal(f->requests, 2);
+	close(fd);
+	fixture_free(f);
+}
+
 static void test_timeouts(void **state)
 {
 	struct fixture *f = fixture_new();
@@ -375,6 +410,8 @@
 		cmocka_unit_test(test_keep_alive_and_pipelining),
 		cmocka_unit_test(test_pipelined_after_close),
 		cmocka_unit_test(test_rejected_requests),
+		cmocka_unit_test(test_connect_hides_no_request),
+		cmocka_unit_test(test_upgrade_is_not_taken),
 		cmocka_unit_test(test_timeouts),
 		cmocka_unit_test(test_caller_disconnects),
 		cmocka_unit_test(test_head_and_continue),
--- a/tests/test_tunnel_request.c
+++ b/tests/test_tunnel_request.c
@@ -12,7 +12,7 @@
 	struct http_message *m;
 
 	http_reader_init(&r, type, (struct http_limits){0, 0});
-	r.no_body = true;
+	r.no_body = type == HTTP_RESPONSE;
 	assert_true(http_reader_feed(&r, text.ptr, text.len) > 0);
 	assert_true(r.msg->done);
 	m = http_reader_take(&r);
@@ -67,6 +67,8 @@
 		"CONNECT i-1 HTTP/1.1\r\nHost: i-1\r\n\r\n",
 		"CONNECT i-1 HTTP/1.1\r\nTunnel-Id: 12\r\n\r\n",
 		"CONNECT i-1 HTTP/1.1\r\nTunnel-Id: no number here..\r\n\r\n",
+		"CONNECT i-1 HTTP/1.1\r\nTunnel-Id: 0000000000000001\r\n"
+		"Content-Length: 2\r\n\r\nhi",
 	};
 	struct tunnel_request out;
 
--- a/tests/tunnel_peer.h
+++ b/tests/tunnel_peer.h
@@ -106,6 +106,7 @@
 	p->bench = b;
 	p->status = 200;
 	p->open = g_ptr_array_new();
+	p->http.serves_connect = true;
 	p->http.limits = (struct http_limits){4096, 4096};
 	p->http.head_timeout_s = p->http.idle_timeout_s = 10;
 	if (http_server_open(&p->http, b->loop, addr, &peer_ops, p))
--- a/traffic/tunnels.c
+++ b/traffic/tunnels.c
@@ -270,6 +270,7 @@
 
 	if (!t->settings->tunnels)
 		return 0;
+	s->serves_connect = true;
 	s->limits = (struct http_limits){HEAD_MAX, HEAD_MAX};
 	s->head_timeout_s = s->idle_timeout_s = HEAD_TIMEOUT_S;
 	return http_server_open(s, t->loop, t->settings->tunnels, &server_ops,
