Responses 1xx, 204 and 304 have no body, whatever their heads declare

What callers could see: a server's 304 with the Content-Length of what it leaves out, or a 204 with a length, never completed; the request ended at its time limit (504), or took the first bytes of the connection's next response for its body.

Cause: http-parser reads a declared body of these; RFC 9112, 6.3 says that they end with their heads.

Evidence: test_responses_without_a_body, a table of nine heads, stopped at the first one before this change.

--- a/http/message.c
+++ b/http/message.c
@@ -103,7 +103,17 @@
 	return p->content_length != ULLONG_MAX && p->content_length > 0;
 }
 
-/* Callback at the end of the head; checks the declared body length. */
+/* Returns whether the message has no body, whatever its head declares. */
+static bool is_bodyless(const struct http_reader *r)
+{
+	const http_parser *p = &r->parser;
+
+	return r->no_body || (p->type == HTTP_RESPONSE &&
+			      (p->status_code / 100 == 1 ||
+			       p->status_code == 204 || p->status_code == 304));
+}
+
+/* Callback at the end of the head; checks the framing of the body. */
 static int on_head_done(http_parser *p)
 {
 	struct http_reader *r = p->data;
@@ -120,6 +130,8 @@
 	m->status = p->status_code;
 	m->method = lstr0(http_method_str(p->method));
 	m->target = arena_lstr(&m->arena, buf_lstr(&r->target));
+	if (is_bodyless(r))
+		return 1;
 	if (r->limits.body_max && has_length(p) &&
 	    p->content_length > r->limits.body_max) {
 		r->err = -EFBIG;
@@ -127,7 +139,7 @@
 	}
 	if (has_length(p) && !reserve_body(r, p->content_length))
 		return -1;
-	return r->no_body ? 1 : 0;
+	return 0;
 }
 
 /* Callback for a part of the body. */
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -178,6 +178,39 @@
 	}
 }
 
+/* Some responses have no body, whatever their heads say. */
+static void test_responses_without_a_body(void **state)
+{
+	static const struct {
+		const char *head;
+		bool no_body; /* the request was a HEAD */
+	} cases[] = {
+		{"HTTP/1.1 100 X\r\nContent-Length: 5\r\n\r\n", false},
+		{"HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"HTTP/1.1 204 X\r\nContent-Length: 5\r\n\r\n", false},
+		{"HTTP/1.1 204 X\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+		{"HTTP/1.1 304 X\r\nContent-Length: 5\r\n\r\n", false},
+		{"HTTP/1.1 304 X\r\n\r\n", false},
+		{"HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\n", true},
+		{"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"HTTP/1.1 200 X\r\n" UPGRADE "Content-Length: 0\r\n\r\n",
+		 false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text =
+			g_strconcat(cases[i].head, "HTTP/1.1 200 OK", NULL);
+		struct http_reader r;
+
+		http_reader_init(&r, HTTP_RESPONSE, no_limits);
+		r.no_body = cases[i].no_body;
+		assert_int_equal(feed(&r, text, 11), strlen(cases[i].head));
+		assert_int_equal(r.msg->body.len, 0);
+		http_reader_free(&r);
+		g_free(text);
+	}
+}
+
 static void test_hop_by_hop(void **state)
 {
 	const char *text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\n"
@@ -243,6 +276,7 @@
 		cmocka_unit_test(test_limits),
 		cmocka_unit_test(test_hop_by_hop),
 		cmocka_unit_test(test_body_of_a_request_is_no_request),
+		cmocka_unit_test(test_responses_without_a_body),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
