Framing that peers read differently is an error, and so is a 101

HTTP/1.0 messages with Transfer-Encoding count as faulty (RFC 9112, 6.1): a peer that follows the older protocol takes the chunks for the body, or for requests. A server's 101 switches to a protocol that nobody asked for; what follows isn't HTTP, and was read as the response.

Evidence: test_ambiguous_framing, ten cases for requests and responses; three of them were read as messages before (HTTP/1.0 with chunks in both directions, and the 101). The others were refused already.

--- a/http/message.c
+++ b/http/message.c
@@ -113,6 +113,18 @@
 			       p->status_code == 204 || p->status_code == 304));
 }
 
+/*
+ * Returns whether the framing is one that all peers read alike (RFC 9112, 6.1),
+ * and of this protocol: nothing here asks to switch to another one.
+ */
+static bool is_framing_valid(const http_parser *p)
+{
+	if (p->type == HTTP_RESPONSE && p->status_code == 101)
+		return false;
+	return !p->uses_transfer_encoding || p->http_major > 1 ||
+	       p->http_minor > 0;
+}
+
 /* Callback at the end of the head; checks the framing of the body. */
 static int on_head_done(http_parser *p)
 {
@@ -130,6 +142,10 @@
 	m->status = p->status_code;
 	m->method = lstr0(http_method_str(p->method));
 	m->target = arena_lstr(&m->arena, buf_lstr(&r->target));
+	if (!is_framing_valid(p)) {
+		r->err = -EPROTO;
+		return -1;
+	}
 	if (is_bodyless(r))
 		return 1;
 	if (r->limits.body_max && has_length(p) &&
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -211,6 +211,41 @@
 	}
 }
 
+/* Framing that peers read differently, and protocols that nobody asked for. */
+static void test_ambiguous_framing(void **state)
+{
+	static const struct {
+		enum http_parser_type type;
+		const char *text;
+	} cases[] = {
+		{HTTP_REQUEST, "POST / HTTP/1.0\r\n" CHUNKED},
+		{HTTP_REQUEST,
+		 "POST / HTTP/1.1\r\nContent-Length: 5\r\n" CHUNKED},
+		{HTTP_REQUEST,
+		 "POST / HTTP/1.1\r\nContent-Length: +5\r\n\r\nhello"},
+		{HTTP_REQUEST,
+		 "POST / HTTP/1.1\r\nContent-Length: 5, 5\r\n\r\nhello"},
+		{HTTP_REQUEST,
+		 "POST / HTTP/1.1\r\nTransfer-Encoding: xchunked\r\n\r\n"},
+		{HTTP_REQUEST,
+		 "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n"},
+		{HTTP_RESPONSE, "HTTP/1.0 200 OK\r\n" CHUNKED},
+		{HTTP_RESPONSE,
+		 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" CHUNKED},
+		{HTTP_RESPONSE,
+		 "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" SIZED},
+		{HTTP_RESPONSE, "HTTP/1.1 101 X\r\n" UPGRADE "\r\n"},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct http_reader r;
+
+		http_reader_init(&r, cases[i].type, no_limits);
+		assert_int_equal(feed(&r, cases[i].text, 100), -EPROTO);
+		http_reader_free(&r);
+	}
+}
+
 static void test_hop_by_hop(void **state)
 {
 	const char *text = "GET / HTTP/1.1\r\nConnection: close, X-Mine\r\n"
@@ -277,6 +312,7 @@
 		cmocka_unit_test(test_hop_by_hop),
 		cmocka_unit_test(test_body_of_a_request_is_no_request),
 		cmocka_unit_test(test_responses_without_a_body),
+		cmocka_unit_test(test_ambiguous_framing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
