--- a/tests/bench.h
+++ b/tests/bench.h
@@ -176,12 +176,20 @@
 {
 }
 
+/* The bench of the current test; a failed test leaves it open. */
+static struct bench *bench_current;
+
+static inline void bench_free(struct bench *b);
+
 /* Creates a bench with n healthy servers. */
 static inline struct bench *bench_new(int n)
 {
 	struct bench *b = g_new0(struct bench, 1);
 	struct instance_settings *s = &b->settings;
 
+	if (bench_current)
+		bench_free(bench_current);
+	bench_current = b;
 	s->name = "e1";
 	s->dc = "dc-1";
 	s->callers = bench_addr(0);
@@ -302,6 +310,7 @@
 	g_ptr_array_unref(b->callers);
 	g_hash_table_unref(b->executions);
 	g_free(b);
+	bench_current = NULL;
 }
 
 #endif
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -13,8 +13,8 @@
 #
 # A slot is a range of ports between 24000 and 30000. No other test uses these,
 # so a soak may run in parallel with other tests, and with other soaks if the
-# last digits of their slots differ. An even seed runs a system with hubs. The
-# modes:
+# last digits of their slots differ. An even seed runs a system with hubs, and
+# SOAK_ENTRIES sets the number of instances, at most 38. The modes:
 #   limits   servers also announce rate limits for a while and check them
 #   backoff  servers reject requests and ask for backoffs, announce that they
 #            drain, let their records expire, and check what they still get;
@@ -48,7 +48,7 @@
 logs=$(mktemp -d)
 ini=$logs/soak.ini
 RANDOM=$seed
-entries=$((seed % 2 ? 4 : 22))
+entries=${SOAK_ENTRIES:-$((seed % 2 ? 4 : 22))}
 CRASH_EXIT=70 # exit code of a server that crashes under a request
 # Crashes allowed after the faults: three prove the request fatal, and three
 # more attempts are allowed.
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -116,10 +116,30 @@
 	ev_timer_stop(f->loop, &t);
 }
 
+/* The system of the current test; a failed test leaves it open. */
+static struct system *open_system;
+
+static void end(struct system *f)
+{
+	for (int i = 0; i < f->n; i++) {
+		close(f->all[i].channel.sock);
+		store_cancel(&f->all[i].watch.record.store);
+		crash_tracker_free(&f->all[i].watch.tracker);
+		g_array_unref(f->all[i].watch.broadcasts);
+	}
+	ev_loop_destroy(f->loop);
+	g_free(f->all);
+	g_free(f);
+	open_system = NULL;
+}
+
 static struct system *begin(int n)
 {
 	struct system *f = g_new0(struct system, 1);
 
+	if (open_system)
+		end(open_system);
+	open_system = f;
 	f->loop = ev_loop_new(EVFLAG_NOENV);
 	f->all = g_new0(struct instance, n);
 	f->n = n;
@@ -134,19 +154,6 @@
 	return f;
 }
 
-static void end(struct system *f)
-{
-	for (int i = 0; i < f->n; i++) {
-		close(f->all[i].channel.sock);
-		store_cancel(&f->all[i].watch.record.store);
-		crash_tracker_free(&f->all[i].watch.tracker);
-		g_array_unref(f->all[i].watch.broadcasts);
-	}
-	ev_loop_destroy(f->loop);
-	g_free(f->all);
-	g_free(f);
-}
-
 static void report(struct system *f, int i, enum crash_notice_kind kind,
 		   uint64_t digest, uint32_t server)
 {
@@ -181,11 +188,30 @@
 	}
 }
 
+/* Prints what each instance knows of the request. */
+static void print_state(const struct system *f)
+{
+	for (int i = 0; i < f->n; i++) {
+		const struct instance *in = &f->all[i];
+		const struct crash_case *c =
+			crash_tracker_find(&in->watch.tracker, CRASH_DIGEST);
+
+		print_error("e%02d: verdict %d, refused %u, rank %u, ends %d, "
+			    "quarantined %d, due in %d ms, cases %u\n",
+			    i, in->verdict, in->refused, in->watch.rank,
+			    c ? (int)c->nservers : -1, c && c->quarantined,
+			    c && c->due_ms ? (int)(c->due_ms - clock_ms()) : 0,
+			    g_hash_table_size(in->watch.tracker.cases));
+	}
+}
+
 /* Waits far longer than needed on an idle machine. */
 static void wait_for(struct system *f, enum verdict_kind kind, int n)
 {
 	for (int i = 0; i < 100 && count(f, kind) != n; i++)
 		run_ms(f, 50);
+	if (count(f, kind) != n)
+		print_state(f);
 	assert_int_equal(count(f, kind), n);
 }
 
--- a/tests/test_tunnel_request.c
+++ b/tests/test_tunnel_request.c
@@ -60,6 +60,10 @@
 	}
 }
 
+static const char with_body[] =
+	"CONNECT i-1 HTTP/1.1\r\nTunnel-Id: 0000000000000001\r\n"
+	"Content-Length: 2\r\n\r\nhi";
+
 static void other_requests_are_refused(void **state)
 {
 	static const char *const texts[] = {
@@ -67,8 +71,7 @@
 		"CONNECT i-1 HTTP/1.1\r\nHost: i-1\r\n\r\n",
 		"CONNECT i-1 HTTP/1.1\r\nTunnel-Id: 12\r\n\r\n",
 		"CONNECT i-1 HTTP/1.1\r\nTunnel-Id: no number here..\r\n\r\n",
-		"CONNECT i-1 HTTP/1.1\r\nTunnel-Id: 0000000000000001\r\n"
-		"Content-Length: 2\r\n\r\nhi",
+		with_body,
 	};
 	struct tunnel_request out;
 
