--- a/tests/test_stop.c
+++ b/tests/test_stop.c
@@ -76,11 +76,13 @@
 {
 	struct bench *b = begin(2);
 	struct caller *c;
+	int64_t left_ms;
 
 	stop(b);
 	for (int at = 0; at < LISTEN_MS; at += 100) {
 		run_to(b, at);
-		c = bench_call(b, at % 200 ? "POST" : "GET", END_MS - at - 50);
+		left_ms = b->traffic.stopping_ms + END_MS - clock_ms();
+		c = bench_call(b, at % 200 ? "POST" : "GET", (int)left_ms - 50);
 		bench_run_until(b, c);
 		assert_int_equal(c->status, 200);
 		assert_true(caller_got_own_body(c));
