--- a/core/stop_window.h
+++ b/core/stop_window.h
@@ -15,7 +15,7 @@
 	int64_t keep_ms;  /* for which callers keep a directory's response */
 };
 
-/* A request, as far as it matters here. */
+/* What is known of a request's end. */
 struct stop_request {
 	int64_t deadline_ms; /* it has its response by then */
 	int64_t usual_ms; /* nearly all of its class take no longer; 0: unknown */
--- a/traffic/stop.c
+++ b/traffic/stop.c
@@ -76,12 +76,16 @@
 			traffic_class_stats(t, s->name, a.route->target_ms));
 }
 
-/* Returns whether no server has a request that can't be answered in time. */
+/*
+ * Returns whether a request that waits here can't be answered in time any more.
+ * One that is at a server may still be.
+ */
 static bool is_too_late(const struct request *r)
 {
 	return r->conn && !request_is_in_flight(r) && !stop_has_time(r);
 }
 
+/* Returns whether anyone waits for the response. */
 static bool has_caller(const struct request *r)
 {
 	return r->conn;
