--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # Three instances; the first one by name, which reads the list of servers for
-# all, stands still for 2 s. Just before it wakes, a server leaves without having
+# all, stands still for 2 s. Just after it wakes, a server leaves without having
 # reported that it drains: its entry is removed from the store, and it serves on.
 # The two instances that nothing happened to must not send it anything later than
 # drainMs after the removal was confirmed. Six rounds.
@@ -10,7 +10,7 @@
 N=3
 DRAIN_MS=2000
 FREEZE_MS=2000
-BEFORE_WAKE_MS=100
+AFTER_WAKE_MS=50
 . "$here/../small-2.sh"
 
 now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
@@ -70,17 +70,17 @@
 		kill -STOP "${instances[0]}"
 		note "round $round: edge-0 stands still"
 	fi
-	pause_ms $((FREEZE_MS - BEFORE_WAKE_MS))
+	pause_ms $FREEZE_MS
+	if [ "${TROUBLE:-1}" != 0 ]; then
+		kill -CONT "${instances[0]}"
+		note "round $round: edge-0 goes on"
+	fi
+	pause_ms $AFTER_WAKE_MS
 	set_server $server unlisted=1
 	status=$(remove_entry "$id")
 	removed=$(now_ms)
 	[[ $status == *" 200 "* ]] || { note "the store answered: $status"; exit 2; }
 	note "round $round: entry of $id removed and confirmed"
-	pause_ms $BEFORE_WAKE_MS
-	if [ "${TROUBLE:-1}" != 0 ]; then
-		kill -CONT "${instances[0]}"
-		note "round $round: edge-0 goes on"
-	fi
 	wait "${senders[1]}" "${senders[2]}"
 	while read -r sent instance code by; do
 		note "sent $((sent - removed)) ms after the removal to $instance: $code by $by"
