--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -13,6 +13,7 @@
 FREEZE_S=2
 AFTER_WAKE_S=(0.02 0.03 0.02 0.05 0.02 0.00 0.02)
 SERVE_S=3
+route=work
 . "$here/../small-2.sh"
 
 now_ms() { echo $((${EPOCHREALTIME/./} / 1000)); }
@@ -22,7 +23,7 @@
 	local end=$(($(now_ms) + $2 * 1000)) id n=0
 	while (($(now_ms) < end)); do
 		id=edge-$1-$BASHPID-$((n++))
-		get "$(ip "$1")" $((port + 30)) /work/1 \
+		get "$(ip "$1")" $((port + 30)) "/$route/1" \
 			"Attempt-Id: $id"$'\r\nDeadline-Remaining-Ms: 1500\r\n' |
 			sed -n "1s/^HTTP[^ ]* \([0-9]*\).*/$id \1/p" >>"$3"
 	done
@@ -78,6 +79,8 @@
 	note "round $round: $id gone; the last request reached it $last ms later; $n later than $DRAIN_MS ms"
 	awk -v t="$gone" -v d=$DRAIN_MS '$2 == "request" && $1 > t + d {printf "  %s reached it %d ms after the confirmation\n", $3, $1 - t}' \
 		"$dir/$id" >>"$record"
+	ok=$(awk '$2 == 200' "$dir/answers-$round" | wc -l)
+	((ok >= 50)) || { note "round $round: only $ok requests were served"; exit 2; }
 	late=$((late + n))
 	((n)) && late_rounds=$((late_rounds + 1))
 	start_server $place
