The directory names no instance that is gone

Cause: peers_for_callers() took the silence of all for a cut and fell back to "all known", a table that never forgets and in which an instance that has announced its leave counted too once it was silent. It had the same fallback with one live peer left while it stopped itself. Nothing it looked at tells a lost hub, a cut and the last survivor apart.

Change: member/contact judges the silence of all peers by what an instance holds: the last sign of any peer, for how long it has been listening, and when the store last answered it. For 3.5 s after the last sign the view of that moment is named (a hub was lost, or all restart). Then an instance that the store answers is the last one left and names itself until it hears a peer; one that neither the store nor a peer answers is cut off and names those that were alive at the last sign, for as long as partitions last. Records of instances that were never heard are named during the first 1.5 s only. One that announced its leave is never named. Each change of the judgement is event 329. A peer is in rosters for at most 2 s after its end, and named for 3.5 s after its last sign, so 5.5 s in all where 6 are allowed. The tunnels' list of peers and /v1/entries of the native API are the same list.

Two lines of test_peers asserted the fault: 9 s on, an instance cut off listed e2, silent since 1.0 s and known to be lost 6 s before the cut; and a stopping instance that hears e1 listed the lost e2 as well. Both expect the exact list still, without e2. peers_init() clears the table, which tests had on the stack.

--- a/control/member_join.c
+++ b/control/member_join.c
@@ -30,7 +30,7 @@
 {
 	struct peer_table *t = &m->channel->peers;
 
-	t->joined_ms = now_ms;
+	t->joined_ms = t->listening_ms = now_ms;
 	t->joined_by_store = by_store;
 	mp_event(EV_JOINED, G_LOG_LEVEL_MESSAGE,
 		 "by=%s members=%u alive=%u failures=%u",
--- a/control/publish.c
+++ b/control/publish.c
@@ -5,6 +5,7 @@
 
 #include "common/event.h"
 #include "control/publish.h"
+#include "member/contact.h"
 #include "misc/clock.h"
 
 enum {
@@ -125,6 +126,8 @@
 /* control_publish_peers() sends the traffic thread the peers if they changed. */
 void control_publish_peers(struct control *c, int64_t now_ms)
 {
+	contact_update(&c->peers.peers, c->backends.answered_ms, now_ms);
+
 	struct peer_view v = {
 		.instances = peers_count(&c->peers.peers, now_ms),
 		.named = peers_for_callers(&c->peers.peers, now_ms),
--- a/member/peers.c
+++ b/member/peers.c
@@ -9,11 +9,6 @@
 	 * disappears from the responses to callers within two seconds.
 	 */
 	ALIVE_TIMEOUT_MS = 1700,
-	/*
-	 * A silent instance may be cut off and still be serving: now and then a
-	 * region is partitioned for an hour.
-	 */
-	PARTITION_MAX_MS = 2 * 3600 * 1000,
 	/*
 	 * Added to the grace period, after which a stopping instance has
 	 * exited.
@@ -30,6 +25,7 @@
 /* Initializes a table that contains only this instance. */
 void peers_init(struct peer_table *t, const struct peer_info *self)
 {
+	memset(t, 0, sizeof(*t));
 	t->self = *self;
 	t->peers = g_ptr_array_new();
 }
@@ -108,13 +104,18 @@
 	return p->in_roster && now_ms - p->roster_ms < ALIVE_TIMEOUT_MS;
 }
 
-/* Returns when a peer last gave a sign of life, here or to a hub. */
+/* Returns when a peer last gave a sign of life, here or to a hub; 0: never. */
+int64_t peer_last_sign_ms(const struct peer *p)
+{
+	return MAX(p->heartbeat_ms, p->roster_ms);
+}
+
+/* Returns the same, or when the peer became known if it gave none. */
 int64_t peer_last_seen_ms(const struct peer *p)
 {
-	int64_t seen =
-		p->heartbeat_ms > p->roster_ms ? p->heartbeat_ms : p->roster_ms;
+	int64_t sign_ms = peer_last_sign_ms(p);
 
-	return seen ? seen : p->added_ms;
+	return sign_ms ? sign_ms : p->added_ms;
 }
 
 /*
@@ -206,7 +207,7 @@
 
 	if (p->info.leaving && silent >= (int64_t)stop_ms + STOP_MARGIN_MS)
 		return false;
-	return silent < PARTITION_MAX_MS;
+	return silent < PEER_PARTITION_MAX_MS;
 }
 
 /*
@@ -234,78 +235,10 @@
 	return out;
 }
 
-/*
- * Instances that qualify: those that can serve, all live ones, or all known
- * ones.
- */
-enum eligibility { ELIGIBLE_READY, ELIGIBLE_ALIVE, ELIGIBLE_KNOWN };
-
-/* A live peer that is leaving never qualifies. */
-static bool is_eligible(const struct peer *p, enum eligibility eligibility,
-			int64_t now_ms)
-{
-	bool alive = peer_alive(p, now_ms);
-
-	if (p->info.leaving && alive)
-		return false;
-	switch (eligibility) {
-	case ELIGIBLE_READY:
-		return alive && p->info.ready;
-	case ELIGIBLE_ALIVE:
-		return alive;
-	case ELIGIBLE_KNOWN:
-		break;
-	}
-	return true;
-}
-
-static void add_endpoint(GArray *out, const struct peer_info *p)
+/* Returns whether a peer is alive, can serve, and isn't leaving. */
+static bool can_serve(const struct peer *p, int64_t now_ms)
 {
-	struct peer_endpoint b = {.peer_addr = {.sin_family = AF_INET}};
-
-	memcpy(b.name, p->name, sizeof(b.name));
-	memcpy(b.dc, p->dc, sizeof(b.dc));
-	memcpy(b.caller_addr, p->caller_addr, sizeof(b.caller_addr));
-	memcpy(b.own_addr, p->own_addr, sizeof(b.own_addr));
-	b.peer_addr.sin_addr = p->addr.sin_addr;
-	b.peer_addr.sin_port = p->addr.sin_port;
-	g_array_append_val(out, b);
-}
-
-/* Lists the eligible instances and returns their number. */
-static guint list_peers(const struct peer_table *t, int64_t now_ms,
-			enum eligibility eligibility, GArray *out)
-{
-	g_array_set_size(out, 0);
-	if (!t->self.leaving &&
-	    (t->self.ready || eligibility != ELIGIBLE_READY))
-		add_endpoint(out, &t->self);
-	for (guint i = 0; i < t->peers->len; i++) {
-		const struct peer *p = g_ptr_array_index(t->peers, i);
-
-		if (is_eligible(p, eligibility, now_ms))
-			add_endpoint(out, &p->info);
-	}
-	return out->len;
-}
-
-/*
- * Lists the instances that callers may connect to: the live ones that can serve
- * or, if none can, all live ones, which reply with a time to retry. An instance
- * that receives nothing from the others is more likely cut off than the last
- * survivor, so it lists all known ones. Returns an array of struct
- * peer_endpoint; unref it after use.
- */
-GArray *peers_for_callers(const struct peer_table *t, int64_t now_ms)
-{
-	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct peer_endpoint));
-	guint alive = list_peers(t, now_ms, ELIGIBLE_ALIVE, out);
-
-	if (alive <= 1 && t->peers->len)
-		list_peers(t, now_ms, ELIGIBLE_KNOWN, out);
-	else if (list_peers(t, now_ms, ELIGIBLE_READY, out) == 0)
-		list_peers(t, now_ms, ELIGIBLE_ALIVE, out);
-	return out;
+	return p->info.ready && !p->info.leaving && peer_alive(p, now_ms);
 }
 
 /* Counts the live peers. */
@@ -324,8 +257,7 @@
 	unsigned n = 0;
 
 	for (guint i = 0; i < t->peers->len; i++)
-		n += is_eligible(g_ptr_array_index(t->peers, i), ELIGIBLE_READY,
-				 now_ms);
+		n += can_serve(g_ptr_array_index(t->peers, i), now_ms);
 	return n;
 }
 
@@ -380,7 +312,7 @@
 	for (guint i = 0; i < t->peers->len; i++) {
 		struct peer *p = g_ptr_array_index(t->peers, i);
 
-		if (is_eligible(p, ELIGIBLE_READY, now_ms))
+		if (can_serve(p, now_ms))
 			g_ptr_array_add(strcmp(p->info.dc, dc) ? far : near,
 					&p->info);
 	}
--- a/member/peers.h
+++ b/member/peers.h
@@ -18,6 +18,11 @@
 	PEER_NAME_MAX = 64,
 	PEER_ADDR_MAX = 32,
 	PEER_LOST_MS = 10 * 1000, /* without a sign of life: presumed gone */
+	/*
+	 * A silent instance may be cut off and still be serving: now and then a
+	 * region is partitioned for an hour.
+	 */
+	PEER_PARTITION_MAX_MS = 2 * 3600 * 1000,
 };
 
 /* Age of data that has not been confirmed in the store's current era. */
@@ -74,12 +79,22 @@
 	bool ready;  /* can serve requests */
 };
 
+/* Whether an instance hears others, and why it may not. */
+enum contact_state {
+	CONTACT_HEARD,	 /* at least one peer is alive */
+	CONTACT_SILENT,	 /* all peers fell silent a moment ago */
+	CONTACT_ALONE,	 /* the store answers, but no peer is heard */
+	CONTACT_CUT_OFF, /* neither the store nor a peer is heard */
+};
+
 struct peer_table {
 	struct peer_info self;
 	GPtrArray *peers;     /* struct peer *, ordered by name */
 	int64_t joined_ms;    /* when the members became known; 0: not yet */
 	bool joined_by_store; /* from the store, and not from a peer */
-	int64_t roster_received_ms;	    /* last one received; 0: none yet */
+	enum contact_state contact; /* see member/contact.h */
+	int64_t listening_ms;	    /* receives since then; 0: not yet */
+	int64_t roster_received_ms; /* last one received; 0: none yet */
 	struct roster_entry self_in_roster; /* as in the last roster */
 };
 
@@ -90,6 +105,7 @@
 			  int64_t now_ms);
 bool peer_alive(const struct peer *p, int64_t now_ms);
 uint32_t peer_id(const char *name);
+int64_t peer_last_sign_ms(const struct peer *p);
 int64_t peer_last_seen_ms(const struct peer *p);
 struct peer *peers_find(const struct peer_table *t, const char *name);
 const struct peer *peers_next_lost(struct peer_table *t, int64_t now_ms);
@@ -101,7 +117,6 @@
 unsigned peers_count(const struct peer_table *t, int64_t now_ms);
 GArray *peers_limit_participants(const struct peer_table *t, uint32_t stop_ms,
 				 int64_t now_ms);
-GArray *peers_for_callers(const struct peer_table *t, int64_t now_ms);
 
 /* An instance as another one describes it. */
 struct peer_report {
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -5,6 +5,7 @@
 #include "tests/unit.h"
 
 #include "core/limit_share.h"
+#include "member/contact.h"
 #include "tests/peer_info.h"
 
 static void receive_heartbeat(struct peer_table *t, const char *name,
@@ -60,11 +61,13 @@
  * Checks the number of instances that callers are given, and the name at index
  * `at`.
  */
-static void expect_listed(const struct peer_table *t, int64_t now, guint n,
-			  guint at, const char *name)
+static void expect_listed(struct peer_table *t, int64_t now, guint n, guint at,
+			  const char *name)
 {
-	GArray *out = peers_for_callers(t, now);
+	GArray *out;
 
+	contact_update(t, 0, now);
+	out = peers_for_callers(t, now);
 	assert_int_equal(out->len, n);
 	assert_string_equal(g_array_index(out, struct peer_endpoint, at).name,
 			    name);
@@ -93,13 +96,15 @@
 	receive_heartbeat(&t, "e1", 2900);
 	expect_listed(&t, 3000, 2, 1, "e1");
 	/*
-	 * An instance that receives nothing is cut off: it lists all it knows.
+	 * An instance that receives nothing, from the store either, is cut off:
+	 * it lists those that were alive then.
 	 */
-	expect_listed(&t, 9000, 3, 0, "e3");
+	expect_listed(&t, 9000, 2, 0, "e3");
+	expect_listed(&t, 9000, 2, 1, "e1");
 	/* A stopping instance lists only the others. */
 	t.self.leaving = true;
 	receive_heartbeat(&t, "e1", 9000);
-	expect_listed(&t, 9000, 2, 0, "e1");
+	expect_listed(&t, 9000, 1, 0, "e1");
 }
 
 /* Instances that cannot serve yet are listed only if none can. */
