A stall of the reader delays no removal on other instances

Cause: the woken reader takes the age of its own list (2.0 s) for an outage of the store, defers all removals by 2.2 s from its own read, and its feed told the remaining time to all, who took it over whatever they knew themselves.

Change: a deferral is justified by a time without any read of the store, so that is what instances hold and tell: since when their list has had no gap of more than a heartbeat, and whether a gap came before (control/list_cover). A gap of one's own defers removals until 2.2 s after it ended. A feed carries the sender's cover as an age in place of a delay. Who hears of a cover that reaches further back takes it over: a gap here that a peer has read through was no outage, and deferred removals come forward; an outage that a peer saw the end of counts from there on, not from the first feed that arrives. A cover that is shorter than one's own changes nothing: an instance with a fresh list acts by what it knows itself, and the sender's gap is the sender's own.

--- a/control/backend_deferred.c
+++ b/control/backend_deferred.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "common/event.h"
 #include "control/backend_list_private.h"
 
 /* Consecutive failed heartbeats after which a server's lease expires. */
@@ -41,8 +42,8 @@
 
 /*
  * Returns the time until which a removal is deferred, or now_ms if it isn't.
- * After a period without contact, leases may have expired only because servers
- * could not renew them. A restored store holds the leases as they were in the
+ * After a gap of the list, leases may have expired only because servers could
+ * not renew them. A restored store holds the leases as they were in the
  * backup, so most may expire at once; the removal of most servers of a service
  * is therefore deferred until they have had time to write again.
  */
@@ -50,9 +51,10 @@
 			      const struct list_entry *e, int64_t now_ms)
 {
 	int64_t copied_until = l->restored_ms + BACKEND_GRACE_MS;
+	int64_t settled_ms = list_cover_settled_ms(&l->cover);
 
-	if (now_ms < l->grace_until_ms)
-		return l->grace_until_ms;
+	if (now_ms < settled_ms)
+		return settled_ms;
 	if (l->restored_ms && now_ms < copied_until && most_removed(l, e))
 		return copied_until;
 	return now_ms;
@@ -70,10 +72,34 @@
 	if (due_ms <= now_ms)
 		return false;
 	e->deferred = true;
+	e->after_gap = due_ms == list_cover_settled_ms(&l->cover);
 	schedule(l, e, due_ms);
+	mp_event(EV_REMOVAL_DEFERRED, G_LOG_LEVEL_MESSAGE,
+		 "backend=%s service=%s due_in_ms=%" G_GINT64_FORMAT
+		 " after_gap=%d",
+		 e->entry.id, e->entry.service, due_ms - now_ms, e->after_gap);
 	return true;
 }
 
+/*
+ * backend_list_resettle() brings deferred removals forward: a peer's list shows
+ * that the store wasn't away, or is back for longer than was known here.
+ */
+void backend_list_resettle(struct backend_list *l, int64_t now_ms)
+{
+	int64_t due_ms = MAX(now_ms, list_cover_settled_ms(&l->cover));
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, l->entries);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct list_entry *e = v;
+
+		if (e->deferred && e->after_gap && e->due_ms > due_ms)
+			schedule(l, e, due_ms);
+	}
+}
+
 /*
  * backend_list_defer_missing() defers the removal of a server that the backup
  * lacks, so that it has time to write its entry again.
@@ -82,6 +108,7 @@
 				int64_t now_ms)
 {
 	e->deferred = true;
+	e->after_gap = false;
 	schedule(l, e, now_ms + BACKEND_GRACE_MS);
 }
 
--- a/control/backend_feed.c
+++ b/control/backend_feed.c
@@ -60,6 +60,23 @@
 	       store_position_cmp(f->listed_from, known) <= 0;
 }
 
+/*
+ * Notes a gap that the feed ends, and what the sender says of its own list. An
+ * instance whose list had no gap goes by that: the sender's gap is the sender's
+ * own, as when it stood still.
+ */
+static void note_cover(struct backend_list *l, const struct backend_feed *f,
+		       int64_t now_ms)
+{
+	backend_list_note_gap(l, "feed",
+			      f->age_ms == AGE_UNKNOWN ? now_ms
+						       : now_ms - f->age_ms);
+	if (f->covered_ms == AGE_UNKNOWN ||
+	    !list_cover_extend(&l->cover, now_ms - f->covered_ms, f->after_gap))
+		return;
+	backend_list_resettle(l, now_ms);
+}
+
 /*
  * backend_list_apply_feed() applies the changes that a peer has read; feeds of
  * an earlier era are ignored. Returns false when the feed begins after the last
@@ -77,11 +94,7 @@
 		return true;
 	if (!backend_feed_covers(f, known))
 		return false;
-	if (f->removal_delay_ms &&
-	    now_ms + f->removal_delay_ms > l->grace_until_ms)
-		l->grace_until_ms = now_ms + f->removal_delay_ms;
-	else
-		backend_list_grace_if_stale(l, now_ms);
+	note_cover(l, f, now_ms);
 	if (f->to.era > known.era)
 		backend_list_begin_restored(l, now_ms);
 	for (guint i = 0; i < f->changes->len; i++) {
@@ -105,13 +118,18 @@
 void backend_list_build_feed(struct backend_list *l, struct backend_feed *f,
 			     int64_t now_ms)
 {
-	int64_t settle = l->grace_until_ms - now_ms;
+	int64_t age_ms = now_ms - l->fresh_ms;
+	int64_t covered_ms = now_ms - l->cover.since_ms;
 
 	f->from = l->recent_from;
 	f->listed_from = l->listing_end;
 	f->to = l->pos;
-	f->age_ms = (uint32_t)(now_ms - l->fresh_ms);
-	f->removal_delay_ms = settle > 0 ? (uint32_t)settle : 0;
+	f->age_ms = (uint32_t)age_ms;
+	/* An old list says nothing of the time since. */
+	f->covered_ms = age_ms > l->heartbeat_ms
+				? AGE_UNKNOWN
+				: (uint32_t)MIN(covered_ms, AGE_UNKNOWN - 1);
+	f->after_gap = l->cover.after_gap;
 	f->changes = l->recent;
 }
 
--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -71,15 +71,22 @@
 }
 
 /*
- * backend_list_grace_if_stale() begins a grace period for removals if the list
- * is stale. Call it before changes are applied: after a long time without
- * contact, they may contain removals caused only by the outage.
+ * backend_list_note_gap() notes that the list is confirmed as of as_of_ms, if
+ * it wasn't for longer than a heartbeat. Call it before changes are applied:
+ * they may contain removals caused only by an outage of the store. A lease
+ * lasts three heartbeats, so none can expire within one.
  */
-void backend_list_grace_if_stale(struct backend_list *l, int64_t now_ms)
+void backend_list_note_gap(struct backend_list *l, const char *cause,
+			   int64_t as_of_ms)
 {
-	/* A lease lasts three heartbeats, so none can expire within one. */
-	if (l->loaded && now_ms - l->fresh_ms > l->heartbeat_ms)
-		l->grace_until_ms = now_ms + BACKEND_GRACE_MS;
+	int64_t gap_ms = as_of_ms - l->fresh_ms;
+
+	if (!l->loaded || gap_ms <= l->heartbeat_ms)
+		return;
+	list_cover_gap(&l->cover, l->fresh_ms, as_of_ms);
+	mp_event(EV_LIST_GAP, G_LOG_LEVEL_MESSAGE,
+		 "by=%s gap_ms=%" G_GINT64_FORMAT " settles_in_ms=%d", cause,
+		 gap_ms, BACKEND_GRACE_MS);
 }
 
 /*
@@ -88,7 +95,7 @@
  */
 void backend_list_read_begin(struct backend_list *l, int64_t now_ms)
 {
-	backend_list_grace_if_stale(l, now_ms);
+	backend_list_note_gap(l, "read", now_ms);
 }
 
 /* Applies a removal, or defers it. */
@@ -334,7 +341,7 @@
 	GHashTableIter it;
 	gpointer v;
 
-	backend_list_grace_if_stale(l, now_ms);
+	backend_list_note_gap(l, "listing", now_ms);
 	l->listing = true;
 	l->restored = false;
 	if (l->loaded && era > l->pos.era)
@@ -431,6 +438,8 @@
 		drop_unseen(l, g_ptr_array_index(unseen, i), end, now_ms);
 	g_ptr_array_unref(unseen);
 	drop_unseen_unconfirmed(l, end, now_ms);
+	if (!l->loaded)
+		list_cover_begin(&l->cover, now_ms, l->heartbeat_ms);
 	l->loaded = true;
 	l->listing = false;
 	l->listing_end = end;
--- a/control/backend_list.h
+++ b/control/backend_list.h
@@ -10,6 +10,7 @@
 #ifndef MP_CONTROL_BACKEND_LIST_H
 #define MP_CONTROL_BACKEND_LIST_H
 
+#include "control/list_cover.h"
 #include "control/removed_servers.h"
 #include "member/gossip.h"
 
@@ -21,7 +22,7 @@
 	struct store_position pos; /* records before it are applied */
 	bool loaded;		   /* a full listing was read at least once */
 	int64_t fresh_ms;	   /* time as of which the list is complete */
-	int64_t grace_until_ms;	   /* removals are deferred until then */
+	struct list_cover cover;   /* for how long it has had no gap */
 	int64_t restored_ms; /* a restored store was first seen; 0: never */
 	int64_t due_ms; /* earliest due time of a deferred change; 0: none */
 	bool restored;	/* changes being applied may come from a backup */
--- a/control/backend_list_private.h
+++ b/control/backend_list_private.h
@@ -4,21 +4,13 @@
 
 #include "control/backend_list.h"
 
-enum {
-	/*
-	 * Entries whose leases expired during an outage of the store are
-	 * written again within two seconds of its return; servers still missing
-	 * then are gone.
-	 */
-	BACKEND_GRACE_MS = 2200,
-};
-
 struct list_entry {
 	struct backend_entry entry;
 	struct store_position pos; /* of its newest record */
 	/* It was on the list without a break from this position on. */
 	struct store_position since;
 	bool deferred;	/* its removal is deferred */
+	bool after_gap; /* because of a gap of the list, see list_cover.h */
 	int64_t due_ms; /* end of the deferral, or of the unconfirmed state */
 	/*
 	 * The entry was read in an earlier era. The present log may hold older
@@ -31,7 +23,9 @@
 
 void backend_list_publish(struct backend_list *l,
 			  const struct backend_change *c, int64_t now_ms);
-void backend_list_grace_if_stale(struct backend_list *l, int64_t now_ms);
+void backend_list_note_gap(struct backend_list *l, const char *cause,
+			   int64_t as_of_ms);
+void backend_list_resettle(struct backend_list *l, int64_t now_ms);
 void backend_list_begin_restored(struct backend_list *l, int64_t now_ms);
 void backend_list_add(struct backend_list *l, const struct backend_change *c,
 		      int64_t now_ms);
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -6,7 +6,7 @@
 /* Lengths of the arrays on the wire. */
 enum {
 	SENDER_FIELDS = 17,
-	FEED_FIELDS = 9,
+	FEED_FIELDS = 10,
 	CHANGE_FIELDS = 13,
 	CHANGE_ID_FIELDS = 4, /* of a change with an id only */
 	ROSTER_FIELDS = 4,
@@ -186,7 +186,8 @@
 	pack_position(&pk, feed->listed_from);
 	pack_position(&pk, last ? feed->to : pos_at(feed, end));
 	msgpack_pack_uint32(&pk, last ? feed->age_ms : AGE_UNKNOWN);
-	msgpack_pack_uint32(&pk, feed->removal_delay_ms);
+	msgpack_pack_uint32(&pk, feed->covered_ms);
+	msgpack_pack_uint8(&pk, feed->after_gap);
 	msgpack_pack_array(&pk, end - begin);
 	buf_add_lstr(out, buf_lstr(&changes));
 	buf_free(&changes);
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -93,8 +93,10 @@
 	 * last.
 	 */
 	uint32_t age_ms;
-	uint32_t removal_delay_ms; /* added delay of removals */
-	GArray *changes;	   /* struct backend_change, ordered by pos */
+	/* The sender's list has had no gap for so long; AGE_UNKNOWN: it has one now. */
+	uint32_t covered_ms;
+	bool after_gap;	 /* the store may have been away before that */
+	GArray *changes; /* struct backend_change, ordered by pos */
 };
 
 struct gossip_message {
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -127,7 +127,8 @@
 	f->listed_from = next_position(&c);
 	f->to = next_position(&c);
 	f->age_ms = (uint32_t)next_uint(&c);
-	f->removal_delay_ms = (uint32_t)next_uint(&c);
+	f->covered_ms = (uint32_t)next_uint(&c);
+	f->after_gap = next_uint(&c) != 0;
 	list = cursor_of(next(&c));
 	f->changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
 	while (!list.bad && list.at < list.end) {
--- a/tests/test_backend_list.c
+++ b/tests/test_backend_list.c
@@ -180,23 +180,25 @@
 /* Deferred removals are fed as deferred, whether the entry returns or not. */
 static void test_deferred_removal_is_fed(void **state)
 {
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
 	struct backend_list reader, fed;
 	struct seen rs, fs;
 
 	init(&reader, &rs);
 	init(&fed, &fs);
 	read_empty_listing(&reader, 0, 1000);
-	read_empty_listing(&fed, 0, 1000);
 	record(&reader, 0, "a", "ready", 1000);
 	record(&reader, 1, "b", "ready", 1000);
 	backend_list_advance(&reader, at(2), 1000, 1000);
-	send_feed(&reader, &fed, true, 1000);
 	backend_list_read_begin(&reader, 9000);
+	backend_list_advance(&reader, at(2), 9000, 9000);
+	/* The fed instance joins now, so it has seen no outage. */
+	backend_list_export(&reader, all);
+	backend_list_import(&fed, all, at(2), 9000, 9000);
+	g_array_unref(all);
 	record(&reader, 2, "a", "gone", 9000);
 	record(&reader, 3, "b", "gone", 9000);
 	backend_list_advance(&reader, at(4), 9000, 9000);
-	/* The fed instance did not notice the outage. */
-	fed.fresh_ms = 8900;
 	send_feed(&reader, &fed, true, 9010);
 	assert_string_equal(state_of(&fs, "a"), "ready");
 	record(&reader, 4, "b", "ready", 10000);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -107,7 +107,8 @@
 	struct backend_feed f = {.from = {2, 90},
 				 .to = {2, 110},
 				 .age_ms = 3,
-				 .removal_delay_ms = 4};
+				 .covered_ms = 4,
+				 .after_gap = true};
 	struct gossip_message m;
 	struct buf b = {0};
 
