An instance that stood still spreads nothing from before

What callers saw: the first hub stood still for 9 s while machines lost power 0.3 s later.

Cause: the control thread counted the ages of what it knows by a clock that doesn't run while a process is suspended, so heartbeats of 9 s ago were fresh for 1.7 s more, for the roster too. Where that clock does run (SIGSTOP), the datagrams that had waited in the socket did the same: a heartbeat counts from when it is read. The age of the configuration told to peers had both.

Change: the control thread uses the clock that counts suspension for all ages; times published to the traffic thread are converted to its clock. The crash watch, which gives that thread absolute times, stays on its clock. The loop notices that it stood still for longer than a live peer may be silent (control/stall), before it handles any other event; it then drops the datagrams that waited, repeats the poll of the configuration, and counts as listening from now on (member/contact).

--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -77,7 +77,7 @@
 	if (w->failures++ == 0)
 		mp_event(EV_PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING,
 			 "what=backends err=%s age_ms=%" G_GINT64_FORMAT,
-			 g_strerror(-err), clock_ms() - w->list.fresh_ms);
+			 g_strerror(-err), clock_boot_ms() - w->list.fresh_ms);
 }
 
 /*
@@ -152,7 +152,7 @@
 static void on_done(void *priv, const struct store_result *r)
 {
 	struct backend_watch *w = priv;
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 
 	/*
 	 * If this read fails, deferred removals are applied when due, as usual.
--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -169,7 +169,7 @@
 			 g_strerror(-err), w->version, w->pos.offset);
 	/* The next read is due once no peer has reported for long enough. */
 	if (spread) {
-		w->attempt_ms = clock_ms();
+		w->attempt_ms = clock_boot_ms();
 		w->spread_ms = 0;
 	} else {
 		schedule_read(w, wait_ms < longest_ms ? wait_ms : longest_ms);
@@ -200,7 +200,7 @@
 			 "what=config failures=%u", w->failures);
 	w->failures = 0;
 	w->listed = true;
-	w->fresh_ms = clock_ms();
+	w->fresh_ms = clock_boot_ms();
 	/*
 	 * Set before the version is applied, since `changed` reports it to
 	 * peers with this position. With the previous position they saw nothing
@@ -232,7 +232,7 @@
 /* Sends a long poll, or a read of the newest record without a position. */
 static void send_read(struct config_watch *w)
 {
-	w->call_sent_ms = clock_ms();
+	w->call_sent_ms = clock_boot_ms();
 	w->listing = !w->listed || w->relist || !config_watch_has_bookmark(w);
 	if (w->listing)
 		store_list(&w->store, w->source.topic, LSTR(""));
--- a/control/control.c
+++ b/control/control.c
@@ -94,7 +94,7 @@
  */
 static void announce_progress(struct control *c)
 {
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 
 	if (!c->config.polls)
 		return;
@@ -135,7 +135,7 @@
 static void on_read_done(void *priv, bool recovered)
 {
 	struct control *c = priv;
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 	bool large = hubs_enabled(&c->peers.peers);
 	unsigned rank = peers_rank(&c->peers.peers, now_ms);
 
@@ -150,7 +150,7 @@
 static void on_peer(void *priv, const struct gossip_message *m)
 {
 	struct control *c = priv;
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 
 	if (relay_from_peer(c, m))
 		return;
@@ -214,7 +214,7 @@
 /* Runs all periodic work that is due. */
 static void run_due(struct control *c)
 {
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 	bool joined = c->peers.peers.joined_ms != 0;
 	bool large = hubs_enabled(&c->peers.peers);
 	unsigned rank =
@@ -256,7 +256,7 @@
 static void on_new_era(struct ev_loop *loop, ev_timer *t, int revents)
 {
 	struct control *c = t->data;
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 
 	config_watch_new_era(&c->config, now_ms);
 	backend_watch_new_era(&c->backends, now_ms);
@@ -300,6 +300,23 @@
 	run_due(priv);
 }
 
+/*
+ * Handles the end of a stall. Datagrams that waited say nothing of the present:
+ * signs of life may be of instances that are gone, and ages count from when a
+ * datagram was sent. The same holds for the answer to a poll.
+ */
+static void on_stall_ended(void *priv, int64_t stalled_ms)
+{
+	struct control *c = priv;
+	unsigned dropped = peer_channel_discard(&c->peers);
+
+	c->peers.peers.listening_ms = clock_boot_ms();
+	config_watch_restart(&c->config);
+	mp_event(EV_STALLED, G_LOG_LEVEL_MESSAGE,
+		 "stalled_ms=%" G_GINT64_FORMAT " datagrams=%u", stalled_ms,
+		 dropped);
+}
+
 /* Handles SIGTERM and SIGINT: peers stop naming this instance to callers. */
 static void on_term(struct ev_loop *loop, ev_signal *s, int revents)
 {
@@ -307,7 +324,7 @@
 
 	if (c->stopping_ms)
 		return;
-	c->stopping_ms = clock_ms();
+	c->stopping_ms = clock_boot_ms();
 	mp_event(EV_STOPPING, G_LOG_LEVEL_MESSAGE, "signal=%d", s->signum);
 	c->peers.peers.self.leaving = true;
 	peer_channel_heartbeat_all(&c->peers, c->stopping_ms);
@@ -449,9 +466,10 @@
 	backend_watch_start(&c->backends, c->loop, &c->store, on_backend,
 			    on_read_done, c);
 	c->backends.list.heartbeat_ms = (int)c->settings.heartbeat_ms;
-	c->started_ms = clock_ms();
+	c->started_ms = clock_boot_ms();
 	ev_timer_init(&c->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
 	c->tick.data = c;
 	ev_timer_start(c->loop, &c->tick);
+	stall_start(&c->stall, c->loop, on_stall_ended, c);
 	ev_run(c->loop, 0);
 }
--- a/control/control.h
+++ b/control/control.h
@@ -15,6 +15,7 @@
 #include "control/member_join.h"
 #include "control/peer_channel.h"
 #include "control/record_check.h"
+#include "control/stall.h"
 #include "control/start.h"
 #include "core/peer_load.h"
 #include "misc/mailbox.h"
@@ -108,6 +109,7 @@
 	struct peer_fetch peer_fetch;
 	struct crash_watch crashes;
 	struct record_check records;
+	struct stall stall;
 	int64_t started_ms;
 	struct config_spread spread;
 	struct peer_info reporter; /* of the version that is being spread */
--- a/control/crash_watch.c
+++ b/control/crash_watch.c
@@ -83,7 +83,7 @@
 /* Sends one datagram of notices to all live peers or to the hubs. */
 static void send_updates(struct crash_watch *w,
 			 const struct crash_notice *notices, unsigned n,
-			 bool to_all, int64_t now_ms)
+			 bool to_all)
 {
 	struct buf b = {0};
 
@@ -91,9 +91,9 @@
 		return;
 	gossip_write_crashes(&b, &w->channel->peers.self, notices, n);
 	if (to_all)
-		peer_channel_send_live(w->channel, &b, now_ms);
+		peer_channel_send_live(w->channel, &b, clock_boot_ms());
 	else
-		peer_channel_send_hubs(w->channel, &b, now_ms);
+		peer_channel_send_hubs(w->channel, &b, clock_boot_ms());
 	buf_free(&b);
 }
 
@@ -112,10 +112,10 @@
 		notices[n++] = t->notice;
 		if (n < CRASH_NOTICES_MAX)
 			continue;
-		send_updates(w, notices, n, to_all, now_ms);
+		send_updates(w, notices, n, to_all);
 		n = 0;
 	}
-	send_updates(w, notices, n, to_all, now_ms);
+	send_updates(w, notices, n, to_all);
 }
 
 /* Schedules the next repetition of the broadcasts that were sent. */
--- a/control/member_join.c
+++ b/control/member_join.c
@@ -18,7 +18,8 @@
 		if (msg.kind == GOSSIP_CRASHES) {
 			m->on_verdicts(m->priv, msg.crashes);
 		} else {
-			peers_add(&m->channel->peers, &msg.sender, clock_ms());
+			peers_add(&m->channel->peers, &msg.sender,
+				  clock_boot_ms());
 			m->on_record(m->priv, &msg.sender);
 		}
 	}
@@ -48,7 +49,7 @@
 		if (m->failures++ == 0)
 			mp_event(EV_PLATFORM_UNREACHABLE, G_LOG_LEVEL_WARNING,
 				 "what=members err=%s", g_strerror(-r->err));
-		join_list_failed(&m->plan, g_random_double(), clock_ms());
+		join_list_failed(&m->plan, g_random_double(), clock_boot_ms());
 		return;
 	}
 	if (m->failures)
@@ -60,7 +61,7 @@
 	if (r->more)
 		store_list(&m->store, STORE_TOPIC_MEMBERS, r->last_key);
 	else if (!m->channel->peers.joined_ms)
-		joined(m, true, clock_ms());
+		joined(m, true, clock_boot_ms());
 }
 
 /* Asks the next seed, if the last one was asked long enough ago. */
@@ -149,7 +150,7 @@
 		       void (*on_verdicts)(void *priv, const GArray *notices),
 		       void *priv)
 {
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 
 	memset(m, 0, sizeof(*m));
 	m->on_verdicts = on_verdicts;
--- a/control/peer_channel.c
+++ b/control/peer_channel.c
@@ -11,6 +11,8 @@
 
 enum {
 	DATAGRAMS_AT_ONCE = 32, /* per wakeup, so that timers get to run */
+	/* More than the largest receive buffer holds. */
+	DISCARDED_MAX = 100 * 1000,
 };
 
 /* Sends a datagram that does not count as a heartbeat. */
@@ -259,7 +261,7 @@
 /* Handles membership messages, then passes each message to the owner. */
 static void on_message(struct peer_channel *ch, const struct gossip_message *m)
 {
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 
 	membership_on_message(ch, m, now_ms);
 	ch->received(ch->priv, m);
@@ -296,6 +298,21 @@
 	}
 }
 
+/*
+ * peer_channel_discard() drops the datagrams that wait in the socket. Returns
+ * their number.
+ */
+unsigned peer_channel_discard(struct peer_channel *ch)
+{
+	unsigned n = 0;
+	char byte;
+
+	while (n < DISCARDED_MAX &&
+	       recv(ch->sock, &byte, sizeof(byte), MSG_DONTWAIT) >= 0)
+		n++;
+	return n;
+}
+
 /*
  * peer_channel_send_join() asks an instance that may be a member for peers that
  * can serve.
--- a/control/peer_channel.h
+++ b/control/peer_channel.h
@@ -50,6 +50,7 @@
 void peer_channel_send_limit_call(struct peer_channel *ch,
 				  struct limit_borrow_msg *call,
 				  int64_t now_ms);
+unsigned peer_channel_discard(struct peer_channel *ch);
 void peer_channel_send_join(struct peer_channel *ch,
 			    const struct sockaddr_in *to);
 void peer_channel_greet(struct peer_channel *ch, int64_t now_ms);
--- a/control/peer_fetch.c
+++ b/control/peer_fetch.c
@@ -60,7 +60,7 @@
 			   struct buf *body)
 {
 	struct snapshot s;
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 
 	snapshot_init(&s);
 	s.has_config = parts & PART_CONFIG;
@@ -115,7 +115,7 @@
 	if (!valid || !backend_watch_is_current(in->backends) ||
 	    store_position_cmp(list->pos, since) <= 0)
 		return 404;
-	backend_list_build_feed(list, &feed, clock_ms());
+	backend_list_build_feed(list, &feed, clock_boot_ms());
 	if (!backend_feed_covers(&feed, since))
 		return 404;
 	gossip_write_changes(body, &in->peers->self, &feed, since);
@@ -128,7 +128,7 @@
 static unsigned answer_join(struct peer_fetch *in, bool config,
 			    struct buf *body)
 {
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 	struct buf plain = {0};
 
 	if (!in->peers->joined_ms)
@@ -203,11 +203,11 @@
 	if (config && s->has_config)
 		config_watch_import(in->config, buf_lstr(&s->config),
 				    &s->evacuations, s->config_pos,
-				    clock_ms() - s->config_age_ms);
+				    clock_boot_ms() - s->config_age_ms);
 	if (backends)
 		backend_list_import(
 			&in->backends->list, s->backends, s->backends_pos,
-			clock_ms() - s->backends_age_ms, clock_ms());
+			clock_boot_ms() - s->backends_age_ms, clock_boot_ms());
 	mp_event(EV_PEER_FETCH_DONE, G_LOG_LEVEL_MESSAGE,
 		 "peer=%s config=%s backends=%s servers=%u age_ms=%u",
 		 in->target.name,
@@ -216,7 +216,7 @@
 				      : "known",
 		 backends ? "taken" : "known", s->backends->len,
 		 s->backends_age_ms);
-	member_join_apply(in->join, s, clock_ms());
+	member_join_apply(in->join, s, clock_boot_ms());
 }
 
 /* Applies a new version; if it is invalid, the store is read. */
@@ -224,7 +224,7 @@
 {
 	if (config_watch_apply_peer(in->config, buf_lstr(&s->config),
 				    &s->evacuations, s->config_pos,
-				    clock_ms() - s->config_age_ms))
+				    clock_boot_ms() - s->config_age_ms))
 		config_watch_read(in->config);
 }
 
@@ -234,7 +234,8 @@
 	struct gossip_message m;
 
 	if (gossip_read(body, &m) == 0 && m.kind == GOSSIP_FEED)
-		backend_watch_apply_feed(in->backends, &m.feed, clock_ms());
+		backend_watch_apply_feed(in->backends, &m.feed,
+					 clock_boot_ms());
 	mp_event(EV_PEER_FETCH_DONE, G_LOG_LEVEL_MESSAGE,
 		 "peer=%s changes=%u offset=%" G_GUINT64_FORMAT " gap=%d",
 		 in->target.name, m.feed.changes ? m.feed.changes->len : 0,
--- a/control/publish.c
+++ b/control/publish.c
@@ -31,12 +31,18 @@
 	return (c->seen_peer || alone) && !config_watch_is_behind(&c->config);
 }
 
+/* Returns a time of the control thread in the clock of the traffic thread. */
+static uint64_t traffic_time(int64_t at_ms, int64_t now_ms)
+{
+	return (uint64_t)(clock_ms() - (now_ms - at_ms));
+}
+
 /*
  * control_publish_age() publishes the ages of the list and the configuration.
  */
 void control_publish_age(struct control *c)
 {
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 	uint32_t config_age_ms =
 		is_config_confirmed(c, now_ms)
 			? config_watch_age_ms(&c->config,
@@ -46,12 +52,13 @@
 	ck_pr_store_64(&c->view.config_offset, c->config.pos.offset);
 	ck_pr_store_64(&c->view.config_era, c->config.pos.era);
 	ck_pr_store_64((uint64_t *)&c->view.config_ms,
-		       (uint64_t)(now_ms - config_age_ms));
+		       traffic_time(now_ms - config_age_ms, now_ms));
 	/* What is known from an earlier era is not confirmed in this one. */
 	ck_pr_store_64((uint64_t *)&c->view.fresh_ms,
-		       (uint64_t)(backend_watch_is_current(&c->backends)
-					  ? c->backends.list.fresh_ms
-					  : now_ms - AGE_UNKNOWN));
+		       traffic_time(backend_watch_is_current(&c->backends)
+					    ? c->backends.list.fresh_ms
+					    : now_ms - AGE_UNKNOWN,
+				    now_ms));
 }
 
 /*
--- a/control/record_check.c
+++ b/control/record_check.c
@@ -93,7 +93,7 @@
 	} else {
 		unsigned before = r->peers->peers->len;
 
-		peers_add(r->peers, &m.sender, clock_ms());
+		peers_add(r->peers, &m.sender, clock_boot_ms());
 		r->found += r->peers->peers->len - before;
 		record_check_note(r, &m.sender);
 	}
@@ -187,14 +187,14 @@
 {
 	int repeat_ms = REPEAT_MS;
 
-	if (peers_count_alive(r->peers, clock_ms()))
+	if (peers_count_alive(r->peers, clock_boot_ms()))
 		r->alone = 0;
 	else
 		repeat_ms = backoff_ms(++r->alone, REPEAT_ALONE_MS,
 				       REPEAT_ALONE_MAX_MS, g_random_double());
 	r->checked_era = era;
 	r->checked = true;
-	r->repeat_ms = clock_ms() + repeat_ms;
+	r->repeat_ms = clock_boot_ms() + repeat_ms;
 }
 
 /* Compares the complete listing with what is known, and writes what is lost. */
@@ -241,7 +241,7 @@
 	if (res->more)
 		store_list(&r->store, STORE_TOPIC_MEMBERS, res->last_key);
 	else
-		compare(r, clock_ms());
+		compare(r, clock_boot_ms());
 }
 
 /* Handles the result of the listing or of the write. */
@@ -255,9 +255,9 @@
 		clear_listing(r);
 		r->writing = false;
 		r->failures++;
-		r->due_ms = clock_ms() + backoff_ms(r->failures, RETRY_MS,
-						    RETRY_MAX_MS,
-						    g_random_double());
+		r->due_ms = clock_boot_ms() + backoff_ms(r->failures, RETRY_MS,
+							 RETRY_MAX_MS,
+							 g_random_double());
 		return;
 	}
 	r->failures = 0;
--- a/control/relay.c
+++ b/control/relay.c
@@ -61,7 +61,7 @@
 	struct buf b = {0};
 
 	if (kind == FROM_TRAFFIC_LIMIT_CALL) {
-		peer_channel_send_limit_call(&c->peers, data, clock_ms());
+		peer_channel_send_limit_call(&c->peers, data, clock_boot_ms());
 	} else if (kind == FROM_TRAFFIC_QUOTA_ASK ||
 		   kind == FROM_TRAFFIC_QUOTA_ANSWER) {
 		peer_channel_send_quota(&c->peers, data);
@@ -69,7 +69,7 @@
 		load->peer = self;
 		gossip_write_load(&b, load);
 		if (peer_loads_are_local(
-			    peers_count(&c->peers.peers, clock_ms())))
+			    peers_count(&c->peers.peers, clock_boot_ms())))
 			dc = c->peers.peers.self.dc;
 	} else if (kind == FROM_TRAFFIC_LIMITS) {
 		limits->peer = self;
@@ -81,11 +81,11 @@
 		shortage->peer = self;
 		gossip_write_shortage(&b, shortage);
 		peer_channel_send_sample(&c->peers, &b, SHORTAGE_FANOUT,
-					 clock_ms());
+					 clock_boot_ms());
 		buf_free(&b);
 	}
 	if (b.len)
-		peer_channel_send_plain(&c->peers, &b, dc, clock_ms());
+		peer_channel_send_plain(&c->peers, &b, dc, clock_boot_ms());
 	buf_free(&b);
 	g_free(data);
 }
--- a/member/peers.c
+++ b/member/peers.c
@@ -4,11 +4,6 @@
 #include "member/peers.h"
 
 enum {
-	/*
-	 * Three heartbeats, sent twice a second, plus transit: a dead instance
-	 * disappears from the responses to callers within two seconds.
-	 */
-	ALIVE_TIMEOUT_MS = 1700,
 	/*
 	 * Added to the grace period, after which a stopping instance has
 	 * exited.
@@ -99,9 +94,9 @@
  */
 bool peer_alive(const struct peer *p, int64_t now_ms)
 {
-	if (p->heartbeat_ms && now_ms - p->heartbeat_ms < ALIVE_TIMEOUT_MS)
+	if (p->heartbeat_ms && now_ms - p->heartbeat_ms < PEER_ALIVE_MS)
 		return true;
-	return p->in_roster && now_ms - p->roster_ms < ALIVE_TIMEOUT_MS;
+	return p->in_roster && now_ms - p->roster_ms < PEER_ALIVE_MS;
 }
 
 /* Returns when a peer last gave a sign of life, here or to a hub; 0: never. */
--- a/member/peers.h
+++ b/member/peers.h
@@ -17,6 +17,11 @@
 enum {
 	PEER_NAME_MAX = 64,
 	PEER_ADDR_MAX = 32,
+	/*
+	 * Three heartbeats, sent twice a second, plus transit: a dead instance
+	 * disappears from the responses to callers within two seconds.
+	 */
+	PEER_ALIVE_MS = 1700,
 	PEER_LOST_MS = 10 * 1000, /* without a sign of life: presumed gone */
 	/*
 	 * A silent instance may be cut off and still be serving: now and then a
--- a/misc/clock.h
+++ b/misc/clock.h
@@ -22,7 +22,8 @@
 
 /*
  * clock_boot_ms() returns milliseconds of CLOCK_BOOTTIME, which also counts
- * time in suspend, for time windows shared by all instances.
+ * time in suspend: for the ages of what is known of others, and for time
+ * windows shared by all instances.
  */
 static inline int64_t clock_boot_ms(void)
 {
--- a/tests/test_backend_watch.c
+++ b/tests/test_backend_watch.c
@@ -50,7 +50,7 @@
  */
 static void test_feed_is_no_store_answer(void **state)
 {
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 	struct backend_feed feed = {
 		.from = {0, 10}, .to = {0, 10}, .age_ms = 0};
 	static struct store_endpoint store;
@@ -78,7 +78,7 @@
 static void test_failure_is_no_store_answer(void **state)
 {
 	struct store_result failed = {.err = -ETIMEDOUT};
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 	struct backend_watch w;
 
 	begin(&w);
@@ -116,7 +116,7 @@
  */
 static void test_peers_close_a_gap_first(void **state)
 {
-	int64_t now_ms = clock_ms();
+	int64_t now_ms = clock_boot_ms();
 	struct backend_watch w;
 
 	begin(&w);
@@ -153,7 +153,7 @@
 {
 	enum { INSTANCES = 400, OUTAGE_MS = 8000, INTERVAL_MS = 50 };
 	static struct backend_watch all[INSTANCES];
-	int64_t start_ms = clock_ms();
+	int64_t start_ms = clock_boot_ms();
 	unsigned attempts = 0;
 
 	for (int i = 0; i < INSTANCES; i++) {
--- a/tests/test_record_check.c
+++ b/tests/test_record_check.c
@@ -40,7 +40,7 @@
 	struct peer_info self = info("e0", 5);
 
 	f->store = scripted_store_new(ADDR);
-	f->now_ms = clock_ms();
+	f->now_ms = clock_boot_ms();
 	assert_int_equal(peer_channel_open(&f->channel, f->store->loop, PEERS,
 					   &self, on_message, f),
 			 0);
@@ -257,7 +257,7 @@
 	assert_int_equal(f->check.checked_era, 0);
 	scripted_answer(f->store, 200, "2", listing(all, boots, 3, NULL, 0));
 	scripted_answer(f->store, 200, "2", (struct buf){0});
-	record_check_tick(&f->check, true, clock_ms() + SETTLED_MS);
+	record_check_tick(&f->check, true, clock_boot_ms() + SETTLED_MS);
 	run_until(f, 4);
 	assert_int_equal(f->check.checked_era, 2);
 	end(f);
