A report that an instance is alive carries the age of its sign

What callers could see: an instance tells one that joins, or is heard again, of all that it considers alive, and the receiver counted them as alive from when it heard of it, up to 1.7 s more each time. Each joiner tells the rest in turn. As long as instances join or come back within 1.7 s of each other, as in a planned restart of all, one that is gone stays alive everywhere and callers are sent to it.

Change: a report has the age of the sign of life that it goes by, in datagrams and in what a joiner fetches (there with the time for which the answer is kept); the receiver counts from then, and only if it knows of no later sign. One that isn't alive is still described, without a sign.

--- a/control/member_join.c
+++ b/control/member_join.c
@@ -120,9 +120,7 @@
 		const struct peer_report *r =
 			&g_array_index(s->members, struct peer_report, i);
 
-		peers_add(t, &r->info, now_ms);
-		if (r->alive)
-			peers_note_report(t, &r->info, now_ms);
+		peers_note_report(t, r, now_ms);
 	}
 	m->on_verdicts(m->priv, s->verdicts);
 	joined(m, false, now_ms);
--- a/control/membership.c
+++ b/control/membership.c
@@ -108,20 +108,35 @@
 	buf_free(&b);
 }
 
-/* Sends a peer the details of live instances; at least one datagram. */
+/* Returns an empty array of struct peer_report. */
+static GArray *reports_new(void)
+{
+	return g_array_new(FALSE, FALSE, sizeof(struct peer_report));
+}
+
+/* Adds the description of a peer. */
+static void add_report(GArray *reports, const struct peer *p, int64_t now_ms)
+{
+	struct peer_report r = peer_describe(p, now_ms);
+
+	g_array_append_val(reports, r);
+}
+
+/* Sends a peer descriptions of instances; at least one datagram. */
 static void send_infos(struct peer_channel *ch, struct peer *to,
-		       const struct peer_info *const *infos, unsigned n,
-		       int64_t now_ms)
+		       const GArray *reports, int64_t now_ms)
 {
 	struct buf b = {0};
-	unsigned at = 0;
+	guint at = 0;
 
 	do {
 		b.len = 0;
-		at += gossip_write_info(&b, &ch->peers.self, infos + at,
-					n - at);
+		at += gossip_write_info(
+			&b, &ch->peers.self,
+			(const struct peer_report *)reports->data + at,
+			reports->len - at);
 		peer_channel_send(ch, &b, to, now_ms);
-	} while (at < n);
+	} while (at < reports->len);
 	buf_free(&b);
 }
 
@@ -129,17 +144,16 @@
 static void send_live_infos(struct peer_channel *ch, struct peer *to,
 			    int64_t now_ms)
 {
-	GPtrArray *infos = g_ptr_array_new();
+	GArray *reports = reports_new();
 
 	for (guint i = 0; i < ch->peers.peers->len; i++) {
 		struct peer *p = g_ptr_array_index(ch->peers.peers, i);
 
 		if (p != to && peer_alive(p, now_ms))
-			g_ptr_array_add(infos, &p->info);
+			add_report(reports, p, now_ms);
 	}
-	send_infos(ch, to, (const struct peer_info *const *)infos->pdata,
-		   infos->len, now_ms);
-	g_ptr_array_unref(infos);
+	send_infos(ch, to, reports, now_ms);
+	g_array_unref(reports);
 }
 
 /*
@@ -149,8 +163,10 @@
 static void reply_to_join(struct peer_channel *ch,
 			  const struct gossip_message *m, int64_t now_ms)
 {
-	const struct peer_info *sources[SOURCES_MAX + 1];
 	struct peer *p = peers_add(&ch->peers, &m->sender, now_ms);
+	struct peer_report self = {ch->peers.self, 0};
+	const struct peer_info *sources[SOURCES_MAX];
+	GArray *reports;
 	unsigned n;
 
 	if (!p || !ch->peers.joined_ms)
@@ -159,9 +175,14 @@
 		p->info = m->sender;
 	n = peers_list_sources(&ch->peers, m->sender.dc, g_random_int(), now_ms,
 			       SOURCES_MAX, sources);
+	reports = reports_new();
+	for (unsigned i = 0; i < n; i++)
+		add_report(reports, peers_find(&ch->peers, sources[i]->name),
+			   now_ms);
 	if (ch->peers.self.ready && !ch->peers.self.leaving)
-		sources[n++] = &ch->peers.self;
-	send_infos(ch, p, sources, n, now_ms);
+		g_array_append_val(reports, self);
+	send_infos(ch, p, reports, now_ms);
+	g_array_unref(reports);
 }
 
 /* Applies a roster and requests details of the members it adds. */
@@ -183,30 +204,29 @@
 			      const struct gossip_message *m, int64_t now_ms)
 {
 	struct peer *requester = peers_find(&ch->peers, m->sender.name);
-	GPtrArray *infos = g_ptr_array_new();
+	GArray *reports = reports_new();
 
 	for (guint i = 0; i < m->ids->len; i++) {
 		struct peer *p = hubs_find_peer(
 			&ch->peers, g_array_index(m->ids, uint32_t, i));
 
 		if (p)
-			g_ptr_array_add(infos, &p->info);
+			add_report(reports, p, now_ms);
 	}
 	if (requester)
-		send_infos(ch, requester,
-			   (const struct peer_info *const *)infos->pdata,
-			   infos->len, now_ms);
-	g_ptr_array_unref(infos);
+		send_infos(ch, requester, reports, now_ms);
+	g_array_unref(reports);
 }
 
-/* Adds the instances that a peer reports as alive. */
+/* Adds the instances that a peer describes. */
 static void receive_infos(struct peer_channel *ch,
 			  const struct gossip_message *m, int64_t now_ms)
 {
 	for (guint i = 0; i < m->infos->len; i++)
-		peers_note_report(&ch->peers,
-				  &g_array_index(m->infos, struct peer_info, i),
-				  now_ms);
+		peers_note_report(
+			&ch->peers,
+			&g_array_index(m->infos, struct peer_report, i),
+			now_ms);
 }
 
 /*
@@ -243,21 +263,23 @@
 			     const struct gossip_message *m, int64_t now_ms)
 {
 	struct peer *sender = peers_find(&ch->peers, m->sender.name);
-	const struct peer_info *hubs[HUB_COUNT];
-	unsigned n = 0;
+	GArray *hubs;
 
 	if (!sender || sender->in_roster || !hubs_enabled(&ch->peers) ||
 	    (!hubs_roster_is_current(&ch->peers, now_ms) &&
 	     !hubs_roster_is_missing(&ch->peers, now_ms)))
 		return;
-	for (guint i = 0; i < ch->peers.peers->len && n < HUB_COUNT; i++) {
+	hubs = reports_new();
+	for (guint i = 0; i < ch->peers.peers->len && hubs->len < HUB_COUNT;
+	     i++) {
 		struct peer *p = g_ptr_array_index(ch->peers.peers, i);
 
 		if (p->hub)
-			hubs[n++] = &p->info;
+			add_report(hubs, p, now_ms);
 	}
-	if (n)
-		send_infos(ch, sender, hubs, n, now_ms);
+	if (hubs->len)
+		send_infos(ch, sender, hubs, now_ms);
+	g_array_unref(hubs);
 }
 
 /* membership_on_message() handles the sender and a message on membership. */
--- a/control/peer_fetch.c
+++ b/control/peer_fetch.c
@@ -55,6 +55,17 @@
 	return age_ms > AGE_UNKNOWN - ms ? AGE_UNKNOWN : age_ms + ms;
 }
 
+/* Adds to the ages of the members' signs of life. */
+static void add_sign_ages(GArray *members, uint32_t ms)
+{
+	for (guint i = 0; i < members->len; i++) {
+		struct peer_report *r =
+			&g_array_index(members, struct peer_report, i);
+
+		r->sign_age_ms = add_age(r->sign_age_ms, ms);
+	}
+}
+
 /* Writes the given parts. */
 static void write_snapshot(const struct peer_fetch *in, unsigned parts,
 			   struct buf *body)
@@ -83,6 +94,7 @@
 	if (parts & PART_MEMBERS) {
 		g_array_unref(s.members);
 		s.members = peers_reports(in->peers, now_ms);
+		add_sign_ages(s.members, CACHE_MS);
 		g_array_unref(s.verdicts);
 		s.verdicts = crash_watch_verdicts(in->crashes);
 	}
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -348,22 +348,24 @@
 }
 
 /*
- * Forwards the peer_info of as many live instances as fit into a datagram.
- * Returns their number.
+ * Writes as many descriptions of instances as fit into a datagram, with the
+ * ages of their signs of life. Returns their number.
  */
 unsigned gossip_write_info(struct buf *out, const struct peer_info *self,
-			   const struct peer_info *const *infos, unsigned n)
+			   const struct peer_report *reports, unsigned n)
 {
 	struct buf packed = {0};
 	msgpack_packer pk, body;
 	unsigned fit = 0;
 
 	msgpack_packer_init(&body, &packed, codec_buf_write);
-	while (fit < n && packed.len + 2 * INFO_MAX_BYTES <= GOSSIP_MAX)
-		gossip_pack_info(&body, infos[fit++]);
+	while (fit < n && packed.len + 2 * INFO_MAX_BYTES <= GOSSIP_MAX) {
+		gossip_pack_info(&body, &reports[fit].info);
+		msgpack_pack_uint32(&body, reports[fit++].sign_age_ms);
+	}
 	msgpack_packer_init(&pk, out, codec_buf_write);
 	pack_sender(&pk, GOSSIP_INFO, self);
-	msgpack_pack_array(&pk, fit);
+	msgpack_pack_array(&pk, 2 * (size_t)fit);
 	buf_add_lstr(out, buf_lstr(&packed));
 	buf_free(&packed);
 	return fit;
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -102,15 +102,15 @@
 struct gossip_message {
 	enum gossip_kind kind;
 	struct peer_info sender;
-	struct backend_feed feed;	 /* of GOSSIP_FEED */
-	struct peer_load load;		 /* of GOSSIP_LOAD */
-	struct roster roster;		 /* of GOSSIP_ROSTER */
-	GArray *ids;			 /* of GOSSIP_INFO_REQUEST: uint32_t */
-	uint32_t digest;		 /* of GOSSIP_ROSTER_DIGEST */
-	GArray *infos;			 /* of GOSSIP_INFO: struct peer_info */
-	struct buf relayed;		 /* of GOSSIP_RELAY: the message */
-	struct limit_gossip limits;	 /* of GOSSIP_LIMITS */
-	struct drain_gossip drain;	 /* of GOSSIP_DRAINING */
+	struct backend_feed feed;   /* of GOSSIP_FEED */
+	struct peer_load load;	    /* of GOSSIP_LOAD */
+	struct roster roster;	    /* of GOSSIP_ROSTER */
+	GArray *ids;		    /* of GOSSIP_INFO_REQUEST: uint32_t */
+	uint32_t digest;	    /* of GOSSIP_ROSTER_DIGEST */
+	GArray *infos;		    /* of GOSSIP_INFO: struct peer_report */
+	struct buf relayed;	    /* of GOSSIP_RELAY: the message */
+	struct limit_gossip limits; /* of GOSSIP_LIMITS */
+	struct drain_gossip drain;  /* of GOSSIP_DRAINING */
 	struct shortage_gossip shortage; /* of GOSSIP_SHORTAGE */
 	struct limit_borrow_msg
 		call; /* of GOSSIP_GRANT_REQUEST and GOSSIP_GRANT */
@@ -145,7 +145,7 @@
 				uint32_t digest);
 void gossip_write_roster_request(struct buf *out, const struct peer_info *self);
 unsigned gossip_write_info(struct buf *out, const struct peer_info *self,
-			   const struct peer_info *const *infos, unsigned n);
+			   const struct peer_report *reports, unsigned n);
 void gossip_write_crashes(struct buf *out, const struct peer_info *self,
 			  const struct crash_notice *notices, unsigned n);
 void gossip_write_limits(struct buf *out, const struct limit_gossip *update);
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -186,11 +186,12 @@
 	struct cursor c = cursor_of(o);
 
 	while (!c.bad && c.at < c.end) {
-		struct peer_info p;
+		struct peer_report r;
 
-		if (!gossip_read_info(next(&c), &p))
+		if (!gossip_read_info(next(&c), &r.info))
 			return false;
-		g_array_append_val(out, p);
+		r.sign_age_ms = (uint32_t)next_uint(&c);
+		g_array_append_val(out, r);
 	}
 	return !c.bad;
 }
@@ -377,7 +378,8 @@
 		m->ids = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 		return read_ids(next(c), m->ids);
 	case GOSSIP_INFO:
-		m->infos = g_array_new(FALSE, FALSE, sizeof(struct peer_info));
+		m->infos =
+			g_array_new(FALSE, FALSE, sizeof(struct peer_report));
 		return read_infos(next(c), m->infos);
 	case GOSSIP_RELAY:
 		return read_relayed(next(c), &m->relayed);
--- a/member/peers.c
+++ b/member/peers.c
@@ -256,6 +256,16 @@
 	return n;
 }
 
+/* Describes a peer to another instance. */
+struct peer_report peer_describe(const struct peer *p, int64_t now_ms)
+{
+	struct peer_report r = {p->info, AGE_UNKNOWN};
+
+	if (peer_alive(p, now_ms))
+		r.sign_age_ms = (uint32_t)(now_ms - peer_last_sign_ms(p));
+	return r;
+}
+
 /*
  * Describes all peers, for an instance that joins; it counts those that aren't
  * alive as members too. Returns an array of struct peer_report; unref it after
@@ -264,30 +274,35 @@
 GArray *peers_reports(const struct peer_table *t, int64_t now_ms)
 {
 	GArray *out = g_array_new(FALSE, FALSE, sizeof(struct peer_report));
-	struct peer_report r = {t->self, true};
+	struct peer_report r = {t->self, 0};
 
 	g_array_append_val(out, r);
 	for (guint i = 0; i < t->peers->len; i++) {
-		const struct peer *p = g_ptr_array_index(t->peers, i);
-
-		r = (struct peer_report){p->info, peer_alive(p, now_ms)};
+		r = peer_describe(g_ptr_array_index(t->peers, i), now_ms);
 		g_array_append_val(out, r);
 	}
 	return out;
 }
 
-/* Handles a peer's report that an instance is alive. */
-void peers_note_report(struct peer_table *t, const struct peer_info *info,
+/*
+ * Handles a peer's report. The sign of life counts from when it was given:
+ * otherwise an instance that is gone would stay alive for as long as others
+ * join and are told of it.
+ */
+void peers_note_report(struct peer_table *t, const struct peer_report *report,
 		       int64_t now_ms)
 {
-	struct peer *p = peers_add(t, info, now_ms);
+	struct peer *p = peers_add(t, &report->info, now_ms);
+	int64_t sign_ms = now_ms - report->sign_age_ms;
 
-	if (!p || peer_alive(p, now_ms))
+	if (!p || peer_alive(p, now_ms) ||
+	    report->sign_age_ms >= PEER_ALIVE_MS ||
+	    sign_ms <= peer_last_sign_ms(p))
 		return;
-	p->info = *info;
+	p->info = report->info;
 	p->in_roster = true;
-	p->roster_ready = info->ready;
-	p->roster_ms = now_ms;
+	p->roster_ready = report->info.ready;
+	p->roster_ms = sign_ms;
 	p->logged_alive = true;
 }
 
--- a/member/peers.h
+++ b/member/peers.h
@@ -126,11 +126,12 @@
 /* An instance as another one describes it. */
 struct peer_report {
 	struct peer_info info;
-	bool alive;
+	uint32_t sign_age_ms; /* of its last sign; AGE_UNKNOWN: not alive */
 };
 
+struct peer_report peer_describe(const struct peer *p, int64_t now_ms);
 GArray *peers_reports(const struct peer_table *t, int64_t now_ms);
-void peers_note_report(struct peer_table *t, const struct peer_info *info,
+void peers_note_report(struct peer_table *t, const struct peer_report *report,
 		       int64_t now_ms);
 unsigned peers_list_sources(const struct peer_table *t, const char *dc,
 			    unsigned turn, int64_t now_ms, unsigned max,
--- a/member/snapshot.c
+++ b/member/snapshot.c
@@ -42,7 +42,7 @@
 	s->verdicts = NULL;
 }
 
-/* Packs the members: their descriptions, and whether they are alive. */
+/* Packs the members: their descriptions, and the ages of their signs. */
 static void pack_members(msgpack_packer *pk, const GArray *members)
 {
 	msgpack_pack_array(pk, 2 * (size_t)members->len);
@@ -51,7 +51,7 @@
 			&g_array_index(members, struct peer_report, i);
 
 		gossip_pack_info(pk, &r->info);
-		msgpack_pack_uint8(pk, r->alive);
+		msgpack_pack_uint32(pk, r->sign_age_ms);
 	}
 }
 
@@ -119,7 +119,7 @@
 		if (!gossip_read_info(&o->via.array.ptr[i], &r.info) ||
 		    !is_uint(&o->via.array.ptr[i + 1]))
 			return false;
-		r.alive = o->via.array.ptr[i + 1].via.u64 != 0;
+		r.sign_age_ms = (uint32_t)o->via.array.ptr[i + 1].via.u64;
 		g_array_append_val(out, r);
 	}
 	return true;
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -151,7 +151,8 @@
 {
 	static const uint32_t wanted[] = {1, 4711, 4712};
 	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	const struct peer_info *got, *infos[2];
+	struct peer_report infos[2];
+	const struct peer_report *got;
 	struct peer_info self = info("e3", 77), other = info("e4", 78);
 	struct gossip_message m;
 	struct buf b = {0};
@@ -166,7 +167,8 @@
 		g_array_append_val(r.entries, e);
 	}
 	g_array_append_vals(ids, wanted, G_N_ELEMENTS(wanted));
-	infos[0] = infos[1] = &other;
+	infos[0] = (struct peer_report){other, 70};
+	infos[1] = (struct peer_report){other, AGE_UNKNOWN};
 	while (at < 1000) {
 		b.len = 0;
 		at = gossip_write_roster(&b, &self, &r, at);
@@ -218,9 +220,11 @@
 	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
 	assert_string_equal(m.sender.name, "e3");
 	assert_int_equal(m.infos->len, 2);
-	got = &g_array_index(m.infos, struct peer_info, 0);
-	assert_string_equal(got->name, "e4");
-	assert_string_equal(got->caller_addr, other.caller_addr);
+	got = &g_array_index(m.infos, struct peer_report, 0);
+	assert_string_equal(got->info.name, "e4");
+	assert_string_equal(got->info.caller_addr, other.caller_addr);
+	assert_int_equal(got->sign_age_ms, 70);
+	assert_int_equal(got[1].sign_age_ms, AGE_UNKNOWN);
 	gossip_message_clear(&m);
 	assert_prefixes_rejected(&b);
 	buf_free(&b);
@@ -232,12 +236,12 @@
 static void test_infos_fill_datagrams(void **state)
 {
 	struct peer_info self = info("e3", 1), other = info("e4", 2);
-	const struct peer_info *infos[50];
+	struct peer_report infos[50];
 	unsigned at = 0, datagrams = 0;
 	struct buf b = {0};
 
 	for (unsigned i = 0; i < G_N_ELEMENTS(infos); i++)
-		infos[i] = &other;
+		infos[i] = (struct peer_report){other, 70};
 	while (at < G_N_ELEMENTS(infos)) {
 		struct gossip_message m;
 		unsigned n;
--- a/tests/test_peers.c
+++ b/tests/test_peers.c
@@ -191,6 +191,49 @@
 	assert_int_equal(count_participants(&t, 9500 + 2 * 3600 * 1000), 1);
 }
 
+/* Sends `to` the reports of all instances that `from` considers alive. */
+static void report_all(const struct peer_table *from, struct peer_table *to,
+		       int64_t now)
+{
+	GArray *all = peers_reports(from, now);
+
+	for (guint i = 0; i < all->len; i++)
+		peers_note_report(
+			to, &g_array_index(all, struct peer_report, i), now);
+	g_array_unref(all);
+}
+
+/*
+ * Guards against an instance that is gone staying alive for as long as others
+ * join one after the other, are told of it and tell the rest.
+ */
+static void test_reports_age(void **state)
+{
+	struct peer_info self = info("e2", 1);
+	struct peer_table calm, joining[6];
+
+	peers_init(&calm, &self);
+	receive_heartbeat(&calm, "e1", 1000);
+	/* e1 is gone from here on; an instance joins each 1.5 s. */
+	for (guint i = 0; i < G_N_ELEMENTS(joining); i++) {
+		int64_t now = 2500 + 1500 * (int64_t)i;
+		struct peer_info other = info("e3", 1);
+
+		other.name[1] += (char)i;
+		peers_init(&joining[i], &other);
+		report_all(&calm, &joining[i], now);
+		peers_note_heartbeat(&calm, &other, now);
+		report_all(&joining[i], &calm, now + 1000);
+		assert_int_equal(
+			peer_alive(peers_find(&calm, "e1"), now + 1000), false);
+	}
+	/* A report of a sign that is more recent than what is known counts. */
+	receive_heartbeat(&joining[0], "e1", 12000);
+	report_all(&joining[0], &calm, 12500);
+	assert_true(peer_alive(peers_find(&calm, "e1"), 13600));
+	assert_false(peer_alive(peers_find(&calm, "e1"), 13700));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -200,6 +243,7 @@
 		cmocka_unit_test(test_ready_listed_first),
 		cmocka_unit_test(test_new_peer_needs_reply),
 		cmocka_unit_test(test_limit_participants),
+		cmocka_unit_test(test_reports_age),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -13,7 +13,7 @@
 static void test_snapshot(void **state)
 {
 	struct crash_notice verdict = {CRASH_NOTICE_QUARANTINE, 0xabc, 2};
-	struct peer_report member = {info("e7", 4), true};
+	struct peer_report member = {info("e7", 4), 420};
 	struct snapshot s, got;
 	struct buf b = {0};
 
@@ -26,7 +26,7 @@
 	s.has_backends = true;
 	fill_changes(s.backends, 2);
 	g_array_append_val(s.members, member);
-	member.alive = false;
+	member.sign_age_ms = AGE_UNKNOWN;
 	g_array_append_val(s.members, member);
 	g_array_append_val(s.verdicts, verdict);
 	evacuations_add(&s.evacuations, LSTR("dc-4"), 2);
@@ -41,8 +41,12 @@
 	assert_int_equal(got.backends_pos.offset, 1234567);
 	assert_int_equal(got.backends_age_ms, 89);
 	assert_int_equal(got.members->len, 2);
-	assert_true(g_array_index(got.members, struct peer_report, 0).alive);
-	assert_false(g_array_index(got.members, struct peer_report, 1).alive);
+	assert_int_equal(
+		g_array_index(got.members, struct peer_report, 0).sign_age_ms,
+		420);
+	assert_int_equal(
+		g_array_index(got.members, struct peer_report, 1).sign_age_ms,
+		AGE_UNKNOWN);
 	assert_string_equal(
 		g_array_index(got.members, struct peer_report, 1).info.name,
 		"e7");
