A response without end is bounded in bytes, memory, time and processor

Interim responses, responses to other requests and chunk extensions without end kept a request, and the processor, busy until its time limit (3.0 s of processor in 3.0 s). After a request was given up, its connection went on filling memory for a second more.

Cause: a reader had bounds for the head and the body of one message only. What stands between and around them (interim and other responses, framing) had none, a body's bound didn't know the machine's memory, and a connection that only awaits its end read on with the same bound.

The client counts what a peer sends besides bodies since the request, 256 KiB and eight bytes for each of a body, and at most 64 responses before the awaited one. A given-up connection isn't read further once its body is over 64 KiB. A server that sends too much counts as failing; the process is alive, so no end check follows. A lack of memory here isn't held against it. As before, a response is forwarded once it is whole: the caller gets 502, or 504 at its limit.

Tunnels and end checks read with the same client; not run through them.

--- a/core/body_memory.h
+++ b/core/body_memory.h
@@ -1,6 +1,6 @@
 /*
- * Decides whether one more request body fits into an instance's memory. It
- * answers many large bodies at once: more are refused before they are received,
+ * Decides whether one more request or response body fits into an instance's
+ * memory; each kind has a share of its own. An instance answers many large bodies at once: more are refused before they are received,
  * so that the process isn't ended for its memory with all of its requests.
  *
  * A body is counted from the moment its length is known, in full, until it is
@@ -21,6 +21,7 @@
 };
 
 size_t body_memory_limit(double machine_mb);
+size_t response_memory_limit(double machine_mb);
 bool body_memory_reserve(struct body_memory *m, size_t held, size_t total);
 void body_memory_release(struct body_memory *m, size_t held);
 
--- a/http/client.c
+++ b/http/client.c
@@ -8,7 +8,16 @@
 #include "http/client.h"
 #include "http/socket.h"
 
-enum { READ_CHUNK_BYTES = 8192 }; /* most responses fit into one read */
+enum {
+	READ_CHUNK_BYTES = 8192, /* most responses fit into one read */
+	/* Interim responses, and those to other requests, before the awaited. */
+	SKIPPED_MAX = 64,
+	/* Heads, trailers and framing; a chunk may be as small as one byte. */
+	OVERHEAD_MAX_BYTES = 256 * 1024,
+	OVERHEAD_PER_BODY_BYTE = 8,
+	/* Of a response that nobody waits for any more. */
+	LINGER_BODY_MAX_BYTES = 64 * 1024,
+};
 
 /* Restarts the connection's timer; 0 stops it. */
 static void set_timer(struct http_client *c, double timeout_s)
@@ -150,6 +159,32 @@
 	return true;
 }
 
+/* Returns the length of the body that has been read so far. */
+static size_t body_length(const struct http_client *c)
+{
+	return c->reader.msg ? c->reader.msg->body.len : 0;
+}
+
+/*
+ * Parses up to n bytes of a response, as http_reader_feed() does. A peer may
+ * send without end what isn't part of a body; -EMSGSIZE if it is too much.
+ */
+static ssize_t feed_counted(struct http_client *c, const char *p, size_t n)
+{
+	size_t before = body_length(c), grown;
+	ssize_t used = http_reader_feed(&c->reader, p, n);
+
+	if (used < 0)
+		return used;
+	grown = body_length(c) - before;
+	c->body_bytes += grown;
+	c->overhead_bytes += (size_t)used - grown;
+	if (c->overhead_bytes >
+	    OVERHEAD_MAX_BYTES + OVERHEAD_PER_BODY_BYTE * c->body_bytes)
+		return -EMSGSIZE;
+	return used;
+}
+
 /*
  * Parses responses from n bytes at p. Returns whether the request still waits
  * for its response; else the owner may have freed c.
@@ -157,7 +192,7 @@
 static bool read_responses(struct http_client *c, const char *p, size_t n)
 {
 	while (n) {
-		ssize_t used = http_reader_feed(&c->reader, p, n);
+		ssize_t used = feed_counted(c, p, n);
 
 		if (used < 0) {
 			fail(c, (int)used);
@@ -172,6 +207,10 @@
 			c->reusable = false;
 		if (deliver(c, p, n))
 			return false;
+		if (++c->skipped > SKIPPED_MAX) {
+			fail(c, -EPROTO);
+			return false;
+		}
 	}
 	return true;
 }
@@ -426,6 +465,7 @@
 {
 	c->waiting = true;
 	c->sent = false;
+	c->body_bytes = c->overhead_bytes = c->skipped = 0;
 	c->timeout_s = timeout_s;
 	c->no_body = head_request;
 	buf_add_lstr(&c->out, head);
@@ -445,13 +485,15 @@
  * http_client_linger() shuts down the sending half of a connection that awaits
  * a response, so that the peer sees the request as canceled. It keeps reading
  * what the peer sent before that, until the peer closes or timeout_s has
- * passed. Returns false if there is nothing to wait for.
+ * passed, but no large body. Returns false if there is nothing to wait for.
  */
 bool http_client_linger(struct http_client *c, double timeout_s)
 {
-	if (c->state != CLIENT_BUSY || is_unsent(c) || shutdown(c->fd, SHUT_WR))
+	if (c->state != CLIENT_BUSY || is_unsent(c) ||
+	    body_length(c) > LINGER_BODY_MAX_BYTES || shutdown(c->fd, SHUT_WR))
 		return false;
 	c->reusable = false;
+	c->reader.limits.body_max = LINGER_BODY_MAX_BYTES;
 	set_timer(c, timeout_s);
 	return true;
 }
--- a/http/client.h
+++ b/http/client.h
@@ -25,7 +25,8 @@
 	/* The response to the request; the callee owns m. */
 	void (*response)(void *priv, struct http_message *m);
 	/*
-	 * The connection failed with -errno, with or without a pending
+	 * The connection failed with -errno (-EMSGSIZE, -EFBIG: the peer sent
+	 * more than it may), with or without a pending
 	 * request, and is already closed. `sent`: some bytes of the request
 	 * may have been sent.
 	 */
@@ -81,6 +82,10 @@
 	 */
 	bool write_failed;
 	unsigned served;
+	/* Since the request was sent: */
+	size_t body_bytes;     /* received of bodies */
+	size_t overhead_bytes; /* received besides bodies */
+	unsigned skipped;      /* responses that weren't the final one */
 };
 
 int http_client_open(struct http_client *c, struct ev_loop *loop,
--- a/http/message.c
+++ b/http/message.c
@@ -158,6 +158,14 @@
 	return 0;
 }
 
+/* Returns what to reserve for a body that grows to `len` bytes. */
+static size_t reservation(const struct http_reader *r, size_t len)
+{
+	size_t total = MAX(len, 2 * r->msg->reserved);
+
+	return r->limits.body_max ? MIN(total, r->limits.body_max) : total;
+}
+
 /* Callback for a part of the body. */
 static int on_body(http_parser *p, const char *at, size_t n)
 {
@@ -170,7 +178,7 @@
 	}
 	/* The buffer grows by doubling. */
 	if (body->len + n > r->msg->reserved &&
-	    !reserve_body(r, MAX(body->len + n, 2 * r->msg->reserved)))
+	    !reserve_body(r, reservation(r, body->len + n)))
 		return 1;
 	buf_add(body, at, n);
 	return 0;
--- a/tests/test_body_memory.c
+++ b/tests/test_body_memory.c
@@ -9,6 +9,10 @@
 {
 	assert_in_range(body_memory_limit(160), 32 * MB, 80 * MB);
 	assert_int_equal(body_memory_limit(0), 0);
+	assert_int_equal(response_memory_limit(0), 0);
+	/* Both kinds leave a quarter of the machine to the rest. */
+	assert_in_range(body_memory_limit(160) + response_memory_limit(160), 0,
+			120 * MB);
 }
 
 /* More uploads at once than fit: the rest is refused until some are freed. */
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -6,6 +6,7 @@
 #include "misc/clock.h"
 #include "traffic/metrics.h"
 #include "traffic/upstream.h"
+#include "traffic/responses.h"
 #include "traffic/uploads.h"
 #include "traffic/workspace_metrics.h"
 
@@ -246,6 +247,7 @@
 	buf_printf(out, "directory_answers %" G_GUINT64_FORMAT "\n",
 		   n->directory_answers);
 	uploads_write_metrics(out, &t->bodies);
+	responses_write_metrics(out, &t->responses);
 	workspace_metrics_write(out, t);
 	g_hash_table_iter_init(&it, t->classes);
 	while (g_hash_table_iter_next(&it, NULL, &item))
--- a/traffic/request_send.c
+++ b/traffic/request_send.c
@@ -9,6 +9,7 @@
 #include "traffic/inflight_report.h"
 #include "traffic/limit_sends.h"
 #include "traffic/request.h"
+#include "traffic/responses.h"
 #include "traffic/slow_starts.h"
 
 /* Weights of outcomes in a server's failure score. */
@@ -218,13 +219,15 @@
 	if (sent && err != -ETIMEDOUT) {
 		r->stats->broken++;
 		request_log_broken(r, s, err);
-		/* Invalid bytes come from a process that is alive. */
-		if (err != -EPROTO)
+		if (!responses_is_server_alive(err))
 			crash_check_begin(r->traffic, s->backend, r->digest);
 	}
-	outlier_record(s->backend,
-		       err == -ETIMEDOUT ? FAILURE_TIMEOUT : FAILURE_BROKEN,
-		       clock_ms());
+	/* A lack of memory here says nothing of the server. */
+	if (err != -ENOBUFS)
+		outlier_record(s->backend,
+			       err == -ETIMEDOUT ? FAILURE_TIMEOUT
+						 : FAILURE_BROKEN,
+			       clock_ms());
 	end_send(s);
 	if (!sent)
 		r->maybe_executed--;
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -23,6 +23,7 @@
 #include "traffic/path_check.h"
 #include "traffic/traffic.h"
 #include "traffic/tunnels.h"
+#include "traffic/responses.h"
 #include "traffic/uploads.h"
 #include "traffic/upstream.h"
 #include "traffic/workspace_metrics.h"
@@ -426,6 +427,7 @@
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
 	uploads_init(t);
+	responses_init(t);
 	backend_set_init(&t->backends, on_backend_gone, t);
 	mailbox_init(&t->inbox, t->loop, on_mail, t);
 	return open_servers(t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -91,6 +91,9 @@
 	struct early_requests early;
 	struct body_memory bodies; /* of callers' requests */
 	struct http_body_gate body_gate;
+	struct body_memory responses; /* of servers' responses */
+	struct http_body_gate response_gate;
+	size_t response_max;   /* bytes of one response's body */
 	uint64_t policy_picks; /* servers picked by policies so far */
 	struct quotas quotas;
 	struct dedup dedup;
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -8,6 +8,7 @@
 #include "misc/clock.h"
 #include "traffic/feedback.h"
 #include "traffic/path_check.h"
+#include "traffic/responses.h"
 #include "traffic/upstream.h"
 
 /*
@@ -22,7 +23,7 @@
 /* How long a response to a cancelled request is still read. */
 static const double LINGER_S = 1.0;
 
-enum { HEAD_MAX = 64 * 1024, BODY_MAX = 64 << 20 }; /* of a response, bytes */
+enum { HEAD_MAX = 64 * 1024 }; /* of a response, bytes */
 
 static unsigned opened; /* connections opened so far */
 
@@ -218,7 +219,8 @@
 	return u;
 }
 
-static const struct http_limits response_limits = {HEAD_MAX, BODY_MAX};
+/* The body is bounded with each request, see responses_bound(). */
+static const struct http_limits response_limits = {HEAD_MAX, HEAD_MAX};
 
 /*
  * upstream_open_direct() opens a new direct connection to b. Returns NULL if no
@@ -316,6 +318,7 @@
 	u->is_probe = false;
 	u->kind = q->kind;
 	u->sent_ms = clock_ms();
+	responses_bound(u->traffic, u, false);
 	http_client_send_body(&u->http, q->head, q->body, q->timeout_s,
 			      q->head_request);
 }
@@ -329,6 +332,7 @@
 	u->is_probe = true;
 	u->kind = SEND_COMMITTED;
 	u->sent_ms = clock_ms();
+	responses_bound(u->traffic, u, true);
 	http_client_send(&u->http, bytes, timeout_s, false);
 }
 
