News of a crash before a request's answer makes no new suspect

Cause: an end is repeated for 0.14 s. One on its way reaches an instance that has cleared the request by its answer, and counted from when it arrived, as an end after the answer: a new suspect, on that instance alone.

Change: notices carry the age of what they tell. The tracker remembers for 10 s when requests were answered, 512 of them, and a crash before that doesn't count, whether it was held against the request here or not. One after it counts as before. Stored notices of earlier versions, without an age, are still read.

--- a/control/crash_watch.c
+++ b/control/crash_watch.c
@@ -28,6 +28,7 @@
 /* News to be sent repeatedly to the other instances. */
 struct broadcast {
 	struct crash_notice notice;
+	int64_t at_ms; /* when what it tells happened */
 	unsigned sends_left;
 	int64_t next_ms;
 	int64_t interval_ms;
@@ -109,7 +110,8 @@
 
 		if (t->next_ms > now_ms || goes_to_all(w, t) != to_all)
 			continue;
-		notices[n++] = t->notice;
+		notices[n] = t->notice;
+		notices[n++].age_ms = (uint32_t)(now_ms - t->at_ms);
 		if (n < CRASH_NOTICES_MAX)
 			continue;
 		send_updates(w, notices, n, to_all);
@@ -199,6 +201,7 @@
 {
 	int64_t now_ms = clock_ms();
 	struct broadcast t = {.notice = *notice,
+			      .at_ms = now_ms - notice->age_ms,
 			      .sends_left = times,
 			      .next_ms = now_ms,
 			      .interval_ms = times > EVIDENCE_SENDS
@@ -214,7 +217,7 @@
 static struct crash_notice verdict_notice(const struct crash_case *c)
 {
 	return (struct crash_notice){CRASH_NOTICE_QUARANTINE, c->digest,
-				     c->periods};
+				     c->periods, 0};
 }
 
 /*
@@ -243,7 +246,7 @@
 static void drop_record(struct crash_watch *w, const struct crash_case *c,
 			enum crash_change change)
 {
-	struct crash_notice notice = {CRASH_NOTICE_ANSWERED, c->digest, 0};
+	struct crash_notice notice = {CRASH_NOTICE_ANSWERED, c->digest, 0, 0};
 	bool writer = change == CRASH_RELEASED ? !w->source : w->rank == 0;
 
 	if (c->quarantined &&
@@ -282,7 +285,8 @@
 	if (!w->source || (verdict && w->large && w->rank < HUB_COUNT))
 		add_broadcast(w, notice,
 			      verdict ? VERDICT_SENDS : EVIDENCE_SENDS);
-	crash_tracker_add_answer(&w->tracker, notice->digest, now_ms);
+	crash_tracker_add_answer(&w->tracker, notice->digest,
+				 now_ms - notice->age_ms, now_ms);
 }
 
 /* An instance that reports another crash doesn't know the verdict yet. */
@@ -300,7 +304,7 @@
 	if (!w->source)
 		add_broadcast(w, notice, EVIDENCE_SENDS);
 	crash_tracker_add_crash(&w->tracker, notice->digest, notice->detail,
-				now_ms);
+				now_ms - notice->age_ms, now_ms);
 }
 
 /* Applies one notice to the tracker. */
--- a/core/crash_tracker.c
+++ b/core/crash_tracker.c
@@ -30,7 +30,12 @@
 	/* A quarantine is dropped after this time without a crash. */
 	QUARANTINE_EXPIRY_MS = 60 * 60 * 1000,
 	/*
-	 * Cases kept, 80 bytes each. When all servers of a service crash at
+	 * News of a crash arrives within this time; an answer is remembered for
+	 * as long, since the news may be older.
+	 */
+	ANSWER_EXPIRY_MS = 10 * 1000,
+	/*
+	 * Cases and answers kept, at most 80 bytes each. When all servers of a service crash at
 	 * once, each instance has about four requests at each.
 	 */
 	CASES_MAX = 512,
@@ -46,6 +51,8 @@
 {
 	t->cases = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 g_free);
+	t->answers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   g_free);
 	t->changed = changed;
 	t->priv = priv;
 }
@@ -54,6 +61,7 @@
 void crash_tracker_free(struct crash_tracker *t)
 {
 	g_hash_table_unref(t->cases);
+	g_hash_table_unref(t->answers);
 }
 
 /* Returns the case of a request, or NULL. */
@@ -223,16 +231,26 @@
 	clear_others(t, c, now_ms);
 }
 
+/* Returns whether the request was answered after at_ms. */
+static bool was_answered(const struct crash_tracker *t, uint64_t digest,
+			 int64_t at_ms)
+{
+	const int64_t *answered_ms = g_hash_table_lookup(t->answers, &digest);
+
+	return answered_ms && *answered_ms > at_ms;
+}
+
 /*
- * Adds the crash of a server that had the request. Each server counts once, no
- * matter who reports it and how often.
+ * Adds the crash at at_ms of a server that had the request. Each server counts
+ * once, no matter who reports it and how often. A crash before the request's
+ * last answer, which has cleared it, doesn't count.
  */
 void crash_tracker_add_crash(struct crash_tracker *t, uint64_t digest,
-			     uint32_t server, int64_t now_ms)
+			     uint32_t server, int64_t at_ms, int64_t now_ms)
 {
 	struct crash_case *c = find(t, digest);
 
-	if (c && was_at(c, server))
+	if ((c && was_at(c, server)) || was_answered(t, digest, at_ms))
 		return;
 	if (!(c && c->quarantined) && is_explained(t, server))
 		return;
@@ -282,15 +300,35 @@
 	}
 }
 
+/* Returns whether no news of a crash before an answer is on its way. */
+static gboolean is_answer_old(gpointer digest, gpointer at_ms, gpointer now_ms)
+{
+	return *(const int64_t *)now_ms - *(const int64_t *)at_ms >=
+	       ANSWER_EXPIRY_MS;
+}
+
+/* Remembers when a request was answered. */
+static void remember_answer(struct crash_tracker *t, uint64_t digest,
+			    int64_t at_ms, int64_t now_ms)
+{
+	g_hash_table_foreach_remove(t->answers, is_answer_old, &now_ms);
+	if (!was_answered(t, digest, at_ms) &&
+	    g_hash_table_size(t->answers) < CASES_MAX)
+		g_hash_table_replace(t->answers,
+				     g_memdup2(&digest, sizeof(digest)),
+				     g_memdup2(&at_ms, sizeof(at_ms)));
+}
+
 /*
- * Clears a request, as a server has executed and answered it: it doesn't crash
- * every server.
+ * Clears a request, as a server has executed and answered it at at_ms: it
+ * doesn't crash every server.
  */
 void crash_tracker_add_answer(struct crash_tracker *t, uint64_t digest,
-			      int64_t now_ms)
+			      int64_t at_ms, int64_t now_ms)
 {
 	struct crash_case *c = find(t, digest);
 
+	remember_answer(t, digest, at_ms, now_ms);
 	if (!c)
 		return;
 	close_case(t, c, CRASH_RELEASED, now_ms);
--- a/core/crash_tracker.h
+++ b/core/crash_tracker.h
@@ -42,6 +42,8 @@
 
 struct crash_tracker {
 	GHashTable *cases; /* digest -> struct crash_case * */
+	/* Digest -> int64_t *, when it was answered, if that was of late. */
+	GHashTable *answers;
 	void (*changed)(void *priv, const struct crash_case *c,
 			enum crash_change what, int64_t now_ms);
 	void *priv;
@@ -55,11 +57,11 @@
 const struct crash_case *crash_tracker_find(const struct crash_tracker *t,
 					    uint64_t digest);
 void crash_tracker_add_crash(struct crash_tracker *t, uint64_t digest,
-			     uint32_t server, int64_t now_ms);
+			     uint32_t server, int64_t at_ms, int64_t now_ms);
 void crash_tracker_quarantine(struct crash_tracker *t, uint64_t digest,
 			      unsigned periods, int64_t now_ms);
 void crash_tracker_add_answer(struct crash_tracker *t, uint64_t digest,
-			      int64_t now_ms);
+			      int64_t at_ms, int64_t now_ms);
 void crash_tracker_decide(struct crash_tracker *t, int64_t now_ms);
 void crash_tracker_tick(struct crash_tracker *t, bool runs_trials,
 			int64_t now_ms);
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -10,7 +10,7 @@
 	CHANGE_FIELDS = 13,
 	CHANGE_ID_FIELDS = 4, /* of a change with an id only */
 	ROSTER_FIELDS = 4,
-	CRASH_FIELDS = 3,
+	CRASH_FIELDS = 4,
 	LOAD_FIELDS = 3,
 	LIMIT_FIELDS = 5,
 	DRAIN_FIELDS = 2,
@@ -384,6 +384,7 @@
 		msgpack_pack_int(&pk, notices[i].kind);
 		msgpack_pack_uint64(&pk, notices[i].digest);
 		msgpack_pack_uint32(&pk, notices[i].detail);
+		msgpack_pack_uint32(&pk, notices[i].age_ms);
 	}
 }
 
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -75,10 +75,11 @@
 	enum crash_notice_kind kind;
 	uint64_t digest; /* of the request */
 	uint32_t detail; /* backend_start_hash() or quarantine terms */
+	uint32_t age_ms; /* of what it tells */
 };
 
-/* Notices that fit into one datagram, at 16 bytes each. */
-enum { CRASH_NOTICES_MAX = 64 };
+/* Notices that fit into one datagram, at 21 bytes each. */
+enum { CRASH_NOTICES_MAX = 48 };
 
 /* The changes of the backend list between two positions of the store. */
 struct backend_feed {
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -6,6 +6,8 @@
 
 #include "member/gossip.h"
 
+enum { CRASH_FIELDS_WITHOUT_AGE = 3 };
+
 /*
  * Iterates over the elements of an array. `bad` is set once one is missing or
  * has the wrong type, and stays set.
@@ -254,6 +256,10 @@
 			.detail = (uint32_t)next_uint(&c),
 		};
 
+		/* Records of earlier versions are a notice without an age. */
+		if (o->via.array.size != CRASH_FIELDS_WITHOUT_AGE)
+			n.age_ms = (uint32_t)next_uint(&c);
+
 		if (n.kind < CRASH_NOTICE_CRASHED ||
 		    n.kind > CRASH_NOTICE_QUARANTINE)
 			return false;
--- a/member/snapshot.c
+++ b/member/snapshot.c
@@ -131,7 +131,7 @@
 		return false;
 	for (uint32_t i = 0; i < o->via.array.size; i += 2) {
 		const msgpack_object *v = &o->via.array.ptr[i];
-		struct crash_notice n = {CRASH_NOTICE_QUARANTINE, 0, 0};
+		struct crash_notice n = {CRASH_NOTICE_QUARANTINE, 0, 0, 0};
 
 		if (!is_uint(&v[0]) || !is_uint(&v[1]))
 			return false;
--- a/tests/test_crash_tracker.c
+++ b/tests/test_crash_tracker.c
@@ -55,7 +55,7 @@
 			   uint32_t from, uint32_t to, int64_t now)
 {
 	for (uint32_t s = from; s <= to; s++, now += 1000) {
-		crash_tracker_add_crash(l, digest, s, now);
+		crash_tracker_add_crash(l, digest, s, now, now);
 		crash_tracker_decide(l, now + DECIDED_MS);
 	}
 	return now;
@@ -74,7 +74,7 @@
 	crash_under(&l, CULPRIT, 1, 1, now + 10);
 	assert_false(refused(&l, CULPRIT));
 	assert_int_equal(h.count[CRASH_SUSPECTED], 2);
-	crash_tracker_add_crash(&l, CULPRIT, 3, now + 20);
+	crash_tracker_add_crash(&l, CULPRIT, 3, now + 20, now + 20);
 	/* The decision waits for the reports of other instances. */
 	crash_tracker_decide(&l, now + 30);
 	assert_false(refused(&l, CULPRIT));
@@ -95,23 +95,54 @@
 
 	begin(&l, &h);
 	now = crash_under(&l, CULPRIT, 1, 2, 1000);
-	crash_tracker_add_answer(&l, CULPRIT, now);
+	crash_tracker_add_answer(&l, CULPRIT, now, now);
 	now = crash_under(&l, CULPRIT, 3, 4, now);
 	assert_false(refused(&l, CULPRIT));
 	now = crash_under(&l, CULPRIT, 5, 5, now);
 	assert_true(refused(&l, CULPRIT));
-	crash_tracker_add_answer(&l, CULPRIT, now);
+	crash_tracker_add_answer(&l, CULPRIT, now, now);
 	assert_null(crash_tracker_find(&l, CULPRIT));
 	assert_int_equal(h.count[CRASH_RELEASED], 2);
 	crash_tracker_free(&l);
 }
 
+/*
+ * Guards against a new case by the repeated news of a crash that the answer has
+ * cleared, whether this instance knew of that crash or not.
+ */
+static void test_late_news(void **state)
+{
+	struct crash_tracker l;
+	struct changes h;
+
+	begin(&l, &h);
+	crash_under(&l, CULPRIT, 1, 2, 1000);
+	crash_tracker_add_answer(&l, CULPRIT, 5000, 5010);
+	for (uint32_t s = 1; s <= 3; s++)
+		crash_tracker_add_crash(&l, CULPRIT, s, 4900, 5100);
+	assert_null(crash_tracker_find(&l, CULPRIT));
+	/* The answer comes first. */
+	crash_tracker_add_answer(&l, 7, 5000, 5010);
+	crash_tracker_add_crash(&l, 7, 1, 4990, 5020);
+	assert_null(crash_tracker_find(&l, 7));
+	/* A crash after the answer counts. */
+	crash_tracker_add_crash(&l, CULPRIT, 4, 5050, 5100);
+	assert_non_null(crash_tracker_find(&l, CULPRIT));
+	/* Answers are remembered for a time, and not without limit. */
+	for (uint64_t d = 100; d < 2000; d++)
+		crash_tracker_add_answer(&l, d, 6000, 6000);
+	assert_int_equal(g_hash_table_size(l.answers), 512);
+	crash_tracker_add_answer(&l, 9, 17000, 17000);
+	assert_int_equal(g_hash_table_size(l.answers), 1);
+	crash_tracker_free(&l);
+}
+
 /* Reports three crashes of servers that had the culprit and request 7. */
 static void crash_under_both(struct crash_tracker *l)
 {
 	for (uint32_t s = 1; s <= 3; s++) {
-		crash_tracker_add_crash(l, 7, s, 1000 * s);
-		crash_tracker_add_crash(l, CULPRIT, s, 1000 * s);
+		crash_tracker_add_crash(l, 7, s, 1000 * s, 1000 * s);
+		crash_tracker_add_crash(l, CULPRIT, s, 1000 * s, 1000 * s);
 		crash_tracker_decide(l, 1000 * s + DECIDED_MS);
 	}
 }
@@ -136,8 +167,8 @@
 	assert_null(crash_tracker_find(&l, 7));
 	assert_int_equal(h.last[CRASH_RELEASED], 7);
 	/* A crash that the culprit explains isn't held against others. */
-	crash_tracker_add_crash(&l, 7, 4, 5000);
-	crash_tracker_add_crash(&l, 8, 4, 5000);
+	crash_tracker_add_crash(&l, 7, 4, 5000, 5000);
+	crash_tracker_add_crash(&l, 8, 4, 5000, 5000);
 	assert_null(crash_tracker_find(&l, 7));
 	assert_null(crash_tracker_find(&l, 8));
 	crash_tracker_free(&l);
@@ -152,7 +183,7 @@
 	begin(&l, &h);
 	crash_under_both(&l);
 	assert_false(refused(&l, CULPRIT));
-	crash_tracker_add_answer(&l, 7, 5000);
+	crash_tracker_add_answer(&l, 7, 5000, 5000);
 	assert_true(crash_tracker_due_ms(&l) > 0);
 	crash_tracker_decide(&l, 5000 + DECIDED_MS);
 	assert_true(refused(&l, CULPRIT));
@@ -167,8 +198,8 @@
 
 	begin(&l, &h);
 	crash_under(&l, CULPRIT, 1, 3, 1000);
-	crash_tracker_add_crash(&l, 7, 9, 5000);
-	crash_tracker_add_crash(&l, CULPRIT, 9, 5010);
+	crash_tracker_add_crash(&l, 7, 9, 5000, 5000);
+	crash_tracker_add_crash(&l, CULPRIT, 9, 5010, 5010);
 	assert_null(crash_tracker_find(&l, 7));
 	crash_tracker_free(&l);
 }
@@ -243,7 +274,8 @@
 	assert_null(crash_tracker_find(&l, CULPRIT));
 	crash_under(&l, CULPRIT, 1, 3, 20 * MINUTE_MS);
 	for (uint64_t d = 100; d < 2000; d++)
-		crash_tracker_add_crash(&l, d, (uint32_t)d, 21 * MINUTE_MS);
+		crash_tracker_add_crash(&l, d, (uint32_t)d, 21 * MINUTE_MS,
+					21 * MINUTE_MS);
 	assert_int_equal(g_hash_table_size(l.cases), 512);
 	/* Suspects are evicted before quarantined requests. */
 	assert_true(refused(&l, CULPRIT));
@@ -280,10 +312,11 @@
 			sends[i]++;
 			if (g_rand_int_range(rand, 0, LOST_ONE_IN))
 				crash_tracker_add_crash(&l, others[i], crashes,
-							now);
+							now, now);
 		}
 		if (g_rand_int_range(rand, 0, LOST_ONE_IN))
-			crash_tracker_add_crash(&l, CULPRIT, crashes, now + 1);
+			crash_tracker_add_crash(&l, CULPRIT, crashes, now + 1,
+						now + 1);
 		crash_tracker_decide(&l, now + DECIDED_MS);
 	}
 	*wrong += h.count[CRASH_QUARANTINED] - refused(&l, CULPRIT);
@@ -319,6 +352,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_threshold),
 		cmocka_unit_test(test_answer),
+		cmocka_unit_test(test_late_news),
 		cmocka_unit_test(test_same_servers),
 		cmocka_unit_test(test_late_report),
 		cmocka_unit_test(test_same_servers_answered),
--- a/tests/test_crash_watch.c
+++ b/tests/test_crash_watch.c
@@ -157,7 +157,7 @@
 static void report(struct system *f, int i, enum crash_notice_kind kind,
 		   uint64_t digest, uint32_t server)
 {
-	struct crash_notice news = {kind, digest, server};
+	struct crash_notice news = {kind, digest, server, 0};
 
 	crash_watch_add_local(&f->all[i].watch, &news);
 }
@@ -271,7 +271,7 @@
 	three_ends(f);
 	wait_for(f, VERDICT_REFUSE, SMALL);
 	crash_tracker_add_answer(&f->all[3].watch.tracker, CRASH_DIGEST,
-				 clock_ms());
+				 clock_ms(), clock_ms());
 	for (int i = 0; i < f->n; i++)
 		g_array_set_size(f->all[i].watch.broadcasts, 0);
 	assert_int_equal(count(f, VERDICT_REFUSE), SMALL - 1);
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -71,14 +71,14 @@
 {
 	struct peer_info self = info("e3", 77);
 	struct crash_notice notices[CRASH_NOTICES_MAX + 1],
-		unknown_kind = {9, 1, 1};
+		unknown_kind = {9, 1, 1, 0};
 	struct gossip_message m;
 	struct buf b = {0};
 
 	for (unsigned i = 0; i < G_N_ELEMENTS(notices); i++)
-		notices[i] =
-			(struct crash_notice){CRASH_NOTICE_CRASHED + i % 3,
-					      UINT64_MAX - i, UINT32_MAX - i};
+		notices[i] = (struct crash_notice){
+			CRASH_NOTICE_CRASHED + i % 3, UINT64_MAX - i,
+			UINT32_MAX - i, UINT32_MAX / 2 - i};
 	gossip_write_crashes(&b, &self, notices, CRASH_NOTICES_MAX);
 	assert_true(b.len <= GOSSIP_MAX);
 	assert_int_equal(gossip_read(buf_lstr(&b), &m), 0);
@@ -91,6 +91,7 @@
 		assert_int_equal(n->kind, notices[i].kind);
 		assert_true(n->digest == notices[i].digest);
 		assert_int_equal(n->detail, notices[i].detail);
+		assert_int_equal(n->age_ms, notices[i].age_ms);
 	}
 	gossip_message_clear(&m);
 	assert_prefixes_rejected(&b);
--- a/tests/test_record_check.c
+++ b/tests/test_record_check.c
@@ -111,7 +111,7 @@
 	}
 	for (size_t i = 0; i < ndigests; i++) {
 		struct crash_notice news = {CRASH_NOTICE_QUARANTINE, digests[i],
-					    1};
+					    1, 0};
 		struct peer_info p = info("e9", 1);
 		struct buf value = {0};
 
@@ -148,7 +148,7 @@
 /* Adds a verdict as if it had been read from the store. */
 static void add_stored_verdict(struct fixture *f, uint64_t digest)
 {
-	struct crash_notice news = {CRASH_NOTICE_QUARANTINE, digest, 1};
+	struct crash_notice news = {CRASH_NOTICE_QUARANTINE, digest, 1, 0};
 	GArray *a = g_array_new(FALSE, FALSE, sizeof(news));
 
 	g_array_append_val(a, news);
--- a/tests/test_snapshot.c
+++ b/tests/test_snapshot.c
@@ -12,7 +12,7 @@
 
 static void test_snapshot(void **state)
 {
-	struct crash_notice verdict = {CRASH_NOTICE_QUARANTINE, 0xabc, 2};
+	struct crash_notice verdict = {CRASH_NOTICE_QUARANTINE, 0xabc, 2, 0};
 	struct peer_report member = {info("e7", 4), 420};
 	struct snapshot s, got;
 	struct buf b = {0};
--- a/traffic/crash_check.c
+++ b/traffic/crash_check.c
@@ -58,7 +58,7 @@
 {
 	struct crash_notice *notice = g_new(struct crash_notice, 1);
 
-	*notice = (struct crash_notice){kind, digest, detail};
+	*notice = (struct crash_notice){kind, digest, detail, 0};
 	/* If the queue is full it is lost, as a datagram may be. */
 	if (mailbox_send(t->control_inbox, FROM_TRAFFIC_CRASH, notice))
 		g_free(notice);
