Idle connections to a server are bounded by its slots

What servers saw: each request that may not be repeated, to a service that doesn't tell its load, opened a connection that was kept and never used again, until the server accepted no more (20 requests one after the other: 20 connections).

Cause: such a request takes only a connection that was used this very moment, and nothing closed the others but the server's timeout.

Change: an instance keeps as many idle connections to a server as it has slots, and two more, and closes those that weren't used for longest. More can't be in use at once.

--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -200,6 +200,29 @@
 	}
 }
 
+/*
+ * Guards against connections that add up at a server: requests that may not be
+ * repeated, to a service that doesn't tell its load, never use an idle one.
+ */
+static void test_idle_connections_bounded(void **state)
+{
+	struct bench *b = bench_new(1);
+	struct service *s = backend_of(b, 0)->service;
+
+	b->servers[0].reports_load = false;
+	s->load_support = LOAD_NOT_REPORTED;
+	for (int i = 0; i < 20; i++) {
+		struct caller *c = bench_call(b, "POST", 1000);
+
+		bench_run_until(b, c);
+		assert_int_equal(c->status, 200);
+	}
+	bench_run_ms(b, 50);
+	/* Two slots, and two more. */
+	assert_in_range(b->servers[0].http.nconns, 1, 4);
+	bench_free(b);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -209,6 +232,7 @@
 		cmocka_unit_test(test_response_of_another_start),
 		cmocka_unit_test(test_withdrawn_while_connecting),
 		cmocka_unit_test(test_withdrawn_request_goes_elsewhere),
+		cmocka_unit_test(test_idle_connections_bounded),
 	};
 
 	if (argc > 1)
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -23,7 +23,15 @@
 /* How long a response to a cancelled request is still read. */
 static const double LINGER_S = 1.0;
 
-enum { HEAD_MAX = 64 * 1024 }; /* of a response, bytes */
+enum {
+	HEAD_MAX = 64 * 1024, /* of a response, bytes */
+	/*
+	 * Idle connections to a server beyond its slots. A request that may not
+	 * be repeated takes a new one unless it has just been used for a probe,
+	 * so without a limit they add up until the server accepts no more.
+	 */
+	SPARE_IDLE = 2,
+};
 
 static unsigned opened; /* connections opened so far */
 
@@ -336,6 +344,19 @@
 	http_client_send(&u->http, bytes, timeout_s, false);
 }
 
+/* Closes the longest unused connections to b beyond what it can use at once. */
+static void trim_idle(struct backend *b)
+{
+	unsigned max = b->entry.slots + SPARE_IDLE, n = 0;
+	struct upstream *u = b->idle_conns, *next;
+
+	for (; u; u = next) {
+		next = u->next;
+		if (++n > max)
+			upstream_drop(u);
+	}
+}
+
 /* Returns a connection to the pool, or closes it if it can't be reused. */
 void upstream_put(struct upstream *u, int64_t now_ms)
 {
@@ -351,6 +372,7 @@
 	u->idle = true;
 	u->next = u->backend->idle_conns;
 	u->backend->idle_conns = u;
+	trim_idle(u->backend);
 }
 
 static enum http_match ignore_response(void *owner,
