--- a/tests/soak-seeds.sh
+++ b/tests/soak-seeds.sh
@@ -24,6 +24,8 @@
 #   ended without a response to them.
 #   7105: peers die while they tunnel responses without a length; a part of one
 #   looked complete.
+#   9101: the directory named instances that were removed, and a pause of the
+#   instance that reads for all delayed removals of servers on the others.
 set -u
 cd "$(dirname "$0")/.."
 for seed in 122 153 7202; do
@@ -47,3 +49,4 @@
 for seed in 4901 4902; do
 	tests/soak.sh $seed 10 0 workspaces || exit 1
 done
+tests/soak.sh 9101 4 0 removals || exit 1
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -9,7 +9,7 @@
 # decrease, no process exits on its own, and afterwards a version is in force
 # everywhere and calls are served.
 #
-#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links|workspaces]]]
+#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links|workspaces|removals]]]
 #
 # A slot is a range of ports between 24000 and 30000. No other test uses these,
 # so a soak may run in parallel with other tests, and with other soaks if the
@@ -28,6 +28,8 @@
 #            serve first attempts nearly as often as the others
 #   workspaces  callers use keys of workspaces, and keys and quotas change; what
 #            the servers ran is summed up, see tests/soak_workspaces.sh
+#   removals at the end a server leaves beside a pause of the reader, and instances
+#            are removed for good, see tests/soak_removals.sh
 #   fatal    a request that crashes each server that runs it is sent to all
 #            instances throughout; after the faults only few servers may crash
 #            under it
@@ -44,6 +46,7 @@
 drills=$([ "${4:-}" = drills ] && echo yes)
 links=$([ "${4:-}" = links ] && echo yes)
 workspaces=$([ "${4:-}" = workspaces ] && echo yes)
+removals=$([ "${4:-}" = removals ] && echo yes)
 base=$((24000 + 100 * slot))
 logs=$(mktemp -d)
 ini=$logs/soak.ini
@@ -387,6 +390,7 @@
 
 . tests/soak_links.sh
 . tests/soak_drills.sh
+. tests/soak_removals.sh
 . tests/soak_workspaces.sh
 write_ini >"$ini"
 start store:
@@ -461,6 +465,10 @@
 	check "afterwards: invariants hold" test $? -eq 0
 	check "afterwards: calls are served" calls_served
 fi
+if [ -n "$removals" ]; then
+	check "afterwards: a server that leaves is off all calm instances in time" removal_reaches_calm
+	check "afterwards: instances that are gone are named no more" removed_are_forgotten
+fi
 check "no server got more than the limit that it announced" limits_respected
 check "servers get nothing during a backoff, nor after they announced that they drain" backoffs_respected
 check "versions never decrease" versions_increase
