--- a/control/crash_watch.c
+++ b/control/crash_watch.c
@@ -268,7 +268,10 @@
 		drop_record(w, c, change);
 }
 
-/* An answer matters only for a request that has a case. */
+/*
+ * An answer matters only for a request that has a case, here or at the peer that
+ * tells of it: news of a crash before it may be on its way.
+ */
 static void apply_answer(struct crash_watch *w,
 			 const struct crash_notice *notice, int64_t now_ms)
 {
@@ -276,7 +279,7 @@
 		crash_tracker_find(&w->tracker, notice->digest);
 	bool verdict = c && c->quarantined;
 
-	if (!c)
+	if (!c && !w->source)
 		return;
 	cancel_broadcasts(w, notice->digest);
 	/*
--- a/core/body_memory.h
+++ b/core/body_memory.h
@@ -1,7 +1,8 @@
 /*
  * Decides whether one more request or response body fits into an instance's
- * memory; each kind has a share of its own. An instance answers many large bodies at once: more are refused before they are received,
- * so that the process isn't ended for its memory with all of its requests.
+ * memory; each kind has a share of its own. An instance answers many large
+ * bodies at once: more are refused before they are received, so that the
+ * process isn't ended for its memory with all of its requests.
  *
  * A body is counted from the moment its length is known, in full, until it is
  * freed; a body of unknown length as it grows. Small bodies always fit: small
--- a/core/crash_tracker.c
+++ b/core/crash_tracker.c
@@ -35,8 +35,8 @@
 	 */
 	ANSWER_EXPIRY_MS = 10 * 1000,
 	/*
-	 * Cases and answers kept, at most 80 bytes each. When all servers of a service crash at
-	 * once, each instance has about four requests at each.
+	 * Cases and answers kept, at most 80 bytes each. When all servers of a
+	 * service crash at once, each instance has about four requests at each.
 	 */
 	CASES_MAX = 512,
 };
--- a/http/client.h
+++ b/http/client.h
@@ -25,10 +25,9 @@
 	/* The response to the request; the callee owns m. */
 	void (*response)(void *priv, struct http_message *m);
 	/*
-	 * The connection failed with -errno (-EMSGSIZE, -EFBIG: the peer sent
-	 * more than it may), with or without a pending
-	 * request, and is already closed. `sent`: some bytes of the request
-	 * may have been sent.
+	 * The connection failed with -errno, with or without a pending
+	 * request, and is already closed; -EMSGSIZE, -EFBIG: the peer sent more
+	 * than it may. `sent`: some bytes of the request may have been sent.
 	 */
 	void (*failed)(void *priv, int err, bool sent);
 	/*
--- a/member/contact.c
+++ b/member/contact.c
@@ -16,18 +16,13 @@
 	STORE_REACHED_MS = 3000,
 };
 
-/* Returns the name of a state for the log. */
-const char *contact_name(enum contact_state state)
-{
-	static const char *const names[] = {
-		[CONTACT_HEARD] = "heard",
-		[CONTACT_SILENT] = "silent",
-		[CONTACT_ALONE] = "alone",
-		[CONTACT_CUT_OFF] = "cut-off",
-	};
-
-	return names[state];
-}
+/* Names of the states for the log. */
+static const char *const state_names[] = {
+	[CONTACT_HEARD] = "heard",
+	[CONTACT_SILENT] = "silent",
+	[CONTACT_ALONE] = "alone",
+	[CONTACT_CUT_OFF] = "cut-off",
+};
 
 /* Returns when the last sign of life of any peer arrived; 0: never. */
 static int64_t last_sign_ms(const struct peer_table *t)
@@ -40,12 +35,10 @@
 	return last;
 }
 
-/* Returns whether the last sign of any peer, or the start, is a moment ago. */
-static bool is_moment_ago(const struct peer_table *t, int64_t sign_ms,
-			  int64_t now_ms)
+/* Returns whether live peers may not have been heard yet. */
+static bool has_just_begun(const struct peer_table *t, int64_t now_ms)
 {
-	return (sign_ms && now_ms - sign_ms < SILENT_MAX_MS) ||
-	       now_ms - t->listening_ms < FIRST_SIGNS_MS;
+	return now_ms - t->listening_ms < FIRST_SIGNS_MS;
 }
 
 /* Judges the silence of all peers; see contact_update(). */
@@ -56,7 +49,8 @@
 
 	if (t->contact == CONTACT_ALONE)
 		return CONTACT_ALONE;
-	if (is_moment_ago(t, sign_ms, now_ms))
+	if (has_just_begun(t, now_ms) ||
+	    (sign_ms && now_ms - sign_ms < SILENT_MAX_MS))
 		return CONTACT_SILENT;
 	if (store_ms && now_ms - store_ms < STORE_REACHED_MS)
 		return CONTACT_ALONE;
@@ -89,7 +83,7 @@
 			 "sign_age_ms=%" G_GINT64_FORMAT
 			 " store_age_ms=%" G_GINT64_FORMAT
 			 " listening_ms=%" G_GINT64_FORMAT,
-			 contact_name(t->contact), contact_name(before),
+			 state_names[t->contact], state_names[before],
 			 t->peers->len, now_ms - last_sign_ms(t),
 			 now_ms - store_ms, now_ms - t->listening_ms);
 	return t->contact;
@@ -156,7 +150,7 @@
 
 	if (t->contact != CONTACT_HEARD)
 		f.alive_ms = last_sign_ms(t);
-	if (t->contact == CONTACT_SILENT)
+	if (t->contact == CONTACT_SILENT && !has_just_begun(t, now_ms))
 		f.sign_ms = now_ms - SILENT_MAX_MS;
 	/* Records of instances don't tell whether they can serve now. */
 	f.ready = f.alive_ms != 0;
--- a/member/contact.h
+++ b/member/contact.h
@@ -7,7 +7,6 @@
 
 #include "member/peers.h"
 
-const char *contact_name(enum contact_state state);
 enum contact_state contact_update(struct peer_table *t, int64_t store_ms,
 				  int64_t now_ms);
 GArray *peers_for_callers(const struct peer_table *t, int64_t now_ms);
--- a/member/gossip.c
+++ b/member/gossip.c
@@ -21,8 +21,8 @@
 enum {
 	/* Maximum size of a change with names of usual length. */
 	CHANGE_MAX_BYTES = 190,
-	/* Maximum size of a peer_info, with names of usual length. */
-	INFO_MAX_BYTES = 190,
+	/* Maximum size of a peer_report, with names of usual length. */
+	INFO_MAX_BYTES = 195,
 	/* Size of everything before the changes. */
 	FEED_HEADER_BYTES = 240,
 	/*
--- a/member/gossip.h
+++ b/member/gossip.h
@@ -94,7 +94,10 @@
 	 * last.
 	 */
 	uint32_t age_ms;
-	/* The sender's list has had no gap for so long; AGE_UNKNOWN: it has one now. */
+	/*
+	 * The sender's list has had no gap for so long. AGE_UNKNOWN: it has one
+	 * now.
+	 */
 	uint32_t covered_ms;
 	bool after_gap;	 /* the store may have been away before that */
 	GArray *changes; /* struct backend_change, ordered by pos */
--- a/tests/test_contact.c
+++ b/tests/test_contact.c
@@ -92,7 +92,8 @@
 	assert_int_equal(count_named(&t, now), 2);
 }
 
-/* Guards against naming instances of which the last one left has long lost
+/*
+ * Guards against naming instances of which the last one left has long lost
  * sight when the others were removed one after the other.
  */
 static void test_removed_in_turn(void **state)
@@ -158,6 +159,25 @@
 	assert_int_equal(count_named(&t, now), 1);
 }
 
+/*
+ * Guards against an instance that stood still losing the others, or naming them
+ * on and on if they are gone.
+ */
+static void test_stood_still(void **state)
+{
+	struct peer_table t;
+	int64_t woke = 20000;
+
+	join(&t, "e3", 1000);
+	heartbeat(&t, "e1", false, 9000);
+	heartbeat(&t, "e2", false, 9000);
+	t.listening_ms = woke;
+	contact_update(&t, 9000, woke);
+	assert_int_equal(count_named(&t, woke), 3);
+	contact_update(&t, woke + 1400, woke + 1500);
+	assert_int_equal(count_named(&t, woke + 1500), 1);
+}
+
 /* Guards against a restarted instance naming those whose records it found. */
 static void test_restarted_alone(void **state)
 {
@@ -289,6 +309,7 @@
 		cmocka_unit_test(test_removed_in_turn),
 		cmocka_unit_test(test_left),
 		cmocka_unit_test(test_cut_off),
+		cmocka_unit_test(test_stood_still),
 		cmocka_unit_test(test_restarted_alone),
 		cmocka_unit_test(test_first_hub_lost),
 		cmocka_unit_test(test_hubs_in_turn),
