test_endless: the forms through a tunnel's frames

All 21 forms end within the same bounds of bytes, memory, processor and time where a peer's tunnel carries them in frames (4 KiB each). No change of code.

--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -31,7 +31,8 @@
 	/* Eight bytes of framing for each of a body, and heads. */
 	BYTES_MAX = 9 * BODY_MAX + 512 * 1024,
 	SOCKET_BYTES = 64 * 1024, /* of either end */
-	QUICK_MS = 3000,	  /* limit of a request to a quick server */
+	FRAME_BYTES = 4096,
+	QUICK_MS = 3000, /* limit of a request to a quick server */
 	SLOW_MS = 300,
 	LATE_MS = 300,
 	CPU_MAX_MS = 1500, /* of both ends */
@@ -147,12 +148,25 @@
 	send_some(t->data, 10);
 }
 
-/* Fills the pattern: the begin once, then the rest again and again. */
-static void fill_pattern(struct fixture *f, const struct form *form)
+/*
+ * Fills the pattern: the begin once, then the rest again and again; in frames as
+ * a tunnel has them, if `framed`.
+ */
+static void fill_pattern(struct fixture *f, const struct form *form,
+			 bool framed)
 {
-	buf_add_lstr(&f->pattern, lstr0(form->begin));
-	while (f->pattern.len < 4 * BYTES_MAX)
-		buf_add_lstr(&f->pattern, lstr0(form->again));
+	struct buf plain = {0};
+
+	buf_add_lstr(&plain, lstr0(form->begin));
+	while (plain.len < 4 * BYTES_MAX)
+		buf_add_lstr(&plain, lstr0(form->again));
+	for (size_t at = 0; framed && at < plain.len; at += FRAME_BYTES)
+		frame_write(&f->pattern,
+			    (struct lstr){plain.ptr + at,
+					  MIN(FRAME_BYTES, plain.len - at)});
+	if (!framed)
+		buf_add_lstr(&f->pattern, buf_lstr(&plain));
+	buf_free(&plain);
 }
 
 static void set_buffers(int fd)
@@ -164,7 +178,8 @@
 }
 
 /* Sends a request to a server that begins to answer in this form. */
-static struct fixture *fixture_new(const struct form *form, bool quick)
+static struct fixture *fixture_new(const struct form *form, bool quick,
+				   bool framed)
 {
 	struct fixture *f = g_new0(struct fixture, 1);
 	struct sockaddr_in sa = {.sin_family = AF_INET,
@@ -175,7 +190,7 @@
 	f->memory.limit = MEMORY_MAX;
 	f->gate = (struct http_body_gate){
 		.reserve = reserve, .release = release, .priv = &f->memory};
-	fill_pattern(f, form);
+	fill_pattern(f, form, framed);
 	f->listener = socket(AF_INET, SOCK_STREAM, 0);
 	set_buffers(f->listener);
 	assert_int_equal(bind(f->listener, (struct sockaddr *)&sa, len), 0);
@@ -187,6 +202,7 @@
 				 f),
 		0);
 	f->client.reader.gate = &f->gate;
+	f->client.framed = framed;
 	set_buffers(f->client.fd);
 	http_client_send(&f->client, LSTR("GET /x HTTP/1.1\r\nHost: x\r\n\r\n"),
 			 (quick ? QUICK_MS : SLOW_MS) / 1000.0, false);
@@ -246,11 +262,10 @@
 		fail_msg("%s: %zu bytes of memory", form->name, f->memory.peak);
 }
 
-/* Guards against bytes without end filling the memory or the processor. */
-static void test_quick(void **state)
+static void run_quick(bool framed)
 {
 	for (guint i = 0; i < G_N_ELEMENTS(forms); i++) {
-		struct fixture *f = fixture_new(&forms[i], true);
+		struct fixture *f = fixture_new(&forms[i], true, framed);
 		int64_t before_ms = cpu_ms(), ms = run(f, QUICK_MS + LATE_MS);
 
 		check(&forms[i], f);
@@ -267,11 +282,23 @@
 	}
 }
 
+/* Guards against bytes without end filling the memory or the processor. */
+static void test_quick(void **state)
+{
+	run_quick(false);
+}
+
+/* Guards against the same through a peer's tunnel. */
+static void test_quick_tunnel(void **state)
+{
+	run_quick(true);
+}
+
 /* Guards against a trickle that keeps a request for longer than its limit. */
 static void test_trickle(void **state)
 {
 	for (guint i = 0; i < G_N_ELEMENTS(forms); i++) {
-		struct fixture *f = fixture_new(&forms[i], false);
+		struct fixture *f = fixture_new(&forms[i], false, false);
 		int64_t ms = run(f, SLOW_MS + LATE_MS);
 
 		check(&forms[i], f);
@@ -286,7 +313,7 @@
 static void test_lingering(void **state)
 {
 	const struct form *form = &forms[6];
-	struct fixture *f = fixture_new(form, true);
+	struct fixture *f = fixture_new(form, true, false);
 	size_t sent;
 
 	while (!f->client.reader.msg)
@@ -305,6 +332,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_quick),
+		cmocka_unit_test(test_quick_tunnel),
 		cmocka_unit_test(test_trickle),
 		cmocka_unit_test(test_lingering),
 	};
