--- a/options/deploy.c
+++ b/options/deploy.c
@@ -27,6 +27,7 @@
 	{"retry_budget_pct", OPT_INT, E(retry_budget_pct), "10", 0, 100},
 	{"grace_s", OPT_INT, E(grace_s), "6", 1, 600},
 	{"log_level", OPT_STR, E(log_level), "info", 0, 0},
+	{"memory_mb", OPT_INT, E(memory_mb), "0", 0, 1 << 20},
 	OPT_END,
 };
 #undef E
--- a/options/deploy.h
+++ b/options/deploy.h
@@ -26,6 +26,7 @@
 	int retry_budget_pct;
 	int grace_s;
 	char *log_level; /* of entries: info or notice */
+	int memory_mb;	 /* of the machine of each entry; 0: unknown */
 };
 
 struct service_opts {
--- a/options/instance.c
+++ b/options/instance.c
@@ -274,6 +274,7 @@
 		g_strdup_printf("%s:%d", host, port + PORT_OFFSET_TUNNELS);
 	out->store = g_strdup(d->entry.platform);
 	out->heartbeat_ms = 1500;
+	out->memory_mb = d->entry.memory_mb;
 	out->log_level = g_strdup(d->entry.log_level);
 	out->policy = mechanisms;
 	/*
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -91,6 +91,8 @@
 		   "{\"req\":\"%.*s\",\"backend\":\"%s\","
 		   "\"service\":\"%s\"}",
 		   (int)id.len, id.ptr, s->id, s->service->name);
+	for (int i = 0; i < s->faults.body_kb; i++)
+		buf_printf(body, "%1000d", i);
 }
 
 /* Sends the response, unless a fault loses, truncates or duplicates it. */
@@ -118,6 +120,8 @@
 		http_conn_reply_raw(c, buf_lstr(&raw), false);
 	} else if (fault_occurs(s, s->faults.unframed_pct)) {
 		unframed_reply(c, s->loop, buf_lstr(&headers), buf_lstr(&body));
+	} else if (s->faults.chunked) {
+		chunked_reply(c, buf_lstr(&headers), buf_lstr(&body));
 	} else {
 		reply(s, c, 200, &headers, buf_lstr(&body));
 	}
--- a/stand/faults.c
+++ b/stand/faults.c
@@ -34,6 +34,8 @@
 		{"limit_asked", offsetof(struct faults, limit_asked)},
 		{"quiet", offsetof(struct faults, quiet)},
 		{"cold_ms", offsetof(struct faults, cold_ms)},
+		{"body_kb", offsetof(struct faults, body_kb)},
+		{"chunked", offsetof(struct faults, chunked)},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
--- a/stand/unframed.c
+++ b/stand/unframed.c
@@ -5,6 +5,8 @@
 
 #include "stand/unframed.h"
 
+enum { CHUNK_BYTES = 16 * 1024 };
+
 /* Between the two halves of a body. */
 static const double PAUSE_S = 0.1;
 
@@ -65,3 +67,22 @@
 	buf_free(&unread);
 	buf_free(&first);
 }
+
+/* chunked_reply() responds with the body in chunks. */
+void chunked_reply(struct http_conn *c, struct lstr headers, struct lstr body)
+{
+	struct buf out = {0};
+
+	buf_printf(&out,
+		   "HTTP/1.1 200 OK\r\n%.*sTransfer-Encoding: chunked\r\n\r\n",
+		   (int)headers.len, headers.ptr);
+	for (size_t at = 0, n; at < body.len; at += n) {
+		n = MIN(CHUNK_BYTES, body.len - at);
+		buf_printf(&out, "%zx\r\n", n);
+		buf_add(&out, body.ptr + at, n);
+		buf_add_lstr(&out, LSTR("\r\n"));
+	}
+	buf_add_lstr(&out, LSTR("0\r\n\r\n"));
+	http_conn_reply_raw(c, buf_lstr(&out), false);
+	buf_free(&out);
+}
