Answers that clients don't take count until they are taken

Callers saw all requests of an instance fail: its process was killed for its memory. The count of a response ended when it was complete; then its body was copied into the connection's output, which nothing counted, and each byte taken began the only time limit anew.

A connection now sends the body from the message that received it, which counts against the memory for responses until it is freed. A response that doesn't fit waits unread at its server (backpressure) until memory is free or the request's time is over; callers that take nothing of theirs for 0.25 s are reset for it. A reply must be taken within 30 s and the time of its bytes at 4 KB/s.

--- a/http/client.c
+++ b/http/client.c
@@ -5,22 +5,16 @@
 #include <sys/uio.h>
 #include <unistd.h>
 
-#include "http/client.h"
+#include "http/client_conn.h"
 #include "http/socket.h"
 
 enum {
-	READ_CHUNK_BYTES = 8192, /* most responses fit into one read */
-	/* Interim responses, and those to other requests, before the awaited. */
-	SKIPPED_MAX = 64,
-	/* Heads, trailers and framing; a chunk may be as small as one byte. */
-	OVERHEAD_MAX_BYTES = 256 * 1024,
-	OVERHEAD_PER_BODY_BYTE = 8,
 	/* Of a response that nobody waits for any more. */
 	LINGER_BODY_MAX_BYTES = 64 * 1024,
 };
 
-/* Restarts the connection's timer; 0 stops it. */
-static void set_timer(struct http_client *c, double timeout_s)
+/* http_client_set_timer() restarts the connection's timer; 0 stops it. */
+void http_client_set_timer(struct http_client *c, double timeout_s)
 {
 	ev_timer_stop(c->loop, &c->timer);
 	if (timeout_s <= 0)
@@ -29,33 +23,42 @@
 	ev_timer_start(c->loop, &c->timer);
 }
 
-/* Sets the events that the socket is watched for. */
-static void watch(struct http_client *c, int events)
+/* http_client_watch() sets the events that the socket is watched for; 0: none. */
+void http_client_watch(struct http_client *c, int events)
 {
 	if (c->io.events == events && ev_is_active(&c->io))
 		return;
 	ev_io_stop(c->loop, &c->io);
 	ev_io_set(&c->io, c->fd, events);
-	ev_io_start(c->loop, &c->io);
+	if (events)
+		ev_io_start(c->loop, &c->io);
 }
 
-/* Returns whether part of the request is still to be sent. */
-static bool is_unsent(const struct http_client *c)
+/*
+ * http_client_is_unsent() returns whether part of the request is still to be
+ * sent.
+ */
+bool http_client_is_unsent(const struct http_client *c)
 {
 	return c->out.len || c->body.len;
 }
 
-/* Drops what is still to be sent. */
-static void drop_unsent(struct http_client *c)
+/* http_client_drop_unsent() drops what is still to be sent. */
+void http_client_drop_unsent(struct http_client *c)
 {
 	buf_free(&c->out);
 	c->body = (struct lstr){NULL, 0};
 }
 
-/* Waits for input, and for room if part of the request is still to be sent. */
-static void watch_pending(struct http_client *c)
+/*
+ * http_client_watch_pending() waits for input, and for room if part of the
+ * request is still to be sent.
+ */
+void http_client_watch_pending(struct http_client *c)
 {
-	watch(c, is_unsent(c) ? EV_READ | EV_WRITE : EV_READ);
+	int in = c->reader.starved ? 0 : EV_READ;
+
+	http_client_watch(c, http_client_is_unsent(c) ? in | EV_WRITE : in);
 }
 
 /*
@@ -91,17 +94,19 @@
 		return;
 	ev_io_stop(c->loop, &c->io);
 	ev_timer_stop(c->loop, &c->timer);
+	ev_timer_stop(c->loop, &c->resume);
 	close(c->fd);
 	c->fd = -1;
 	c->state = CLIENT_CLOSED;
 	http_reader_free(&c->reader);
-	drop_unsent(c);
+	http_client_drop_unsent(c);
 	buf_free(&c->connect_head);
 	frame_reader_free(&c->frames);
+	buf_free(&c->unread);
 }
 
-/* Closes the connection and reports err to the owner. */
-static void fail(struct http_client *c, int err)
+/* http_client_fail() closes the connection and reports err to the owner. */
+void http_client_fail(struct http_client *c, int err)
 {
 	bool sent = c->sent;
 
@@ -109,165 +114,6 @@
 	c->ops->failed(c->priv, err, sent);
 }
 
-/* Parses complete responses without a request from n bytes at p. */
-static void read_unsolicited(struct http_client *c, const char *p, size_t n)
-{
-	while (n) {
-		ssize_t used = http_reader_feed(&c->reader, p, n);
-		struct http_message *m;
-
-		if (used < 0 || !c->reader.msg->done)
-			return;
-		p += used;
-		n -= (size_t)used;
-		m = http_reader_take(&c->reader);
-		if (c->ops->unsolicited)
-			c->ops->unsolicited(c->priv, m);
-		http_message_free(m);
-	}
-}
-
-/*
- * Passes a complete response to the owner; returns false if it belongs to
- * another request. The n bytes at p were received after it.
- */
-static bool deliver(struct http_client *c, const char *p, size_t n)
-{
-	struct http_message *m = http_reader_take(&c->reader);
-
-	if (m->status / 100 == 1 ||
-	    c->ops->match(c->priv, m) == HTTP_UNMATCHED) {
-		if (m->status / 100 != 1)
-			c->reusable = false;
-		if (!m->keep_alive)
-			c->reusable = false;
-		http_message_free(m);
-		return false;
-	}
-	set_timer(c, 0);
-	/* After an early response the rest of the request stays unsent. */
-	if (!m->keep_alive || is_unsent(c))
-		c->reusable = false;
-	c->waiting = false;
-	c->sent = false;
-	c->served++;
-	c->state = CLIENT_IDLE;
-	drop_unsent(c);
-	watch(c, EV_READ);
-	read_unsolicited(c, p, n);
-	c->ops->response(c->priv, m);
-	return true;
-}
-
-/* Returns the length of the body that has been read so far. */
-static size_t body_length(const struct http_client *c)
-{
-	return c->reader.msg ? c->reader.msg->body.len : 0;
-}
-
-/*
- * Parses up to n bytes of a response, as http_reader_feed() does. A peer may
- * send without end what isn't part of a body; -EMSGSIZE if it is too much.
- */
-static ssize_t feed_counted(struct http_client *c, const char *p, size_t n)
-{
-	size_t before = body_length(c), grown;
-	ssize_t used = http_reader_feed(&c->reader, p, n);
-
-	if (used < 0)
-		return used;
-	grown = body_length(c) - before;
-	c->body_bytes += grown;
-	c->overhead_bytes += (size_t)used - grown;
-	if (c->overhead_bytes >
-	    OVERHEAD_MAX_BYTES + OVERHEAD_PER_BODY_BYTE * c->body_bytes)
-		return -EMSGSIZE;
-	return used;
-}
-
-/*
- * Parses responses from n bytes at p. Returns whether the request still waits
- * for its response; else the owner may have freed c.
- */
-static bool read_responses(struct http_client *c, const char *p, size_t n)
-{
-	while (n) {
-		ssize_t used = feed_counted(c, p, n);
-
-		if (used < 0) {
-			fail(c, (int)used);
-			return false;
-		}
-		p += used;
-		n -= (size_t)used;
-		if (!c->reader.msg->done)
-			return true;
-		/* Bytes after a response belong to no request. */
-		if (n)
-			c->reusable = false;
-		if (deliver(c, p, n))
-			return false;
-		if (++c->skipped > SKIPPED_MAX) {
-			fail(c, -EPROTO);
-			return false;
-		}
-	}
-	return true;
-}
-
-/*
- * Handles n bytes of the server, and the end of its stream after them if it has
- * ended. Input while idle ends the connection.
- */
-static void on_stream(struct http_client *c, const char *p, size_t n,
-		      bool ended)
-{
-	if (c->state == CLIENT_IDLE) {
-		read_unsolicited(c, p, n);
-		fail(c, n ? -EPROTO : -EPIPE);
-		return;
-	}
-	if (ended)
-		c->reusable = false;
-	if (!read_responses(c, p, n) || !ended)
-		return;
-	if (c->write_failed || http_reader_eof(&c->reader) ||
-	    !deliver(c, NULL, 0))
-		fail(c, -EPIPE);
-}
-
-/* Handles n bytes of a proxy that sends frames. */
-static void on_frames(struct http_client *c, const char *p, size_t n)
-{
-	struct buf stream = {0};
-	int rc = frame_read(&c->frames, (struct lstr){p, n}, &stream);
-
-	if (rc)
-		fail(c, rc);
-	else if (stream.len || c->frames.ended)
-		on_stream(c, stream.ptr, stream.len, c->frames.ended);
-	buf_free(&stream);
-}
-
-/* Reads from the socket. */
-static void on_readable(struct http_client *c)
-{
-	char chunk[READ_CHUNK_BYTES];
-	ssize_t n = recv(c->fd, chunk, sizeof(chunk), 0);
-
-	if (n < 0 && (errno == EAGAIN || errno == EINTR))
-		return;
-	if (n < 0)
-		fail(c, -errno);
-	else if (n == 0 && c->tunneled)
-		/* The proxy may have died; frames mark the server's end. */
-		fail(c, -EPIPE);
-	else if (c->framed)
-		on_frames(c, chunk, (size_t)n);
-	else
-		on_stream(c, chunk, (size_t)n, n == 0);
-}
-
 /* Returns whether the owner still allows the request to be sent. */
 static bool may_send(struct http_client *c)
 {
@@ -280,7 +126,7 @@
 	c->connected = true;
 	c->state = c->waiting ? CLIENT_BUSY : CLIENT_IDLE;
 	c->reader.no_body = c->no_body;
-	set_timer(c, c->waiting ? c->timeout_s : 0);
+	http_client_set_timer(c, c->waiting ? c->timeout_s : 0);
 }
 
 /* Asks the proxy for a tunnel. The head fits in an empty socket buffer. */
@@ -290,30 +136,30 @@
 			 MSG_NOSIGNAL);
 
 	if (n != (ssize_t)c->connect_head.len) {
-		fail(c, n < 0 ? -errno : -EPROTO);
+		http_client_fail(c, n < 0 ? -errno : -EPROTO);
 		return;
 	}
 	c->state = CLIENT_TUNNELING;
 	c->reader.no_body = true;
-	watch(c, EV_READ);
+	http_client_watch(c, EV_READ);
 }
 
 /* Reads the proxy's answer; nothing follows it until a request is sent. */
 static void on_tunnel_answer(struct http_client *c)
 {
-	char chunk[READ_CHUNK_BYTES];
+	char chunk[HTTP_READ_CHUNK_BYTES];
 	ssize_t n = recv(c->fd, chunk, sizeof(chunk), 0);
 	ssize_t used;
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return;
 	if (n <= 0) {
-		fail(c, n ? -errno : -EPIPE);
+		http_client_fail(c, n ? -errno : -EPIPE);
 		return;
 	}
 	used = http_reader_feed(&c->reader, chunk, (size_t)n);
 	if (used < 0 || (c->reader.msg->done && used < n)) {
-		fail(c, -EPROTO);
+		http_client_fail(c, -EPROTO);
 		return;
 	}
 	if (!c->reader.msg->done)
@@ -323,11 +169,11 @@
 		c->ops->is_framed && c->ops->is_framed(c->priv, c->reader.msg);
 	http_message_free(http_reader_take(&c->reader));
 	if (c->tunnel_status != 200) {
-		fail(c, -EHOSTUNREACH);
+		http_client_fail(c, -EHOSTUNREACH);
 		return;
 	}
 	on_connected(c);
-	watch_pending(c);
+	http_client_watch_pending(c);
 }
 
 /* Completes a connection attempt and sends pending output. */
@@ -337,7 +183,7 @@
 		int err = socket_error(c->fd);
 
 		if (err) {
-			fail(c, err);
+			http_client_fail(c, err);
 			return;
 		}
 		if (c->tunneled) {
@@ -346,11 +192,11 @@
 		}
 		on_connected(c);
 	}
-	if (is_unsent(c) && !may_send(c)) {
-		fail(c, -ECANCELED);
+	if (http_client_is_unsent(c) && !may_send(c)) {
+		http_client_fail(c, -ECANCELED);
 		return;
 	}
-	if (is_unsent(c)) {
+	if (http_client_is_unsent(c)) {
 		int err = send_pending(c);
 
 		/*
@@ -358,14 +204,14 @@
 		 * that is read first.
 		 */
 		if (c->sent && (err == -EPIPE || err == -ECONNRESET)) {
-			drop_unsent(c);
+			http_client_drop_unsent(c);
 			c->reusable = false;
 		} else if (err) {
-			fail(c, err);
+			http_client_fail(c, err);
 			return;
 		}
 	}
-	watch_pending(c);
+	http_client_watch_pending(c);
 }
 
 /* Dispatches socket events. */
@@ -378,7 +224,7 @@
 		return;
 	}
 	if ((revents & EV_READ) && c->state != CLIENT_CONNECTING) {
-		on_readable(c);
+		http_client_readable(c);
 		return;
 	}
 	if (revents & EV_WRITE)
@@ -388,7 +234,7 @@
 /* The connection attempt or the request timed out. */
 static void on_timeout(struct ev_loop *loop, ev_timer *t, int revents)
 {
-	fail(t->data, -ETIMEDOUT);
+	http_client_fail(t->data, -ETIMEDOUT);
 }
 
 /*
@@ -417,8 +263,9 @@
 	c->io.data = c;
 	ev_init(&c->timer, on_timeout);
 	c->timer.data = c;
+	http_client_init_reading(c);
 	ev_io_start(loop, &c->io);
-	set_timer(c, connect_timeout_s);
+	http_client_set_timer(c, connect_timeout_s);
 	return 0;
 }
 
@@ -474,11 +321,11 @@
 		return;
 	c->reader.no_body = head_request;
 	c->state = CLIENT_BUSY;
-	set_timer(c, timeout_s);
+	http_client_set_timer(c, timeout_s);
 	/* Errors are reported from the event loop, not to this caller. */
 	if (may_send(c))
 		(void)send_pending(c);
-	watch_pending(c);
+	http_client_watch_pending(c);
 }
 
 /*
@@ -489,11 +336,13 @@
  */
 bool http_client_linger(struct http_client *c, double timeout_s)
 {
-	if (c->state != CLIENT_BUSY || is_unsent(c) ||
-	    body_length(c) > LINGER_BODY_MAX_BYTES || shutdown(c->fd, SHUT_WR))
+	if (c->state != CLIENT_BUSY || http_client_is_unsent(c) ||
+	    c->reader.starved ||
+	    http_client_body_length(c) > LINGER_BODY_MAX_BYTES ||
+	    shutdown(c->fd, SHUT_WR))
 		return false;
 	c->reusable = false;
 	c->reader.limits.body_max = LINGER_BODY_MAX_BYTES;
-	set_timer(c, timeout_s);
+	http_client_set_timer(c, timeout_s);
 	return true;
 }
--- a/http/client.h
+++ b/http/client.h
@@ -69,7 +69,10 @@
 	unsigned tunnel_status;	 /* the proxy's answer; 0: none yet */
 	bool framed;		 /* the proxy sends frames */
 	struct frame_reader frames;
-	bool no_body; /* the current request is a HEAD */
+	struct buf unread; /* received, while the reader is starved */
+	bool unread_end;   /* and the end of the stream after it */
+	ev_timer resume;   /* the reader */
+	bool no_body;	   /* the current request is a HEAD */
 	double connect_timeout_s, timeout_s;
 	bool waiting;	/* a request is queued or sent */
 	bool connected; /* the connection has been established */
--- a/http/conn.c
+++ b/http/conn.c
@@ -12,15 +12,9 @@
 enum {
 	READ_CHUNK_BYTES = 4096,	/* per recv() */
 	BODY_CHUNK_BYTES = 16 * 1024,	/* the same within a body */
-	PIPELINE_MAX_BYTES = 64 * 1024, /* buffered while a reply is pending */
+	PIPELINE_MAX_BYTES = 16 * 1024, /* buffered while a reply is pending */
 };
 
-/* How long to wait for the peer to close after the last reply. */
-static const double LINGER_S = 1.0;
-
-/* The same for a peer that is still sending the body of a rejected request. */
-static const double LINGER_MAX_S = 5.0;
-
 /* For a body, unless the gate limits it. */
 static const double BODY_TIME_S = 60;
 
@@ -39,23 +33,57 @@
 	c->user = user;
 }
 
-/* Frees a connection without closing its socket. */
-static void conn_release(struct http_conn *c)
+/* Adds the connection to the server's list as the one that waits least. */
+static void link_conn(struct http_conn *c)
+{
+	struct http_server *s = c->server;
+
+	c->since = ev_now(s->loop);
+	c->prev = NULL;
+	c->next = s->conns;
+	if (s->conns)
+		s->conns->prev = c;
+	else
+		s->oldest = c;
+	s->conns = c;
+}
+
+/* Removes the connection from the server's list. */
+static void unlink_conn(struct http_conn *c)
 {
 	struct http_server *s = c->server;
 
-	ev_io_stop(s->loop, &c->io);
-	ev_timer_stop(s->loop, &c->timer);
-	http_reader_free(&c->reader);
-	buf_free(&c->in);
-	buf_free(&c->out);
 	if (c->prev)
 		c->prev->next = c->next;
 	else
 		s->conns = c->next;
 	if (c->next)
 		c->next->prev = c->prev;
+	else
+		s->oldest = c->prev;
+}
+
+/* http_conn_renew() notes that the peer has made a request or gets a reply. */
+void http_conn_renew(struct http_conn *c)
+{
+	unlink_conn(c);
+	link_conn(c);
+}
+
+/* Frees a connection without closing its socket. */
+static void conn_release(struct http_conn *c)
+{
+	struct http_server *s = c->server;
+
+	ev_io_stop(s->loop, &c->io);
+	ev_timer_stop(s->loop, &c->timer);
+	http_reader_free(&c->reader);
+	http_conn_drop_reply(c);
+	buf_free(&c->in);
+	unlink_conn(c);
 	s->nconns--;
+	if (s->pool)
+		http_pool_account(s->pool, &c->held, 0);
 	free(c);
 }
 
@@ -89,16 +117,34 @@
 	http_conn_free(c);
 }
 
-/* Notifies the handler if it has a pending request, and frees c. */
-static void conn_close_and_notify(struct http_conn *c)
+/*
+ * http_conn_reset() closes a connection and drops what its peer hasn't taken yet,
+ * which the kernel would keep otherwise.
+ */
+void http_conn_reset(struct http_conn *c)
+{
+	struct linger now = {1, 0};
+
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+	http_conn_free(c);
+}
+
+/* http_conn_notify_closed() notifies the handler if it has a pending request. */
+void http_conn_notify_closed(struct http_conn *c)
 {
 	if (c->state == CONN_HANDLING && c->server->ops->closed)
 		c->server->ops->closed(c->server->priv, c);
+}
+
+/* Notifies the handler if it has a pending request, and frees c. */
+static void conn_close_and_notify(struct http_conn *c)
+{
+	http_conn_notify_closed(c);
 	http_conn_free(c);
 }
 
-/* Sets the events that the socket is watched for; 0: none. */
-static void watch(struct http_conn *c, int events)
+/* http_conn_watch() sets the events that the socket is watched for; 0: none. */
+void http_conn_watch(struct http_conn *c, int events)
 {
 	if (c->io.events == events && ev_is_active(&c->io))
 		return;
@@ -108,8 +154,8 @@
 		ev_io_start(c->server->loop, &c->io);
 }
 
-/* Restarts the connection's timer; 0 stops it. */
-static void set_timer(struct http_conn *c, double timeout_s)
+/* http_conn_set_timer() restarts the connection's timer; 0 stops it. */
+void http_conn_set_timer(struct http_conn *c, double timeout_s)
 {
 	ev_timer_stop(c->server->loop, &c->timer);
 	if (timeout_s <= 0)
@@ -118,96 +164,26 @@
 	ev_timer_start(c->server->loop, &c->timer);
 }
 
-/* Waits for the next request; starts at once with bytes already read. */
-static void conn_idle(struct http_conn *c)
+/*
+ * http_conn_idle() waits for the next request; starts at once with bytes already
+ * read.
+ */
+void http_conn_idle(struct http_conn *c)
 {
 	c->state = CONN_IDLE;
 	c->scanned = 0;
 	c->in_body = false;
 	c->user = NULL;
-	buf_free(&c->out);
+	http_conn_drop_reply(c);
 	if (c->in.len == 0)
 		buf_free(&c->in);
-	watch(c, EV_READ);
-	set_timer(c, c->server->idle_timeout_s);
+	http_conn_watch(c, EV_READ);
+	http_conn_set_timer(c, c->server->idle_timeout_s);
+	http_conn_account(c);
 	if (c->in.len)
 		conn_input(c);
 }
 
-/*
- * The reply is sent. close() would reset a connection with unread bytes, and
- * the peer might lose the reply; so only the sending half is shut down until
- * the peer closes or LINGER_S has passed.
- */
-static void conn_written(struct http_conn *c)
-{
-	if (!c->close_after && !c->peer_done) {
-		conn_idle(c);
-		return;
-	}
-	if (c->peer_done) {
-		http_conn_free(c);
-		return;
-	}
-	shutdown(c->fd, SHUT_WR);
-	c->state = CONN_LINGER;
-	watch(c, EV_READ);
-	c->linger_until = ev_now(c->server->loop) + LINGER_MAX_S;
-	set_timer(c, LINGER_S);
-}
-
-/* Sends as much pending output as the socket accepts. */
-static void conn_write(struct http_conn *c)
-{
-	ssize_t n = send(c->fd, c->out.ptr, c->out.len, MSG_NOSIGNAL);
-
-	if (n < 0 && (errno == EAGAIN || errno == EINTR))
-		n = 0;
-	if (n < 0) {
-		http_conn_free(c);
-		return;
-	}
-	buf_consume(&c->out, (size_t)n);
-	if (c->out.len == 0) {
-		conn_written(c);
-		return;
-	}
-	watch(c, EV_WRITE);
-	set_timer(c, c->server->idle_timeout_s);
-}
-
-/*
- * http_conn_reply() replies to the current request. The connection is kept
- * open unless the caller, the reply or the server requires closing it.
- */
-void http_conn_reply(struct http_conn *c, const struct http_reply *r)
-{
-	c->close_after =
-		r->close || !c->keep_alive || c->server->disable_keep_alive;
-	buf_printf(&c->out, "HTTP/1.1 %u %s\r\n", r->status,
-		   http_reason(r->status));
-	buf_add_lstr(&c->out, r->headers);
-	if (c->close_after)
-		buf_add_lstr(&c->out, LSTR("Connection: close\r\n"));
-	buf_printf(&c->out, "Content-Length: %zu\r\n\r\n", r->body.len);
-	if (!c->head_request)
-		buf_add_lstr(&c->out, r->body);
-	c->state = CONN_WRITING;
-	conn_write(c);
-}
-
-/*
- * http_conn_reply_raw() replies to the current request with arbitrary bytes,
- * which need not be valid HTTP. The stand-ins inject faults with it.
- */
-void http_conn_reply_raw(struct http_conn *c, struct lstr bytes, bool close)
-{
-	c->close_after = close || !c->keep_alive;
-	buf_add_lstr(&c->out, bytes);
-	c->state = CONN_WRITING;
-	conn_write(c);
-}
-
 /* Replies to an invalid request and closes the connection. */
 static void conn_reject(struct http_conn *c, unsigned status)
 {
@@ -217,13 +193,14 @@
 			&(struct http_reply){.status = status, .close = true});
 }
 
-/* Replies to a request whose body isn't received. */
-static void conn_refuse_body(struct http_conn *c)
+/* Replies to a request that isn't received further; it never runs. */
+static void conn_refuse(struct http_conn *c)
 {
 	const struct http_body_gate *gate = c->server->body_gate;
 	struct buf headers = {0};
 
-	gate->write_refusal(gate->priv, c->reader.msg, &headers);
+	if (gate)
+		gate->write_refusal(gate->priv, c->reader.msg, &headers);
 	c->keep_alive = false;
 	c->head_request = false;
 	http_conn_reply(c, &(struct http_reply){.status = 503,
@@ -250,12 +227,15 @@
 	c->keep_alive = m->keep_alive;
 	c->head_request = lstr_eq(m->method, LSTR("HEAD"));
 	c->state = CONN_HANDLING;
+	c->request_bytes = m->arena.total_bytes;
 	c->had_request = true;
+	http_conn_renew(c);
 	c->scanned = 0;
 	c->in_body = false;
 	if (c->in.len == 0)
 		buf_free(&c->in);
-	set_timer(c, 0);
+	http_conn_set_timer(c, 0);
+	http_conn_account(c);
 	c->server->ops->request(c->server->priv, c, m);
 }
 
@@ -297,7 +277,8 @@
 {
 	double left_s = c->body_until - ev_now(c->server->loop);
 
-	set_timer(c, MAX(MIN(c->server->head_timeout_s, left_s), 0.001));
+	http_conn_set_timer(c,
+			    MAX(MIN(c->server->head_timeout_s, left_s), 0.001));
 }
 
 /* Parses n bytes of input; returns false if the request was rejected. */
@@ -306,7 +287,7 @@
 	ssize_t used = http_reader_feed(&c->reader, c->in.ptr, n);
 
 	if (used == -ENOBUFS) {
-		conn_refuse_body(c);
+		conn_refuse(c);
 		return false;
 	}
 	if (used < 0) {
@@ -326,6 +307,12 @@
 	       gate->accept(gate->priv, c->reader.msg);
 }
 
+/* Returns whether there is no memory for the request of a connection. */
+static bool lacks_memory(const struct http_conn *c)
+{
+	return c->server->pool && !http_pool_limit_memory(c->server->pool, c);
+}
+
 /* Returns whether the method of the current request is served at all. */
 static bool serves_method(const struct http_conn *c)
 {
@@ -361,8 +348,9 @@
 		conn_reject(c, 501);
 		return false;
 	}
-	if (!accepts_body(c)) {
-		conn_refuse_body(c);
+	http_conn_account(c);
+	if (!accepts_body(c) || lacks_memory(c)) {
+		conn_refuse(c);
 		return false;
 	}
 	begin_body(c);
@@ -380,7 +368,7 @@
 		if (c->in.len == 0)
 			return;
 		c->state = CONN_READING;
-		set_timer(c, c->server->head_timeout_s);
+		http_conn_set_timer(c, c->server->head_timeout_s);
 	}
 	if (!c->in_body && !read_head(c))
 		return;
@@ -397,7 +385,8 @@
 static void conn_read(struct http_conn *c)
 {
 	if (c->state == CONN_HANDLING && c->in.len >= PIPELINE_MAX_BYTES) {
-		watch(c, 0);
+		http_conn_watch(c, 0);
+		http_conn_account(c);
 		return;
 	}
 	size_t chunk = c->in_body ? BODY_CHUNK_BYTES : READ_CHUNK_BYTES;
@@ -410,11 +399,11 @@
 		return;
 	}
 	if (c->state == CONN_LINGER) {
-		if (ev_now(c->server->loop) < c->linger_until)
-			set_timer(c, LINGER_S);
+		http_conn_linger(c);
 		return;
 	}
 	c->in.len += (size_t)n;
+	http_conn_account(c);
 	if (c->state == CONN_IDLE || c->state == CONN_READING)
 		conn_input(c);
 }
@@ -423,11 +412,14 @@
 static void conn_event(struct ev_loop *loop, ev_io *io, int revents)
 {
 	struct http_conn *c = io->data;
+	struct http_pool *pool = c->server->pool;
 
 	if (revents & EV_WRITE)
-		conn_write(c);
+		http_conn_write(c);
 	else
 		conn_read(c);
+	if (pool)
+		(void)http_pool_limit_memory(pool, NULL);
 }
 
 /*
@@ -438,6 +430,8 @@
 {
 	if (c->state == CONN_READING)
 		conn_reject(c, 408);
+	else if (c->state == CONN_WRITING)
+		http_conn_close_for(c, SLOW_REPLY);
 	else
 		conn_close_and_notify(c);
 }
@@ -464,11 +458,8 @@
 	c->io.data = c;
 	ev_init(&c->timer, on_timeout);
 	c->timer.data = c;
-	c->next = s->conns;
-	if (s->conns)
-		s->conns->prev = c;
-	s->conns = c;
+	link_conn(c);
 	s->nconns++;
 	ev_io_start(s->loop, &c->io);
-	conn_idle(c);
+	http_conn_idle(c);
 }
--- a/http/message.c
+++ b/http/message.c
@@ -7,6 +7,9 @@
 
 #include "http/message.h"
 
+/* Larger bodies get their memory as they arrive. */
+enum { EXACT_MAX_BYTES = 64 << 20 };
+
 /* lstr_eq_nocase() compares two strings, ignoring ASCII case. */
 bool lstr_eq_nocase(struct lstr a, struct lstr b)
 {
@@ -82,21 +85,39 @@
 	return add_head_bytes(r, &r->value, at, n);
 }
 
-/* Reserves memory for a body; sets the reader's error if it doesn't fit. */
+/*
+ * Reserves memory for a body. If it doesn't fit the reader pauses, or else it
+ * sets its error and returns false.
+ */
 static bool reserve_body(struct http_reader *r, size_t total)
 {
 	struct http_message *m = r->msg;
 
 	if (!m->gate || total <= m->reserved)
 		return true;
-	if (!m->gate->reserve(m->gate->priv, m->reserved, total)) {
+	if (m->gate->reserve(m->gate->priv, m->reserved, total)) {
+		m->reserved = total;
+		return true;
+	}
+	if (!m->gate->waits) {
 		r->err = -ENOBUFS;
 		return false;
 	}
-	m->reserved = total;
+	r->starved = true;
+	r->wanted = total;
+	http_parser_pause(&r->parser, 1);
 	return true;
 }
 
+/* Allocates the memory of a body of known length, which has been reserved. */
+static void allocate_body(struct http_reader *r)
+{
+	uint64_t n = r->parser.content_length;
+
+	if (r->msg->gate && n <= EXACT_MAX_BYTES && !r->starved)
+		buf_reserve_exactly(&r->msg->body, n);
+}
+
 /* Returns whether the head declares the length of a body. */
 static bool has_length(const http_parser *p)
 {
@@ -155,17 +176,11 @@
 	}
 	if (has_length(p) && !reserve_body(r, p->content_length))
 		return -1;
+	if (has_length(p))
+		allocate_body(r);
 	return 0;
 }
 
-/* Returns what to reserve for a body that grows to `len` bytes. */
-static size_t reservation(const struct http_reader *r, size_t len)
-{
-	size_t total = MAX(len, 2 * r->msg->reserved);
-
-	return r->limits.body_max ? MIN(total, r->limits.body_max) : total;
-}
-
 /* Callback for a part of the body. */
 static int on_body(http_parser *p, const char *at, size_t n)
 {
@@ -176,9 +191,8 @@
 		r->err = -EFBIG;
 		return 1;
 	}
-	/* The buffer grows by doubling. */
 	if (body->len + n > r->msg->reserved &&
-	    !reserve_body(r, reservation(r, body->len + n)))
+	    !reserve_body(r, buf_grown(body, n)))
 		return 1;
 	buf_add(body, at, n);
 	return 0;
@@ -216,7 +230,8 @@
 
 /*
  * http_reader_feed() parses up to n bytes of one message. It stops at the end
- * of the message (msg->done) and leaves the bytes that follow to the caller.
+ * of the message (msg->done), or if there is no memory for its body (starved),
+ * and leaves the bytes that follow to the caller.
  * Returns the number of bytes consumed, -EMSGSIZE or -EFBIG if the head or body
  * exceeds its limit, -ENOBUFS if the gate has no memory for the body, or -EPROTO
  * for malformed input.
@@ -233,11 +248,28 @@
 
 	if (r->err)
 		return r->err;
-	if (r->msg->done)
+	if (r->msg->done || r->starved)
 		return (ssize_t)used;
 	return used == n ? (ssize_t)n : -EPROTO;
 }
 
+/*
+ * http_reader_resume() continues a reader that is starved. Returns 0, or -EAGAIN
+ * if there is still no memory.
+ */
+int http_reader_resume(struct http_reader *r)
+{
+	bool begins = r->msg->body.len == 0;
+
+	http_parser_pause(&r->parser, 0);
+	r->starved = false;
+	if (!reserve_body(r, r->wanted) || r->starved)
+		return -EAGAIN;
+	if (begins && has_length(&r->parser))
+		allocate_body(r);
+	return 0;
+}
+
 /*
  * http_reader_eof() reports an orderly close by the peer. Returns 0 if that
  * ends the message (a response without a length), -EPROTO otherwise.
--- a/http/message.h
+++ b/http/message.h
@@ -25,6 +25,8 @@
 struct http_body_gate {
 	/* A body that holds `held` bytes needs `total`; false: doesn't fit. */
 	bool (*reserve)(void *priv, size_t held, size_t total);
+	/* A message whose body doesn't fit waits; else it is an error. */
+	bool waits;
 	void (*release)(void *priv, size_t held);
 	/* Optional: returns whether the body after a head is received. */
 	bool (*accept)(void *priv, const struct http_message *head);
@@ -62,13 +64,16 @@
 	struct buf target;
 	size_t head_bytes; /* of names, values and the target so far */
 	bool in_value;
-	bool no_body; /* response to a HEAD request */
+	bool no_body;  /* response to a HEAD request */
+	bool starved;  /* waits for memory, see http_reader_resume() */
+	size_t wanted; /* memory for the body then */
 	int err;
 };
 
 void http_reader_init(struct http_reader *r, enum http_parser_type type,
 		      struct http_limits limits);
 ssize_t http_reader_feed(struct http_reader *r, const char *p, size_t n);
+int http_reader_resume(struct http_reader *r);
 int http_reader_eof(struct http_reader *r);
 struct http_message *http_reader_take(struct http_reader *r);
 void http_reader_free(struct http_reader *r);
--- /dev/null
+++ b/http/pool.c
@@ -0,0 +1,181 @@
+#include <inttypes.h>
+#include <sys/param.h>
+
+#include "common/event.h"
+#include "http/conn.h"
+#include "http/pool.h"
+
+static const double LOG_INTERVAL_S = 1;
+
+/*
+ * Connections looked at, from the one that has been waiting for longest, to find
+ * one that may be closed; more would cost a flood of connections too much time.
+ */
+enum { CANDIDATES_MAX = 64 };
+
+/*
+ * What the kernel may hold for a connection that isn't read, or whose peer
+ * doesn't read.
+ */
+enum { BLOCKED_BYTES = HTTP_UNSENT_BYTES + 32 * 1024 };
+
+/* http_pool_add() makes a server that isn't open yet use the pool. */
+void http_pool_add(struct http_pool *p, struct http_server *s, const char *name)
+{
+	s->pool = p;
+	s->name = name;
+	s->next_in_pool = p->servers;
+	p->servers = s;
+}
+
+/* http_pool_account() updates what somebody holds of the memory. */
+void http_pool_account(struct http_pool *p, size_t *held, size_t now)
+{
+	p->bytes = p->bytes - *held + now;
+	p->bytes_peak = MAX(p->bytes_peak, p->bytes);
+	*held = now;
+}
+
+/* Returns the bytes that are held for a connection, here and by the kernel. */
+static size_t held_bytes(const struct http_conn *c)
+{
+	const struct http_reader *r = &c->reader;
+	bool blocked = c->state == CONN_WRITING || !ev_is_active(&c->io);
+	size_t n = sizeof(*c) + c->in.cap + c->out.cap + c->request_bytes;
+
+	n += r->name.cap + r->value.cap + r->target.cap;
+	n += r->msg ? r->msg->arena.total_bytes : 0;
+	n += c->source ? c->source->arena.total_bytes : 0;
+	return n + (blocked ? BLOCKED_BYTES : 0);
+}
+
+/* http_conn_account() accounts what is held for a connection to the pool. */
+void http_conn_account(struct http_conn *c)
+{
+	if (c->server->pool)
+		http_pool_account(c->server->pool, &c->held, held_bytes(c));
+}
+
+/* Returns whether the peer sends on regardless while its request is handled. */
+static bool is_flooded(const struct http_conn *c)
+{
+	return c->state == CONN_HANDLING && !ev_is_active(&c->io);
+}
+
+/* Logs a shortage, with what has been closed since the last line. */
+static void log_shortage(struct http_pool *p, const char *name,
+			 enum http_shortage why)
+{
+	static const enum mp_event events[HTTP_SHORTAGES] = {
+		[SHORT_OF_MEMORY] = EV_CLIENT_MEMORY_SHORT,
+		[SHORT_OF_REPLIES] = EV_REPLY_MEMORY_SHORT,
+		[SLOW_REPLY] = EV_REPLY_SLOW,
+	};
+	struct http_shortage_log *l = &p->shortages[why];
+	ev_tstamp now = ev_time();
+
+	/* The time of day may go back. */
+	if (l->at > 0 && now >= l->at && now - l->at < LOG_INTERVAL_S)
+		return;
+	mp_event(events[why], G_LOG_LEVEL_WARNING,
+		 "port=%s closed=%" PRIu64 " bytes=%zu of=%zu", name,
+		 l->closed - l->logged, p->bytes, p->bytes_max);
+	l->logged = l->closed;
+	l->at = now;
+}
+
+/* http_conn_close_for() closes a connection because of a shortage. */
+void http_conn_close_for(struct http_conn *c, enum http_shortage why)
+{
+	const struct http_server *s = c->server;
+	bool idle = c->state == CONN_IDLE;
+
+	if (s->pool) {
+		s->pool->shortages[why].closed++;
+		log_shortage(s->pool, s->name, why);
+	}
+	http_conn_notify_closed(c);
+	if (idle)
+		http_conn_free(c);
+	else
+		http_conn_reset(c);
+}
+
+/* http_pool_is_short() returns whether more memory is in use than may be. */
+bool http_pool_is_short(const struct http_pool *p)
+{
+	return p->bytes_max && p->bytes > p->bytes_max;
+}
+
+/* Returns what closing a connection would gain: bytes times seconds. */
+static double weight(const struct http_conn *c)
+{
+	return (double)c->held * (ev_now(c->server->loop) - c->since);
+}
+
+/*
+ * Returns the connection that has held most for longest, or NULL: none with a
+ * request being handled, unless the peer sends on, and not `except`.
+ */
+static struct http_conn *find_largest(const struct http_pool *p,
+				      const struct http_conn *except)
+{
+	struct http_conn *victim = NULL;
+	double most = -1;
+
+	for (struct http_server *s = p->servers; s; s = s->next_in_pool) {
+		struct http_conn *c = s->oldest;
+
+		for (int i = 0; c && i < CANDIDATES_MAX; i++, c = c->prev) {
+			if (c == except ||
+			    (c->state == CONN_HANDLING && !is_flooded(c)) ||
+			    weight(c) <= most)
+				continue;
+			most = weight(c);
+			victim = c;
+		}
+	}
+	return victim;
+}
+
+/*
+ * http_pool_limit_memory() closes connections other than `except` until the
+ * memory suffices. Returns whether it does.
+ */
+bool http_pool_limit_memory(struct http_pool *p, const struct http_conn *except)
+{
+	while (http_pool_is_short(p)) {
+		struct http_conn *c = find_largest(p, except);
+
+		if (!c)
+			return false;
+		http_conn_close_for(c, SHORT_OF_MEMORY);
+	}
+	return true;
+}
+
+/*
+ * http_pool_close_slowest() closes the connection whose peer has taken nothing of
+ * its reply for longest, and at least min_stall_s, the bytes that it leaves taken
+ * into account. Returns false if there is none.
+ */
+bool http_pool_close_slowest(struct http_pool *p, double min_stall_s)
+{
+	struct http_conn *victim = NULL;
+	double most = 0;
+
+	for (struct http_server *s = p->servers; s; s = s->next_in_pool) {
+		for (struct http_conn *c = s->conns; c; c = c->next) {
+			double stall_s = ev_now(s->loop) - c->taken_at;
+
+			if (c->state != CONN_WRITING || stall_s < min_stall_s ||
+			    stall_s * (double)c->body.len <= most)
+				continue;
+			most = stall_s * (double)c->body.len;
+			victim = c;
+		}
+	}
+	if (victim)
+		http_conn_close_for(victim, SHORT_OF_REPLIES);
+	return victim != NULL;
+}
--- /dev/null
+++ b/http/pool.h
@@ -0,0 +1,45 @@
+/*
+ * Memory that the connections of several servers share. If it runs short, those
+ * are closed that have held most for longest. A connection whose request is being
+ * handled isn't closed, unless its peer sends on regardless. Each shortage is
+ * logged, at most once a second.
+ */
+#ifndef MP_HTTP_POOL_H
+#define MP_HTTP_POOL_H
+
+#include <ev.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct http_conn;
+struct http_server;
+
+enum http_shortage {
+	SHORT_OF_MEMORY,  /* for what connections hold */
+	SHORT_OF_REPLIES, /* of memory for replies that peers don't take */
+	SLOW_REPLY,	  /* none: a reply wasn't taken in time */
+	HTTP_SHORTAGES
+};
+
+struct http_shortage_log {
+	uint64_t closed; /* connections, since the start */
+	uint64_t logged; /* of them */
+	ev_tstamp at;	 /* of the last line */
+};
+
+struct http_pool {
+	struct http_server *servers;
+	size_t bytes, bytes_peak;
+	size_t bytes_max; /* 0: no limit */
+	struct http_shortage_log shortages[HTTP_SHORTAGES];
+};
+
+void http_pool_add(struct http_pool *p, struct http_server *s, const char *name);
+void http_pool_account(struct http_pool *p, size_t *held, size_t now);
+bool http_pool_limit_memory(struct http_pool *p,
+			    const struct http_conn *except);
+bool http_pool_is_short(const struct http_pool *p);
+bool http_pool_close_slowest(struct http_pool *p, double min_stall_s);
+
+#endif
--- a/http/server.c
+++ b/http/server.c
@@ -47,6 +47,7 @@
 
 	if (fd < 0)
 		return fd;
+	socket_limit_unsent(fd, HTTP_UNSENT_BYTES);
 	s->loop = loop;
 	s->ops = ops;
 	s->priv = priv;
--- a/http/server.h
+++ b/http/server.h
@@ -13,6 +13,11 @@
 
 struct http_conn;
 
+enum {
+	/* Of a reply, that the kernel keeps for a peer that doesn't read. */
+	HTTP_UNSENT_BYTES = 32 * 1024,
+};
+
 struct http_server_ops {
 	/*
 	 * A complete request; the callee owns m and replies now or later.
@@ -29,20 +34,35 @@
 	void *priv;
 	struct http_limits limits;
 	const struct http_body_gate
-		*body_gate;	 /* of new connections, or NULL */
-	double head_timeout_s;	 /* for a head, and between parts of a body */
-	double idle_timeout_s;	 /* of a keep-alive connection */
+		*body_gate;    /* of new connections, or NULL */
+	double head_timeout_s; /* for a head, and between parts of a body */
+	double idle_timeout_s; /* of a keep-alive connection */
+	/*
+	 * A reply of n bytes must be taken within reply_time_s and the time that
+	 * n bytes take at reply_min_rate, in bytes a second; 0: no limit.
+	 */
+	double reply_time_s, reply_min_rate;
 	bool disable_keep_alive; /* every reply closes its connection */
 	bool serves_connect;	 /* else CONNECT requests get 501 */
 	ev_io accept;
-	struct http_conn *conns;
+	struct http_conn *conns;  /* the one that waits least comes first */
+	struct http_conn *oldest; /* the last one */
 	unsigned nconns;
+	/* See http_pool_add(). */
+	struct http_pool *pool; /* or NULL: no limits */
+	struct http_server *next_in_pool;
+	const char *name; /* for logs */
 };
 
 struct http_reply {
 	unsigned status;
 	struct lstr headers; /* complete lines, each with its CRLF */
 	struct lstr body;
+	/*
+	 * The message that owns the body, which the connection takes over until
+	 * the body has been sent; NULL: the body is copied.
+	 */
+	struct http_message *source;
 	bool close;
 };
 
--- a/http/socket.c
+++ b/http/socket.c
@@ -104,3 +104,12 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
 		   sizeof(timeout_ms));
 }
+
+/*
+ * socket_limit_unsent() limits the bytes that the kernel keeps for a peer that
+ * doesn't read. Accepted sockets inherit it from the listening one.
+ */
+void socket_limit_unsent(int fd, int bytes)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &bytes, sizeof(bytes));
+}
--- a/http/socket.h
+++ b/http/socket.h
@@ -9,6 +9,7 @@
 int socket_connect(const struct sockaddr_in *sa);
 int socket_error(int fd);
 void socket_set_nodelay(int fd);
+void socket_limit_unsent(int fd, int bytes);
 void socket_set_keepalive(int fd, int timeout_s);
 
 #endif
--- a/misc/buf.c
+++ b/misc/buf.c
@@ -8,25 +8,49 @@
 /* Most message heads fit into the initial allocation. */
 enum { BUF_INITIAL_BYTES = 512 };
 
+/* Changes the memory of the buffer; aborts when out of memory. */
+static void set_capacity(struct buf *b, size_t cap)
+{
+	b->ptr = realloc(b->ptr, cap);
+	if (!b->ptr)
+		abort();
+	b->cap = cap;
+}
+
+/*
+ * buf_grown() returns the capacity that the buffer has once n more bytes have
+ * been reserved.
+ */
+size_t buf_grown(const struct buf *b, size_t n)
+{
+	size_t cap = b->cap ? b->cap : BUF_INITIAL_BYTES;
+
+	while (cap - b->len < n)
+		cap *= 2;
+	return cap;
+}
+
 /*
  * buf_reserve() makes room for n more bytes and returns a pointer to it; the
  * caller adds to len what it wrote. Aborts when out of memory.
  */
 char *buf_reserve(struct buf *b, size_t n)
 {
-	if (b->cap - b->len < n) {
-		size_t cap = b->cap ? b->cap : BUF_INITIAL_BYTES;
-
-		while (cap - b->len < n)
-			cap *= 2;
-		b->ptr = realloc(b->ptr, cap);
-		if (!b->ptr)
-			abort();
-		b->cap = cap;
-	}
+	if (b->cap - b->len < n)
+		set_capacity(b, buf_grown(b, n));
 	return b->ptr + b->len;
 }
 
+/*
+ * buf_reserve_exactly() makes room for n bytes in all, and no more. Aborts when
+ * out of memory.
+ */
+void buf_reserve_exactly(struct buf *b, size_t n)
+{
+	if (b->cap < n)
+		set_capacity(b, n);
+}
+
 /* buf_add() appends n bytes. */
 void buf_add(struct buf *b, const void *p, size_t n)
 {
--- a/misc/buf.h
+++ b/misc/buf.h
@@ -15,7 +15,9 @@
 	size_t len, cap;
 };
 
+size_t buf_grown(const struct buf *b, size_t n);
 char *buf_reserve(struct buf *b, size_t n);
+void buf_reserve_exactly(struct buf *b, size_t n);
 void buf_add(struct buf *b, const void *p, size_t n);
 void buf_add_lstr(struct buf *b, struct lstr s);
 void buf_printf(struct buf *b, const char *fmt, ...)
--- a/options/instance.c
+++ b/options/instance.c
@@ -19,6 +19,12 @@
 	OPT_END,
 };
 
+static const struct opt_def clients_opts[] = {
+	{"reply_time_s", OPT_REAL, FIELD(clients.reply_time_s), "30", 0, 0},
+	{"reply_min_kb_s", OPT_REAL, FIELD(clients.reply_min_kb_s), "4", 0, 0},
+	OPT_END,
+};
+
 static const struct opt_def listen_opts[] = {
 	{"callers", OPT_ADDR, FIELD(callers), NULL, 0, 0},
 	{"ready", OPT_ADDR, FIELD(ready), NULL, 0, 0},
@@ -107,6 +113,7 @@
 		settings_read_group(&s, "platform", platform_opts, out, &f);
 		settings_read_group(&s, "bounds", bounds_opts, out, &f);
 		settings_read_group(&s, "log", log_opts, out, &f);
+		settings_read_group(&s, "clients", clients_opts, out, &f);
 		settings_read_group(&s, "policy", policy_opts, out, &f);
 		if (strcmp(out->log_level, "info") &&
 		    strcmp(out->log_level, "notice"))
@@ -210,6 +217,7 @@
 	diff_group(platform_opts, a, b, out);
 	diff_group(log_opts, a, b, out);
 	diff_group(bounds_opts, a, b, out);
+	diff_group(clients_opts, a, b, out);
 	diff_group(policy_opts, a, b, out);
 }
 
@@ -277,6 +285,8 @@
 	out->memory_mb = d->entry.memory_mb;
 	out->log_level = g_strdup(d->entry.log_level);
 	out->policy = mechanisms;
+	out->clients =
+		(struct client_limits){.reply_time_s = 30, .reply_min_kb_s = 4};
 	/*
 	 * As the platform sets them today, except the probe rate: stand-ins
 	 * serve a request in milliseconds and get many more of them.
--- a/options/instance.h
+++ b/options/instance.h
@@ -31,6 +31,12 @@
 	double quota_window_s, quota_overshoot, quota_slack;
 };
 
+/* What clients may hold, see http/pool.h. */
+struct client_limits {
+	double reply_time_s;   /* for taking a reply, in addition to the rate */
+	double reply_min_kb_s; /* 0: no limit of the time */
+};
+
 struct instance_settings {
 	/* [instance] */
 	char *name, *dc, *region, *ip;
@@ -50,6 +56,8 @@
 	/* [log] */
 	char *log_level; /* info or notice */
 	struct bounds bounds;
+	/* [clients] */
+	struct client_limits clients;
 	/* [policy] */
 	struct mechanisms policy;
 };
--- /dev/null
+++ b/traffic/clients.c
@@ -0,0 +1,69 @@
+#include <inttypes.h>
+
+#include "core/body_memory.h"
+#include "traffic/clients.h"
+
+/*
+ * A caller that has taken a part of its reply more recently reads it; the way to
+ * it and back may take this long.
+ */
+static const double REPLY_STALL_S = 0.25;
+
+static const double BYTES_PER_KB = 1000;
+
+/* clients_init() sets the bounds by the machine's memory and descriptors. */
+void clients_init(struct traffic *t)
+{
+	const struct instance_settings *s = t->settings;
+	const struct {
+		struct http_server *server;
+		const char *name;
+	} servers[] = {
+		{&t->caller_server, "callers"},
+		{&t->own_server, "own"},
+		{&t->directory_server, "directory"},
+		{&t->readiness_server, "ready"},
+		{&t->metrics_server, "metrics"},
+		{&t->tunnel_server, "tunnels"},
+	};
+
+	t->pool.bytes_max = connection_memory_limit(s->memory_mb);
+	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
+		struct http_server *h = servers[i].server;
+
+		http_pool_add(&t->pool, h, servers[i].name);
+		h->reply_time_s = s->clients.reply_time_s;
+		h->reply_min_rate = s->clients.reply_min_kb_s * BYTES_PER_KB;
+	}
+}
+
+/*
+ * clients_free_replies() frees memory of replies that a caller doesn't take.
+ * Returns false if there are none.
+ */
+bool clients_free_replies(struct traffic *t)
+{
+	return http_pool_close_slowest(&t->pool, REPLY_STALL_S);
+}
+
+/* clients_write_metrics() writes what clients hold. */
+void clients_write_metrics(struct buf *out, const struct traffic *t)
+{
+	static const char *const whys[HTTP_SHORTAGES] = {
+		[SHORT_OF_MEMORY] = "memory",
+		[SHORT_OF_REPLIES] = "replies",
+		[SLOW_REPLY] = "slow",
+	};
+	const struct http_pool *p = &t->pool;
+
+	for (const struct http_server *s = p->servers; s; s = s->next_in_pool)
+		buf_printf(out, "connections{port=\"%s\"} %u\n", s->name,
+			   s->nconns);
+	buf_printf(out,
+		   "connection_bytes %zu\nconnection_bytes_peak %zu\n"
+		   "connection_bytes_limit %zu\n",
+		   p->bytes, p->bytes_peak, p->bytes_max);
+	for (unsigned i = 0; i < HTTP_SHORTAGES; i++)
+		buf_printf(out, "connections_closed{why=\"%s\"} %" PRIu64 "\n",
+			   whys[i], p->shortages[i].closed);
+}
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -4,6 +4,7 @@
 #include "core/availability.h"
 #include "core/outlier.h"
 #include "misc/clock.h"
+#include "traffic/clients.h"
 #include "traffic/metrics.h"
 #include "traffic/upstream.h"
 #include "traffic/responses.h"
@@ -248,6 +249,7 @@
 		   n->directory_answers);
 	uploads_write_metrics(out, &t->bodies);
 	responses_write_metrics(out, &t->responses);
+	clients_write_metrics(out, t);
 	workspace_metrics_write(out, t);
 	g_hash_table_iter_init(&it, t->classes);
 	while (g_hash_table_iter_next(&it, NULL, &item))
--- a/traffic/responses.c
+++ b/traffic/responses.c
@@ -1,5 +1,6 @@
 #include <errno.h>
 
+#include "traffic/clients.h"
 #include "traffic/responses.h"
 
 enum {
@@ -15,7 +16,11 @@
 {
 	struct traffic *t = priv;
 
-	return body_memory_reserve(&t->responses, held, total);
+	while (!body_memory_reserve(&t->responses, held, total)) {
+		if (!clients_free_replies(t))
+			return false;
+	}
+	return true;
 }
 
 static void release(void *priv, size_t held)
@@ -32,8 +37,10 @@
 
 	t->responses.limit = limit;
 	t->response_max = limit ? MIN(BODY_MAX, limit / PARTS) : BODY_MAX;
-	t->response_gate = (struct http_body_gate){
-		.reserve = reserve, .release = release, .priv = t};
+	t->response_gate = (struct http_body_gate){.reserve = reserve,
+						   .release = release,
+						   .waits = true,
+						   .priv = t};
 }
 
 /*
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -11,6 +11,7 @@
 #include "misc/clock.h"
 #include "member/select_instances.h"
 #include "platform/directory.h"
+#include "traffic/clients.h"
 #include "traffic/drain_gossip.h"
 #include "traffic/inflight_report.h"
 #include "traffic/limit_sends.h"
@@ -426,6 +427,7 @@
 	shortage_gossip_init(t);
 	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
 	quarantine_init(&t->quarantine);
+	clients_init(t);
 	uploads_init(t);
 	responses_init(t);
 	backend_set_init(&t->backends, on_backend_gone, t);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -18,6 +18,7 @@
 #include "core/caller_timeout.h"
 #include "core/evacuations.h"
 #include "core/quarantine.h"
+#include "http/pool.h"
 #include "http/server.h"
 #include "member/tunnel_peers.h"
 #include "misc/hist.h"
@@ -73,6 +74,7 @@
 	struct peer_view peers;
 	struct tunnel_peers tunnel_peers;
 	unsigned tunnels;	/* served to peers, open now */
+	struct http_pool pool;	/* of all servers here */
 	ev_timer path_timer;	/* while servers are reached by tunnels */
 	unsigned max_instances; /* the most seen at once in this lifetime */
 	struct budget_params budget_params;
