A crowd on one port takes no descriptor that others need

Callers saw few of their requests answered while a crowd of connections on any port held all descriptors, and the process used a whole core without a line in its log: accept() failed with EMFILE, which was taken for an empty queue, and the loop came back at once.

The sockets are one budget now: those kept for files, the control thread's own, an eighth for peers, the rest for the traffic thread. There the port that holds most beyond its share, or the idle connections to servers, give one up once the sum is used up; nobody is closed before. accept() closes a connection and tries again, and pauses for 0.1 s if that fails. Event 130 and metrics tell of it. Settings max_fds and file_fds.

--- a/control/control.c
+++ b/control/control.c
@@ -429,7 +429,7 @@
 	rc = peer_channel_open(&c->peers, c->loop, s->peers, &self, on_peer, c);
 	if (rc)
 		return rc;
-	rc = peer_fetch_init(&c->peer_fetch, c->loop, s->peers, &c->peers.peers,
+	rc = peer_fetch_init(&c->peer_fetch, c->loop, s, &c->peers.peers,
 			     &c->config, &c->backends, &c->join, &c->crashes);
 	if (rc)
 		return rc;
--- a/control/peer_fetch.c
+++ b/control/peer_fetch.c
@@ -3,6 +3,7 @@
 
 #include "common/event.h"
 #include "control/peer_fetch.h"
+#include "core/body_memory.h"
 #include "misc/clock.h"
 #include "misc/deflate.h"
 
@@ -35,6 +36,8 @@
 static const double JOIN_TIMEOUT_S = 1.0;
 static const double SERVER_TIMEOUT_S = 5;
 
+static const double BYTES_PER_KB = 1000;
+
 /* Everything; everything but a large configuration; a small configuration. */
 #define SNAPSHOT_WHOLE_PATH LSTR("/snapshot/whole")
 #define SNAPSHOT_PATH	    LSTR("/snapshot")
@@ -432,7 +435,7 @@
  * heartbeats use UDP). Returns 0 or a negative errno.
  */
 int peer_fetch_init(struct peer_fetch *in, struct ev_loop *loop,
-		    const char *listen, struct peer_table *peers,
+		    const struct instance_settings *s, struct peer_table *peers,
 		    struct config_watch *config, struct backend_watch *backends,
 		    struct member_join *join, const struct crash_watch *crashes)
 {
@@ -449,5 +452,10 @@
 	in->server.limits = (struct http_limits){HEAD_MAX, HEAD_MAX};
 	in->server.head_timeout_s = SERVER_TIMEOUT_S;
 	in->server.idle_timeout_s = SERVER_TIMEOUT_S;
-	return http_server_open(&in->server, loop, listen, &server_ops, in);
+	in->server.reply_time_s = SERVER_TIMEOUT_S;
+	in->server.reply_min_rate = s->clients.reply_min_kb_s * BYTES_PER_KB;
+	in->pool.sockets_max = instance_settings_sockets(s).peers;
+	in->pool.bytes_max = peer_memory_limit(s->memory_mb);
+	http_pool_add(&in->pool, &in->server, "peers", 1);
+	return http_server_open(&in->server, loop, s->peers, &server_ops, in);
 }
--- a/control/peer_fetch.h
+++ b/control/peer_fetch.h
@@ -11,8 +11,10 @@
 #include "control/config_watch.h"
 #include "control/crash_watch.h"
 #include "control/member_join.h"
+#include "http/pool.h"
 #include "http/server.h"
 #include "member/snapshot.h"
+#include "options/instance.h"
 
 /*
  * A configuration record up to this size is fetched from its reporter by all
@@ -30,6 +32,7 @@
 	struct member_join *join;
 	const struct crash_watch *crashes;
 	struct http_server server; /* answers peers */
+	struct http_pool pool;	   /* of its connections */
 	struct http_client client; /* sends requests to peers */
 	struct peer_info target;
 	enum fetch_what what;  /* of the pending request */
@@ -43,7 +46,7 @@
 };
 
 int peer_fetch_init(struct peer_fetch *in, struct ev_loop *loop,
-		    const char *listen, struct peer_table *peers,
+		    const struct instance_settings *s, struct peer_table *peers,
 		    struct config_watch *config, struct backend_watch *backends,
 		    struct member_join *join,
 		    const struct crash_watch *crashes);
--- a/http/conn.c
+++ b/http/conn.c
@@ -82,8 +82,10 @@
 	buf_free(&c->in);
 	unlink_conn(c);
 	s->nconns--;
-	if (s->pool)
+	if (s->pool) {
 		http_pool_account(s->pool, &c->held, 0);
+		s->pool->nconns--;
+	}
 	free(c);
 }
 
@@ -460,6 +462,8 @@
 	c->timer.data = c;
 	link_conn(c);
 	s->nconns++;
+	if (s->pool)
+		s->pool->nconns++;
 	ev_io_start(s->loop, &c->io);
 	http_conn_idle(c);
 }
--- a/http/pool.c
+++ b/http/pool.c
@@ -20,10 +20,12 @@
 enum { BLOCKED_BYTES = HTTP_UNSENT_BYTES + 32 * 1024 };
 
 /* http_pool_add() makes a server that isn't open yet use the pool. */
-void http_pool_add(struct http_pool *p, struct http_server *s, const char *name)
+void http_pool_add(struct http_pool *p, struct http_server *s, const char *name,
+		   double share)
 {
 	s->pool = p;
 	s->name = name;
+	s->share = share;
 	s->next_in_pool = p->servers;
 	p->servers = s;
 }
@@ -62,11 +64,24 @@
 	return c->state == CONN_HANDLING && !ev_is_active(&c->io);
 }
 
+/* Returns the number of sockets besides those of connections. */
+static unsigned count_others(const struct http_pool *p)
+{
+	return p->ops ? p->ops->count_others(p->priv) : 0;
+}
+
+/* http_pool_sockets() returns the number of sockets in use. */
+unsigned http_pool_sockets(const struct http_pool *p)
+{
+	return p->nconns + count_others(p);
+}
+
 /* Logs a shortage, with what has been closed since the last line. */
 static void log_shortage(struct http_pool *p, const char *name,
-			 enum http_shortage why)
+			 enum http_shortage why, const char *err)
 {
 	static const enum mp_event events[HTTP_SHORTAGES] = {
+		[SHORT_OF_SOCKETS] = EV_SOCKETS_SHORT,
 		[SHORT_OF_MEMORY] = EV_CLIENT_MEMORY_SHORT,
 		[SHORT_OF_REPLIES] = EV_REPLY_MEMORY_SHORT,
 		[SLOW_REPLY] = EV_REPLY_SLOW,
@@ -78,12 +93,24 @@
 	if (l->at > 0 && now >= l->at && now - l->at < LOG_INTERVAL_S)
 		return;
 	mp_event(events[why], G_LOG_LEVEL_WARNING,
-		 "port=%s closed=%" PRIu64 " bytes=%zu of=%zu", name,
-		 l->closed - l->logged, p->bytes, p->bytes_max);
+		 "port=%s closed=%" PRIu64 " sockets=%u of=%u bytes=%zu "
+		 "limit=%zu err=%s",
+		 name, l->closed - l->logged, http_pool_sockets(p),
+		 p->sockets_max, p->bytes, p->bytes_max, err);
 	l->logged = l->closed;
 	l->at = now;
 }
 
+/*
+ * http_pool_open_failed() reports that a socket could not be opened with -errno,
+ * for want of descriptors.
+ */
+void http_pool_open_failed(struct http_pool *p, const char *name, int err)
+{
+	p->open_failures++;
+	log_shortage(p, name, SHORT_OF_SOCKETS, g_strerror(-err));
+}
+
 /* http_conn_close_for() closes a connection because of a shortage. */
 void http_conn_close_for(struct http_conn *c, enum http_shortage why)
 {
@@ -92,7 +119,7 @@
 
 	if (s->pool) {
 		s->pool->shortages[why].closed++;
-		log_shortage(s->pool, s->name, why);
+		log_shortage(s->pool, s->name, why, "-");
 	}
 	http_conn_notify_closed(c);
 	if (idle)
@@ -101,6 +128,70 @@
 		http_conn_reset(c);
 }
 
+/* Returns the connection of a server to be closed first, or NULL. */
+static struct http_conn *find_candidate(const struct http_server *s)
+{
+	struct http_conn *c = s->oldest;
+
+	for (int i = 0; c && i < CANDIDATES_MAX; i++, c = c->prev) {
+		if (c->state != CONN_HANDLING)
+			return c;
+	}
+	return NULL;
+}
+
+/*
+ * Returns the connection to be closed first of the server that holds most beyond
+ * its share, and beyond `most` of it; NULL: none.
+ */
+static struct http_conn *find_beyond(const struct http_pool *p, double most)
+{
+	struct http_conn *victim = NULL;
+
+	for (struct http_server *s = p->servers; s; s = s->next_in_pool) {
+		struct http_conn *c =
+			s->nconns > s->share * most ? find_candidate(s) : NULL;
+
+		if (!c)
+			continue;
+		most = s->nconns / s->share;
+		victim = c;
+	}
+	return victim;
+}
+
+/*
+ * http_pool_close_socket() closes a socket of those that use most of their
+ * share. Returns false if none may be closed.
+ */
+bool http_pool_close_socket(struct http_pool *p)
+{
+	double others = p->ops ? count_others(p) / p->others_share : 0;
+	struct http_conn *victim = find_beyond(p, others);
+
+	if (!victim && p->ops && p->ops->close_other(p->priv))
+		return true;
+	/* The others use most, but none of them is idle. */
+	if (!victim)
+		victim = find_beyond(p, 0);
+	if (victim)
+		http_conn_close_for(victim, SHORT_OF_SOCKETS);
+	return victim != NULL;
+}
+
+/*
+ * http_pool_limit_sockets() closes sockets beyond the limit, so that `more` can
+ * be opened. Returns whether they can.
+ */
+bool http_pool_limit_sockets(struct http_pool *p, unsigned more)
+{
+	while (p->sockets_max && http_pool_sockets(p) + more > p->sockets_max) {
+		if (!http_pool_close_socket(p))
+			return false;
+	}
+	return true;
+}
+
 /* http_pool_is_short() returns whether more memory is in use than may be. */
 bool http_pool_is_short(const struct http_pool *p)
 {
--- a/http/server.c
+++ b/http/server.c
@@ -14,15 +14,64 @@
  */
 static const double FIRST_REQUEST_GRACE_S = 0.2;
 
-/* Accepts one connection; returns false if none is pending. */
-static bool accept_one(struct http_server *s)
+/* Between attempts to accept while descriptors or memory lack. */
+static const double ACCEPT_PAUSE_S = 0.1;
+
+/* Continues to accept connections after a pause. */
+static void on_pause_over(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct http_server *s = t->data;
+
+	ev_io_start(loop, &s->accept);
+}
+
+/*
+ * Handles a lack of descriptors or memory. The connection stays in the queue of
+ * the kernel, which would report it over and over without a pause.
+ */
+static void pause_accepting(struct http_server *s, int err)
+{
+	ev_io_stop(s->loop, &s->accept);
+	ev_timer_set(&s->accept_pause, ACCEPT_PAUSE_S, 0);
+	ev_timer_start(s->loop, &s->accept_pause);
+	if (s->pool)
+		http_pool_open_failed(s->pool, s->name, err);
+}
+
+/*
+ * Accepts a connection, and closes another one for it if there is no descriptor
+ * left. Returns its descriptor or a negative errno.
+ */
+static int accept_fd(struct http_server *s)
 {
 	int fd =
 		accept4(s->accept.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
-	if (fd < 0)
+	if (fd < 0 && (errno == EMFILE || errno == ENFILE) && s->pool &&
+	    http_pool_close_socket(s->pool))
+		fd = accept4(s->accept.fd, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+	return fd < 0 ? -errno : fd;
+}
+
+/*
+ * Accepts one connection; returns false if none is pending, or none can be
+ * accepted now.
+ */
+static bool accept_one(struct http_server *s)
+{
+	int fd = accept_fd(s);
+
+	if (fd == -ECONNABORTED || fd == -EINTR)
+		return true;
+	if (fd < 0) {
+		if (fd != -EAGAIN && ev_is_active(&s->accept))
+			pause_accepting(s, fd);
 		return false;
+	}
 	http_conn_new(s, fd);
+	if (s->pool)
+		(void)http_pool_limit_sockets(s->pool, 0);
 	return true;
 }
 
@@ -51,6 +100,8 @@
 	s->loop = loop;
 	s->ops = ops;
 	s->priv = priv;
+	ev_timer_init(&s->accept_pause, on_pause_over, ACCEPT_PAUSE_S, 0);
+	s->accept_pause.data = s;
 	ev_io_init(&s->accept, on_accept, fd, EV_READ);
 	s->accept.data = s;
 	ev_io_start(loop, &s->accept);
@@ -64,8 +115,9 @@
  */
 void http_server_stop_listening(struct http_server *s)
 {
-	if (!ev_is_active(&s->accept))
+	if (!ev_is_active(&s->accept) && !ev_is_active(&s->accept_pause))
 		return;
+	ev_timer_stop(s->loop, &s->accept_pause);
 	ev_io_stop(s->loop, &s->accept);
 	while (accept_one(s))
 		;
--- a/http/server.h
+++ b/http/server.h
@@ -45,6 +45,7 @@
 	bool disable_keep_alive; /* every reply closes its connection */
 	bool serves_connect;	 /* else CONNECT requests get 501 */
 	ev_io accept;
+	ev_timer accept_pause;
 	struct http_conn *conns;  /* the one that waits least comes first */
 	struct http_conn *oldest; /* the last one */
 	unsigned nconns;
@@ -52,6 +53,7 @@
 	struct http_pool *pool; /* or NULL: no limits */
 	struct http_server *next_in_pool;
 	const char *name; /* for logs */
+	double share;	  /* of the pool's sockets */
 };
 
 struct http_reply {
--- a/options/instance.c
+++ b/options/instance.c
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "http/socket.h"
 #include "options/deploy.h"
@@ -16,12 +17,14 @@
 	{"seeds", OPT_STR, FIELD(seeds), "", 0, 0},
 	{"first_start", OPT_BOOL, FIELD(first_start), "false", 0, 0},
 	{"memory_mb", OPT_REAL, FIELD(memory_mb), "0", 0, 0},
+	{"max_fds", OPT_REAL, FIELD(max_fds), "0", 0, 0},
 	OPT_END,
 };
 
 static const struct opt_def clients_opts[] = {
 	{"reply_time_s", OPT_REAL, FIELD(clients.reply_time_s), "30", 0, 0},
 	{"reply_min_kb_s", OPT_REAL, FIELD(clients.reply_min_kb_s), "4", 0, 0},
+	{"file_fds", OPT_REAL, FIELD(clients.file_fds), "200", 0, 0},
 	OPT_END,
 };
 
@@ -155,6 +158,24 @@
 	return out;
 }
 
+/*
+ * instance_settings_sockets() divides the sockets that the process may open: by
+ * its settings, or fewer if the system allows fewer.
+ */
+struct socket_limits
+instance_settings_sockets(const struct instance_settings *s)
+{
+	double fds = s->max_fds;
+	struct rlimit files;
+
+	if (!getrlimit(RLIMIT_NOFILE, &files) &&
+	    files.rlim_cur != RLIM_INFINITY &&
+	    (fds == 0 || (double)files.rlim_cur < fds))
+		fds = (double)files.rlim_cur;
+	return fds > 0 ? socket_limits_divide(fds, s->clients.file_fds)
+		       : (struct socket_limits){0};
+}
+
 /* instance_settings_is_seed() returns whether this instance is a seed. */
 bool instance_settings_is_seed(const struct instance_settings *s)
 {
@@ -285,8 +306,8 @@
 	out->memory_mb = d->entry.memory_mb;
 	out->log_level = g_strdup(d->entry.log_level);
 	out->policy = mechanisms;
-	out->clients =
-		(struct client_limits){.reply_time_s = 30, .reply_min_kb_s = 4};
+	out->clients = (struct client_limits){
+		.reply_time_s = 30, .reply_min_kb_s = 4, .file_fds = 200};
 	/*
 	 * As the platform sets them today, except the probe rate: stand-ins
 	 * serve a request in milliseconds and get many more of them.
--- a/options/instance.h
+++ b/options/instance.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 
+#include "core/client_limits.h"
 #include "core/mechanisms.h"
 #include "misc/buf.h"
 #include "options/settings.h"
@@ -31,10 +32,11 @@
 	double quota_window_s, quota_overshoot, quota_slack;
 };
 
-/* What clients may hold, see http/pool.h. */
+/* What clients may hold, see http/pool.h and core/client_limits.h. */
 struct client_limits {
 	double reply_time_s;   /* for taking a reply, in addition to the rate */
 	double reply_min_kb_s; /* 0: no limit of the time */
+	double file_fds;       /* descriptors that are not used for sockets */
 };
 
 struct instance_settings {
@@ -43,6 +45,7 @@
 	char *seeds; /* HOST:PORT, separated by commas; only the hosts count */
 	bool first_start; /* of the whole system: startup may take longer */
 	double memory_mb; /* of the machine; 0: unknown */
+	double max_fds;	  /* descriptors of the process; 0: as it finds */
 	bool via;	  /* adds a Via header with name and lifetime */
 	/* Replaces the hosts of servers; NULL: as listed. Local only. */
 	char *server_host;
@@ -76,6 +79,8 @@
 void instance_settings_diff(const struct instance_settings *a,
 			    const struct instance_settings *b, struct buf *out);
 GArray *instance_settings_seeds(const struct instance_settings *s);
+struct socket_limits
+instance_settings_sockets(const struct instance_settings *s);
 bool instance_settings_is_seed(const struct instance_settings *s);
 int instance_settings_load(const char *path, struct instance_settings *out);
 void instance_settings_apply_reload(struct instance_settings *s,
--- a/tests/test_instance.c
+++ b/tests/test_instance.c
@@ -46,6 +46,7 @@
 	{"bounds.quotaWindowS", "5"},
 	{"bounds.quotaOvershoot", "0.1"},
 	{"bounds.quotaSlack", "20"},
+	{"limits.maxFds", "4100"},
 };
 
 /* Returns a variable's value, or "" for the one in `unset`. */
--- a/traffic/clients.c
+++ b/traffic/clients.c
@@ -1,7 +1,9 @@
+#include <errno.h>
 #include <inttypes.h>
 
 #include "core/body_memory.h"
 #include "traffic/clients.h"
+#include "traffic/upstream.h"
 
 /*
  * A caller that has taken a part of its reply more recently reads it; the way to
@@ -11,6 +13,21 @@
 
 static const double BYTES_PER_KB = 1000;
 
+/* Returns the sockets besides those of connections; a tunnel has two. */
+static unsigned count_others(void *priv)
+{
+	const struct traffic *t = priv;
+
+	return t->upstreams + 2 * t->tunnels;
+}
+
+static bool close_other(void *priv)
+{
+	return upstream_drop_oldest(priv);
+}
+
+static const struct http_pool_ops pool_ops = {count_others, close_other};
+
 /* clients_init() sets the bounds by the machine's memory and descriptors. */
 void clients_init(struct traffic *t)
 {
@@ -18,25 +35,53 @@
 	const struct {
 		struct http_server *server;
 		const char *name;
+		double share;
 	} servers[] = {
-		{&t->caller_server, "callers"},
-		{&t->own_server, "own"},
-		{&t->directory_server, "directory"},
-		{&t->readiness_server, "ready"},
-		{&t->metrics_server, "metrics"},
-		{&t->tunnel_server, "tunnels"},
+		{&t->caller_server, "callers", SHARE_CALLERS},
+		{&t->own_server, "own", SHARE_OWN},
+		{&t->directory_server, "directory", SHARE_DIRECTORY},
+		{&t->readiness_server, "ready", SHARE_READINESS},
+		{&t->metrics_server, "metrics", SHARE_METRICS},
+		{&t->tunnel_server, "tunnels", SHARE_TUNNELS},
 	};
+	struct socket_limits limits = instance_settings_sockets(s);
 
+	t->pool.ops = &pool_ops;
+	t->pool.priv = t;
+	t->pool.others_share = SHARE_SERVERS;
+	t->pool.sockets_max = limits.traffic;
+	t->tunnels_max = limits.tunnels;
 	t->pool.bytes_max = connection_memory_limit(s->memory_mb);
 	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
 		struct http_server *h = servers[i].server;
 
-		http_pool_add(&t->pool, h, servers[i].name);
+		http_pool_add(&t->pool, h, servers[i].name, servers[i].share);
 		h->reply_time_s = s->clients.reply_time_s;
 		h->reply_min_rate = s->clients.reply_min_kb_s * BYTES_PER_KB;
 	}
 }
 
+/*
+ * clients_make_room() makes room for a socket to a backend server. Returns false
+ * if there is none.
+ */
+bool clients_make_room(struct traffic *t)
+{
+	return http_pool_limit_sockets(&t->pool, 1);
+}
+
+/*
+ * clients_retry_open() handles a socket to a backend server that could not be
+ * opened. Returns whether another attempt may succeed.
+ */
+bool clients_retry_open(struct traffic *t, int err)
+{
+	if (err != -EMFILE && err != -ENFILE)
+		return false;
+	http_pool_open_failed(&t->pool, "servers", err);
+	return http_pool_close_socket(&t->pool);
+}
+
 /*
  * clients_free_replies() frees memory of replies that a caller doesn't take.
  * Returns false if there are none.
@@ -50,6 +95,7 @@
 void clients_write_metrics(struct buf *out, const struct traffic *t)
 {
 	static const char *const whys[HTTP_SHORTAGES] = {
+		[SHORT_OF_SOCKETS] = "sockets",
 		[SHORT_OF_MEMORY] = "memory",
 		[SHORT_OF_REPLIES] = "replies",
 		[SLOW_REPLY] = "slow",
@@ -59,6 +105,11 @@
 	for (const struct http_server *s = p->servers; s; s = s->next_in_pool)
 		buf_printf(out, "connections{port=\"%s\"} %u\n", s->name,
 			   s->nconns);
+	buf_printf(out,
+		   "backend_connections %u\nsockets %u\nsockets_limit %u\n"
+		   "socket_failures %" PRIu64 "\n",
+		   t->upstreams, http_pool_sockets(p), p->sockets_max,
+		   p->open_failures);
 	buf_printf(out,
 		   "connection_bytes %zu\nconnection_bytes_peak %zu\n"
 		   "connection_bytes_limit %zu\n",
--- a/traffic/clients.h
+++ b/traffic/clients.h
@@ -5,6 +5,8 @@
 #include "traffic/traffic.h"
 
 void clients_init(struct traffic *t);
+bool clients_make_room(struct traffic *t);
+bool clients_retry_open(struct traffic *t, int err);
 bool clients_free_replies(struct traffic *t);
 void clients_write_metrics(struct buf *out, const struct traffic *t);
 
--- a/traffic/tunnels.c
+++ b/traffic/tunnels.c
@@ -11,6 +11,7 @@
 #include "http/splice.h"
 #include "member/tunnel_request.h"
 #include "misc/clock.h"
+#include "traffic/clients.h"
 #include "traffic/path_check.h"
 #include "traffic/tunnels.h"
 
@@ -184,9 +185,13 @@
 static int connect_to(struct traffic *t, struct backend *b, struct http_conn *c,
 		      const struct tunnel_request *r)
 {
-	int fd = socket_connect(&b->entry.addr);
+	int fd =
+		clients_make_room(t) ? socket_connect(&b->entry.addr) : -EMFILE;
 	struct tunnel *n;
 
+	if (fd < 0 && clients_retry_open(t, fd))
+		fd = socket_connect(&b->entry.addr);
+
 	if (fd < 0)
 		return fd;
 	n = g_new0(struct tunnel, 1);
@@ -218,7 +223,8 @@
 	int rc;
 
 	g_free(id);
-	if (t->stopping || t->tunnels >= TUNNELS_MAX) {
+	if (t->stopping || t->tunnels >= TUNNELS_MAX ||
+	    (t->tunnels_max && t->tunnels >= t->tunnels_max)) {
 		refuse(t, c, r, TUNNEL_UNAVAILABLE,
 		       t->stopping ? "stopping" : "too many");
 	} else if (!b || !backend_is_available(b, SEND_COMMITTED, clock_ms())) {
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -6,6 +6,7 @@
 #include "core/path.h"
 #include "member/tunnel_request.h"
 #include "misc/clock.h"
+#include "traffic/clients.h"
 #include "traffic/feedback.h"
 #include "traffic/path_check.h"
 #include "traffic/responses.h"
@@ -64,6 +65,7 @@
 static void free_upstream(struct upstream *u)
 {
 	unlink_upstream(u);
+	u->traffic->upstreams--;
 	if (u->peer)
 		tunnel_peer_unref(u->peer);
 	backend_unref(u->backend);
@@ -220,6 +222,7 @@
 		return NULL;
 	}
 	opened++;
+	u->traffic->upstreams++;
 	backend_ref(u->backend);
 	if (u->peer)
 		tunnel_peer_ref(u->peer);
@@ -230,28 +233,51 @@
 /* The body is bounded with each request, see responses_bound(). */
 static const struct http_limits response_limits = {HEAD_MAX, HEAD_MAX};
 
+/* Connects to the server itself. Returns 0 or a negative errno. */
+static int open_direct(struct upstream *u)
+{
+	return http_client_open(&u->http, u->traffic->loop,
+				&u->backend->entry.addr, CONNECT_TIMEOUT_S,
+				response_limits, &client_ops, u);
+}
+
+/* Connects through the peer, with a request for a tunnel. Likewise. */
+static int open_through_peer(struct upstream *u, struct lstr head)
+{
+	return http_client_open_tunnel(&u->http, u->traffic->loop,
+				       &u->peer->addr, head, TUNNEL_TIMEOUT_S,
+				       response_limits, &client_ops, u);
+}
+
 /*
  * upstream_open_direct() opens a new direct connection to b. Returns NULL if no
  * socket can be opened.
  */
 struct upstream *upstream_open_direct(struct traffic *t, struct backend *b)
 {
-	struct upstream *u = new_upstream(t, b);
+	struct upstream *u;
+	int rc;
 
-	return connection_started(
-		u, http_client_open(&u->http, t->loop, &b->entry.addr,
-				    CONNECT_TIMEOUT_S, response_limits,
-				    &client_ops, u));
+	if (!clients_make_room(t))
+		return NULL;
+	u = new_upstream(t, b);
+	rc = open_direct(u);
+	if (rc && clients_retry_open(t, rc))
+		rc = open_direct(u);
+	return connection_started(u, rc);
 }
 
 /* Opens a new connection to b through a tunnel of the peer. */
 static struct upstream *open_tunneled(struct traffic *t, struct backend *b,
 				      struct tunnel_peer *peer)
 {
-	struct upstream *u = new_upstream(t, b);
 	struct buf head = {0};
+	struct upstream *u;
 	int rc;
 
+	if (!clients_make_room(t))
+		return NULL;
+	u = new_upstream(t, b);
 	u->peer = peer;
 	u->tunnel = (uint64_t)g_rand_int(t->rand) << 32 | g_rand_int(t->rand);
 	tunnel_request_write(&head, &(struct tunnel_request){
@@ -259,9 +285,9 @@
 					    .from = lstr0(t->settings->name),
 					    .id = u->tunnel,
 					    .framed = true});
-	rc = http_client_open_tunnel(&u->http, t->loop, &peer->addr,
-				     buf_lstr(&head), TUNNEL_TIMEOUT_S,
-				     response_limits, &client_ops, u);
+	rc = open_through_peer(u, buf_lstr(&head));
+	if (rc && clients_retry_open(t, rc))
+		rc = open_through_peer(u, buf_lstr(&head));
 	buf_free(&head);
 	t->counters.tunnels_opened += !rc;
 	return connection_started(u, rc);
@@ -403,6 +429,30 @@
 	free_upstream(u);
 }
 
+/*
+ * upstream_drop_oldest() closes the longest unused idle connection to any server.
+ * Returns false if there is none.
+ */
+bool upstream_drop_oldest(struct traffic *t)
+{
+	struct upstream *oldest = NULL;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, t->backends.by_id);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct backend *b = v;
+
+		for (struct upstream *u = b->idle_conns; u; u = u->next) {
+			if (!oldest || u->last_used_ms < oldest->last_used_ms)
+				oldest = u;
+		}
+	}
+	if (oldest)
+		upstream_drop(oldest);
+	return oldest != NULL;
+}
+
 /* Closes all idle connections to b. */
 void upstream_drop_idle(struct backend *b)
 {
--- a/traffic/upstream.h
+++ b/traffic/upstream.h
@@ -55,6 +55,7 @@
 		    const struct upstream_ops *ops, void *owner);
 void upstream_put(struct upstream *u, int64_t now_ms);
 void upstream_drop(struct upstream *u);
+bool upstream_drop_oldest(struct traffic *t);
 void upstream_drop_idle(struct backend *b);
 void upstream_drop_unlisted(struct backend *b);
 struct upstream *upstream_open_direct(struct traffic *t, struct backend *b);
