Answers with invalid heads are errors wherever they are read

Callers got a status 000 of a server in trouble as an answer, and headers with blanks in their names, or a body that wasn't the server's where the name of its framing header had one. Heads of requests were checked strictly, heads of responses by the parser library alone, which accepts these.

The one reader of responses keeps a head until it is complete and checks it with the functions that check requests' heads; trailers are checked as they come. So it holds for requests, probes, interim answers, tunnels, the store, peers, end checks, ctl, load and the stand-ins. The line of a request is checked in the same grammar.

--- a/http/conn.c
+++ b/http/conn.c
@@ -340,7 +340,7 @@
 		conn_reject(c, 431);
 		return false;
 	}
-	if (end < 0 || head_check(c->in.ptr, (size_t)end)) {
+	if (end < 0 || head_check_request(c->in.ptr, (size_t)end)) {
 		conn_reject(c, 400);
 		return false;
 	}
--- a/http/message.c
+++ b/http/message.c
@@ -5,6 +5,7 @@
 #include <strings.h>
 #include <sys/param.h>
 
+#include "http/head.h"
 #include "http/message.h"
 
 /* Larger bodies get their memory as they arrive. */
@@ -42,12 +43,18 @@
 	r->value.len = 0;
 }
 
-/* Appends head bytes to b within the limit; trailers are ignored. */
+/* Handles a part of a trailer, which is ignored if it is valid. */
+static int check_trailer(struct http_reader *r, bool valid)
+{
+	if (!valid)
+		r->err = -EPROTO;
+	return !valid;
+}
+
+/* Appends head bytes to b within the limit. */
 static int add_head_bytes(struct http_reader *r, struct buf *b, const char *p,
 			  size_t n)
 {
-	if (r->msg->head_done)
-		return 0;
 	r->head_bytes += n;
 	if (r->limits.head_max && r->head_bytes > r->limits.head_max) {
 		r->err = -EMSGSIZE;
@@ -70,6 +77,8 @@
 {
 	struct http_reader *r = p->data;
 
+	if (r->msg->head_done)
+		return check_trailer(r, head_is_token(at, n));
 	finish_header(r);
 	return add_head_bytes(r, &r->name, at, n);
 }
@@ -80,7 +89,7 @@
 	struct http_reader *r = p->data;
 
 	if (r->msg->head_done)
-		return 0;
+		return check_trailer(r, head_is_text(at, n));
 	r->in_value = true;
 	return add_head_bytes(r, &r->value, at, n);
 }
@@ -228,29 +237,80 @@
 	r->limits = limits;
 }
 
+/* Parses n bytes. Returns how many have been consumed, or a negative errno. */
+static ssize_t execute(struct http_reader *r, const char *p, size_t n)
+{
+	size_t used = http_parser_execute(&r->parser, &callbacks, p, n);
+
+	if (r->err)
+		return r->err;
+	if (r->msg->done || r->starved)
+		return (ssize_t)used;
+	return used == n ? (ssize_t)n : -EPROTO;
+}
+
+/*
+ * Parses the head of a response once it is complete and valid. Returns how many
+ * of the n bytes at p have been consumed, or a negative errno.
+ */
+static ssize_t read_response_head(struct http_reader *r, const char *p,
+				  size_t n)
+{
+	size_t before = r->head.len, len = before + n;
+	const char *head = p;
+	ptrdiff_t end;
+	ssize_t used;
+
+	if (before) {
+		buf_add(&r->head, p, n);
+		head = r->head.ptr;
+	}
+	end = head_may_be_response(head, len) ? head_find_end(head, len, before)
+					      : -EPROTO;
+	if (end < 0)
+		return end;
+	if (r->limits.head_max &&
+	    (end ? (size_t)end : len) > r->limits.head_max)
+		return -EMSGSIZE;
+	if (end == 0) {
+		if (!before)
+			buf_add(&r->head, p, n);
+		return (ssize_t)n;
+	}
+	if (head_check_response(head, (size_t)end))
+		return -EPROTO;
+	used = execute(r, head, (size_t)end);
+	buf_free(&r->head);
+	return used < 0 ? used : used - (ssize_t)before;
+}
+
 /*
  * http_reader_feed() parses up to n bytes of one message. It stops at the end
  * of the message (msg->done), or if there is no memory for its body (starved),
  * and leaves the bytes that follow to the caller.
  * Returns the number of bytes consumed, -EMSGSIZE or -EFBIG if the head or body
  * exceeds its limit, -ENOBUFS if the gate has no memory for the body, or -EPROTO
- * for malformed input.
+ * for malformed input. The head of a request must have been checked by the
+ * caller.
  */
 ssize_t http_reader_feed(struct http_reader *r, const char *p, size_t n)
 {
+	ssize_t head = 0, body;
+
 	if (!r->msg) {
 		r->msg = calloc(1, sizeof(*r->msg));
 		if (!r->msg)
 			abort();
 		r->msg->gate = r->gate;
 	}
-	size_t used = http_parser_execute(&r->parser, &callbacks, p, n);
-
-	if (r->err)
-		return r->err;
-	if (r->msg->done || r->starved)
-		return (ssize_t)used;
-	return used == n ? (ssize_t)n : -EPROTO;
+	if (r->parser.type == HTTP_RESPONSE && !r->msg->head_done) {
+		head = read_response_head(r, p, n);
+		if (head < 0 || !r->msg->head_done || r->msg->done ||
+		    r->starved || (size_t)head == n)
+			return head;
+	}
+	body = execute(r, p + head, n - (size_t)head);
+	return body < 0 ? body : head + body;
 }
 
 /*
@@ -306,6 +366,7 @@
 {
 	http_message_free(r->msg);
 	r->msg = NULL;
+	buf_free(&r->head);
 	buf_free(&r->name);
 	buf_free(&r->value);
 	buf_free(&r->target);
--- a/http/message.h
+++ b/http/message.h
@@ -60,6 +60,7 @@
 	struct http_limits limits;
 	const struct http_body_gate *gate; /* of the next messages, or NULL */
 	struct http_message *msg;
+	struct buf head;	/* of a response, while it is incomplete */
 	struct buf name, value; /* the header line being read */
 	struct buf target;
 	size_t head_bytes; /* of names, values and the target so far */
--- a/tests/test_head.c
+++ b/tests/test_head.c
@@ -14,7 +14,7 @@
 	if (end < 0)
 		return (int)end;
 	assert_int_equal(end, n);
-	return head_check(text, n);
+	return head_check_request(text, n);
 }
 
 static void test_valid_heads(void **state)
@@ -54,6 +54,16 @@
 		"GET / HTTP/1.1\r\nA: b\x01c\r\n\r\n",
 		"GET /\x01 HTTP/1.1\r\n\r\n",
 		"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n",
+		" GET / HTTP/1.1\r\n\r\n",
+		"GET  / HTTP/1.1\r\n\r\n",
+		"GET / HTTP/1.1 \r\n\r\n",
+		"GET /\r\n\r\n",
+		"GET / HTTP/2.0\r\n\r\n",
+		"GET\t/ HTTP/1.1\r\n\r\n",
+		"G(T / HTTP/1.1\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length:\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
 	};
 
 	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
