Answers kept for repetitions have a bound in bytes

On the own interface 30 calls with keys and answers of 3.8 MB took an instance of 64 MB to 130 MB: the table of idempotency keys kept whole answers, bounded by the number of keys alone. It kept them as text, so a repetition got an answer with a zero byte cut there, as a complete one.

A repetition whose answer was dropped gets 504, which leaves open whether it ran.

--- a/caller/native_api.c
+++ b/caller/native_api.c
@@ -66,14 +66,11 @@
 static void record_outcome(struct request *r, unsigned status, struct lstr body)
 {
 	char *key = idempotency_key(r->message);
-	char *text;
 
 	if (!key)
 		return;
-	text = g_strndup(body.ptr, body.len);
 	dedup_end(&r->traffic->dedup, r->service->name, key,
-		  outcome_from_status(status), text);
-	g_free(text);
+		  outcome_from_status(status), body);
 	g_free(key);
 }
 
@@ -192,10 +189,14 @@
 
 	if (dedup_begin(&t->dedup, s->name, key, &seen))
 		return false;
-	if (seen.state == DEDUP_DONE) {
+	if (seen.state == DEDUP_DONE && seen.body) {
 		write_outcome(&headers, id, CALL_DONE);
-		reply(c, 200, buf_lstr(&headers), lstr0(seen.body));
+		reply(c, 200, buf_lstr(&headers),
+		      (struct lstr){seen.body, seen.len});
 		buf_free(&headers);
+	} else if (seen.state == DEDUP_DONE) {
+		reject_call(c, 504, id,
+			    "the first call's answer isn't kept any more");
 	} else {
 		reject_call(c, 504, id,
 			    "first call with this key has no outcome");
--- a/traffic/traffic.c
+++ b/traffic/traffic.c
@@ -33,7 +33,7 @@
 	/* Used until the first configuration sets the callers' limits. */
 	DEFAULT_HEAD_MAX = 16 * 1024,
 	DEFAULT_BODY_MAX = 64 << 20,
-	/* Idempotency keys remembered, about 100 bytes each. */
+	/* Idempotency keys remembered, about 100 bytes each besides answers. */
 	DEDUP_KEYS_MAX = 50 * 1000,
 };
 
@@ -425,7 +425,7 @@
 	quotas_init(t);
 	drain_gossip_init(t);
 	shortage_gossip_init(t);
-	dedup_init(&t->dedup, DEDUP_KEYS_MAX);
+	dedup_init(&t->dedup, DEDUP_KEYS_MAX, kept_memory_limit(s->memory_mb));
 	quarantine_init(&t->quarantine);
 	clients_init(t);
 	uploads_init(t);
