--- a/http/conn.c
+++ b/http/conn.c
@@ -168,8 +168,8 @@
 }
 
 /*
- * http_conn_idle() waits for the next request; starts at once with bytes already
- * read.
+ * http_conn_idle() waits for the next request; one that has been read already is
+ * handled from the event loop, as many may follow each other.
  */
 void http_conn_idle(struct http_conn *c)
 {
@@ -184,7 +184,7 @@
 	http_conn_set_timer(c, c->server->idle_timeout_s);
 	http_conn_account(c);
 	if (c->in.len)
-		conn_input(c);
+		ev_feed_event(c->server->loop, &c->io, EV_CUSTOM);
 }
 
 /* Replies to an invalid request and closes the connection. */
@@ -433,7 +433,9 @@
 	struct http_conn *c = io->data;
 	struct http_pool *pool = c->server->pool;
 
-	if (revents & EV_WRITE)
+	if (revents & EV_CUSTOM)
+		conn_input(c);
+	else if (revents & EV_WRITE)
 		http_conn_write(c);
 	else
 		conn_read(c);
--- a/http/server.c
+++ b/http/server.c
@@ -119,7 +119,8 @@
 		return;
 	ev_timer_stop(s->loop, &s->accept_pause);
 	ev_io_stop(s->loop, &s->accept);
-	while (accept_one(s))
+	/* Those that come meanwhile could keep this from ending. */
+	for (int i = 0; i < SOCKET_LISTEN_BACKLOG && accept_one(s); i++)
 		;
 	close(s->accept.fd);
 }
@@ -143,7 +144,7 @@
 static bool is_idle(const struct http_conn *c)
 {
 	return c->state == CONN_IDLE && !is_awaiting_first_request(c) &&
-	       !has_input(c);
+	       !c->in.len && !has_input(c);
 }
 
 /*
--- a/http/socket.c
+++ b/http/socket.c
@@ -8,12 +8,6 @@
 #include "http/socket.h"
 #include "options/settings.h"
 
-/*
- * Large enough for all callers to reconnect at once after a fault without a SYN
- * being dropped and retransmitted.
- */
-enum { LISTEN_BACKLOG = 1024 };
-
 /* socket_parse_addr() parses "a.b.c.d:port". Returns 0 or -EINVAL. */
 int socket_parse_addr(const char *addr, struct sockaddr_in *sa)
 {
@@ -42,7 +36,7 @@
 		return -errno;
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) ||
-	    listen(fd, LISTEN_BACKLOG)) {
+	    listen(fd, SOCKET_LISTEN_BACKLOG)) {
 		rc = -errno;
 		close(fd);
 		return rc;
--- a/http/socket.h
+++ b/http/socket.h
@@ -4,6 +4,12 @@
 
 #include <netinet/in.h>
 
+/*
+ * Large enough for all callers to reconnect at once after a fault without a SYN
+ * being dropped and retransmitted.
+ */
+enum { SOCKET_LISTEN_BACKLOG = 1024 };
+
 int socket_parse_addr(const char *addr, struct sockaddr_in *sa);
 int socket_listen(const char *addr);
 int socket_connect(const struct sockaddr_in *sa);
--- a/http/splice.c
+++ b/http/splice.c
@@ -34,16 +34,25 @@
 static void finish(struct splice *s, int err)
 {
 	ev_timer_stop(s->loop, &s->linger);
+	ev_timer_stop(s->loop, &s->stall);
 	for (int i = 0; i < 2; i++)
 		end_close(&s->ends[i], err != 0);
+	if (s->pool)
+		http_pool_account(s->pool, &s->held, 0);
 	s->closed(s->priv, err);
 }
 
+/* Returns how many bytes may wait for an end before the other isn't read. */
+static size_t buffered_max(const struct splice *s)
+{
+	return s->pool && http_pool_is_short(s->pool) ? 1 : BUFFERED_MAX;
+}
+
 /* Watches an end for what can be done with it. */
 static void watch(struct splice_end *e)
 {
 	struct ev_loop *loop = e->splice->loop;
-	bool reads = !e->ended && e->other->out.len < BUFFERED_MAX;
+	bool reads = !e->ended && e->other->out.len < buffered_max(e->splice);
 	int events = (reads ? EV_READ : 0) | (e->out.len ? EV_WRITE : 0);
 
 	if (events == (ev_is_active(&e->io) ? e->io.events : 0))
@@ -65,6 +74,7 @@
 		if (n < 0)
 			return -errno;
 		buf_consume(&e->out, (size_t)n);
+		e->splice->taken += (size_t)n;
 	}
 	buf_free(&e->out);
 	if (e->other->ended)
@@ -145,6 +155,25 @@
 	       !s->ends[1].out.len;
 }
 
+/* Accounts the buffers, and limits the time for which they wait. */
+static void update(struct splice *s)
+{
+	bool waits = s->ends[0].out.len || s->ends[1].out.len;
+
+	if (s->pool)
+		http_pool_account(s->pool, &s->held,
+				  s->ends[0].out.cap + s->ends[1].out.cap);
+	watch(&s->ends[0]);
+	watch(&s->ends[1]);
+	if (!waits || s->stall_s <= 0) {
+		ev_timer_stop(s->loop, &s->stall);
+	} else if (!ev_is_active(&s->stall)) {
+		s->taken = 0;
+		ev_timer_set(&s->stall, s->stall_s, 0);
+		ev_timer_start(s->loop, &s->stall);
+	}
+}
+
 /* Dispatches the events of an end. */
 static void on_event(struct ev_loop *loop, ev_io *io, int revents)
 {
@@ -160,8 +189,18 @@
 		finish(s, err);
 		return;
 	}
-	watch(&s->ends[0]);
-	watch(&s->ends[1]);
+	update(s);
+}
+
+/* Bytes have been waiting for an end; it may not be too slow. */
+static void on_stall(struct ev_loop *loop, ev_timer *t, int revents)
+{
+	struct splice *s = t->data;
+
+	if ((double)s->taken < s->stall_s * s->min_rate)
+		finish(s, -ETIMEDOUT);
+	else
+		update(s);
 }
 
 /* The other end has neither ended nor sent anything since. */
@@ -193,8 +232,8 @@
 	end_init(s, 0, fd0);
 	end_init(s, 1, fd1);
 	ev_init(&s->linger, on_linger);
-	s->linger.data = s;
+	ev_init(&s->stall, on_stall);
+	s->linger.data = s->stall.data = s;
 	buf_add_lstr(&s->ends[1].out, to_fd1);
-	watch(&s->ends[0]);
-	watch(&s->ends[1]);
+	update(s);
 }
--- a/tests/test_splice.c
+++ b/tests/test_splice.c
@@ -9,11 +9,12 @@
 #include "http/frames.h"
 #include "http/splice.h"
 
-enum { BULK_BYTES = 3 << 20, CHUNK = 1 << 16 };
+enum { BULK_BYTES = 3 << 20, CHUNK = 1 << 16, PIECE = 1 << 14 };
 
 struct pair {
 	struct ev_loop *loop;
 	struct splice splice;
+	struct http_pool pool;
 	int ends[2]; /* the far ends of the spliced sockets */
 	bool closed;
 	int err;
@@ -41,6 +42,7 @@
 	p->ends[1] = b[0];
 	p->splice.closed = on_closed;
 	p->splice.priv = p;
+	p->splice.pool = &p->pool;
 	splice_start(&p->splice, p->loop, a[1], b[1], to_fd1);
 }
 
@@ -87,6 +89,44 @@
 	finish(&p);
 }
 
+/* Guards against an end that takes nothing and keeps both for ever. */
+static void an_end_that_takes_nothing_is_closed_after_a_time(void **state)
+{
+	static char bytes[CHUNK];
+	struct pair p;
+
+	start(&p, LSTR(""));
+	p.splice.stall_s = 0.1;
+	p.splice.min_rate = 1000;
+	for (int i = 0; i < 1000 && !p.closed; i++) {
+		(void)!send(p.ends[0], bytes, sizeof(bytes), MSG_NOSIGNAL);
+		ev_run(p.loop, EVRUN_NOWAIT);
+		usleep(1000);
+	}
+	assert_true(p.closed);
+	assert_int_equal(p.err, -ETIMEDOUT);
+	assert_int_equal(p.pool.bytes, 0);
+	assert_true(p.pool.bytes_peak > 0);
+	finish(&p);
+}
+
+/* While memory is short one piece at a time is buffered. */
+static void little_is_buffered_while_memory_is_short(void **state)
+{
+	static char bytes[CHUNK];
+	struct pair p;
+
+	start(&p, LSTR(""));
+	p.pool.bytes_max = 1;
+	for (int i = 0; i < 1000; i++) {
+		(void)!send(p.ends[0], bytes, sizeof(bytes), MSG_NOSIGNAL);
+		ev_run(p.loop, EVRUN_NOWAIT);
+	}
+	assert_true(p.splice.ends[1].out.len > 0);
+	assert_true(p.splice.ends[1].out.len <= PIECE);
+	finish(&p);
+}
+
 static void first_bytes_go_before_all_others(void **state)
 {
 	char in[16] = "";
@@ -165,6 +205,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(bulk_arrives_whole_at_a_slow_reader),
+		cmocka_unit_test(
+			an_end_that_takes_nothing_is_closed_after_a_time),
+		cmocka_unit_test(little_is_buffered_while_memory_is_short),
 		cmocka_unit_test(first_bytes_go_before_all_others),
 		cmocka_unit_test(an_end_of_stream_is_passed_on_and_answered),
 		cmocka_unit_test(an_end_that_stays_open_is_closed_after_a_time),
