Soak mode "crowds": clients that don't behave at all ports

Stand-in role crowd: connections that are idle, send heads or bodies without end, ask and read nothing or slowly, ask in a row, or leave at once; those that are closed come back. The mode sends them to all ports of instances with 64 MB and 400 descriptors, beside the other faults, long answers, answers with invalid heads and stops, and checks memory and sockets of each instance. The load tool counts bytes that are no response as a violation.

--- a/app/main.c
+++ b/app/main.c
@@ -42,6 +42,12 @@
 	"  callers [--seconds N] [--rate N] [--concurrency N] [--seed N] KEY "
 	"..\n"
 	"                              stand-in: callers with keys\n"
+	"  crowd [--name ENTRY] [--seconds N] [--concurrency N] KIND PORT\n"
+	"                              stand-in: clients that don't behave;\n"
+	"                              idle, head, body, unread, slow, row or\n"
+	"                              leave; callers, ready, directory, "
+	"metrics,\n"
+	"                              peers, tunnels or own\n"
 	"  operator --evacuate DC | --restore DC\n"
 	"                              stand-in: evacuates a data centre, or\n"
 	"                              takes that back\n"
@@ -214,6 +220,20 @@
 	return stand_callers_main(d, &a);
 }
 
+/* Runs clients that don't behave. */
+static int run_crowd(const struct deploy *d, const struct cli *o, char **rest)
+{
+	struct crowd_args a = {
+		.entry = o->name ? o->name : "e1",
+		.behaviour = rest[0],
+		.port = rest[1],
+		.seconds = o->seconds ? o->seconds : 10,
+		.connections = o->concurrency ? o->concurrency : 64,
+	};
+
+	return stand_crowd_main(d, &a);
+}
+
 /* Runs a role of a local deployment. */
 static int run_local(const char *role, struct cli *o, char **rest)
 {
@@ -229,6 +249,8 @@
 		return run_operator(&d, o, rest);
 	if (!strcmp(role, "callers") && rest && rest[0])
 		return run_callers(&d, o, rest);
+	if (!strcmp(role, "crowd") && rest && rest[0] && rest[1])
+		return run_crowd(&d, o, rest);
 	if (!strcmp(role, "fill"))
 		return stand_fill_main(&d, o->index, o->version);
 	if (!strcmp(role, "backend") && o->service)
--- a/stand/backend.c
+++ b/stand/backend.c
@@ -87,12 +87,12 @@
 	server_add_load(s, headers);
 	server_add_limit(s, headers);
 	server_add_draining(s, server_sender(j->message), headers);
+	for (int i = 0; i < s->faults.body_kb; i++)
+		buf_printf(body, "%1000d", i);
 	buf_printf(body,
 		   "{\"req\":\"%.*s\",\"backend\":\"%s\","
 		   "\"service\":\"%s\"}",
 		   (int)id.len, id.ptr, s->id, s->service->name);
-	for (int i = 0; i < s->faults.body_kb; i++)
-		buf_printf(body, "%1000d", i);
 }
 
 /* Sends the response, unless a fault loses, truncates or duplicates it. */
@@ -120,6 +120,9 @@
 		http_conn_reply_raw(c, buf_lstr(&raw), false);
 	} else if (fault_occurs(s, s->faults.unframed_pct)) {
 		unframed_reply(c, s->loop, buf_lstr(&headers), buf_lstr(&body));
+	} else if (fault_occurs(s, s->faults.bad_head_pct)) {
+		bad_head_reply(c, g_rand_int(s->work.rand), buf_lstr(&headers),
+			       buf_lstr(&body));
 	} else if (s->faults.chunked) {
 		chunked_reply(c, buf_lstr(&headers), buf_lstr(&body));
 	} else {
--- a/stand/faults.c
+++ b/stand/faults.c
@@ -36,6 +36,7 @@
 		{"cold_ms", offsetof(struct faults, cold_ms)},
 		{"body_kb", offsetof(struct faults, body_kb)},
 		{"chunked", offsetof(struct faults, chunked)},
+		{"bad_head_pct", offsetof(struct faults, bad_head_pct)},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
--- a/stand/faults.h
+++ b/stand/faults.h
@@ -15,8 +15,9 @@
  *   extra_pct=N      send the response twice
  *   unframed_pct=N   respond without a length, in two halves
  *   long_pct=N       run the request for some seconds
- *   body_kb=N        add N KB to the body of each response
+ *   body_kb=N        begin the body of each response with N KB more
  *   chunked=0|1      send bodies in chunks
+ *   bad_head_pct=N   respond with a head that breaks the grammar
  *   limit_milli=N    set a rate limit of N requests in 1,000 s; -1: none
  *   limit_odd=0|1    set a rate limit that is no number
  *   limit_asked=0|1  set the limit in responses to probes too
@@ -37,7 +38,7 @@
 	int hang_pct, lost_pct, cut_pct, extra_pct, unframed_pct, long_pct;
 	int limit_milli, limit_odd, limit_asked;
 	int quiet, cold_ms;
-	int body_kb, chunked;
+	int body_kb, chunked, bad_head_pct;
 };
 
 void faults_init(struct faults *f);
--- a/stand/stand.h
+++ b/stand/stand.h
@@ -2,8 +2,8 @@
  * Simulators of the systems that entry instances work with, implemented by
  * this project from the published protocol: the platform's store
  * (stand/store.c), a backend server (stand/backend.c), the operator
- * (stand/operator.c), callers with keys (stand/callers.c) and a faulty network
- * (stand/proxy.c). Tests and the local
+ * (stand/operator.c), callers with keys (stand/callers.c), clients that don't
+ * behave (stand/crowd.c) and a faulty network (stand/proxy.c). Tests and the local
  * run use them in place of the real systems.
  */
 #ifndef MP_STAND_STAND_H
@@ -23,6 +23,13 @@
 	char **keys; /* NULL-terminated; a key that is repeated is used more */
 };
 
+/* Clients that don't behave, see stand/crowd.c. */
+struct crowd_args {
+	const char *entry, *behaviour, *port;
+	int seconds, connections;
+};
+
+int stand_crowd_main(const struct deploy *d, const struct crowd_args *a);
 int stand_store_main(const struct deploy *d);
 int stand_backend_main(const struct deploy *d, const char *service, int index,
 		       unsigned seed);
--- a/stand/unframed.c
+++ b/stand/unframed.c
@@ -86,3 +86,24 @@
 	http_conn_reply_raw(c, buf_lstr(&out), false);
 	buf_free(&out);
 }
+
+/* bad_head_reply() responds with a head of some kind that breaks the grammar. */
+void bad_head_reply(struct http_conn *c, unsigned kind, struct lstr headers,
+		    struct lstr body)
+{
+	static const char *const lines[] = {
+		"HTTP/1.1 000 OK\r\n",
+		"HTTP/1.1 999 OK\r\n",
+		"HTTP/1.1 200 OK\r\nX Y: z\r\n",
+		"HTTP/1.1 200 OK\r\nX-Y : z\r\n",
+		"HTTP/1.1 200 OK\r\nX: a\r\n b\r\n",
+	};
+	struct buf out = {0};
+
+	buf_printf(&out, "%s%.*sContent-Length: %zu\r\n\r\n",
+		   lines[kind % G_N_ELEMENTS(lines)], (int)headers.len,
+		   headers.ptr, body.len);
+	buf_add_lstr(&out, body);
+	http_conn_reply_raw(c, buf_lstr(&out), false);
+	buf_free(&out);
+}
--- a/stand/unframed.h
+++ b/stand/unframed.h
@@ -1,4 +1,4 @@
-/* Responses of a simulated server whose head tells no length of the body. */
+/* Responses of a simulated server with unusual or invalid heads. */
 #ifndef MP_STAND_UNFRAMED_H
 #define MP_STAND_UNFRAMED_H
 
@@ -7,6 +7,8 @@
 void unframed_reply(struct http_conn *c, struct ev_loop *loop,
 		    struct lstr headers, struct lstr body);
 
+void bad_head_reply(struct http_conn *c, unsigned kind, struct lstr headers,
+		    struct lstr body);
 void chunked_reply(struct http_conn *c, struct lstr headers, struct lstr body);
 
 #endif
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -9,7 +9,7 @@
 # decrease, no process exits on its own, and afterwards a version is in force
 # everywhere and calls are served.
 #
-#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links|workspaces|removals]]]
+#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links|workspaces|removals|crowds]]]
 #
 # A slot, 0 to 26, is a range of ports from 24000 on; instances take ports up to
 # 6000 higher, which must lie below those of outgoing connections. No other test
@@ -31,6 +31,8 @@
 #            the servers ran is summed up, see tests/soak_workspaces.sh
 #   removals at the end a server leaves beside a pause of the reader, and instances
 #            are removed for good, see tests/soak_removals.sh
+#   crowds   clients that don't behave come to all ports of instances with little
+#            memory and few descriptors, see tests/soak_crowds.sh
 #   fatal    a request that crashes each server that runs it is sent to all
 #            instances throughout; after the faults only few servers may crash
 #            under it
@@ -49,6 +51,7 @@
 links=$([ "${4:-}" = links ] && echo yes)
 workspaces=$([ "${4:-}" = workspaces ] && echo yes)
 removals=$([ "${4:-}" = removals ] && echo yes)
+crowds=$([ "${4:-}" = crowds ] && echo yes)
 base=$((24000 + 100 * slot))
 logs=$(mktemp -d)
 ini=$logs/soak.ini
@@ -77,6 +80,7 @@
 		[entry]
 		platform = 127.0.0.1:$((base + 2))
 		deadline_ms = 8000
+		memory_mb = $([ -n "$crowds" ] && echo $CROWD_MEMORY_MB || echo 0)
 		[service.harta]
 		tenant = strada
 		workers = 3
@@ -113,7 +117,9 @@
 	proxy) exec $bin proxy --deployment "$ini" ${rest:+--service "$rest"} ;;
 	link) exec $bin proxy --deployment "$ini" --service "${rest#*/}" --name "${rest%/*}" ;;
 	server) exec $bin backend --deployment "$ini" --service "${rest%-*}" --index "${rest##*-}" --seed "$seed" ;;
-	entry) exec $bin entry --deployment "$ini" --name "$rest" ${workspaces:+--from-operator} ;;
+	entry)
+		[ -z "$crowds" ] || ulimit -n $CROWD_DESCRIPTORS
+		exec $bin entry --deployment "$ini" --name "$rest" ${workspaces:+--from-operator} ;;
 	esac >>"$logs/${name//\//-}.log" 2>&1 &
 	pids[$name]=$!
 }
@@ -316,7 +322,7 @@
 	echo "$(($(count_crashes) - $1)) servers crashed after the faults"
 	(($(count_crashes) - $1 <= CRASHES_MAX))
 }
-no_server_faults='hang_pct=0&cut_pct=0&unframed_pct=0&long_pct=0&limit_milli=-1&limit_odd=0&shed_pct=0&backoff_milli=-1&backoff_odd=0&late_ms=0&unlisted=0'
+no_server_faults='body_kb=0&chunked=0&bad_head_pct=0&hang_pct=0&cut_pct=0&unframed_pct=0&long_pct=0&limit_milli=-1&limit_odd=0&shed_pct=0&backoff_milli=-1&backoff_odd=0&late_ms=0&unlisted=0'
 # Clears all faults and resumes all processes.
 clear_faults() {
 	set_faults $base 'down=no&lost_pct=0&era_named=ok'
@@ -390,6 +396,7 @@
 		END {print d " of " c; exit !(c > 0 && d >= 0.95 * c)}' "$logs/after.txt"
 }
 
+. tests/soak_crowds.sh
 . tests/soak_links.sh
 . tests/soak_drills.sh
 . tests/soak_removals.sh
@@ -430,6 +437,8 @@
 		random_restore_fault
 	elif [ -n "$links" ] && ((RANDOM % 2)); then
 		random_link_fault
+	elif [ -n "$crowds" ] && ((RANDOM % 2)); then
+		random_crowd_fault
 	elif [ -n "$workspaces" ] && ((RANDOM % 2)); then
 		random_workspace_fault
 	else
@@ -438,6 +447,7 @@
 	sleep_ms $((RANDOM % 600))
 	[ -z "$fatal" ] || restart_crashed_servers
 	restart_stopped
+	[ -z "$crowds" ] || note_usage
 done
 wait $load_pid
 load_rc=$?
@@ -471,6 +481,7 @@
 	check "afterwards: a server that leaves is off all calm instances in time" removal_reaches_calm
 	check "afterwards: instances that are gone are named no more" removed_are_forgotten
 fi
+[ -z "$crowds" ] || check "no instance took more than its memory or sockets" usage_in_bounds
 check "no server got more than the limit that it announced" limits_respected
 check "servers get nothing during a backoff, nor after they announced that they drain" backoffs_respected
 check "versions never decrease" versions_increase
--- a/tools/load.c
+++ b/tools/load.c
@@ -88,8 +88,10 @@
 {
 	struct call *c = priv;
 
-	/* The request was sent in full, then the connection was closed. */
-	if (sent && err != -ETIMEDOUT)
+	/* Bytes that are no response, or the connection was closed. */
+	if (sent && err == -EPROTO)
+		c->service->foreign++;
+	else if (sent && err != -ETIMEDOUT)
 		c->service->cut++;
 	else
 		c->service->refused++;
