A new connection is closed if all others have requests in progress

It is closed now; its client hears at once that nothing was read. Sockets of end checks of servers count too, where a connection of http/client is closed.

--- a/http/client.c
+++ b/http/client.c
@@ -98,6 +98,9 @@
 	close(c->fd);
 	c->fd = -1;
 	c->state = CLIENT_CLOSED;
+	if (c->counter)
+		(*c->counter)--;
+	c->counter = NULL;
 	http_reader_free(&c->reader);
 	http_client_drop_unsent(c);
 	buf_free(&c->connect_head);
@@ -291,6 +294,13 @@
 	return 0;
 }
 
+/* http_client_count() adds an open connection to a counter until it is closed. */
+void http_client_count(struct http_client *c, unsigned *counter)
+{
+	c->counter = counter;
+	(*counter)++;
+}
+
 /*
  * http_client_send() sends one request, now or once connected. The response
  * or a failure is reported through ops; timeout_s starts when the request is
--- a/http/client.h
+++ b/http/client.h
@@ -72,6 +72,7 @@
 	struct buf unread; /* received, while the reader is starved */
 	bool unread_end;   /* and the end of the stream after it */
 	ev_timer resume;   /* the reader */
+	unsigned *counter; /* of open connections, or NULL */
 	bool no_body;	   /* the current request is a HEAD */
 	double connect_timeout_s, timeout_s;
 	bool waiting;	/* a request is queued or sent */
@@ -103,6 +104,7 @@
 void http_client_send_body(struct http_client *c, struct lstr head,
 			   struct lstr body, double timeout_s,
 			   bool head_request);
+void http_client_count(struct http_client *c, unsigned *counter);
 bool http_client_linger(struct http_client *c, double timeout_s);
 void http_client_close(struct http_client *c);
 
--- a/http/pool.c
+++ b/http/pool.c
@@ -143,7 +143,8 @@
 		if (c->state != CONN_HANDLING)
 			return c;
 	}
-	return NULL;
+	/* A new connection, if there is no other one. */
+	return s->conns && s->conns->state != CONN_HANDLING ? s->conns : NULL;
 }
 
 /*
--- a/traffic/crash_check.c
+++ b/traffic/crash_check.c
@@ -6,6 +6,7 @@
 #include "member/tunnel_request.h"
 #include "misc/clock.h"
 #include "platform/exchange.h"
+#include "traffic/clients.h"
 #include "traffic/crash_check.h"
 #include "traffic/feedback.h"
 #include "traffic/probe.h"
@@ -262,11 +263,12 @@
 {
 	struct traffic *t = c->traffic;
 	struct buf request = {0};
-	int rc = open_connection(c);
+	int rc = clients_make_room(t) ? open_connection(c) : -EMFILE;
 
 	c->probes++;
 	if (rc)
 		return rc;
+	http_client_count(&c->http, &t->upstreams);
 	exchange_write_probe(&request,
 			     probe_health_path(t, c->backend->service),
 			     c->backend, t->via);
--- a/traffic/upstream.c
+++ b/traffic/upstream.c
@@ -65,7 +65,6 @@
 static void free_upstream(struct upstream *u)
 {
 	unlink_upstream(u);
-	u->traffic->upstreams--;
 	if (u->peer)
 		tunnel_peer_unref(u->peer);
 	backend_unref(u->backend);
@@ -222,7 +221,7 @@
 		return NULL;
 	}
 	opened++;
-	u->traffic->upstreams++;
+	http_client_count(&u->http, &u->traffic->upstreams);
 	backend_ref(u->backend);
 	if (u->peer)
 		tunnel_peer_ref(u->peer);
