--- a/control/peer_fetch.c
+++ b/control/peer_fetch.c
@@ -453,7 +453,8 @@
 	in->server.head_timeout_s = SERVER_TIMEOUT_S;
 	in->server.idle_timeout_s = SERVER_TIMEOUT_S;
 	in->server.transfer_time_s = SERVER_TIMEOUT_S;
-	in->server.transfer_min_rate = s->clients.transfer_min_kb_s * BYTES_PER_KB;
+	in->server.transfer_min_rate =
+		s->clients.transfer_min_kb_s * BYTES_PER_KB;
 	in->pool.sockets_max = instance_settings_sockets(s).peers;
 	in->pool.bytes_max = peer_memory_limit(s->memory_mb);
 	http_pool_add(&in->pool, &in->server, "peers", 1);
--- a/tests/test_crowd_bodies.c
+++ b/tests/test_crowd_bodies.c
@@ -173,9 +173,8 @@
 {
 	unsigned answered = 0;
 
-	system_start(&(struct system_options){.entries = 1,
-					      .memory_mb = MEMORY_MB,
-					      .own_interface = true});
+	system_start(&(struct system_options){
+		.entries = 1, .memory_mb = MEMORY_MB, .own_interface = true});
 	set_server_faults("body_kb=3800");
 	for (int i = 0; i < CALLS; i++)
 		answered += call_with_key(i) == 200;
--- a/tests/test_head.c
+++ b/tests/test_head.c
@@ -54,6 +54,18 @@
 		"GET / HTTP/1.1\r\nA: b\x01c\r\n\r\n",
 		"GET /\x01 HTTP/1.1\r\n\r\n",
 		"GET / HTTP/1.1\r\nA: b\rc\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		if (check(bad[i]) != -EPROTO)
+			fail_msg("accepted: %s", bad[i]);
+	}
+}
+
+/* Other request lines, lengths and codings are rejected. */
+static void test_strict_grammar(void **state)
+{
+	static const char *const bad[] = {
 		" GET / HTTP/1.1\r\n\r\n",
 		"GET  / HTTP/1.1\r\n\r\n",
 		"GET / HTTP/1.1 \r\n\r\n",
@@ -93,6 +105,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_valid_heads),
 		cmocka_unit_test(test_smuggling),
+		cmocka_unit_test(test_strict_grammar),
 		cmocka_unit_test(test_byte_by_byte),
 	};
 
