Times of connections by the steady clock; a test of readers that wait

The times of connections (since when they wait, a body's and a reply's limit, progress) were those of the event loop, which follow the time of day: a step forward would end bodies and replies early, one back keep connections from being closed.

--- a/http/conn.c
+++ b/http/conn.c
@@ -9,6 +9,7 @@
 #include "http/head.h"
 #include "http/conn.h"
 #include "http/socket.h"
+#include "misc/clock.h"
 
 enum {
 	READ_CHUNK_BYTES = 4096,	/* per recv() */
@@ -39,7 +40,7 @@
 {
 	struct http_server *s = c->server;
 
-	c->since = ev_now(s->loop);
+	c->since = clock_s();
 	c->prev = NULL;
 	c->next = s->conns;
 	if (s->conns)
@@ -261,7 +262,7 @@
  */
 double http_conn_body_s(const struct http_conn *c)
 {
-	return ev_now(c->server->loop) - c->head_at;
+	return clock_s() - c->head_at;
 }
 
 /* Returns the longest time that the body of the current request may take. */
@@ -287,14 +288,14 @@
 		time_s = MIN(time_s,
 			     gate->body_time_s(gate->priv, c->reader.msg));
 	c->in_body = true;
-	c->head_at = ev_now(c->server->loop);
+	c->head_at = clock_s();
 	c->body_until = c->head_at + time_s;
 }
 
 /* Waits for more of the body: it may neither pause nor trickle for long. */
 static void await_body(struct http_conn *c)
 {
-	double left_s = c->body_until - ev_now(c->server->loop);
+	double left_s = c->body_until - clock_s();
 
 	http_conn_set_timer(c,
 			    MAX(MIN(c->server->head_timeout_s, left_s), 0.001));
@@ -472,7 +473,7 @@
 	socket_set_nodelay(fd);
 	c->server = s;
 	c->fd = fd;
-	c->opened = ev_now(s->loop);
+	c->opened = clock_s();
 	http_reader_init(&c->reader, HTTP_REQUEST, s->limits);
 	c->reader.gate = s->body_gate;
 	if (s->fields_max)
--- a/http/conn.h
+++ b/http/conn.h
@@ -20,13 +20,13 @@
 	int fd;
 	ev_io io;
 	ev_timer timer;
-	ev_tstamp opened;
-	ev_tstamp since;       /* of its last request, or reply to one */
-	ev_tstamp head_at;     /* when the request's head was complete */
-	ev_tstamp body_until;  /* when its body must be complete */
-	ev_tstamp reply_until; /* when its reply must have been taken */
-	ev_tstamp taken_at;    /* when a part of it was taken last */
-	ev_tstamp linger_until;
+	double opened;
+	double since;	    /* of its last request, or reply to one */
+	double head_at;	    /* when the request's head was complete */
+	double body_until;  /* when its body must be complete */
+	double reply_until; /* when its reply must have been taken */
+	double taken_at;    /* when a part of it was taken last */
+	double linger_until;
 	bool had_request;
 	enum conn_state state;
 	struct http_reader reader;
--- a/http/pool.c
+++ b/http/pool.c
@@ -4,6 +4,7 @@
 #include "common/event.h"
 #include "http/conn.h"
 #include "http/pool.h"
+#include "misc/clock.h"
 
 static const double LOG_INTERVAL_S = 1;
 
@@ -88,10 +89,9 @@
 		[SLOW_REPLY] = EV_REPLY_SLOW,
 	};
 	struct http_shortage_log *l = &p->shortages[why];
-	ev_tstamp now = ev_time();
+	double now = clock_s();
 
-	/* The time of day may go back. */
-	if (l->at > 0 && now >= l->at && now - l->at < LOG_INTERVAL_S)
+	if (l->at > 0 && now - l->at < LOG_INTERVAL_S)
 		return;
 	mp_event(events[why], G_LOG_LEVEL_WARNING,
 		 "port=%s closed=%" PRIu64 " sockets=%u of=%u bytes=%zu "
@@ -208,7 +208,7 @@
 /* Returns what closing a connection would gain: bytes times seconds. */
 static double weight(const struct http_conn *c)
 {
-	return (double)c->held * (ev_now(c->server->loop) - c->since);
+	return (double)c->held * (clock_s() - c->since);
 }
 
 /*
@@ -264,7 +264,7 @@
 
 	for (struct http_server *s = p->servers; s; s = s->next_in_pool) {
 		for (struct http_conn *c = s->conns; c; c = c->next) {
-			double stall_s = ev_now(s->loop) - c->taken_at;
+			double stall_s = clock_s() - c->taken_at;
 
 			if (c->state != CONN_WRITING || stall_s < min_stall_s ||
 			    stall_s * (double)c->body.len <= most)
@@ -281,7 +281,7 @@
 /* Returns whether a body has come too slowly once its grace time is over. */
 static bool is_body_slow(const struct http_conn *c, double grace_s)
 {
-	double time_s = ev_now(c->server->loop) - c->head_at - grace_s;
+	double time_s = clock_s() - c->head_at - grace_s;
 
 	return c->state == CONN_READING && c->in_body && time_s > 0 &&
 	       (double)c->reader.msg->body.len <
--- a/http/pool.h
+++ b/http/pool.h
@@ -9,7 +9,6 @@
 #ifndef MP_HTTP_POOL_H
 #define MP_HTTP_POOL_H
 
-#include <ev.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -36,7 +35,7 @@
 struct http_shortage_log {
 	uint64_t closed; /* connections, since the start */
 	uint64_t logged; /* of them */
-	ev_tstamp at;	 /* of the last line */
+	double at;	 /* of the last line */
 };
 
 struct http_pool {
--- a/http/reply.c
+++ b/http/reply.c
@@ -4,6 +4,7 @@
 #include <sys/uio.h>
 
 #include "http/conn.h"
+#include "misc/clock.h"
 
 /* How long to wait for the peer to close after the last reply. */
 static const double LINGER_S = 1.0;
@@ -40,7 +41,7 @@
 	shutdown(c->fd, SHUT_WR);
 	c->state = CONN_LINGER;
 	http_conn_watch(c, EV_READ);
-	c->linger_until = ev_now(c->server->loop) + LINGER_MAX_S;
+	c->linger_until = clock_s() + LINGER_MAX_S;
 	http_conn_set_timer(c, LINGER_S);
 	http_conn_account(c);
 }
@@ -51,7 +52,7 @@
  */
 void http_conn_linger(struct http_conn *c)
 {
-	if (ev_now(c->server->loop) < c->linger_until)
+	if (clock_s() < c->linger_until)
 		http_conn_set_timer(c, LINGER_S);
 }
 
@@ -73,7 +74,7 @@
 	double wait_s = c->server->idle_timeout_s;
 
 	if (c->reply_until > 0)
-		wait_s = MIN(wait_s, c->reply_until - ev_now(c->server->loop));
+		wait_s = MIN(wait_s, c->reply_until - clock_s());
 	http_conn_watch(c, EV_WRITE);
 	http_conn_set_timer(c, MAX(wait_s, 0.001));
 	http_conn_account(c);
@@ -96,7 +97,7 @@
 	}
 	consume(c, (size_t)n);
 	if (n > 0)
-		c->taken_at = ev_now(c->server->loop);
+		c->taken_at = clock_s();
 	if (c->out_sent == c->out.len && !c->body.len)
 		on_written(c);
 	else
--- a/http/server.c
+++ b/http/server.c
@@ -4,6 +4,7 @@
 
 #include "http/conn.h"
 #include "http/socket.h"
+#include "misc/clock.h"
 
 /* Limited per event, so that new connections don't starve open requests. */
 enum { ACCEPT_BATCH_MAX = 16 };
@@ -128,8 +129,7 @@
 /* Returns whether a new connection's first request may be in transit. */
 static bool is_awaiting_first_request(const struct http_conn *c)
 {
-	return !c->had_request &&
-	       ev_now(c->server->loop) - c->opened < FIRST_REQUEST_GRACE_S;
+	return !c->had_request && clock_s() - c->opened < FIRST_REQUEST_GRACE_S;
 }
 
 /* Returns whether bytes have arrived that haven't been read yet. */
--- a/misc/clock.h
+++ b/misc/clock.h
@@ -20,6 +20,12 @@
 	return clock_us() / 1000;
 }
 
+/* clock_s() returns seconds of CLOCK_MONOTONIC. */
+static inline double clock_s(void)
+{
+	return (double)clock_us() / 1e6;
+}
+
 /*
  * clock_boot_ms() returns milliseconds of CLOCK_BOOTTIME, which also counts
  * time in suspend: for the ages of what is known of others, and for time
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -2,6 +2,7 @@
 #include "tests/unit.h"
 
 #include <errno.h>
+#include <sys/param.h>
 
 #include <glib.h>
 
@@ -152,6 +153,96 @@
 	}
 }
 
+/* Memory that lacks at each second attempt. */
+struct scarce_memory {
+	unsigned attempts;
+	size_t held;
+};
+
+static bool scarce_reserve(void *priv, size_t held, size_t total)
+{
+	struct scarce_memory *m = priv;
+
+	if (++m->attempts % 2)
+		return false;
+	m->held = m->held - held + total;
+	return true;
+}
+
+static void scarce_release(void *priv, size_t held)
+{
+	struct scarce_memory *m = priv;
+
+	m->held -= held;
+}
+
+/* Reads a response in pieces; the reader waits for memory in between. */
+static void read_starving(struct lstr text, size_t piece, struct lstr body)
+{
+	struct scarce_memory memory = {0};
+	struct http_body_gate gate = {.reserve = scarce_reserve,
+				      .release = scarce_release,
+				      .waits = true,
+				      .priv = &memory};
+	struct http_reader r;
+	size_t at = 0;
+	bool starved = false;
+
+	http_reader_init(&r, HTTP_RESPONSE, no_limits);
+	r.gate = &gate;
+	while (at < text.len && !(r.msg && r.msg->done)) {
+		ssize_t used = http_reader_feed(&r, text.ptr + at,
+						MIN(piece, text.len - at));
+
+		assert_true(used >= 0);
+		at += (size_t)used;
+		starved = starved || r.starved;
+		while (r.starved && http_reader_resume(&r))
+			;
+	}
+	if (!r.msg->done)
+		assert_int_equal(http_reader_eof(&r), 0);
+	assert_true(starved);
+	assert_int_equal(r.msg->body.len, body.len);
+	assert_memory_equal(r.msg->body.ptr, body.ptr, body.len);
+	assert_true(memory.held >= body.len);
+	http_message_free(http_reader_take(&r));
+	assert_int_equal(memory.held, 0);
+	http_reader_free(&r);
+}
+
+/* Guards against bytes that are lost or doubled while a reader waits. */
+static void test_a_reader_waits_for_memory(void **state)
+{
+	static const size_t pieces[] = {1, 2, 3, 7, 100, 1000, 8192, 100000};
+	struct buf body = {0}, sized = {0}, chunked = {0}, endless = {0};
+
+	for (int i = 0; body.len < 20 * 1000; i++)
+		buf_printf(&body, "%d,", i);
+	buf_printf(&sized, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n",
+		   body.len);
+	buf_add_lstr(&sized, buf_lstr(&body));
+	buf_printf(&endless, "HTTP/1.1 200 OK\r\n\r\n");
+	buf_add_lstr(&endless, buf_lstr(&body));
+	buf_printf(&chunked,
+		   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+	for (size_t at = 0, n; at < body.len; at += n) {
+		n = MIN(3000, body.len - at);
+		buf_printf(&chunked, "%zx\r\n%.*s\r\n", n, (int)n,
+			   body.ptr + at);
+	}
+	buf_printf(&chunked, "0\r\n\r\n");
+	for (size_t i = 0; i < sizeof(pieces) / sizeof(*pieces); i++) {
+		read_starving(buf_lstr(&sized), pieces[i], buf_lstr(&body));
+		read_starving(buf_lstr(&chunked), pieces[i], buf_lstr(&body));
+		read_starving(buf_lstr(&endless), pieces[i], buf_lstr(&body));
+	}
+	buf_free(&body);
+	buf_free(&sized);
+	buf_free(&chunked);
+	buf_free(&endless);
+}
+
 /* Bodies over the limit are rejected, with and without a length. */
 static void test_limits(void **state)
 {
@@ -343,6 +434,7 @@
 		cmocka_unit_test(test_chunked),
 		cmocka_unit_test(test_close_delimited),
 		cmocka_unit_test(test_not_a_message),
+		cmocka_unit_test(test_a_reader_waits_for_memory),
 		cmocka_unit_test(test_limits),
 		cmocka_unit_test(test_header_lines_are_limited),
 		cmocka_unit_test(test_hop_by_hop),
