--- a/core/body_memory.c
+++ b/core/body_memory.c
@@ -5,12 +5,14 @@
 /*
  * The shares of a machine's memory for the bodies of requests, for those of
  * responses until callers have taken them, for what connections hold besides,
- * for answers to peers, and for those kept for repetitions. The rest is for the process itself.
+ * for answers to peers and for their tunnels, and for answers kept for
+ * repetitions. The rest is for the process itself.
  */
 static const double BODY_SHARE = 0.4;
 static const double RESPONSE_SHARE = 0.25;
-static const double CONNECTION_SHARE = 0.15;
-static const double PEER_SHARE = 0.05;
+static const double CONNECTION_SHARE = 0.1;
+static const double PEER_SHARE = 0.03;
+static const double TUNNEL_SHARE = 0.05;
 static const double KEPT_SHARE = 0.05;
 
 static const double BYTES_PER_MB = 1e6;
@@ -42,6 +44,12 @@
 	return (size_t)(machine_mb * BYTES_PER_MB * PEER_SHARE);
 }
 
+/* tunnel_memory_limit() returns the same for what peers' tunnels hold. */
+size_t tunnel_memory_limit(double machine_mb)
+{
+	return (size_t)(machine_mb * BYTES_PER_MB * TUNNEL_SHARE);
+}
+
 /* kept_memory_limit() returns the same for answers kept for repetitions. */
 size_t kept_memory_limit(double machine_mb)
 {
--- a/core/body_memory.h
+++ b/core/body_memory.h
@@ -25,6 +25,7 @@
 size_t response_memory_limit(double machine_mb);
 size_t connection_memory_limit(double machine_mb);
 size_t peer_memory_limit(double machine_mb);
+size_t tunnel_memory_limit(double machine_mb);
 size_t kept_memory_limit(double machine_mb);
 bool body_memory_reserve(struct body_memory *m, size_t held, size_t total);
 void body_memory_release(struct body_memory *m, size_t held);
--- a/tests/test_body_memory.c
+++ b/tests/test_body_memory.c
@@ -15,6 +15,16 @@
 			120 * MB);
 }
 
+/* All shares together leave a tenth of the machine to the process itself. */
+static void test_shares_fit(void **state)
+{
+	size_t all = body_memory_limit(160) + response_memory_limit(160) +
+		     connection_memory_limit(160) + peer_memory_limit(160) +
+		     tunnel_memory_limit(160) + kept_memory_limit(160);
+
+	assert_in_range(all, 0, 144 * MB);
+}
+
 /* More uploads at once than fit: the rest is refused until some are freed. */
 static void test_refuses_what_does_not_fit(void **state)
 {
@@ -77,6 +87,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_limit_is_a_share_of_the_machine),
+		cmocka_unit_test(test_shares_fit),
 		cmocka_unit_test(test_refuses_what_does_not_fit),
 		cmocka_unit_test(test_small_body_always_fits),
 		cmocka_unit_test(test_single_body_beyond_the_limit),
--- a/traffic/clients.c
+++ b/traffic/clients.c
@@ -55,6 +55,7 @@
 	t->pool.sockets_max = limits.traffic;
 	t->tunnels_max = limits.tunnels;
 	t->pool.bytes_max = connection_memory_limit(s->memory_mb);
+	t->tunnel_pool.bytes_max = tunnel_memory_limit(s->memory_mb);
 	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
 		struct http_server *h = servers[i].server;
 
@@ -125,8 +126,10 @@
 		   p->open_failures);
 	buf_printf(out,
 		   "connection_bytes %zu\nconnection_bytes_peak %zu\n"
-		   "connection_bytes_limit %zu\n",
-		   p->bytes, p->bytes_peak, p->bytes_max);
+		   "connection_bytes_limit %zu\ntunnel_bytes %zu\n"
+		   "tunnel_bytes_peak %zu\ntunnel_bytes_limit %zu\n",
+		   p->bytes, p->bytes_peak, p->bytes_max, t->tunnel_pool.bytes,
+		   t->tunnel_pool.bytes_peak, t->tunnel_pool.bytes_max);
 	for (unsigned i = 0; i < HTTP_SHORTAGES; i++)
 		buf_printf(out, "connections_closed{why=\"%s\"} %" PRIu64 "\n",
 			   whys[i], p->shortages[i].closed);
--- a/traffic/traffic.h
+++ b/traffic/traffic.h
@@ -73,11 +73,12 @@
 	bool inflight_report_pending;
 	struct peer_view peers;
 	struct tunnel_peers tunnel_peers;
-	unsigned tunnels;	/* served to peers, open now */
-	unsigned tunnels_max;	/* 0: no limit by the descriptors */
-	unsigned upstreams;	/* connections to servers, open now */
-	struct http_pool pool;	/* of all servers here */
-	ev_timer path_timer;	/* while servers are reached by tunnels */
+	unsigned tunnels;	      /* served to peers, open now */
+	unsigned tunnels_max;	      /* 0: no limit by the descriptors */
+	unsigned upstreams;	      /* connections to servers, open now */
+	struct http_pool pool;	      /* of all servers here */
+	struct http_pool tunnel_pool; /* of the tunnels' buffers */
+	ev_timer path_timer;	      /* while servers are reached by tunnels */
 	unsigned max_instances; /* the most seen at once in this lifetime */
 	struct budget_params budget_params;
 	struct probe_rate probe_rate;
--- a/traffic/tunnels.c
+++ b/traffic/tunnels.c
@@ -154,7 +154,7 @@
 	t->splice.closed = on_closed;
 	t->splice.priv = t;
 	t->splice.framed = t->framed;
-	t->splice.pool = &t->traffic->pool;
+	t->splice.pool = &t->traffic->tunnel_pool;
 	t->splice.stall_s = t->traffic->settings->clients.transfer_time_s;
 	t->splice.min_rate = t->traffic->tunnel_server.transfer_min_rate;
 	tunnel_answer_write(&ok, &r);
