A body that asks for memory isn't ended for it while it is read

With memory short, a slow chunked body that grows was the slowest one itself: its request got 408 and its reader was freed under the parser, so a single client could end the process. The reader notes that the gate is being asked, and such a body is no candidate; its request gets 503, which is true.

test_body_that_asks_for_memory_is_refused (test_pool) ended with a segmentation fault without the condition, and passes.

--- a/http/message.c
+++ b/http/message.c
@@ -105,10 +105,14 @@
 static bool reserve_body(struct http_reader *r, size_t total)
 {
 	struct http_message *m = r->msg;
+	bool fits;
 
 	if (!m->gate || total <= m->reserved)
 		return true;
-	if (m->gate->reserve(m->gate->priv, m->reserved, total)) {
+	r->reserving = true;
+	fits = m->gate->reserve(m->gate->priv, m->reserved, total);
+	r->reserving = false;
+	if (fits) {
 		m->reserved = total;
 		return true;
 	}
--- a/http/message.h
+++ b/http/message.h
@@ -68,9 +68,10 @@
 	struct buf target;
 	size_t head_bytes; /* of names, values and the target so far */
 	bool in_value;
-	bool no_body;  /* response to a HEAD request */
-	bool starved;  /* waits for memory, see http_reader_resume() */
-	size_t wanted; /* memory for the body then */
+	bool no_body;	/* response to a HEAD request */
+	bool reserving; /* the gate is being asked; not to be freed */
+	bool starved;	/* waits for memory, see http_reader_resume() */
+	size_t wanted;	/* memory for the body then */
 	int err;
 };
 
--- a/http/pool.c
+++ b/http/pool.c
@@ -283,7 +283,8 @@
 {
 	double time_s = clock_s() - c->head_at - grace_s;
 
-	return c->state == CONN_READING && c->in_body && time_s > 0 &&
+	return c->state == CONN_READING && c->in_body && !c->reader.reserving &&
+	       time_s > 0 &&
 	       (double)c->reader.msg->body.len <
 		       time_s * c->server->transfer_min_rate;
 }
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -21,6 +21,7 @@
 	struct http_pool pool;
 	struct http_server servers[2];
 	unsigned others, idle_others;
+	size_t reserved; /* for bodies */
 	int fds[CLIENTS];
 	int n;
 };
@@ -189,6 +190,70 @@
 	end(&f);
 }
 
+/* Memory that suffices for one attempt; then the slowest body must go. */
+static bool reserve_once(void *priv, size_t held, size_t total)
+{
+	struct fixture *f = priv;
+
+	while (f->reserved) {
+		if (!http_pool_end_slowest_body(&f->pool, 0))
+			return false;
+	}
+	f->reserved = total;
+	return true;
+}
+
+static void release(void *priv, size_t held)
+{
+	struct fixture *f = priv;
+
+	f->reserved -= held;
+}
+
+static double body_time_s(void *priv, const struct http_message *head)
+{
+	return 10;
+}
+
+static void write_refusal(void *priv, const struct http_message *head,
+			  struct buf *headers)
+{
+}
+
+/*
+ * Guards against a body that is ended for want of memory while it is being read
+ * itself: it is the slowest, but gets the refusal.
+ */
+static void test_body_that_asks_for_memory_is_refused(void **state)
+{
+	struct http_body_gate gate = {.reserve = reserve_once,
+				      .release = release,
+				      .write_refusal = write_refusal,
+				      .body_time_s = body_time_s};
+	char answer[64] = "";
+	struct buf chunk = {0};
+	struct fixture f;
+
+	start(&f, 0);
+	gate.priv = &f;
+	f.servers[0].body_gate = &gate;
+	f.servers[0].transfer_time_s = 10;
+	f.servers[0].transfer_min_rate = 1e9;
+	join(&f, 0, 1,
+	     "POST / HTTP/1.1\r\nHost: x\r\n"
+	     "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+	assert_true(f.reserved > 0);
+	usleep(10 * 1000);
+	buf_printf(&chunk, "fff\r\n%3000d", 0);
+	assert_int_equal(send(f.fds[0], chunk.ptr, chunk.len, 0), chunk.len);
+	buf_free(&chunk);
+	run(&f);
+	assert_true(recv(f.fds[0], answer, sizeof(answer) - 1, 0) > 0);
+	assert_memory_equal(answer, "HTTP/1.1 503", 12);
+	assert_int_equal(f.reserved, 0);
+	end(&f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -199,6 +264,7 @@
 		cmocka_unit_test(test_requests_in_progress_are_kept),
 		cmocka_unit_test(
 			test_memory_is_taken_from_those_that_hold_most),
+		cmocka_unit_test(test_body_that_asks_for_memory_is_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
