--- a/stand/lease.c
+++ b/stand/lease.c
@@ -3,15 +3,23 @@
 #include "platform/store.h"
 #include "stand/lease.h"
 
+static void free_key(gpointer p)
+{
+	g_bytes_unref(p);
+}
+
 /* lease_init() prepares an empty set of leases. */
 void lease_init(struct lease *l, int ttl_ms)
 {
 	l->ttl_ms = ttl_ms;
-	l->written_ms =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	l->written_ms = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+					      free_key, g_free);
 }
 
-/* lease_renew() renews a lease if the append is of a backend server's entry. */
+/*
+ * lease_renew() renews a lease if the append is of a backend server's entry. An
+ * entry with keep=1 in the query has none, and stays until it is deleted.
+ */
 void lease_renew(struct lease *l, const struct query *q, struct lstr body,
 		 int64_t now_ms)
 {
@@ -19,9 +27,9 @@
 	size_t klen = body.len > 4 ? (unsigned char)body.ptr[4] : 0;
 
 	if (!topic || strcmp(topic, STORE_TOPIC_BACKENDS) ||
-	    body.len < 5 + klen)
+	    query_int(q, "keep", 0) || body.len < 5 + klen)
 		return;
-	g_hash_table_replace(l->written_ms, g_strndup(body.ptr + 5, klen),
+	g_hash_table_replace(l->written_ms, g_bytes_new(body.ptr + 5, klen),
 			     g_memdup2(&now_ms, sizeof(now_ms)));
 }
 
@@ -33,7 +41,7 @@
 
 	g_hash_table_iter_init(&it, p->newest);
 	while (g_hash_table_iter_next(&it, &key, NULL))
-		g_hash_table_replace(l->written_ms, g_strdup(key),
+		g_hash_table_replace(l->written_ms, g_bytes_ref(key),
 				     g_memdup2(&now_ms, sizeof(now_ms)));
 }
 
@@ -58,14 +66,11 @@
 	const struct log_newest *n;
 	const char *value;
 	gsize len;
-	char *key;
 
 	if (!l->changes_only || !topic || strcmp(topic, STORE_TOPIC_BACKENDS) ||
 	    body.len <= 5 + klen)
 		return false;
-	key = g_strndup(body.ptr + 5, klen);
-	n = g_hash_table_lookup(p->newest, key);
-	g_free(key);
+	n = log_newest(p, (struct lstr){body.ptr + 5, klen});
 	if (!n)
 		return false;
 	value = g_bytes_get_data(n->value, &len);
@@ -87,13 +92,14 @@
 	while (g_hash_table_iter_next(&it, &key, &at)) {
 		struct log_position pos;
 		struct buf rec = {0};
-		unsigned char n = (unsigned char)strlen(key);
-		unsigned char head[] = {0, 0, 0, n + 1, n};
+		gsize n;
+		const void *text = g_bytes_get_data(key, &n);
+		unsigned char head[] = {0, 0, (n + 1) >> 8, n + 1, n};
 
 		if (now_ms - *(int64_t *)at < l->ttl_ms)
 			continue;
 		buf_add(&rec, head, sizeof(head));
-		buf_add(&rec, key, n);
+		buf_add(&rec, text, n);
 		log_append(p, buf_lstr(&rec), &cond, &pos);
 		buf_free(&rec);
 		g_hash_table_iter_remove(&it);
--- a/stand/listing.h
+++ b/stand/listing.h
@@ -4,7 +4,9 @@
 
 #include "stand/log.h"
 
-void listing_write(const struct log_part *p, const char *after,
-		   struct buf *body);
+enum { LISTING_ITEMS_MAX = 500 }; /* per page */
+
+void listing_write(const struct log_part *p, struct lstr after,
+		   unsigned items_max, struct buf *body);
 
 #endif
--- a/stand/log.c
+++ b/stand/log.c
@@ -26,8 +26,8 @@
 
 	p->keyed = keyed;
 	p->records = g_ptr_array_new_with_free_func(free_bytes);
-	p->newest = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  free_newest);
+	p->newest = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+					  free_bytes, free_newest);
 	p->producers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return p;
@@ -40,7 +40,7 @@
 	struct log_newest *copy = g_memdup2(n, sizeof(*n));
 
 	g_bytes_ref(n->value);
-	g_hash_table_insert(to, g_strdup(key), copy);
+	g_hash_table_insert(to, g_bytes_ref(key), copy);
 }
 
 /* Copies one producer to another table. */
@@ -70,6 +70,16 @@
 	return p->first + p->records->len;
 }
 
+/* log_newest() returns the newest record of a key, or NULL. */
+const struct log_newest *log_newest(const struct log_part *p, struct lstr key)
+{
+	GBytes *bytes = g_bytes_new(key.ptr, key.len);
+	const struct log_newest *n = g_hash_table_lookup(p->newest, bytes);
+
+	g_bytes_unref(bytes);
+	return n;
+}
+
 /* Decodes the big-endian length of a record. */
 static uint32_t read_length(const char *s)
 {
@@ -98,14 +108,14 @@
 {
 	size_t klen = n ? (unsigned char)rec[0] : 0;
 	struct log_newest *e;
-	char *key;
+	GBytes *key;
 
 	if (n < 1 + klen)
 		return;
-	key = g_strndup(rec + 1, klen);
+	key = g_bytes_new(rec + 1, klen);
 	if (n == 1 + klen) {
 		g_hash_table_remove(p->newest, key);
-		g_free(key);
+		g_bytes_unref(key);
 		return;
 	}
 	e = g_new0(struct log_newest, 1);
--- a/stand/log.h
+++ b/stand/log.h
@@ -28,7 +28,7 @@
 	bool keyed;
 	uint64_t first;	    /* offset of the first record that isn't deleted */
 	GPtrArray *records; /* GBytes, from `first` on */
-	GHashTable *newest; /* key -> struct log_newest * */
+	GHashTable *newest; /* GBytes, a key -> struct log_newest * */
 	GHashTable *producers; /* name -> struct log_producer * */
 };
 
@@ -63,6 +63,7 @@
 struct log_part *log_part_new(bool keyed);
 struct log_part *log_part_copy(const struct log_part *p);
 uint64_t log_end(const struct log_part *p);
+const struct log_newest *log_newest(const struct log_part *p, struct lstr key);
 enum log_outcome log_append(struct log_part *p, struct lstr body,
 			    const struct log_condition *c,
 			    struct log_position *pos);
--- a/stand/query.h
+++ b/stand/query.h
@@ -10,11 +10,12 @@
 
 /* The parameters of a query string. */
 struct query {
-	GHashTable *params;
+	GHashTable *params; /* name -> GString *, decoded */
 };
 
 char *query_split(struct lstr target, struct query *q);
 const char *query_text(const struct query *q, const char *name);
+struct lstr query_bytes(const struct query *q, const char *name);
 int64_t query_int(const struct query *q, const char *name, int64_t fallback);
 void query_free(struct query *q);
 
--- a/stand/store.c
+++ b/stand/store.c
@@ -8,7 +8,9 @@
  *   lost_pct=N                 append, but close without a response
  *   forget=1                   delete the history, not the newest of each key
  *   changes_only=0|1           don't append renewals of a server's entry
- * and those of stand/backup.h. GET /stand/calls returns the number of calls.
+ *   page_items=N               items per page of a listing
+ * and those of stand/backup.h. GET /stand/calls returns the number of calls, and
+ * GET /stand/lists that of the pages of listings among them.
  * Backend servers and the operator write through POST /stand/append, since the
  * system itself is not permitted to write to their topics.
  */
@@ -49,6 +51,8 @@
 	ev_timer lease_timer;
 	struct append_queue appends;
 	unsigned calls; /* of the system */
+	unsigned lists; /* pages among them */
+	unsigned page_items;
 	GRand *rand;
 };
 
@@ -307,7 +311,9 @@
 {
 	struct buf body = {0};
 
-	listing_write(find_part(s, q), query_text(q, "after"), &body);
+	listing_write(find_part(s, q), query_bytes(q, "after"), s->page_items,
+		      &body);
+	s->lists++;
 	reply_delayed(s, c, 200, 0, &body);
 }
 
@@ -377,6 +383,7 @@
 	s->appends.append_ms =
 		(int)query_int(q, "append_ms", s->appends.append_ms);
 	backup_set(&s->backup, q);
+	s->page_items = (unsigned)query_int(q, "page_items", s->page_items);
 	s->leases.changes_only =
 		query_int(q, "changes_only", s->leases.changes_only);
 	if (query_int(q, "copy", 0))
@@ -421,6 +428,8 @@
 		handle_faults(s, c, &q);
 	else if (!strcmp(path, "/stand/calls"))
 		reply_number(s, c, s->calls);
+	else if (!strcmp(path, "/stand/lists"))
+		reply_number(s, c, s->lists);
 	else if (is_down(s, c))
 		g_debug("request ignored: the store is down");
 	else if (!strcmp(path, "/log-read"))
@@ -459,7 +468,7 @@
 /* stand_store_main() runs the store until SIGTERM. Returns 0 or -errno. */
 int stand_store_main(const struct deploy *d)
 {
-	struct store s = {0};
+	struct store s = {.page_items = LISTING_ITEMS_MAX};
 	ev_signal term;
 	int rc;
 
--- a/tests/crowd.h
+++ b/tests/crowd.h
@@ -352,6 +352,32 @@
 	return call_once(entry) > 0;
 }
 
+/* Starts an instance, which isn't ready yet when this returns. */
+static inline void entry_start(int i)
+{
+	char *words = g_strdup_printf(
+		"entry --name e%d%s", i + 1,
+		sys.options.own_interface ? "" : " --from-operator");
+	char *log = g_strdup_printf("e%d.log", i + 1);
+
+	sys.entries[i] = start_kept(words, log, sys.options.descriptors);
+	g_free(log);
+	g_free(words);
+}
+
+/* Ends an instance without a warning. */
+static inline void entry_kill(int i)
+{
+	for (guint k = 0; k < sys.pids->len; k++) {
+		if (g_array_index(sys.pids, pid_t, k) != sys.entries[i])
+			continue;
+		g_array_remove_index(sys.pids, k);
+		break;
+	}
+	kill(sys.entries[i], SIGKILL);
+	waitpid(sys.entries[i], NULL, 0);
+}
+
 static inline void system_start(const struct system_options *o)
 {
 	sys = (struct system){.options = *o, .version = 5};
@@ -371,15 +397,8 @@
 	}
 	write_version();
 	for (int i = o->entries - 1; i >= 0; i--) {
-		char *words = g_strdup_printf(
-			"entry --name e%d%s", i + 1,
-			o->own_interface ? "" : " --from-operator");
-		char *log = g_strdup_printf("e%d.log", i + 1);
-
-		sys.entries[i] = start_kept(words, log, o->descriptors);
+		entry_start(i);
 		await(is_ready, i, "ready");
-		g_free(log);
-		g_free(words);
 	}
 	for (int i = 0; i < o->entries && !o->own_interface; i++)
 		await(is_serving, i, "serving");
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -91,19 +91,19 @@
 static void test_newest(void **state)
 {
 	struct log_part *p = log_part_new(true);
-	struct log_newest *n;
+	const struct log_newest *n;
 	struct log_position pos;
 	struct buf b = {0};
 
 	log_append(p, record(&b, "\1kone", 5), &none, &pos);
 	log_append(p, record(&b, "\1ktwo", 5), &none, &pos);
 	log_trim(p, 2);
-	n = g_hash_table_lookup(p->newest, "k");
+	n = log_newest(p, LSTR("k"));
 	assert_int_equal(n->offset, 1);
 	assert_memory_equal(g_bytes_get_data(n->value, NULL), "two", 3);
 	/* An empty value deletes the key. */
 	log_append(p, record(&b, "\1k", 2), &none, &pos);
-	assert_null(g_hash_table_lookup(p->newest, "k"));
+	assert_null(log_newest(p, LSTR("k")));
 	buf_free(&b);
 }
 
--- /dev/null
+++ b/tests/test_odd_entries.c
@@ -0,0 +1,206 @@
+/*
+ * Entries that another writer has left among those of the servers, under names
+ * that need escaping in a request, while all instances start again and a
+ * listing has several pages: such an entry names no server, the others are used.
+ */
+#include "tests/crowd.h"
+
+#include "platform/store.h"
+
+enum {
+	ENTRIES = 2,
+	RECOVERY_MS = 15 * 1000, /* the platform's recoveryS */
+	/*
+	 * Four readers of two instances list their topic at most twice; it has
+	 * some four entries beside the odd ones, on a page each.
+	 */
+	LISTINGS_MAX = 4 * ENTRIES * 2,
+	ENTRIES_BESIDE = 4,
+	SETTLE_MS = 2500, /* after which the first check of records has run */
+};
+
+struct odd_name {
+	const char *label;
+	struct lstr key;
+};
+
+#define NAME(lit)              \
+	{                      \
+		lit, LSTR(lit) \
+	}
+
+/* Keys are listed in order; those of the servers begin with an 'h'. */
+static const struct odd_name names[] = {
+	NAME("a&b"),
+	NAME("a+b"),
+	NAME("a#b"),
+	NAME("a b"),
+	NAME("a%b"),
+	{"a blank", LSTR(" ")},
+	{"a line break", LSTR("a\r\nb")},
+	{"a zero byte", LSTR("a\0b")},
+	{"a byte above 127", LSTR("a\xff"
+				  "b")},
+	NAME("a&after=z"),
+	NAME("%7a"),
+	NAME("a/?b=\"c\""),
+};
+
+/* Returns the number that a stand-in or an instance returns for a GET. */
+static double read_number(const char *addr, const char *path, const char *name)
+{
+	struct buf b = {0}, body = {0};
+	const char *at;
+	double v = -1;
+
+	buf_printf(&b, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
+	if (exchange(addr, buf_lstr(&b), &body) == 200) {
+		buf_add(&body, "", 1);
+		at = strstr(body.ptr, name);
+		if (at)
+			v = g_ascii_strtod(at + strlen(name), NULL);
+	}
+	buf_free(&body);
+	buf_free(&b);
+	return v;
+}
+
+static unsigned pages_listed(void)
+{
+	char *addr = g_strdup_printf("127.0.0.1:%d", CROWD_BASE);
+	double n = read_number(addr, "/stand/lists", "");
+
+	g_free(addr);
+	assert_true(n >= 0);
+	return (unsigned)n;
+}
+
+/* Returns how many servers an instance knows. */
+static int servers_known(int entry)
+{
+	return (int)read_number(entry_addr(entry, PORT_METRICS), "/metrics",
+				"service_backends{service=\"harta\"} ");
+}
+
+/* Writes an entry that stays until it is written without a value. */
+static void write_entry(const char *topic, struct lstr key, struct lstr value)
+{
+	char *addr = g_strdup_printf("127.0.0.1:%d", CROWD_BASE);
+	struct buf b = {0}, batch = {0}, body = {0};
+
+	store_batch_add(&batch, key, value);
+	buf_printf(&b,
+		   "POST /stand/append?topic=%s&part=0&keep=1 HTTP/1.1\r\n"
+		   "Host: x\r\nContent-Length: %zu\r\n\r\n",
+		   topic, batch.len);
+	buf_add_lstr(&b, buf_lstr(&batch));
+	assert_int_equal(exchange(addr, buf_lstr(&b), &body), 200);
+	buf_free(&body);
+	buf_free(&batch);
+	buf_free(&b);
+	g_free(addr);
+}
+
+static void restart_all(void)
+{
+	for (int i = 0; i < ENTRIES; i++)
+		entry_kill(i);
+	for (int i = 0; i < ENTRIES; i++)
+		entry_start(i);
+}
+
+/* Returns whether an instance serves and knows exactly the servers in time. */
+static bool recovers(int entry)
+{
+	int64_t until_ms = clock_ms() + RECOVERY_MS;
+
+	while (clock_ms() < until_ms) {
+		if (call_once(entry) && servers_known(entry) == SERVERS)
+			return true;
+		usleep(100 * 1000);
+	}
+	return false;
+}
+
+/* Writes odd entries, or removes them. */
+static void write_odd(const char *topic, const struct odd_name *odd, size_t n,
+		      struct lstr value)
+{
+	for (size_t i = 0; i < n; i++)
+		write_entry(topic, odd[i].key, value);
+}
+
+/* Returns whether all instances recover while n odd entries stand. */
+static bool check_restart(const char *topic, const struct odd_name *odd,
+			  size_t n)
+{
+	unsigned pages_max = LISTINGS_MAX * (ENTRIES_BESIDE + (unsigned)n);
+	unsigned pages;
+	bool good = true;
+
+	write_odd(topic, odd, n, LSTR("odd"));
+	pages = pages_listed();
+	restart_all();
+	for (int i = 0; i < ENTRIES; i++) {
+		if (recovers(i))
+			continue;
+		print_error("'%s' in %s: instance %d knows %d servers\n",
+			    odd->label, topic, i, servers_known(i));
+		good = false;
+	}
+	usleep(SETTLE_MS * 1000);
+	pages = pages_listed() - pages;
+	if (pages > pages_max) {
+		print_error("'%s' in %s: %u pages were listed\n", odd->label,
+			    topic, pages);
+		good = false;
+	}
+	for (int i = 0; i < ENTRIES; i++)
+		good = entry_lives(i) && servers_known(i) == SERVERS && good;
+	write_odd(topic, odd, n, LSTR(""));
+	return good;
+}
+
+static void start(void)
+{
+	system_start(&(struct system_options){.entries = ENTRIES});
+	set_faults(CROWD_BASE, "page_items=1");
+}
+
+static void test_each_name_among_servers(void **state)
+{
+	unsigned bad = 0;
+
+	start();
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		bad += !check_restart(STORE_TOPIC_BACKENDS, &names[i], 1);
+	if (bad)
+		fail_msg("%u of %zu names; logs in %s", bad,
+			 G_N_ELEMENTS(names), sys.dir);
+	sys.passed = true;
+}
+
+static void check_all_names(const char *topic)
+{
+	start();
+	if (!check_restart(topic, names, G_N_ELEMENTS(names)))
+		fail_msg("names in %s; logs in %s", topic, sys.dir);
+	sys.passed = true;
+}
+
+static void test_names_among_instances(void **state)
+{
+	check_all_names(STORE_TOPIC_MEMBERS);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_teardown(test_each_name_among_servers,
+					  system_stop),
+		cmocka_unit_test_teardown(test_names_among_instances,
+					  system_stop),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_values.c
+++ b/tests/test_values.c
@@ -37,7 +37,7 @@
 /* Reads the newest version into v; returns the end of the topic. */
 static uint64_t read_newest(struct log_part *topic, struct conf_values *v)
 {
-	struct log_newest *n = g_hash_table_lookup(topic->newest, CONF_KEY);
+	const struct log_newest *n = log_newest(topic, LSTR(CONF_KEY));
 
 	conf_init(v);
 	if (n) {
