--- a/control/backend_list.c
+++ b/control/backend_list.c
@@ -331,6 +331,20 @@
 	l->restored_ms = now_ms;
 }
 
+/* Marks all entries as contained in the present listing, or as not yet. */
+static void set_seen(struct backend_list *l, bool seen)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, l->entries);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct list_entry *)v)->seen = seen;
+	g_hash_table_iter_init(&it, l->unconfirmed);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		((struct list_entry *)v)->seen = seen;
+}
+
 /*
  * backend_list_replace_begin() begins to apply a full listing of an era; its
  * entries are passed to backend_list_apply_record().
@@ -338,20 +352,21 @@
 void backend_list_replace_begin(struct backend_list *l, uint64_t era,
 				int64_t now_ms)
 {
-	GHashTableIter it;
-	gpointer v;
-
 	backend_list_note_gap(l, "listing", now_ms);
 	l->listing = true;
 	l->restored = false;
 	if (l->loaded && era > l->pos.era)
 		backend_list_begin_restored(l, now_ms);
-	g_hash_table_iter_init(&it, l->entries);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((struct list_entry *)v)->seen = false;
-	g_hash_table_iter_init(&it, l->unconfirmed);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		((struct list_entry *)v)->seen = false;
+	set_seen(l, false);
+}
+
+/*
+ * backend_list_keep_unlisted() keeps the entries that an incomplete listing
+ * lacks. Call it before the listing is ended.
+ */
+void backend_list_keep_unlisted(struct backend_list *l)
+{
+	set_seen(l, true);
 }
 
 /*
--- a/control/backend_list.h
+++ b/control/backend_list.h
@@ -49,6 +49,7 @@
 void backend_list_read_begin(struct backend_list *l, int64_t now_ms);
 void backend_list_replace_begin(struct backend_list *l, uint64_t era,
 				int64_t now_ms);
+void backend_list_keep_unlisted(struct backend_list *l);
 void backend_list_replace_end(struct backend_list *l, struct store_position end,
 			      int64_t as_of_ms, int64_t now_ms);
 bool backend_list_has_deferred(const struct backend_list *l);
--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -6,8 +6,12 @@
 #include "misc/clock.h"
 #include "platform/records.h"
 
-/* Records read before the end of a listing, to find removals just before it. */
-enum { TAIL_RECORDS = 64 };
+enum {
+	/* Read before the end of a listing, to find removals just before it. */
+	TAIL_RECORDS = 64,
+	/* Until a listing that ended early is repeated; the log is read on. */
+	RELIST_PAUSE_MS = 5000,
+};
 
 /*
  * Decodes a record as the removal of its key. Returns false if the key is
@@ -129,6 +133,9 @@
 		return;
 	}
 	w->listing = false;
+	w->relist_ms = r->incomplete ? now_ms + RELIST_PAUSE_MS : 0;
+	if (r->incomplete)
+		backend_list_keep_unlisted(&w->list);
 	backend_list_replace_end(&w->list, w->listing_end, w->read_sent_ms,
 				 now_ms);
 }
@@ -189,13 +196,20 @@
 	return w->list.pos.era == w->store.store->era;
 }
 
+/* Returns whether it is time to repeat a listing that was incomplete. */
+static bool is_relist_due(const struct backend_watch *w, int64_t now_ms)
+{
+	return w->relist_ms && now_ms >= w->relist_ms;
+}
+
 /* Sends a read of new records, or of a full listing if necessary. */
 static void read_now(struct backend_watch *w, int64_t now_ms)
 {
 	w->read_sent_ms = now_ms;
 	w->spread_ms = 0;
-	w->full_listing =
-		!w->list.loaded || w->relist || !backend_watch_is_current(w);
+	w->full_listing = !w->list.loaded || w->relist ||
+			  is_relist_due(w, now_ms) ||
+			  !backend_watch_is_current(w);
 	if (!w->full_listing)
 		store_read(&w->store, STORE_TOPIC_BACKENDS, w->list.pos, 0);
 	else
@@ -216,6 +230,7 @@
 		w->failures);
 	bool reads_gap = w->gap && now_ms - w->gap_since_ms >= w->gap_delay_ms;
 	bool list_now = !w->list.loaded || reads_gap || w->relist ||
+			is_relist_due(w, now_ms) ||
 			(rank == 0 && !backend_watch_is_current(w));
 
 	backend_list_apply_deferred(&w->list, now_ms);
--- a/control/backend_watch.h
+++ b/control/backend_watch.h
@@ -14,9 +14,10 @@
 	int64_t read_sent_ms; /* when the last read was sent */
 	int64_t answered_ms;  /* when the last read that succeeded was sent */
 	unsigned failures;    /* consecutive */
-	bool relist;	/* the store no longer has the position to read from */
-	bool gap;	/* a feed began after the last applied record */
-	int64_t gap_ms; /* when it was last detected */
+	bool relist; /* the store no longer has the position to read from */
+	int64_t relist_ms; /* when an incomplete listing is repeated; 0: none */
+	bool gap;	   /* a feed began after the last applied record */
+	int64_t gap_ms;	   /* when it was last detected */
 	int64_t gap_since_ms; /* when it was first detected */
 	int gap_delay_ms;     /* time for peers to close a gap before a read */
 	int spread_ms;	      /* delay of the next read, see backoff_spread() */
--- a/misc/lstr.h
+++ b/misc/lstr.h
@@ -32,6 +32,15 @@
 	       (a.len == 0 || memcmp(a.ptr, b.ptr, a.len) == 0);
 }
 
+/* lstr_cmp() orders two strings by their bytes, a prefix first. */
+static inline int lstr_cmp(struct lstr a, struct lstr b)
+{
+	size_t n = a.len < b.len ? a.len : b.len;
+	int c = n ? memcmp(a.ptr, b.ptr, n) : 0;
+
+	return c ? c : (a.len > b.len) - (a.len < b.len);
+}
+
 /* lstr_starts_with() returns whether s begins with a prefix. */
 static inline bool lstr_starts_with(struct lstr s, struct lstr prefix)
 {
--- a/tests/test_backend_watch.c
+++ b/tests/test_backend_watch.c
@@ -176,6 +176,48 @@
 	assert_true(attempts <= OUTAGE_MS / INTERVAL_MS * 3 / 2);
 }
 
+/* A listing answered by a page behind which the store leads nowhere. */
+static void answer_incomplete(struct backend_watch *w, int64_t sent_ms)
+{
+	struct store_result r = {.end = {0, 20}, .incomplete = true};
+
+	w->read_sent_ms = sent_ms;
+	w->full_listing = true;
+	w->store.done(w->store.priv, &r);
+}
+
+/*
+ * Guards against servers that are removed, or a start that never ends, because
+ * a listing can't be read to its end.
+ */
+static void test_incomplete_listing_removes_nothing(void **state)
+{
+	struct backend_change c = {.pos = {0, 5}, .entry.id = "i-1"};
+	int64_t now_ms = clock_boot_ms();
+	struct backend_watch w;
+
+	begin(&w);
+	answer_incomplete(&w, now_ms);
+	assert_true(w.list.loaded);
+	assert_int_equal(w.list.pos.offset, 20);
+	backend_list_apply_record(&w.list, &c, now_ms);
+	answer_incomplete(&w, now_ms);
+	assert_non_null(g_hash_table_lookup(w.list.entries, "i-1"));
+	/* The log is read meanwhile, and the listing repeated after a pause. */
+	backend_watch_tick(&w, true, 0, false, now_ms + 4000);
+	assert_int_equal(w.store.call, STORE_READ);
+	store_cancel(&w.store);
+	backend_watch_tick(&w, true, 0, false, clock_boot_ms() + 5000);
+	assert_int_equal(w.store.call, STORE_LIST);
+	store_cancel(&w.store);
+	/* A complete one does remove it. */
+	answer_listing(&w, now_ms + 5000);
+	assert_null(g_hash_table_lookup(w.list.entries, "i-1"));
+	backend_watch_tick(&w, true, 0, false, now_ms + 20000);
+	assert_int_equal(w.store.call, STORE_READ);
+	store_cancel(&w.store);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -183,6 +225,7 @@
 		cmocka_unit_test(test_failure_is_no_store_answer),
 		cmocka_unit_test(test_peers_close_a_gap_first),
 		cmocka_unit_test(test_attempts_during_an_outage_are_bounded),
+		cmocka_unit_test(test_incomplete_listing_removes_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
