The configuration is read from all pages of its topic

Cause: control/config_watch, unlike the other readers, took the first page of a listing for all of it; so did ctl.

Fix: control/config_listing collects the records that concern the configuration from all pages, and they are put into force together after the last one, with the position of the first. An incomplete listing that has no configuration is a failed read with the usual pauses; one that has it takes no evacuation back. ctl reads all pages.

--- a/control/config_watch.c
+++ b/control/config_watch.c
@@ -176,25 +176,23 @@
 	}
 }
 
-/* Handles the result of any call to the store. */
-static void on_done(void *priv, const struct store_result *r)
+/* Handles a failed call, depending on its error. */
+static void on_error(struct config_watch *w, int err)
+{
+	if (err == -ERANGE)
+		request_listing(w);
+	else if (err == -ECANCELED)
+		schedule_read(w, RETRY_MS);
+	else
+		on_failure(w, err);
+}
+
+/* Applies the records of a read or of a whole listing. */
+static void apply_result(struct config_watch *w, const struct store_result *r)
 {
-	struct config_watch *w = priv;
 	struct store_position known = w->pos;
 	struct evacuations evacuations = w->evacuations;
 
-	if (r->err == -ERANGE) {
-		request_listing(w);
-		return;
-	}
-	if (r->err == -ECANCELED) {
-		schedule_read(w, RETRY_MS);
-		return;
-	}
-	if (r->err) {
-		on_failure(w, r->err);
-		return;
-	}
 	if (w->failures)
 		mp_event(EV_PLATFORM_RECOVERED, G_LOG_LEVEL_MESSAGE,
 			 "what=config failures=%u", w->failures);
@@ -223,6 +221,46 @@
 				       : 0);
 }
 
+/*
+ * Adds a page of a listing and requests the next one, or applies all. A listing
+ * that ends before the configuration has failed: none may be in force, or an
+ * older one.
+ */
+static void on_page(struct config_watch *w, const struct store_result *page)
+{
+	struct store_result all;
+
+	if (!w->store.after.len)
+		config_listing_begin(&w->pages, page->end);
+	config_listing_add(&w->pages, &w->source, page);
+	if (page->more) {
+		w->call_sent_ms = clock_boot_ms();
+		store_list(&w->store, w->source.topic, page->last_key);
+		return;
+	}
+	if (page->incomplete &&
+	    !config_listing_has_config(&w->pages, &w->source)) {
+		on_failure(w, -EPROTO);
+		return;
+	}
+	all = config_listing_result(&w->pages, page);
+	apply_result(w, &all);
+	config_listing_clear(&w->pages);
+}
+
+/* Handles the result of any call to the store. */
+static void on_done(void *priv, const struct store_result *r)
+{
+	struct config_watch *w = priv;
+
+	if (r->err)
+		on_error(w, r->err);
+	else if (w->listing)
+		on_page(w, r);
+	else
+		apply_result(w, r);
+}
+
 /* A position of an earlier era is meaningless in the store's present log. */
 bool config_watch_has_bookmark(const struct config_watch *w)
 {
--- a/control/config_watch.h
+++ b/control/config_watch.h
@@ -9,6 +9,7 @@
 #ifndef MP_CONTROL_CONFIG_WATCH_H
 #define MP_CONTROL_CONFIG_WATCH_H
 
+#include "control/config_listing.h"
 #include "control/config_source.h"
 #include "control/evacuation_records.h"
 #include "member/peers.h"
@@ -36,10 +37,11 @@
 	uint32_t digest;		/* of both */
 	bool listed; /* the newest version was read at least once */
 	bool relist; /* the store no longer has `pos` */
-	struct store_position pos; /* records before it are applied */
-	uint64_t version;	   /* the newest valid one; 0: none */
-	uint32_t invalid_digest;   /* of a peer with an invalid record */
-	bool listing;		   /* the pending call is a listing */
+	struct store_position pos;   /* records before it are applied */
+	uint64_t version;	     /* the newest valid one; 0: none */
+	uint32_t invalid_digest;     /* of a peer with an invalid record */
+	bool listing;		     /* the pending call is a listing */
+	struct config_listing pages; /* that it has had so far */
 	struct config_progress newest_progress; /* supersedes `version` */
 	unsigned failures;			/* consecutive */
 	int64_t call_sent_ms; /* when the pending call was sent */
--- a/control/evacuation_records.c
+++ b/control/evacuation_records.c
@@ -71,7 +71,7 @@
 
 	if (!prefix || store_position_cmp(r->end, known) < 0)
 		return false;
-	if (listing && !r->more)
+	if (listing && !r->more && !r->incomplete)
 		drop_unlisted(e, r);
 	for (size_t i = 0; i < r->nrecords; i++) {
 		const struct store_record *rec = &r->records[i];
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -193,6 +193,12 @@
 	check_all_names(STORE_TOPIC_MEMBERS);
 }
 
+/* The key of the configuration is on a later page than these. */
+static void test_names_among_versions(void **state)
+{
+	check_all_names(STORE_TOPIC_CONFIG);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -200,6 +206,8 @@
 					  system_stop),
 		cmocka_unit_test_teardown(test_names_among_instances,
 					  system_stop),
+		cmocka_unit_test_teardown(test_names_among_versions,
+					  system_stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tools/ctl.c
+++ b/tools/ctl.c
@@ -38,16 +38,23 @@
 	bool writing;	/* the pending call is a write */
 };
 
-/* Decodes the newest version of the settings from a listing. */
+/*
+ * Decodes the newest version of the settings from a page of a listing. A write
+ * is conditional on the end of the first page.
+ */
 static void decode_live(struct ctl *c, const struct store_result *r)
 {
-	conf_clear(&c->live);
-	conf_init(&c->live);
+	if (!c->store.after.len) {
+		conf_clear(&c->live);
+		conf_init(&c->live);
+		c->end = r->end;
+	}
 	for (size_t i = 0; i < r->nrecords && !c->err; i++) {
 		if (lstr_eq(r->records[i].key, lstr0(CONF_KEY)))
 			c->err = conf_read(r->records[i].value, &c->live);
 	}
-	c->end = r->end;
+	if (r->incomplete && !c->live.version)
+		c->err = -EPROTO;
 }
 
 /* Prints the last c->last versions of the topic, one per line. */
@@ -78,6 +85,10 @@
 		print_versions(c, r);
 	else if (!r->err && !c->writing)
 		decode_live(c, r);
+	if (!c->err && r->more) {
+		store_list(&c->store, CONF_TOPIC, r->last_key);
+		return;
+	}
 	ev_break(c->loop, EVBREAK_ALL);
 }
 
