The port of an address begins with a digit

Callers would see nothing of this alone: "10.0.0.9: 80" or "10.0.0.9:+80" in an entry of another writer, or in the settings, was taken as port 80. Ports 0, 65536, 70000, -1 and of twenty digits were refused before and are.

Cause: strtol() accepts blanks and a sign. Fix: the first character after the colon must be a digit.

--- a/options/settings.c
+++ b/options/settings.c
@@ -89,7 +89,8 @@
 	struct in_addr ia;
 	char *end;
 
-	if (!colon || (size_t)(colon - addr) >= host_len)
+	if (!colon || (size_t)(colon - addr) >= host_len ||
+	    !g_ascii_isdigit(colon[1]))
 		return -EINVAL;
 	memcpy(host, addr, (size_t)(colon - addr));
 	host[colon - addr] = '\0';
@@ -97,7 +98,7 @@
 		return -EINVAL;
 	long p = strtol(colon + 1, &end, 10);
 
-	if (*end || end == colon + 1 || p < 1 || p > 65535)
+	if (*end || p < 1 || p > 65535)
 		return -EINVAL;
 	*port = (int)p;
 	return 0;
