Records and datagrams of instances are checked before they are narrowed

Callers would see: an instance whose record another writer left among the instances' own, with port 70000, was looked for at port 4464, and a message of another kind that stood there added an instance without a name to the table. A name with a zero byte was the name before it; one with a line break began a line of its own in the log.

Fix: next_u32() and next_uint_to() refuse a number that doesn't fit, eras have 32 bits as in the store's own header, names are printable, and a record is a heartbeat with a name or verdicts.

--- a/control/own_records.c
+++ b/control/own_records.c
@@ -1,6 +1,13 @@
 #include "common/event.h"
 #include "control/own_records.h"
 
+/* Returns whether a message is one that instances write to the store. */
+static bool is_record(const struct gossip_message *m)
+{
+	return (m->kind == GOSSIP_HEARTBEAT && *m->sender.name) ||
+	       m->kind == GOSSIP_CRASHES;
+}
+
 /*
  * own_record_read() decodes a record, which is encoded as a datagram: the
  * heartbeat of an instance, or verdicts. Returns false and logs it if it is
@@ -8,7 +15,7 @@
  */
 bool own_record_read(const struct store_record *rec, struct gossip_message *m)
 {
-	if (gossip_read(rec->value, m) == 0)
+	if (gossip_read(rec->value, m) == 0 && is_record(m))
 		return true;
 	mp_event(EV_PEER_INVALID_DATAGRAM, G_LOG_LEVEL_WARNING,
 		 "record '%.*s' can't be decoded", (int)rec->key.len,
--- a/member/gossip_read.c
+++ b/member/gossip_read.c
@@ -5,6 +5,8 @@
 #include <msgpack.h>
 
 #include "member/gossip.h"
+#include "misc/codec.h"
+#include "misc/text.h"
 
 enum { CRASH_FIELDS_WITHOUT_AGE = 3 };
 
@@ -50,6 +52,23 @@
 	return o->via.u64;
 }
 
+/* Reads an unsigned integer that must not be greater than max. */
+static uint64_t next_uint_to(struct cursor *c, uint64_t max)
+{
+	uint64_t v = next_uint(c);
+
+	if (v <= max)
+		return v;
+	c->bad = true;
+	return 0;
+}
+
+/* Reads an unsigned integer of 32 bits. */
+static uint32_t next_u32(struct cursor *c)
+{
+	return (uint32_t)next_uint_to(c, UINT32_MAX);
+}
+
 /* Reads a finite number >= 0; integers may be encoded as such. */
 static double next_number(struct cursor *c)
 {
@@ -65,12 +84,16 @@
 	return 0;
 }
 
-/* Reads a string that fits into `max` bytes with its terminating null byte. */
+/*
+ * Reads a string that fits into `max` bytes with its terminating null byte; it
+ * may be empty, and can be logged as it is.
+ */
 static void next_string(struct cursor *c, char *dst, size_t max)
 {
 	const msgpack_object *o = next(c);
 
-	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= max) {
+	if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= max ||
+	    (o->via.str.size && !text_is_printable(codec_str(o)))) {
 		c->bad = true;
 		return;
 	}
@@ -83,13 +106,14 @@
 {
 	memset(sa, 0, sizeof(*sa));
 	sa->sin_family = AF_INET;
-	sa->sin_addr.s_addr = htonl((uint32_t)next_uint(c));
-	sa->sin_port = htons((uint16_t)next_uint(c));
+	sa->sin_addr.s_addr = htonl(next_u32(c));
+	sa->sin_port = htons((uint16_t)next_uint_to(c, UINT16_MAX));
 }
 
+/* Reads a position; the store numbers its eras in 32 bits. */
 static struct store_position next_position(struct cursor *c)
 {
-	uint64_t era = next_uint(c);
+	uint64_t era = next_u32(c);
 
 	return (struct store_position){era, next_uint(c)};
 }
@@ -113,9 +137,9 @@
 	next_string(&c, e->service, sizeof(e->service));
 	next_string(&c, e->dc, sizeof(e->dc));
 	next_addr(&c, &e->addr);
-	e->slots = (unsigned)next_uint(&c);
+	e->slots = next_u32(&c);
 	e->draining = next_uint(&c) != 0;
-	e->warm_up_ms = (uint32_t)next_uint(&c);
+	e->warm_up_ms = next_u32(&c);
 	e->server_start_ms = next_uint(&c);
 	e->sequence = next_uint(&c);
 	return !c.bad;
@@ -128,8 +152,8 @@
 	f->from = next_position(&c);
 	f->listed_from = next_position(&c);
 	f->to = next_position(&c);
-	f->age_ms = (uint32_t)next_uint(&c);
-	f->covered_ms = (uint32_t)next_uint(&c);
+	f->age_ms = next_u32(&c);
+	f->covered_ms = next_u32(&c);
 	f->after_gap = next_uint(&c) != 0;
 	list = cursor_of(next(&c));
 	f->changes = g_array_new(FALSE, FALSE, sizeof(struct backend_change));
@@ -150,8 +174,8 @@
 	while (!c.bad && c.at < c.end && load->n < PEER_LOAD_MAX) {
 		struct peer_load_item *i = &load->items[load->n++];
 
-		i->backend = (uint32_t)next_uint(&c);
-		i->count = (uint32_t)next_uint(&c);
+		i->backend = next_u32(&c);
+		i->count = next_u32(&c);
 	}
 	return !c.bad;
 }
@@ -166,12 +190,12 @@
 	p->boot_id = next_uint(c);
 	p->leaving = next_uint(c) != 0;
 	p->ready = next_uint(c) != 0;
-	p->store_era = next_uint(c);
-	p->records_era = next_uint(c);
+	p->store_era = next_u32(c);
+	p->records_era = next_u32(c);
 	p->config.pos = next_position(c);
-	p->config.age_ms = (uint32_t)next_uint(c);
+	p->config.age_ms = next_u32(c);
 	p->config.version = next_uint(c);
-	p->config.digest = (uint32_t)next_uint(c);
+	p->config.digest = next_u32(c);
 }
 
 /* Decodes the description of an instance. Returns false if it is invalid. */
@@ -192,7 +216,7 @@
 
 		if (!gossip_read_info(next(&c), &r.info))
 			return false;
-		r.sign_age_ms = (uint32_t)next_uint(&c);
+		r.sign_age_ms = next_u32(&c);
 		g_array_append_val(out, r);
 	}
 	return !c.bad;
@@ -211,7 +235,7 @@
 	struct cursor c = cursor_of(o);
 
 	while (!c.bad && c.at < c.end) {
-		uint32_t id = (uint32_t)next_uint(&c);
+		uint32_t id = next_u32(&c);
 
 		g_array_append_val(out, id);
 	}
@@ -224,8 +248,7 @@
 	struct cursor c = cursor_of(o);
 
 	while (!c.bad && c.at < c.end) {
-		struct roster_entry e = {(uint32_t)next_uint(&c), ready,
-					 relayed};
+		struct roster_entry e = {next_u32(&c), ready, relayed};
 
 		g_array_append_val(out, e);
 	}
@@ -237,8 +260,8 @@
 	struct cursor c = cursor_of(o);
 
 	roster_init(r);
-	r->lo = (uint32_t)next_uint(&c);
-	r->hi = (uint32_t)next_uint(&c);
+	r->lo = next_u32(&c);
+	r->hi = next_u32(&c);
 	return read_roster_ids(next(&c), true, false, r->entries) &&
 	       read_roster_ids(next(&c), false, false, r->entries) &&
 	       read_roster_ids(next(&c), true, true, r->entries) &&
@@ -255,14 +278,14 @@
 
 	while (!c.bad && c.at < c.end && out->len < CRASH_NOTICES_MAX) {
 		struct crash_notice n = {
-			.kind = (enum crash_notice_kind)next_uint(&c),
+			.kind = (enum crash_notice_kind)next_u32(&c),
 			.digest = next_uint(&c),
-			.detail = (uint32_t)next_uint(&c),
+			.detail = next_u32(&c),
 		};
 
 		/* Records of earlier versions are a notice without an age. */
 		if (o->via.array.size != CRASH_FIELDS_WITHOUT_AGE)
-			n.age_ms = (uint32_t)next_uint(&c);
+			n.age_ms = next_u32(&c);
 
 		if (n.kind < CRASH_NOTICE_CRASHED ||
 		    n.kind > CRASH_NOTICE_QUARANTINE)
@@ -279,11 +302,11 @@
 	while (!c.bad && c.at < c.end && update->n < LIMIT_GOSSIP_MAX) {
 		struct limit_gossip_item *it = &update->items[update->n++];
 
-		it->backend = (uint32_t)next_uint(&c);
+		it->backend = next_u32(&c);
 		it->limited = next_uint(&c) != 0;
 		it->per_s = next_number(&c);
-		it->sent_ago_ms = (uint32_t)next_uint(&c);
-		it->received_ago_ms = (uint32_t)next_uint(&c);
+		it->sent_ago_ms = next_u32(&c);
+		it->received_ago_ms = next_u32(&c);
 	}
 	return !c.bad;
 }
@@ -310,9 +333,9 @@
 	while (!c.bad && c.at < c.end && update->n < SHORTAGE_GOSSIP_MAX) {
 		struct shortage_item *it = &update->items[update->n++];
 
-		it->service = (uint32_t)next_uint(&c);
-		it->counts.asked = (unsigned)next_uint(&c);
-		it->counts.missed = (unsigned)next_uint(&c);
+		it->service = next_u32(&c);
+		it->counts.asked = next_u32(&c);
+		it->counts.missed = next_u32(&c);
 		if (it->counts.asked > SHORTAGE_COUNT_MAX ||
 		    it->counts.missed > SHORTAGE_COUNT_MAX)
 			return false;
@@ -323,9 +346,9 @@
 static bool read_grant(struct cursor *c, struct gossip_message *m)
 {
 	m->call.grant = m->kind == GOSSIP_GRANT;
-	m->call.from = (uint32_t)next_uint(c);
-	m->call.resource = (uint32_t)next_uint(c);
-	m->call.serial = (uint32_t)next_uint(c);
+	m->call.from = next_u32(c);
+	m->call.resource = next_u32(c);
+	m->call.serial = next_u32(c);
 	return !c->bad;
 }
 
@@ -359,21 +382,21 @@
 	case GOSSIP_ROSTER_REQUEST:
 		return true;
 	case GOSSIP_ROSTER_DIGEST:
-		m->digest = (uint32_t)next_uint(c);
+		m->digest = next_u32(c);
 		return !c->bad;
 	case GOSSIP_FEED:
 		return read_feed(next(c), &m->feed);
 	case GOSSIP_LOAD:
-		m->load.peer = (uint32_t)next_uint(c);
+		m->load.peer = next_u32(c);
 		return read_counts(next(c), &m->load) && !c->bad;
 	case GOSSIP_LIMITS:
-		m->limits.peer = (uint32_t)next_uint(c);
+		m->limits.peer = next_u32(c);
 		return read_limits(next(c), &m->limits) && !c->bad;
 	case GOSSIP_DRAINING:
-		m->drain.peer = (uint32_t)next_uint(c);
+		m->drain.peer = next_u32(c);
 		return read_draining(next(c), &m->drain) && !c->bad;
 	case GOSSIP_SHORTAGE:
-		m->shortage.peer = (uint32_t)next_uint(c);
+		m->shortage.peer = next_u32(c);
 		return read_shortage(next(c), &m->shortage) && !c->bad;
 	case GOSSIP_GRANT_REQUEST:
 	case GOSSIP_GRANT:
@@ -417,7 +440,7 @@
 	    MSGPACK_UNPACK_SUCCESS) {
 		struct cursor c = cursor_of(&u.data);
 
-		m->kind = (enum gossip_kind)next_uint(&c);
+		m->kind = (enum gossip_kind)next_u32(&c);
 		if (gossip_has_sender_info(m))
 			read_info(&c, &m->sender);
 		if (!c.bad && read_body(&c, m))
--- a/member/snapshot.c
+++ b/member/snapshot.c
@@ -109,6 +109,11 @@
 	return o->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
 }
 
+static bool is_u32(const msgpack_object *o)
+{
+	return is_uint(o) && o->via.u64 <= UINT32_MAX;
+}
+
 static bool read_members(const msgpack_object *o, GArray *out)
 {
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size % 2)
@@ -117,7 +122,7 @@
 		struct peer_report r;
 
 		if (!gossip_read_info(&o->via.array.ptr[i], &r.info) ||
-		    !is_uint(&o->via.array.ptr[i + 1]))
+		    !is_u32(&o->via.array.ptr[i + 1]))
 			return false;
 		r.sign_age_ms = (uint32_t)o->via.array.ptr[i + 1].via.u64;
 		g_array_append_val(out, r);
@@ -133,7 +138,7 @@
 		const msgpack_object *v = &o->via.array.ptr[i];
 		struct crash_notice n = {CRASH_NOTICE_QUARANTINE, 0, 0, 0};
 
-		if (!is_uint(&v[0]) || !is_uint(&v[1]))
+		if (!is_uint(&v[0]) || !is_u32(&v[1]))
 			return false;
 		n.digest = v[0].via.u64;
 		n.detail = (uint32_t)v[1].via.u64;
@@ -165,10 +170,10 @@
 
 	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != FIELDS ||
 	    !is_uint(&f[HAS_CONFIG]) || !is_uint(&f[CONFIG_ERA]) ||
-	    !is_uint(&f[CONFIG_OFFSET]) || !is_uint(&f[CONFIG_AGE]) ||
+	    !is_uint(&f[CONFIG_OFFSET]) || !is_u32(&f[CONFIG_AGE]) ||
 	    f[CONFIG].type != MSGPACK_OBJECT_BIN ||
 	    !is_uint(&f[BACKENDS_ERA]) || !is_uint(&f[BACKENDS_OFFSET]) ||
-	    !is_uint(&f[BACKENDS_AGE]) ||
+	    !is_u32(&f[BACKENDS_AGE]) ||
 	    (f[BACKENDS].type != MSGPACK_OBJECT_ARRAY &&
 	     f[BACKENDS].type != MSGPACK_OBJECT_NIL))
 		return false;
