Text from outside is one line in a log and one value in metrics

Operators would see: a key with a line break began a log line of its own, with any event number, and one with a quote began a metric of its own; an evacuation of "dc\0x" was one of "dc".

Cause: keys, names and headers of other programs were written as they were.

--- a/common/event.c
+++ b/common/event.c
@@ -9,6 +9,7 @@
 #include <ck_pr.h>
 
 #include "common/event.h"
+#include "misc/text.h"
 
 enum {
 	LINE_MAX_BYTES = 1200,
@@ -210,8 +211,9 @@
 }
 
 /*
- * mp_event() logs event ev with a printf-style message. Quotes in the message
- * are not escaped.
+ * mp_event() logs event ev with a printf-style message. Texts in it may come
+ * from other programs: whatever they contain, the message is one line. Quotes in
+ * it are not escaped.
  */
 void mp_event(enum mp_event ev, GLogLevelFlags level, const char *fmt, ...)
 {
@@ -222,6 +224,7 @@
 	va_start(ap, fmt);
 	vsnprintf(msg, sizeof(msg), fmt, ap);
 	va_end(ap);
+	text_replace_controls(msg);
 	g_log_structured("mimosapitch", level, "EVENT", evs, "ROLE", log_role,
 			 "MESSAGE", "%s", msg);
 }
--- a/control/backend_watch.c
+++ b/control/backend_watch.c
@@ -4,6 +4,7 @@
 #include "common/event.h"
 #include "control/backend_watch.h"
 #include "misc/clock.h"
+#include "misc/text.h"
 #include "platform/backend_record.h"
 
 enum {
@@ -33,15 +34,19 @@
  */
 static bool decode(const struct store_record *rec, struct backend_change *c)
 {
+	char *key;
+
 	memset(c, 0, sizeof(*c));
 	c->pos = rec->pos;
 	if (rec->value.len == 0)
 		return decode_key(rec, c);
 	if (backend_record_decode(rec->key, rec->value, &c->entry) == 0)
 		return true;
+	key = text_escape(rec->key);
 	mp_event(EV_MEMBER_INVALID_RECORD, G_LOG_LEVEL_WARNING,
-		 "record %" G_GUINT64_FORMAT " of '%.*s' can't be decoded",
-		 rec->pos.offset, (int)rec->key.len, rec->key.ptr);
+		 "record %" G_GUINT64_FORMAT " of '%s' can't be decoded",
+		 rec->pos.offset, key);
+	g_free(key);
 	return decode_key(rec, c);
 }
 
--- a/control/evacuation_records.c
+++ b/control/evacuation_records.c
@@ -3,6 +3,7 @@
 
 #include "common/event.h"
 #include "control/evacuation_records.h"
+#include "misc/text.h"
 
 /* Returns the data centre that a record concerns; empty: none. */
 static struct lstr data_centre(const struct store_record *rec,
@@ -18,10 +19,12 @@
 /* Logs a record that names no data centre; the others stay in force. */
 static void log_invalid(const struct store_record *rec, int err)
 {
+	char *key = text_escape(rec->key);
+
 	mp_event(EV_CONFIG_INVALID_RECORD, G_LOG_LEVEL_WARNING,
-		 "record %" G_GUINT64_FORMAT ": evacuation '%.*s': %s",
-		 rec->pos.offset, (int)MIN(rec->key.len, BACKEND_NAME_MAX),
-		 rec->key.ptr, g_strerror(-err));
+		 "record %" G_GUINT64_FORMAT ": evacuation '%s': %s",
+		 rec->pos.offset, key, g_strerror(-err));
+	g_free(key);
 }
 
 /* Applies one record; its value is empty if the evacuation is taken back. */
--- a/control/own_records.c
+++ b/control/own_records.c
@@ -1,5 +1,6 @@
 #include "common/event.h"
 #include "control/own_records.h"
+#include "misc/text.h"
 
 /* Returns whether a message is one that instances write to the store. */
 static bool is_record(const struct gossip_message *m)
@@ -15,10 +16,13 @@
  */
 bool own_record_read(const struct store_record *rec, struct gossip_message *m)
 {
+	char *key;
+
 	if (gossip_read(rec->value, m) == 0 && is_record(m))
 		return true;
+	key = text_escape(rec->key);
 	mp_event(EV_PEER_INVALID_DATAGRAM, G_LOG_LEVEL_WARNING,
-		 "record '%.*s' can't be decoded", (int)rec->key.len,
-		 rec->key.ptr);
+		 "record '%s' can't be decoded", key);
+	g_free(key);
 	return false;
 }
--- a/core/evacuations.c
+++ b/core/evacuations.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/evacuations.h"
+#include "misc/text.h"
 
 /* Returns the index of a data centre, or where it would be inserted. */
 static unsigned find(const struct evacuations *e, const char *dc, bool *found)
@@ -17,8 +18,7 @@
 /* Copies a data centre's name. Returns false if it is invalid. */
 static bool copy_name(char *out, struct lstr dc)
 {
-	if (!dc.len || dc.len >= BACKEND_NAME_MAX ||
-	    memchr(dc.ptr, '\0', dc.len))
+	if (dc.len >= BACKEND_NAME_MAX || !text_is_printable(dc))
 		return false;
 	memcpy(out, dc.ptr, dc.len);
 	out[dc.len] = '\0';
--- a/misc/text.h
+++ b/misc/text.h
@@ -1,6 +1,6 @@
 /*
- * Checks of text that other programs chose, before it is written into a header
- * or a line of a log.
+ * Text that other programs chose: checks and escaping before it is written into
+ * a request line, a header, a log or metrics.
  */
 #ifndef MP_MISC_TEXT_H
 #define MP_MISC_TEXT_H
@@ -9,5 +9,9 @@
 
 bool text_is_printable(struct lstr s);
 bool text_is_name(struct lstr s);
+bool text_is_target(struct lstr s);
+char *text_escape(struct lstr s);
+char *text_label(struct lstr s);
+void text_replace_controls(char *s);
 
 #endif
--- a/tests/test_evacuations.c
+++ b/tests/test_evacuations.c
@@ -5,6 +5,18 @@
 
 #include "core/evacuations.h"
 
+/* A key of another writer evacuates nothing if it can't be a name. */
+static void test_names(void **state)
+{
+	struct evacuations e = {.n = 0};
+
+	assert_int_equal(evacuations_add(&e, LSTR("dc\0x"), 1), -EINVAL);
+	assert_int_equal(evacuations_add(&e, LSTR("dc\nts=0"), 1), -EINVAL);
+	assert_int_equal(evacuations_add(&e, LSTR("dc\x7f"), 1), -EINVAL);
+	assert_int_equal(evacuations_add(&e, LSTR(""), 1), -EINVAL);
+	assert_int_equal(e.n, 0);
+}
+
 static void test_set(void **state)
 {
 	struct evacuations e = {.n = 0}, other = {.n = 0};
@@ -53,6 +65,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_set),
+		cmocka_unit_test(test_names),
 		cmocka_unit_test(test_invalid_names),
 	};
 
--- a/tests/test_event.c
+++ b/tests/test_event.c
@@ -76,6 +76,20 @@
 	assert_int_equal(strncmp(buf, "ts=", 3), 0);
 }
 
+/* Guards against a text from outside that begins a line of its own. */
+static void test_one_line(void **state)
+{
+	static char buf[4096];
+	struct captured_stdout s = capture_stdout();
+
+	mp_event(EV_REQUEST_REFUSED, G_LOG_LEVEL_INFO, "id=%s",
+		 "a\r\nts=0 ev=900\t\x7f\xff");
+	read_all(s.reader, buf, sizeof(buf));
+	restore_stdout(&s);
+	assert_non_null(strstr(buf, " id=a??ts=0 ev=900???\n"));
+	assert_ptr_equal(strchr(buf, '\n'), buf + strlen(buf) - 1);
+}
+
 /* The rate limit holds, and the next line reports the dropped lines. */
 static void test_rate(void **state)
 {
@@ -146,6 +160,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_line),
+		cmocka_unit_test(test_one_line),
 		cmocka_unit_test(test_rate),
 		cmocka_unit_test(test_reader_stopped),
 		cmocka_unit_test(test_level),
--- a/traffic/metrics.c
+++ b/traffic/metrics.c
@@ -5,6 +5,7 @@
 #include "core/outlier.h"
 #include "misc/clock.h"
 #include "traffic/clients.h"
+#include "misc/text.h"
 #include "traffic/metrics.h"
 #include "traffic/upstream.h"
 #include "traffic/responses.h"
@@ -26,18 +27,21 @@
 	};
 	static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
 
+	char *class = text_label(lstr0(c->name));
+
 	for (size_t i = 0; i < sizeof(counts) / sizeof(*counts); i++)
 		buf_printf(out,
 			   "class_%s{class=\"%s\"} %" G_GUINT64_FORMAT "\n",
-			   counts[i].name, c->name, counts[i].value);
+			   counts[i].name, class, counts[i].value);
 	for (size_t i = 0; i < sizeof(quantiles) / sizeof(*quantiles); i++)
 		buf_printf(out,
 			   "class_latency_us{class=\"%s\",quantile=\"%g\"} "
 			   "%" G_GUINT64_FORMAT "\n",
-			   c->name, quantiles[i],
+			   class, quantiles[i],
 			   hist_quantile(&c->latency, quantiles[i]));
-	buf_printf(out, "class_work_ms{class=\"%s\"} %.1f\n", c->name,
+	buf_printf(out, "class_work_ms{class=\"%s\"} %.1f\n", class,
 		   c->work.median_ms);
+	g_free(class);
 }
 
 /* Writes the state of a backend server as this instance sees it. */
@@ -73,60 +77,70 @@
 		{"cold_own_per_s", cold ? slow->share.quota.rate_s : -1},
 	};
 
+	char *service = text_label(lstr0(b->service->name));
+
 	for (size_t i = 0; i < sizeof(gauges) / sizeof(*gauges); i++)
-		buf_printf(out,
-			   "backend_%s{service=\"%s\",backend=\"%s\"} %g\n",
-			   gauges[i].name, b->service->name, b->entry.id,
-			   gauges[i].value);
+		buf_printf(
+			out, "backend_%s{service=\"%s\",backend=\"%s\"} %g\n",
+			gauges[i].name, service, b->entry.id, gauges[i].value);
+	g_free(service);
 }
 
 /*
  * Writes the extra sends of this process lifetime. The retry budget rule
  * applies to their sum over all lifetimes.
  */
-static void write_account(struct buf *out, const struct service *s)
+static void write_account(struct buf *out, const struct service *s,
+			  const char *name)
 {
 	const struct budget_stats *a = &s->retry_stats;
 
 	buf_printf(out,
 		   "service_requests{service=\"%s\"} %" G_GUINT64_FORMAT "\n",
-		   s->name, a->requests);
+		   name, a->requests);
 	for (unsigned i = 0; i < EXTRA_CAUSES; i++) {
 		const char *cause = extra_cause_name((enum extra_cause)i);
 
 		buf_printf(out,
 			   "service_extra_sends{service=\"%s\",cause=\"%s\"} "
 			   "%" G_GUINT64_FORMAT "\n",
-			   s->name, cause, a->spent[i]);
+			   name, cause, a->spent[i]);
 		buf_printf(out,
 			   "service_extra_denied{service=\"%s\",cause=\"%s\"} "
 			   "%" G_GUINT64_FORMAT "\n",
-			   s->name, cause, a->denied[i]);
+			   name, cause, a->denied[i]);
 	}
 }
 
 static void write_service(struct buf *out, const struct traffic *t,
 			  const struct service *s)
 {
-	buf_printf(out, "service_backends{service=\"%s\"} %u\n", s->name,
+	char *name = text_label(lstr0(s->name));
+
+	buf_printf(out, "service_backends{service=\"%s\"} %u\n", name,
 		   s->backends->len);
 	buf_printf(
 		out, "service_lost_ms{service=\"%s\"} %" G_GINT64_FORMAT "\n",
-		s->name,
+		name,
 		reach_is_lost(&s->reach) ? clock_ms() - s->reach.lost_ms : 0);
-	buf_printf(out, "service_waiting{service=\"%s\"} %u\n", s->name,
+	buf_printf(out, "service_waiting{service=\"%s\"} %u\n", name,
 		   s->waiting.length);
-	buf_printf(out, "service_retries_left{service=\"%s\"} %.1f\n", s->name,
+	buf_printf(out, "service_retries_left{service=\"%s\"} %.1f\n", name,
 		   budget_left(&s->budget, &t->budget_params, clock_boot_ms()));
-	write_account(out, s);
+	write_account(out, s, name);
+	g_free(name);
 }
 
 /* Writes the data centres that are evacuated as known here. */
 static void write_evacuations(struct buf *out, const struct evacuations *e)
 {
 	buf_printf(out, "evacuations %u\n", e->n);
-	for (unsigned i = 0; i < e->n; i++)
-		buf_printf(out, "evacuated_dc{dc=\"%s\"} 1\n", e->list[i].dc);
+	for (unsigned i = 0; i < e->n; i++) {
+		char *dc = text_label(lstr0(e->list[i].dc));
+
+		buf_printf(out, "evacuated_dc{dc=\"%s\"} 1\n", dc);
+		g_free(dc);
+	}
 }
 
 /* Writes what was refused because of quotas, and what that cost. */
--- a/traffic/workspace_metrics.c
+++ b/traffic/workspace_metrics.c
@@ -2,6 +2,7 @@
 
 #include "misc/clock.h"
 #include "traffic/request.h"
+#include "misc/text.h"
 #include "traffic/workspace_metrics.h"
 
 enum {
@@ -179,11 +180,14 @@
 		{"failed", c->failed},
 	};
 
+	char *label = text_label(lstr0(name));
+
 	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++)
 		buf_printf(out,
 			   "workspace_requests{workspace=\"%s\",outcome=\"%s\"}"
 			   " %" PRIu64 "\n",
-			   name, lines[i].outcome, lines[i].n);
+			   label, lines[i].outcome, lines[i].n);
+	g_free(label);
 }
 
 /*
@@ -241,6 +245,8 @@
 		struct workspace_counts none = {0};
 		const struct workspace_counts *c = s ? &s->counts : &none;
 
+		/* The name of an unusable workspace may have any bytes. */
+		text_replace_controls(name);
 		buf_printf(out,
 			   "workspace\t%g\t%g\t%u\t%u\t%" PRIu64 "\t%" PRIu64
 			   "\t%" PRIu64 "\t%" PRIu64 "\t%" PRIu64 "\t%s\n",
