Limits of the configuration aren't cut to 32 bits

Callers would see: with a limit of 2^32 + 1 bytes for heads, all requests got 431; with an idle timeout of 2^32 + 1 ms, connections were closed after 1 ms.

Cause: 64-bit numbers were cast.

--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -119,6 +119,54 @@
 	config_unref(c);
 }
 
+/* Decodes a version of one service with two values that tests vary. */
+static struct config *decode_values(struct lstr health_path, uint64_t number,
+				    guint *findings)
+{
+	struct findings f;
+	struct buf b = {0};
+	struct config *c;
+	msgpack_packer pk;
+
+	findings_init(&f);
+	msgpack_packer_init(&pk, &b, codec_buf_write);
+	msgpack_pack_map(&pk, 4);
+	pack_pair(&pk, "configVersion", "0000000c");
+	codec_pack_cstr(&pk, "routes");
+	msgpack_pack_map(&pk, 0);
+	codec_pack_cstr(&pk, "services");
+	msgpack_pack_map(&pk, 1);
+	codec_pack_cstr(&pk, "harta");
+	msgpack_pack_map(&pk, 2);
+	codec_pack_cstr(&pk, "healthPath");
+	codec_pack_lstr(&pk, health_path);
+	pack_number(&pk, "maxConnections", number);
+	codec_pack_cstr(&pk, "limits");
+	msgpack_pack_map(&pk, 2);
+	pack_number(&pk, "maxHeaderBytes", number);
+	pack_number(&pk, "idleTimeoutMs", number);
+	c = records_decode_config(buf_lstr(&b), &f);
+	*findings = f.list->len;
+	findings_clear(&f);
+	buf_free(&b);
+	return c;
+}
+
+/* Guards against limits of 2^32 + 1 bytes that are one byte. */
+static void test_large_limits(void **state)
+{
+	guint n;
+	struct config *c =
+		decode_values(LSTR("/h"), (UINT64_C(1) << 32) + 1, &n);
+
+	assert_int_equal(n, 0);
+	assert_int_equal(c->limits.head_max, UINT32_MAX);
+	assert_int_equal(c->limits.idle_timeout_ms, UINT32_MAX);
+	assert_int_equal(config_service(c, LSTR("harta"))->max_connections,
+			 UINT32_MAX);
+	config_unref(c);
+}
+
 static void test_split(void **state)
 {
 	struct variant v = valid_config;
@@ -237,6 +285,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_config),
+		cmocka_unit_test(test_large_limits),
 		cmocka_unit_test(test_split),
 		cmocka_unit_test(test_invalid_routes),
 		cmocka_unit_test(test_invalid_versions),
