The path of probes must be a path

Callers would see: with a healthPath that has a blank or a line break, probes were invalid requests, or had a header of the path's own; a service without healthPath was probed with an empty target.

Cause: the text went into the request line as it was.

--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -167,6 +167,37 @@
 	config_unref(c);
 }
 
+/* Guards against probes with a header of the path's own. */
+static void test_health_paths(void **state)
+{
+	static const struct lstr bad[] = {
+		{"", 0},     {"health", 6},
+		{"/a b", 4}, {"/a HTTP/1.1\r\nX: y", 17},
+		{"/\0", 2},  {"/\xff", 2},
+	};
+	struct config *c;
+	guint n;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		c = decode_values(bad[i], 7, &n);
+		assert_int_equal(n, 1);
+		assert_true(
+			lstr_eq(config_service(c, LSTR("harta"))->health_path,
+				LSTR("/")));
+		config_unref(c);
+	}
+	c = decode_values(LSTR("/h?full=1"), 7, &n);
+	assert_int_equal(n, 0);
+	assert_true(lstr_eq(config_service(c, LSTR("harta"))->health_path,
+			    LSTR("/h?full=1")));
+	config_unref(c);
+	/* A service without one is probed at the root. */
+	c = decode(&valid_config, &n);
+	assert_true(lstr_eq(config_service(c, LSTR("avize"))->health_path,
+			    LSTR("/")));
+	config_unref(c);
+}
+
 static void test_split(void **state)
 {
 	struct variant v = valid_config;
@@ -286,6 +317,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_config),
 		cmocka_unit_test(test_large_limits),
+		cmocka_unit_test(test_health_paths),
 		cmocka_unit_test(test_split),
 		cmocka_unit_test(test_invalid_routes),
 		cmocka_unit_test(test_invalid_versions),
