A test of odd values among the entries of the store

Nested 200,000 deep as arrays and 60,000 as maps, lengths of 2^32 - 1 without content, cut off, ports 0, 70000, -1 and of twenty digits, slots 2^63, 1e300, NaN and -5, a sequence of 1e308, a warm-up of 2^40 ms and without end: written among the servers and the instances while these run, and standing while all of them start again. They live, know both servers and serve.

--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -5,6 +5,8 @@
  */
 #include "tests/crowd.h"
 
+#include <math.h>
+
 #include "platform/store.h"
 #include "tests/pack.h"
 
@@ -201,30 +203,140 @@
 	check_all_names(STORE_TOPIC_CONFIG, LSTR("odd"));
 }
 
-/* Such names are no server's, even if the entry looks like one. */
-static void test_names_of_entries_like_servers(void **state)
+/* Values of a server's entry that tests vary. */
+struct entry {
+	const char *addr;
+	double slots, sequence, warm_up_ms;
+};
+
+static void pack_real(msgpack_packer *pk, const char *name, double v)
+{
+	codec_pack_cstr(pk, name);
+	msgpack_pack_double(pk, v);
+}
+
+/* Packs the entry of a server at an address where none is. */
+static void pack_entry(struct buf *out, const struct entry *e)
 {
-	struct buf b = {0};
 	msgpack_packer pk;
 
-	msgpack_packer_init(&pk, &b, codec_buf_write);
+	msgpack_packer_init(&pk, out, codec_buf_write);
 	msgpack_pack_map(&pk, 3);
-	pack_pair(&pk, "address", "127.0.0.1:1");
+	pack_pair(&pk, "address", e->addr);
 	codec_pack_cstr(&pk, "info");
 	msgpack_pack_map(&pk, 4);
 	pack_pair(&pk, "service", "harta");
 	pack_pair(&pk, "configVersion", "v1");
 	pack_pair(&pk, "zone", "hala-cluj");
-	pack_number(&pk, "slots", 8);
+	pack_real(&pk, "slots", e->slots);
 	codec_pack_cstr(&pk, "status");
 	msgpack_pack_map(&pk, 3);
 	pack_pair(&pk, "state", "ready");
-	pack_number(&pk, "sequenceNumber", 4);
-	pack_number(&pk, "warmupLeftMs", 0);
+	pack_real(&pk, "sequenceNumber", e->sequence);
+	pack_real(&pk, "warmupLeftMs", e->warm_up_ms);
+}
+
+/* Such names are no server's, even if the entry looks like one. */
+static void test_names_of_entries_like_servers(void **state)
+{
+	static const struct entry like_a_server = {"127.0.0.1:1", 8, 4, 0};
+	struct buf b = {0};
+
+	pack_entry(&b, &like_a_server);
 	check_all_names(STORE_TOPIC_BACKENDS, buf_lstr(&b));
 	buf_free(&b);
 }
 
+static const struct entry odd_servers[] = {
+	{"127.0.0.1:0", 8, 4, 0},
+	{"127.0.0.1:70000", 8, 4, 0},
+	{"127.0.0.1:-1", 8, 4, 0},
+	{"127.0.0.1:12345678901234567890", 8, 4, 0},
+	{"127.0.0.1:1", 0x1p63, 4, 0},
+	{"127.0.0.1:1", 1e300, 4, 0},
+	{"127.0.0.1:1", NAN, 4, 0},
+	{"127.0.0.1:1", -5, 4, 0},
+	{"127.0.0.1:1", 8, 1e308, 0},
+	{"127.0.0.1:1", 8, 4, 0x1p40},
+	{"127.0.0.1:1", 8, 4, INFINITY},
+};
+
+enum {
+	NESTED_ARRAY = G_N_ELEMENTS(odd_servers),
+	NESTED_MAP,
+	LONG_ARRAY, /* of 2^32 - 1 elements, of which none is there */
+	LONG_MAP,
+	LONG_TEXT,
+	CUT_OFF,
+	ODD_VALUES,
+};
+
+/* Writes one of the odd values. */
+static void pack_odd(struct buf *out, int i)
+{
+	static const struct entry like_a_server = {"127.0.0.1:1", 8, 4, 0};
+	msgpack_packer pk;
+
+	msgpack_packer_init(&pk, out, codec_buf_write);
+	if (i < NESTED_ARRAY)
+		pack_entry(out, &odd_servers[i]);
+	for (int k = 0; i == NESTED_ARRAY && k < 200 * 1000; k++)
+		msgpack_pack_array(&pk, 1);
+	for (int k = 0; i == NESTED_MAP && k < 60 * 1000; k++) {
+		msgpack_pack_map(&pk, 1);
+		msgpack_pack_nil(&pk);
+	}
+	if (i == LONG_ARRAY)
+		msgpack_pack_array(&pk, UINT32_MAX);
+	if (i == LONG_MAP)
+		msgpack_pack_map(&pk, UINT32_MAX);
+	if (i == LONG_TEXT)
+		msgpack_pack_str(&pk, UINT32_MAX);
+	if (i == CUT_OFF) {
+		pack_entry(out, &like_a_server);
+		out->len /= 2;
+	}
+}
+
+/* Writes all odd values to a topic, under plain names. */
+static void write_values(const char *topic, bool remove)
+{
+	for (int i = 0; i < ODD_VALUES; i++) {
+		char *key = g_strdup_printf("odd-%d", i);
+		struct buf b = {0};
+
+		if (!remove)
+			pack_odd(&b, i);
+		write_entry(topic, lstr0(key), buf_lstr(&b));
+		buf_free(&b);
+		g_free(key);
+	}
+}
+
+/*
+ * Guards against processes that end, or stop following the list, because of a
+ * value. Instances that run read them one by one, those that start list them.
+ */
+static void test_values(void **state)
+{
+	struct odd_name more = NAME("odd");
+
+	start();
+	write_values(STORE_TOPIC_BACKENDS, false);
+	write_values(STORE_TOPIC_MEMBERS, false);
+	usleep(SETTLE_MS * 1000);
+	for (int i = 0; i < ENTRIES; i++) {
+		assert_true(entry_lives(i));
+		assert_int_equal(servers_known(i), SERVERS);
+		assert_true(call_once(i));
+	}
+	set_faults(CROWD_BASE, "page_items=5");
+	if (!check_restart(STORE_TOPIC_BACKENDS, &more, 1, LSTR("odd")))
+		fail_msg("odd values; logs in %s", sys.dir);
+	write_values(STORE_TOPIC_BACKENDS, true);
+	sys.passed = true;
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -236,6 +348,7 @@
 					  system_stop),
 		cmocka_unit_test_teardown(test_names_of_entries_like_servers,
 					  system_stop),
+		cmocka_unit_test_teardown(test_values, system_stop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
