Soak mode "odd": odd entries in the store while all instances start again

Another writer leaves entries under thirteen odd names with five odd values in the topics of servers, instances and versions, pages of the store get small, and all instances are killed and started at once, among the other faults; at the end they start beside all odd entries with pages of one entry, must know the servers within 15 s and not go on listing, and calls are served.

--- a/tests/soak-seeds.sh
+++ b/tests/soak-seeds.sh
@@ -26,6 +26,8 @@
 #   looked complete.
 #   9101: the directory named instances that were removed, and a pause of the
 #   instance that reads for all delayed removals of servers on the others.
+#   9901, 9902: odd entries in the store beside which all instances start again;
+#   instances listed the same page again and again, and served nothing.
 #   9501, 9502: clients that don't behave; instances took more memory and sockets
 #   than they may.
 set -u
@@ -52,6 +54,9 @@
 	tests/soak.sh $seed 10 0 workspaces || exit 1
 done
 tests/soak.sh 9101 4 0 removals || exit 1
+for seed in 9901 9902; do
+	tests/soak.sh $seed 10 0 odd || exit 1
+done
 for seed in 9501 9502; do
 	tests/soak.sh $seed 8 0 crowds || exit 1
 done
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -9,12 +9,12 @@
 # decrease, no process exits on its own, and afterwards a version is in force
 # everywhere and calls are served.
 #
-#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links|workspaces|removals|crowds]]]
+#   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links|workspaces|removals|crowds|odd]]]
 #
 # A slot, 0 to 26, is a range of ports from 24000 on; instances take ports up to
 # 6000 higher, which must lie below those of outgoing connections. No other test
-# uses these, so a soak may run in parallel with other tests, and with other soaks if the
-# last digits of their slots differ. An even seed runs a system with hubs, and
+# uses these, so a soak may run beside other tests, and other soaks if the last
+# digits of their slots differ. An even seed runs a system with hubs, and
 # SOAK_ENTRIES sets the number of instances, at most 38. The modes:
 #   limits   servers also announce rate limits for a while and check them
 #   backoff  servers reject requests and ask for backoffs, announce that they
@@ -33,6 +33,7 @@
 #            are removed for good, see tests/soak_removals.sh
 #   crowds   clients that don't behave come to all ports of instances with little
 #            memory and few descriptors, see tests/soak_crowds.sh
+#   odd      another writer leaves odd entries in the store, see tests/soak_odd.sh
 #   fatal    a request that crashes each server that runs it is sent to all
 #            instances throughout; after the faults only few servers may crash
 #            under it
@@ -44,14 +45,10 @@
 seconds=${2:-10}
 slot=${3:-0}
 ((slot <= 26)) || { echo "soak: slot $slot isn't between 0 and 26" >&2; exit 2; }
-fatal=$([ "${4:-}" = fatal ] && echo yes)
 fault_kinds=$([ "${4:-}" = limits ] && echo 20 || echo 16)
-backoff=$([ "${4:-}" = backoff ] && echo yes)
-drills=$([ "${4:-}" = drills ] && echo yes)
-links=$([ "${4:-}" = links ] && echo yes)
-workspaces=$([ "${4:-}" = workspaces ] && echo yes)
-removals=$([ "${4:-}" = removals ] && echo yes)
-crowds=$([ "${4:-}" = crowds ] && echo yes)
+for mode in fatal backoff drills links workspaces removals crowds odd; do
+	printf -v $mode %s "$([ "${4:-}" = $mode ] && echo yes)"
+done
 base=$((24000 + 100 * slot))
 logs=$(mktemp -d)
 ini=$logs/soak.ini
@@ -124,7 +121,6 @@
 	pids[$name]=$!
 }
 
-# Logs an injected fault.
 log_fault() { echo "$(date +%s.%N | cut -c1-14) $*" >>"$logs/faults.log"; }
 random_below() { echo $((RANDOM % $1)); }
 sleep_ms() { sleep "$(printf '%d.%03d' $(($1 / 1000)) $(($1 % 1000)))"; }
@@ -398,6 +394,7 @@
 
 . tests/soak_crowds.sh
 . tests/soak_links.sh
+. tests/soak_odd.sh
 . tests/soak_drills.sh
 . tests/soak_removals.sh
 . tests/soak_workspaces.sh
@@ -439,6 +436,8 @@
 		random_link_fault
 	elif [ -n "$crowds" ] && ((RANDOM % 2)); then
 		random_crowd_fault
+	elif [ -n "$odd" ] && ((RANDOM % 2)); then
+		random_odd_fault
 	elif [ -n "$workspaces" ] && ((RANDOM % 2)); then
 		random_workspace_fault
 	else
@@ -468,6 +467,7 @@
 sleep 4
 check "under faults: no duplicate run, no false 'not run', no mismatched response" test $load_rc -eq 0
 [ -z "$drills" ] || check "afterwards: a restore without other faults loses nothing" final_restore_loses_nothing
+[ -z "$odd" ] || check "afterwards: instances start beside odd entries" odd_entries_stop_nobody
 [ -z "$links" ] || check "afterwards: instances without links serve like the others" cut_serves_alike
 if [ -n "$workspaces" ]; then
 	check_workspaces
