--- a/common/event.c
+++ b/common/event.c
@@ -224,7 +224,7 @@
 	va_start(ap, fmt);
 	vsnprintf(msg, sizeof(msg), fmt, ap);
 	va_end(ap);
-	text_replace_controls(msg);
+	text_make_printable(msg);
 	g_log_structured("mimosapitch", level, "EVENT", evs, "ROLE", log_role,
 			 "MESSAGE", "%s", msg);
 }
--- a/misc/text.c
+++ b/misc/text.c
@@ -54,14 +54,14 @@
 {
 	char *copy = g_strndup(s.ptr, s.len), *label;
 
-	text_replace_controls(copy);
+	text_make_printable(copy);
 	label = g_strescape(copy, NULL);
 	g_free(copy);
 	return label;
 }
 
-/* text_replace_controls() replaces all but printable ASCII by '?'. */
-void text_replace_controls(char *s)
+/* text_make_printable() replaces all but printable ASCII by '?'. */
+void text_make_printable(char *s)
 {
 	for (; *s; s++) {
 		if (!g_ascii_isprint(*s))
--- a/misc/text.h
+++ b/misc/text.h
@@ -12,6 +12,6 @@
 bool text_is_target(struct lstr s);
 char *text_escape(struct lstr s);
 char *text_label(struct lstr s);
-void text_replace_controls(char *s);
+void text_make_printable(char *s);
 
 #endif
--- a/traffic/workspace_metrics.c
+++ b/traffic/workspace_metrics.c
@@ -246,7 +246,7 @@
 		const struct workspace_counts *c = s ? &s->counts : &none;
 
 		/* The name of an unusable workspace may have any bytes. */
-		text_replace_controls(name);
+		text_make_printable(name);
 		buf_printf(out,
 			   "workspace\t%g\t%g\t%u\t%u\t%" PRIu64 "\t%" PRIu64
 			   "\t%" PRIu64 "\t%" PRIu64 "\t%" PRIu64 "\t%s\n",
