--- a/tests/test_endless_memory.c
+++ b/tests/test_endless_memory.c
@@ -9,6 +9,7 @@
 
 #include "misc/clock.h"
 #include "tests/bench.h"
+#include "tests/peak_memory.h"
 #include "traffic/responses.h"
 
 enum {
@@ -132,18 +133,6 @@
 	close(e->listener);
 }
 
-/* Returns the highest resident memory so far, in bytes. */
-static size_t peak_memory(void)
-{
-	char *status;
-	size_t kib = 0;
-
-	g_file_get_contents("/proc/self/status", &status, NULL, NULL);
-	sscanf(strstr(status, "VmHWM:"), "VmHWM: %zu", &kib);
-	g_free(status);
-	return kib * 1024;
-}
-
 /* Guards against being ended for its memory by servers that never finish. */
 static void test_within_memory(void **state)
 {
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -209,6 +209,8 @@
 	double slots, sequence, warm_up_ms;
 };
 
+static const struct entry like_a_server = {"127.0.0.1:1", 8, 4, 0};
+
 static void pack_real(msgpack_packer *pk, const char *name, double v)
 {
 	codec_pack_cstr(pk, name);
@@ -239,7 +241,6 @@
 /* Such names are no server's, even if the entry looks like one. */
 static void test_names_of_entries_like_servers(void **state)
 {
-	static const struct entry like_a_server = {"127.0.0.1:1", 8, 4, 0};
 	struct buf b = {0};
 
 	pack_entry(&b, &like_a_server);
@@ -274,7 +275,6 @@
 /* Writes one of the odd values. */
 static void pack_odd(struct buf *out, int i)
 {
-	static const struct entry like_a_server = {"127.0.0.1:1", 8, 4, 0};
 	msgpack_packer pk;
 
 	msgpack_packer_init(&pk, out, codec_buf_write);
--- a/tests/test_store_endless.c
+++ b/tests/test_store_endless.c
@@ -16,6 +16,7 @@
 
 #include "misc/clock.h"
 #include "platform/store.h"
+#include "tests/peak_memory.h"
 
 #define OK    "HTTP/1.1 200 X\r\n"
 #define A20   "AAAAAAAAAAAAAAAAAAAA"
@@ -84,18 +85,6 @@
 	_exit(0);
 }
 
-/* Returns the highest resident memory so far, in bytes. */
-static size_t peak_memory(void)
-{
-	char *status;
-	size_t kib = 0;
-
-	g_file_get_contents("/proc/self/status", &status, NULL, NULL);
-	sscanf(strstr(status, "VmHWM:"), "VmHWM: %zu", &kib);
-	g_free(status);
-	return kib * 1024;
-}
-
 /* Makes one call on each channel of an instance, and awaits their ends. */
 static void run(const struct form *form)
 {
