Limits: the next request that a low limit allows goes to its server

Cause: of such a limit one instance holds the only quota, one request each 3.3 s, and only the response to that request tells that the limit has ended. The request was left to chance: the server had to be among the two that are probed, and to answer first.

Change: a limit that no response has confirmed for 3 s may have ended. The next request that the quota allows probes its server alone, and goes there if it is good enough; otherwise it goes on as before. Not while a probe is pending, not for a second after it was found busy, and not if it fails. The holders repeat a limit each 2 to 3 s, so limits of more than about one a second are not touched while requests come.

--- a/core/place.c
+++ b/core/place.c
@@ -305,6 +305,36 @@
 	return n;
 }
 
+/*
+ * Returns whether b's limit may have ended and the query's request should find
+ * out. Only the response to a request tells, and until an instance has learned
+ * it, those without a quota of the limit don't use b. A server that was too
+ * busy gets time to recover first.
+ */
+static bool needs_confirmation(const struct place_query *q,
+			       const struct backend *b)
+{
+	return backend_is_limited(b) &&
+	       server_limit_is_unconfirmed(&b->state->limit->advertised,
+					   q->now_ms) &&
+	       !b->busy_conns && is_candidate(q, b, false) &&
+	       outlier_score(b, q->now_ms) < HEALTHY_SCORE_MAX &&
+	       (q->now_ms - b->load.at_ms > REPORT_OLD_MS ||
+		place_is_good_enough(b, q->now_ms));
+}
+
+/* Returns a candidate that needs confirmation of its limit, or NULL. */
+static struct backend *select_unconfirmed(const struct place_query *q)
+{
+	const GPtrArray *all = q->service->backends;
+
+	for (guint i = 0; i < all->len; i++) {
+		if (needs_confirmation(q, g_ptr_array_index(all, i)))
+			return g_ptr_array_index(all, i);
+	}
+	return NULL;
+}
+
 /*
  * place_select_probes() selects up to `want` servers to probe next and stores
  * them in `out`. Returns their number.
@@ -312,13 +342,20 @@
 unsigned place_select_probes(const struct place_query *q, unsigned want,
 			     struct backend **out)
 {
+	struct backend *unconfirmed = select_unconfirmed(q);
 	unsigned n;
 
+	/* Alone: the request goes to whichever server answers first. */
+	if (unconfirmed && want) {
+		out[0] = unconfirmed;
+		return 1;
+	}
 	if (want > PLACE_PROBE_MAX)
 		want = PLACE_PROBE_MAX;
 	n = spill_applies(q) ? select_spilled(q, want, out) : 0;
 	return n ? n : select_by_rank(q, want, out);
 }
+
 /* place_record_rtt() adds the round-trip time of a load probe. */
 void place_record_rtt(struct backend *b, double ms)
 {
--- a/core/server_limit.c
+++ b/core/server_limit.c
@@ -9,6 +9,9 @@
 static const double STALE_MAX_S = 20;
 static const double STALE_GOSSIP_S = 5;
 
+/* The holders of a limit repeat what they know of it within this time. */
+enum { CONFIRMED_MS = 3000 };
+
 /* Returns the name of a report's source in logs. */
 const char *limit_source_name(enum limit_source source)
 {
@@ -101,6 +104,15 @@
 	return change;
 }
 
+/*
+ * Returns whether no response has confirmed the limit for a while. It may have
+ * ended since.
+ */
+bool server_limit_is_unconfirmed(const struct server_limit *l, int64_t now_ms)
+{
+	return l->limited && now_ms - l->received_ms > CONFIRMED_MS;
+}
+
 /*
  * Returns whether no instance has had a response from the server for longer
  * than its limit explains. The holders of the limit then have no callers or are
--- a/core/server_limit.h
+++ b/core/server_limit.h
@@ -45,6 +45,7 @@
 enum limit_change server_limit_update(struct server_limit *l,
 				      const struct limit_report *r,
 				      int64_t now_ms);
+bool server_limit_is_unconfirmed(const struct server_limit *l, int64_t now_ms);
 bool server_limit_is_stale(const struct server_limit *l, int64_t now_ms);
 const char *limit_source_name(enum limit_source source);
 
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -169,6 +169,118 @@
 	assert_true(probes / plays >= 3 * 15 * 2 / 3 / 2);
 }
 
+/*
+ * Gives b a limit of 0.3 per second, last confirmed at answered_ms, of which
+ * this instance holds the only quota.
+ */
+static void set_low_limit(struct backend *b, int64_t answered_ms)
+{
+	struct backend_limit *l = g_new0(struct backend_limit, 1);
+	struct limit_instance self = {1, 1};
+	struct limit_instances instances = {&self, 1};
+	struct limit_quota quota =
+		limit_quota(&limit_rule_announced, 0.3, 7, &instances);
+
+	l->advertised = (struct server_limit){.limited = true,
+					      .per_s = 0.3,
+					      .sent_ms = answered_ms - 5,
+					      .received_ms = answered_ms};
+	limit_share_init(&l->share, false, answered_ms);
+	limit_share_set_quota(&l->share, &quota, answered_ms);
+	b->state->limit = l;
+	b->load.at_ms = answered_ms;
+}
+
+/*
+ * Plays the requests of one instance at 15 per second over three idle servers,
+ * the first of which has a limit. Its quota allows a request again, and no
+ * connection to it is left. Returns when a request is sure to go there, as no
+ * other server is probed for it.
+ */
+static int64_t play_unconfirmed_limit(guint32 seed)
+{
+	GRand *rand = g_rand_new_with_seed(seed);
+	struct servers *s = servers_new(3, 2);
+	struct place_query q = query(s, rand);
+	int64_t start_ms = q.now_ms, found_ms = -1;
+	struct backend *out[PLACE_PROBE_MAX];
+	int idle;
+
+	set_low_limit(s->list[0], start_ms - 3335);
+	for (int i = 1; i < 3; i++)
+		s->list[i]->idle_conns = &idle;
+	for (; found_ms < 0 && q.now_ms < start_ms + 7000;
+	     q.now_ms += 1000 / 15) {
+		for (int i = 1; i < 3; i++)
+			s->list[i]->load.at_ms = q.now_ms - 60;
+		if (place_select_probes(&q, 2, out) == 1 &&
+		    out[0] == s->list[0])
+			found_ms = q.now_ms - start_ms;
+	}
+	for (int i = 1; i < 3; i++)
+		s->list[i]->idle_conns = NULL;
+	servers_free(s);
+	g_rand_free(rand);
+	return found_ms < 0 ? 7000 : found_ms;
+}
+
+/*
+ * Only a response can tell that a limit has ended, so a request that a low
+ * limit allows isn't left unused while requests come in.
+ */
+static void test_unconfirmed_limit_is_probed(void **state)
+{
+	int64_t sum_ms = 0, worst_ms = 0;
+
+	for (guint32 i = 0; i < 400; i++) {
+		int64_t ms = play_unconfirmed_limit(i);
+
+		sum_ms += ms;
+		worst_ms = MAX(worst_ms, ms);
+	}
+	print_message("after %d ms, at worst %d\n", (int)(sum_ms / 400),
+		      (int)worst_ms);
+	assert_true(worst_ms <= 333);
+}
+
+/*
+ * A server with an unconfirmed limit is probed like the others while a probe of
+ * it is pending, for a second after it was found busy, and when it fails; not
+ * at all when its quota is used up.
+ */
+static void test_unconfirmed_limit_is_probed_once(void **state)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+	struct servers *s = servers_new(3, 2);
+	struct place_query q = query(s, rand);
+	struct backend *out[PLACE_PROBE_MAX], *b = s->list[0];
+	int busy;
+
+	set_low_limit(b, q.now_ms - 3335);
+	assert_int_equal(place_select_probes(&q, 2, out), 1);
+	assert_ptr_equal(out[0], b);
+	b->busy_conns = &busy;
+	assert_int_equal(place_select_probes(&q, 2, out), 2);
+	b->busy_conns = NULL;
+	/* A recent probe for another request found it idle. */
+	b->load.at_ms = q.now_ms - 100;
+	assert_int_equal(place_select_probes(&q, 2, out), 1);
+	b->load.running = 2;
+	b->load.at_ms = q.now_ms - 900;
+	assert_int_equal(place_select_probes(&q, 2, out), 2);
+	b->load.at_ms = q.now_ms - 1001;
+	assert_int_equal(place_select_probes(&q, 2, out), 1);
+	outlier_record(b, 1.0, q.now_ms);
+	assert_int_equal(place_select_probes(&q, 2, out), 2);
+	q.now_ms += 60000;
+	assert_int_equal(place_select_probes(&q, 2, out), 1);
+	limit_share_clear(&b->state->limit->share, q.now_ms);
+	assert_int_equal(place_select_probes(&q, 2, out), 2);
+	assert_true(out[0] != b && out[1] != b);
+	servers_free(s);
+	g_rand_free(rand);
+}
+
 /* A server that keeps failing is only probed if no other is left. */
 static void test_deprioritized(void **state)
 {
@@ -271,6 +383,8 @@
 		cmocka_unit_test(test_deprioritized),
 		cmocka_unit_test(test_connections),
 		cmocka_unit_test(test_forgotten_server_gets_its_part),
+		cmocka_unit_test(test_unconfirmed_limit_is_probed),
+		cmocka_unit_test(test_unconfirmed_limit_is_probed_once),
 		cmocka_unit_test(test_capacity),
 		cmocka_unit_test(test_estimate),
 	};
--- a/tests/test_server_limit.c
+++ b/tests/test_server_limit.c
@@ -134,6 +134,23 @@
 	assert_false(server_limit_is_stale(&l, 99999));
 }
 
+/* A limit is unconfirmed 3 s after its last response, and not after its end. */
+static void test_unconfirmed(void **state)
+{
+	struct server_limit l = {0};
+
+	limited_response(&l, 0.3, 100, 1000);
+	assert_false(server_limit_is_unconfirmed(&l, 4000));
+	assert_true(server_limit_is_unconfirmed(&l, 4001));
+	server_limit_update(
+		&l,
+		&(struct limit_report){true, 0.3, 4000, 5000, LIMIT_BY_PEER},
+		6000);
+	assert_false(server_limit_is_unconfirmed(&l, 8000));
+	unlimited_response(&l, 9000, 9001);
+	assert_false(server_limit_is_unconfirmed(&l, 99999));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -144,6 +161,7 @@
 		cmocka_unit_test(test_late_report_after_end),
 		cmocka_unit_test(test_probes),
 		cmocka_unit_test(test_stale),
+		cmocka_unit_test(test_unconfirmed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
