--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -12,10 +12,10 @@
 #   tests/soak.sh SEED [SECONDS [SLOT [fatal|limits|backoff|drills|links|workspaces|removals|crowds|odd]]]
 #
 # A slot, 0 to 26, is a range of ports from 24000 on; instances take ports up to
-# 6000 higher, which must lie below those of outgoing connections. No other test
-# uses these, so a soak may run beside other tests, and other soaks if the last
-# digits of their slots differ. An even seed runs a system with hubs, and
-# SOAK_ENTRIES sets the number of instances, at most 38. The modes:
+# 6000 higher, which must lie below those of outgoing connections. e2e.sh uses
+# ports of slot 1; with the others a soak may run beside other tests, and other
+# soaks if the last digits of their slots differ. An even seed runs a system
+# with hubs, SOAK_ENTRIES sets the number of instances, at most 38. The modes:
 #   limits   servers also announce rate limits for a while and check them
 #   backoff  servers reject requests and ask for backoffs, announce that they
 #            drain, let their records expire, and check what they still get;
